--- /dev/null
+++ b/Courseloom/src/Control/ReplicaDriver.cpp
@@ -0,0 +1,318 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Control/ReplicaDriver.h"
+
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <iostream>
+#include <random>
+
+#include "Courseloom/src/Core/Log.h"
+
+namespace courseloom {
+
+namespace asio = boost::asio;
+
+namespace internal {
+namespace {
+
+constexpr std::uint64_t BytesPerMb = 1024ULL * 1024;
+constexpr int TicksPerHeartbeat = 2;
+
+std::string random_disk_id() {
+  std::random_device device;
+  std::string id = "disk-";
+  for (int i = 0; i < 4; ++i) id += std::to_string(device()) + (i < 3 ? "-" : "");
+  return id;
+}
+
+std::vector<ReplicaId> member_ids(const schema::Settings& settings) {
+  std::vector<ReplicaId> ids;
+  for (const schema::ControlMember& member : settings.cluster().members()) ids.push_back(member.id());
+  return ids;
+}
+
+StateLimits state_limits(const schema::ControlSettings& control) {
+  return {control.max_kept_answer_bytes(), 1000ULL * control.claim_retention_s()};
+}
+
+/** New work may be refused for want of space; what ends work that has begun must not be. */
+bool is_new_work(const schema::Command& command) {
+  return command.has_apply() || command.has_action() || command.has_open_claim() || command.has_submit();
+}
+
+schema::DiskIdentity make_identity(const schema::Settings& settings, ReplicaId id, const std::string& diskId) {
+  schema::DiskIdentity identity;
+  identity.set_format(LogStore::Format);
+  identity.set_cluster_id(settings.cluster().id());
+  identity.set_replica_id(id);
+  identity.set_disk_id(diskId);
+  return identity;
+}
+
+}  // namespace
+}  // namespace internal
+
+Result<ReplicaId> ownReplicaId(const schema::Settings& settings) {
+  for (const schema::ControlMember& member : settings.cluster().members()) {
+    const bool own = member.address() == settings.node().address() && member.rpc_port() == settings.node().rpc_port();
+    if (own) return member.id();
+  }
+  return fail(Failure{FailureCode::BadSettings, Ran::No, "find replica", "node.rpcPort",
+                      "no member under 'cluster.members' has this process's address and RPC port", 0});
+}
+
+Result<void> initialiseFounder(const schema::Settings& settings) {
+  BOOST_LEAF_AUTO(id, ownReplicaId(settings));
+  const std::string& cluster = settings.cluster().id();
+  LogStore store(settings.node().data_folder());
+  return store.initialise(internal::make_identity(settings, id, foundingDiskId(cluster, id)),
+                          foundingSnapshot(cluster, internal::member_ids(settings)));
+}
+
+ReplicaDriver::ReplicaDriver(const DaemonContext& context, ControlStrand strand)
+    : m_context(context),
+      m_strand(std::move(strand)),
+      m_disk(1),
+      m_store(context.settings.node().data_folder()),
+      m_state(internal::state_limits(context.settings.control())) {
+  for (const schema::ControlMember& member : context.settings.cluster().members()) {
+    m_peers[member.id()] = std::make_shared<RpcClient>(context.io, member.address(), member.rpc_port());
+  }
+}
+
+Result<void> ReplicaDriver::open() {
+  const schema::Settings& settings = m_context.settings;
+  const schema::ClusterSettings& cluster = settings.cluster();
+  BOOST_LEAF_AUTO(id, ownReplicaId(settings));
+  if (!m_store.exists()) {
+    logEvent(schema::DiskJoining, {{"folder", settings.node().data_folder()}});
+    BOOST_LEAF_CHECK(m_store.initialise(internal::make_identity(settings, id, internal::random_disk_id()), {}));
+  }
+  BOOST_LEAF_AUTO(restored, m_store.open(cluster.id(), id));
+  if (m_store.bytesCut() > 0) logEvent(schema::LogTailCut, {{"bytes", m_store.bytesCut()}});
+  m_appliedMembers = restored.snapshot.info().members();
+  for (const schema::Member& member : m_appliedMembers.members()) {
+    if (m_peers.count(member.id()) > 0) continue;
+    return fail(Failure{FailureCode::BadSettings, Ran::No, "open storage", settings.node().data_folder(),
+                        "the log names replica " + std::to_string(member.id()) + ", which the settings do not list",
+                        0});
+  }
+  m_applied = restored.snapshot.info().index();
+  m_appliedTerm = restored.snapshot.info().term();
+  if (!restored.snapshot.state().empty()) BOOST_LEAF_CHECK(m_state.load(restored.snapshot.state()));
+  ReplicaOptions options;
+  options.clusterId = cluster.id();
+  options.id = id;
+  options.diskId = m_store.identity().disk_id();
+  options.peers = internal::member_ids(settings);
+  options.heartbeat = milliseconds(cluster.heartbeat_ms());
+  options.electionTimeout = milliseconds(cluster.election_timeout_ms());
+  options.seed = std::random_device()();
+  m_replica = std::make_unique<Replica>(options, std::move(restored), BootClock::now());
+  return {};
+}
+
+void ReplicaDriver::start() { asio::co_spawn(m_strand, tickLoop(), asio::detached); }
+
+Awaitable<void> ReplicaDriver::tickLoop() {
+  const Duration step = milliseconds(m_context.settings.cluster().heartbeat_ms()) / internal::TicksPerHeartbeat;
+  while (true) {
+    m_replica->tick(BootClock::now());
+    drive();
+    co_await sleepFor(step);
+  }
+}
+
+bool ReplicaDriver::receive(const schema::ReplicaMessage& message) {
+  if (!m_replica->receive(message, BootClock::now())) {
+    logEvent(schema::MessageRefused, {{"from", std::uint64_t{message.from()}},
+                                      {"cluster", message.cluster_id()},
+                                      {"kind", schema::MessageKind_Name(message.kind())}});
+    return false;
+  }
+  drive();
+  return true;
+}
+
+// ---- performing the replica's output
+
+void ReplicaDriver::drive() {
+  watchRole();
+  send(m_replica->takeMessages());
+  if (m_storing) return;
+  if (snapshotDue()) return takeSnapshot();
+  ReplicaOutput output = m_replica->takeOutput();
+  if (output.empty()) return;
+  if (output.needsSync()) return store(std::move(output));
+  finish(output);
+  drive();
+}
+
+void ReplicaDriver::store(ReplicaOutput output) {
+  m_storing = true;
+  asio::post(m_disk, [this, output = std::move(output)]() mutable {
+    Result<void> written = m_store.write(output);
+    if (!written) endOnStorageFailure(takeFailure(written));
+    asio::post(m_strand, [this, output = std::move(output)] {
+      m_storing = false;
+      finish(output);
+      drive();
+    });
+  });
+}
+
+void ReplicaDriver::endOnStorageFailure(const Failure& failure) {
+  // After a failed write or sync nobody knows what the disk holds; only a fresh start can tell.
+  logFailure(schema::StorageFailed, failure);
+  std::cerr << "courseloom-control: " << failure.text() << "\n";
+  std::_Exit(ExitStorage);
+}
+
+void ReplicaDriver::finish(const ReplicaOutput& output) {
+  if (output.install) {
+    const schema::SnapshotInfo& info = output.install->info();
+    Result<void> loaded = m_state.load(output.install->state());
+    if (!loaded) endOnStorageFailure(takeFailure(loaded));
+    m_applied = info.index();
+    m_appliedTerm = info.term();
+    m_appliedMembers = info.members();
+    m_replica->synced(info.index(), info.term());
+    logEvent(schema::SnapshotInstalled, {{"index", info.index()}});
+  }
+  if (!output.append.empty()) m_replica->synced(output.append.back().index(), output.append.back().term());
+  send(output.messagesAfterSync);
+  for (const schema::LogEntry& entry : output.committed) apply(entry);
+  if ((output.install || !output.committed.empty()) && m_onApplied) m_onApplied();
+}
+
+void ReplicaDriver::apply(const schema::LogEntry& entry) {
+  if (entry.index() <= m_applied) return;
+  m_applied = entry.index();
+  m_appliedTerm = entry.term();
+  if (entry.has_members()) {
+    m_appliedMembers = entry.members();
+    logEvent(schema::MembersChanged, {{"index", entry.index()}, {"members", entry.members().ShortDebugString()}});
+  }
+  Result<schema::CommandReply> reply = schema::CommandReply();
+  schema::Command command;
+  if (!entry.payload().empty() && command.ParseFromString(entry.payload()))
+    reply = m_state.apply(entry.index(), command);
+  const auto waiter = m_waiters.find(entry.index());
+  if (waiter == m_waiters.end()) return;
+  if (waiter->second.term != entry.term()) {
+    // Another leader's command took this place in the log, so the waiting one can never be committed.
+    Failure overruled = noLeader("commit");
+    reply = fail(std::move(overruled));
+  }
+  waiter->second.done->set(std::move(reply));
+  m_waiters.erase(waiter);
+}
+
+void ReplicaDriver::send(const std::vector<schema::ReplicaMessage>& messages) {
+  for (const schema::ReplicaMessage& message : messages) sendOne(message);
+}
+
+void ReplicaDriver::sendOne(schema::ReplicaMessage message) {
+  const auto peer = m_peers.find(message.to());
+  if (peer == m_peers.end()) return;
+  const Time deadline = BootClock::now() + 2 * milliseconds(m_context.settings.cluster().election_timeout_ms());
+  // A lost message is the replica's to repeat; failures show in the metrics and in the peer's silence.
+  asio::co_spawn(
+      m_context.io,
+      [this, client = peer->second, message = std::move(message), deadline]() -> Awaitable<void> {
+        Result<schema::Empty> reply = co_await client->call<schema::Empty>("replicate", message, deadline);
+        if (!reply) m_context.metrics.count("replica_send_failures", client->peer());
+      },
+      asio::detached);
+}
+
+void ReplicaDriver::watchRole() {
+  if (m_replica->isLeader() == m_leads) return;
+  m_leads = m_replica->isLeader();
+  logEvent(m_leads ? schema::BecameLeader : schema::LostLeadership, {{"term", m_replica->term()}});
+  if (!m_leads) failWaiters();
+  if (m_onRole) m_onRole(m_leads);
+}
+
+// ---- commands
+
+Failure ReplicaDriver::noLeader(const std::string& step) const {
+  const ReplicaId leader = m_replica->isLeader() ? 0 : m_replica->leader();
+  return Failure{FailureCode::NoLeader,
+                 Ran::No,
+                 step,
+                 leader == 0 ? "" : "replica " + std::to_string(leader),
+                 leader == 0 ? "no leader is known" : "another replica leads",
+                 m_context.settings.cluster().election_timeout_ms()};
+}
+
+void ReplicaDriver::failWaiters() {
+  auto waiters = std::move(m_waiters);
+  m_waiters.clear();
+  for (auto& [index, waiter] : waiters) {
+    Failure failure = noLeader("commit");
+    failure.ran = Ran::Unknown;
+    failure.detail = "leadership ended before the command was known to be committed";
+    waiter.done->set(fail(std::move(failure)));
+  }
+}
+
+Awaitable<Result<schema::CommandReply>> ReplicaDriver::submit(schema::Command command, Time deadline) {
+  if (!m_replica->isLeader()) co_return fail(noLeader("propose"));
+  const std::uint64_t reserve = internal::BytesPerMb * m_context.settings.control().reserve_mb();
+  if (internal::is_new_work(command) && m_store.freeBytes() < reserve) {
+    co_return fail(Failure{FailureCode::StorageFull, Ran::No, "propose", m_context.settings.node().data_folder(),
+                           "less than the reserve is left on the disk", 0});
+  }
+  command.set_time_ms(wallClockMs());
+  const std::optional<LogIndex> index = m_replica->propose(command.SerializeAsString());
+  if (!index) co_return fail(noLeader("propose"));
+  auto done = std::make_shared<OneShot<Result<schema::CommandReply>>>(m_strand);
+  m_waiters[*index] = {m_replica->term(), done};
+  drive();
+  std::optional<Result<schema::CommandReply>> reply = co_await done->wait(deadline);
+  if (reply) co_return std::move(*reply);
+  co_return fail(Failure{FailureCode::NoLeader, Ran::Unknown, "commit", "", "no quorum answered in time", 0});
+}
+
+Awaitable<void> ReplicaDriver::handOver(Duration limit) {
+  const Time end = BootClock::now() + limit;
+  m_replica->handOver(BootClock::now());
+  drive();
+  while (m_replica->isLeader() && BootClock::now() < end) co_await sleepFor(milliseconds(5));
+}
+
+// ---- snapshots
+
+bool ReplicaDriver::snapshotDue() const {
+  const LogIndex covered = m_replica->log().snapshot().info().index();
+  return m_applied >= covered + m_context.settings.control().snapshot_entries();
+}
+
+void ReplicaDriver::takeSnapshot() {
+  auto snapshot = std::make_shared<schema::Snapshot>();
+  snapshot->mutable_info()->set_index(m_applied);
+  snapshot->mutable_info()->set_term(m_appliedTerm);
+  *snapshot->mutable_info()->mutable_members() = m_appliedMembers;
+  snapshot->set_state(m_state.save());
+  const std::vector<schema::LogEntry> keep =
+      m_replica->log().slice(m_applied + 1, m_replica->log().lastIndex(), std::numeric_limits<std::size_t>::max());
+  m_storing = true;
+  asio::post(m_disk, [this, snapshot, hard = m_replica->hardState(), keep] {
+    Result<void> written = m_store.compact(*snapshot, hard, keep);
+    if (!written) endOnStorageFailure(takeFailure(written));
+    asio::post(m_strand, [this, snapshot] {
+      m_storing = false;
+      m_replica->compact(*snapshot);
+      logEvent(schema::SnapshotTaken, {{"index", snapshot->info().index()}, {"bytes", snapshot->state().size()}});
+      drive();
+    });
+  });
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Core/Log.h
@@ -0,0 +1,39 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <utility>
+
+#include "Courseloom/src/Core/Failure.h"
+#include "generated/events.pb.h"
+
+namespace courseloom {
+
+/** \class LogField
+ * \brief One named value of a log event.
+ */
+struct LogField {
+  LogField(const char* fieldName, std::string fieldValue) : name(fieldName), value(std::move(fieldValue)) {}
+  LogField(const char* fieldName, std::uint64_t number) : name(fieldName), value(std::to_string(number)) {}
+  const char* name;
+  std::string value;
+};
+
+/** Sets up log4cxx with its JSON layout.
+ * \param process name of this process, a field of each line
+ * \param level TRACE, DEBUG, INFO, WARN or ERROR
+ * \param file path of the log; empty is standard error
+ */
+void setUpLog(const std::string& process, const std::string& level, const std::string& file);
+
+/** Writes one numbered event at the level that schema/events.proto gives it. Safe from any thread. */
+void logEvent(schema::Event event, std::initializer_list<LogField> fields = {});
+/** Writes one numbered event with a failure's code, ran, step, peer and detail. */
+void logFailure(schema::Event event, const Failure& failure);
+/** \returns the catalogue of events as a Markdown page. */
+std::string describeEvents();
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Entry/EntryService.cpp
@@ -0,0 +1,101 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Entry/EntryService.h"
+
+#include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Runtime/OneShot.h"
+
+namespace courseloom {
+
+namespace http = boost::beast::http;
+
+namespace internal {
+namespace {
+
+HttpLimits http_limits(const schema::EntrySettings& entry) {
+  HttpLimits limits;
+  limits.maxBodyBytes = entry.max_body_bytes();
+  limits.maxHeaderBytes = entry.max_header_bytes();
+  limits.maxConnections = entry.max_connections();
+  limits.idleTimeout = milliseconds(entry.idle_timeout_ms());
+  return limits;
+}
+
+}  // namespace
+}  // namespace internal
+
+EntryService::EntryService(const DaemonContext& context)
+    : m_context(context),
+      m_follower(
+          context.io, context.settings.cluster(), [this] { return status(); },
+          ViewBuilder([&io = context.io](const std::string& address, unsigned port) {
+            return std::make_shared<RpcClient>(io, address, port);
+          })),
+      m_requests(context, m_follower),
+      m_operators(m_follower.control(), context.settings.node().name()),
+      m_http(context.io, internal::http_limits(context.settings.entry()),
+             [this](HttpRequest request, std::string peer) { return handle(std::move(request), std::move(peer)); }) {}
+
+Result<Listening> EntryService::start() {
+  const schema::NodeSettings& node = m_context.settings.node();
+  BOOST_LEAF_ASSIGN(m_listening.httpPort, m_http.start(node.address(), node.http_port()));
+  m_follower.start();
+  return m_listening;
+}
+
+schema::NodeStatus EntryService::status() const {
+  const schema::NodeSettings& node = m_context.settings.node();
+  schema::NodeStatus status;
+  status.set_name(node.name());
+  status.set_role(schema::EntryRole);
+  status.set_address(node.address());
+  status.set_http_port(m_listening.httpPort);
+  status.set_data_hall(node.data_hall());
+  status.set_leaving(m_stopping);
+  return status;
+}
+
+Awaitable<HttpResponse> EntryService::handle(HttpRequest request, std::string /*peer*/) {
+  if (std::optional<HttpResponse> admin = answerAdmin(request, ready(), m_context.metrics)) co_return std::move(*admin);
+  const std::string whole(request.target());
+  const std::size_t mark = whole.find('?');
+  std::vector<std::string> path = splitPath(whole.substr(0, mark));
+  std::string query = mark == std::string::npos ? std::string() : whole.substr(mark + 1);
+  if (path.size() < 2 || path.front() != "v1") {
+    co_return problemResponse(Failure{FailureCode::NotFound, Ran::No, "route", "", "no such path", 0});
+  }
+  path.erase(path.begin());
+  const bool isRequest = path.size() == 3 && path[0] == "services" && path[2] == "requests";
+  if (isRequest) co_return co_await serveRequest(std::move(request), path[1]);
+  co_return co_await m_operators.answer(std::move(request), std::move(path), std::move(query));
+}
+
+Awaitable<HttpResponse> EntryService::serveRequest(HttpRequest request, std::string service) {
+  if (request.method() != http::verb::post) {
+    co_return problemResponse(Failure{FailureCode::MethodNotAllowed, Ran::No, "route", "", "use POST", 0});
+  }
+  Result<RequestContext> context =
+      readRequest(std::move(request), std::move(service), m_context.settings.entry().default_deadline_ms());
+  if (!context) co_return problemResponse(takeFailure(context));
+  Result<schema::Answer> answer = co_await m_requests.serve(std::move(*context));
+  if (!answer) co_return problemResponse(takeFailure(answer));
+  HttpResponse response;
+  response.result(answer->status());
+  if (!answer->content_type().empty()) response.set(http::field::content_type, answer->content_type());
+  response.set("Courseloom-Ran", "yes");
+  response.body() = std::move(*answer->mutable_body());
+  response.prepare_payload();
+  co_return response;
+}
+
+Awaitable<std::size_t> EntryService::stop() {
+  const schema::EntrySettings& entry = m_context.settings.entry();
+  // Not ready first, while still serving, so that the balancer looks away before the listener closes.
+  m_stopping = true;
+  co_await sleepFor(milliseconds(entry.not_ready_ms()));
+  m_http.drain();
+  co_return co_await drainToZero([this] { return m_http.inFlight(); }, milliseconds(entry.drain_limit_ms()));
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Entry/EntryService.h
@@ -0,0 +1,35 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include "Courseloom/src/Entry/OperatorRoutes.h"
+#include "Courseloom/src/Entry/RequestPath.h"
+
+namespace courseloom {
+
+/** \class EntryService
+ * \brief The entry daemon: the HTTP interface for callers and operators.
+ */
+class EntryService : public Service {
+ public:
+  explicit EntryService(const DaemonContext& context);
+  Result<Listening> start() override;
+  Awaitable<std::size_t> stop() override;
+
+ private:
+  Awaitable<HttpResponse> handle(HttpRequest request, std::string peer);
+  Awaitable<HttpResponse> serveRequest(HttpRequest request, std::string service);
+  schema::NodeStatus status() const;
+  bool ready() const { return m_follower.fresh() && !m_stopping; }
+
+  DaemonContext m_context;
+  ViewFollower m_follower;
+  RequestPath m_requests;
+  OperatorRoutes m_operators;
+  HttpServer m_http;
+  Listening m_listening;
+  std::atomic<bool> m_stopping{false};
+};
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Entry/RequestPath.cpp
@@ -0,0 +1,446 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Entry/RequestPath.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <random>
+
+#include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Runtime/OneShot.h"
+
+namespace courseloom {
+
+namespace asio = boost::asio;
+
+namespace internal {
+namespace {
+
+/** The agent answers at the deadline itself; its answer needs a moment to arrive. */
+constexpr Duration AnswerGrace = milliseconds(100);
+constexpr Duration SettleLimit = milliseconds(60000);
+constexpr std::uint32_t AskAgainMs = 500;
+constexpr int MaxClaimRounds = 6;
+
+RouterOptions router_options(const schema::EntrySettings& entry) {
+  RouterOptions options;
+  options.ejectAfterFailures = entry.eject_after_failures();
+  options.ejectFor = milliseconds(entry.eject_ms());
+  options.maxEjectedPercent = entry.max_ejected_percent();
+  options.retryBudgetPercent = entry.retry_budget_percent();
+  return options;
+}
+
+std::uint64_t random_number() {
+  thread_local std::mt19937_64 generator(std::random_device{}());
+  return generator();
+}
+
+/** A refusal that says only that this target takes nothing: another one may, and asking costs it nothing. */
+bool is_free_retry(const Failure& failure) {
+  if (failure.ran != Ran::No) return false;
+  return failure.code == FailureCode::Stopping || failure.code == FailureCode::Leaving ||
+         failure.code == FailureCode::PeerUnreachable || failure.code == FailureCode::TargetUnreachable;
+}
+
+bool is_refusal(const Failure& failure) {
+  return failure.code == FailureCode::Overloaded || failure.code == FailureCode::DeadlineTooShort ||
+         failure.code == FailureCode::Stopping || failure.code == FailureCode::Leaving ||
+         failure.code == FailureCode::Draining || failure.code == FailureCode::Fenced;
+}
+
+struct Counted {
+  std::atomic<std::size_t>& all;
+  View::Counter workspace;
+  Counted(std::atomic<std::size_t>& total, View::Counter counter) : all(total), workspace(std::move(counter)) {}
+  ~Counted() {
+    --all;
+    --*workspace;
+  }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
+};
+
+}  // namespace
+}  // namespace internal
+
+RequestPath::RequestPath(const DaemonContext& context, ViewFollower& follower)
+    : m_context(context),
+      m_follower(follower),
+      m_router(internal::router_options(context.settings.entry())),
+      m_prefix(context.settings.node().name() + "-" + std::to_string(internal::random_number()) + "-") {}
+
+// ---- limits
+
+Result<View::Counter> RequestPath::admit(const RequestContext& request) {
+  const schema::EntrySettings& limits = m_context.settings.entry();
+  const auto refuse = [&](FailureCode code, const std::string& detail, std::uint32_t retryAfterMs) {
+    return Failure{code, request.notRun(), "entry", m_context.settings.node().name(), detail, retryAfterMs};
+  };
+  if (!m_follower.fresh()) {
+    return fail(
+        refuse(FailureCode::NotFresh, "this entry has not heard from the control leader lately", internal::AskAgainMs));
+  }
+  const RcuReadGuard guard;
+  const View& view = m_follower.view().read(guard);
+  const schema::Object* service = view.service(request.service);
+  if (service == nullptr) {
+    return fail(Failure{FailureCode::UnknownService, Ran::No, "entry", "",
+                        "service '" + request.service + "' does not exist", 0});
+  }
+  const schema::Object* workspace = view.workspace(request.workspace);
+  if (workspace == nullptr) {
+    return fail(Failure{FailureCode::UnknownWorkspace, Ran::No, "entry", "",
+                        "workspace '" + request.workspace + "' does not exist", 0});
+  }
+  if (service->draining() || workspace->draining())
+    return fail(refuse(FailureCode::Draining, "draining by an operator", 5000));
+  if (service->paused() || workspace->paused()) return fail(refuse(FailureCode::Paused, "paused by an operator", 5000));
+  View::Counter counter = view.inFlight.at(request.workspace);
+  const std::uint32_t limit = workspace->workspace().max_in_flight();
+  if (limit > 0 && counter->load() >= limit) {
+    return fail(
+        refuse(FailureCode::Overloaded, "the workspace has its limit of requests in flight", internal::AskAgainMs));
+  }
+  if (m_inFlight.load() >= limits.max_in_flight()) {
+    return fail(
+        refuse(FailureCode::Overloaded, "this entry has its limit of requests in flight", internal::AskAgainMs));
+  }
+  ++m_inFlight;
+  ++*counter;
+  return counter;
+}
+
+Awaitable<Result<schema::Answer>> RequestPath::serve(RequestContext request) {
+  Result<View::Counter> counter = admit(request);
+  if (!counter) {
+    const Failure failure = takeFailure(counter);
+    m_context.metrics.count("refused", codeName(failure.code));
+    co_return fail(failure);
+  }
+  const internal::Counted counted(m_inFlight, *counter);
+  m_router.onFirstTry();
+  Result<schema::Answer> answer = Failed(Failure{});
+  if (request.repeatable) {
+    answer = co_await serveRepeatable(request);
+  } else {
+    answer = co_await serveOnce(request);
+  }
+  finishTimes(request, bool(answer));
+  if (answer) co_return answer;
+  Failure failure = takeFailure(answer);
+  m_context.metrics.count("refused", codeName(failure.code));
+  logFailure(schema::RequestRefused, failure);
+  const bool comingBackHelps =
+      codeStatus(failure.code) == 503 || codeStatus(failure.code) == 429 || codeStatus(failure.code) >= 502;
+  if (comingBackHelps && failure.retryAfterMs == 0) failure.retryAfterMs = internal::AskAgainMs;
+  co_return fail(std::move(failure));
+}
+
+void RequestPath::finishTimes(const RequestContext& request, bool answered) {
+  const double ms = toMilliseconds(BootClock::now() - request.arrived);
+  m_context.metrics.record(answered ? "request_ms" : "refusal_ms", request.workspace, request.className(), ms);
+}
+
+// ---- targets
+
+TargetPointer RequestPath::pick(const RequestContext& request, const std::vector<std::string>& tried) {
+  const RcuReadGuard guard;
+  const View& view = m_follower.view().read(guard);
+  const auto found = view.targets.find(request.service);
+  if (found == view.targets.end()) return nullptr;
+  return m_router.pick(found->second, tried, BootClock::now(), internal::random_number());
+}
+
+TargetPointer RequestPath::findTarget(const std::string& service, const std::string& name) const {
+  const RcuReadGuard guard;
+  const View& view = m_follower.view().read(guard);
+  const auto found = view.targets.find(service);
+  if (found == view.targets.end()) return nullptr;
+  for (const TargetPointer& target : found->second) {
+    if (target->name == name) return target;
+  }
+  return nullptr;
+}
+
+Failure RequestPath::noTarget(const RequestContext& request, const std::optional<Failure>& last) const {
+  if (last) return *last;
+  return Failure{FailureCode::NoTarget, request.notRun(), "route", request.service, "no target of the service is live",
+                 internal::AskAgainMs};
+}
+
+void RequestPath::noteOutcome(const RequestContext& request, Target& target, const Result<schema::Answer>& answer,
+                              const Failure& failure) {
+  Outcome outcome = Outcome::Answered;
+  if (!answer) outcome = internal::is_refusal(failure) ? Outcome::Refused : Outcome::Failed;
+  const RcuReadGuard guard;
+  const View& view = m_follower.view().read(guard);
+  const auto found = view.targets.find(request.service);
+  if (found == view.targets.end()) return;
+  if (m_router.onOutcome(found->second, target, outcome, BootClock::now())) {
+    logEvent(schema::TargetEjected, {{"target", target.name}, {"code", codeName(failure.code)}});
+  }
+}
+
+bool RequestPath::mayRetry(const Failure& failure, const RequestContext& request) {
+  if (request.leftMs() == 0) return false;
+  if (failure.ran != Ran::No && !request.repeatable) return false;
+  if (internal::is_free_retry(failure) || failure.code == FailureCode::Fenced) return true;
+  const bool sameEverywhere = failure.code == FailureCode::BadRequest || failure.code == FailureCode::UnknownService ||
+                              failure.code == FailureCode::BodyTooLarge ||
+                              failure.code == FailureCode::DeadlinePassed || failure.code == FailureCode::Draining;
+  return !sameEverywhere && m_router.takeRetry();
+}
+
+Awaitable<Result<schema::Answer>> RequestPath::runOn(const RequestContext& request, TargetPointer target,
+                                                     std::optional<schema::Token> token) {
+  schema::RunRequest run;
+  const std::string exchange = m_prefix + std::to_string(m_exchanges.fetch_add(1));
+  run.set_exchange(exchange);
+  run.set_service(request.service);
+  run.set_workspace(request.workspace);
+  run.set_class_name(request.className());
+  run.set_urgency(request.urgency);
+  run.set_deadline_ms(request.leftMs());
+  run.set_content_type(request.contentType);
+  run.set_body(request.body);
+  if (token) *run.mutable_token() = *token;
+  ++target->inFlight;
+  Result<schema::RunReply> reply =
+      co_await target->agent->call<schema::RunReply>("run", run, request.deadline + internal::AnswerGrace);
+  --target->inFlight;
+  Result<schema::Answer> answer = Failed(Failure{});
+  Failure failure;
+  if (reply) {
+    target->report(reply->load(), BootClock::now());
+    answer = readAnswer(*reply, exchange, *target);
+  } else {
+    answer = fail(takeFailure(reply));
+  }
+  if (!answer) {
+    failure = takeFailure(answer);
+    answer = fail(failure);
+  }
+  noteOutcome(request, *target, answer, failure);
+  co_return answer;
+}
+
+Result<schema::Answer> RequestPath::readAnswer(const schema::RunReply& reply, const std::string& exchange,
+                                               const Target& target) {
+  if (reply.exchange() != exchange) {
+    return fail(Failure{FailureCode::AnswerIncomplete, Ran::Unknown, "agent", target.name,
+                        "the answer is another exchange's", 0});
+  }
+  if (reply.has_failure()) return fail(fromInfo(reply.failure()));
+  if (!reply.has_answer()) {
+    return fail(
+        Failure{FailureCode::AnswerIncomplete, Ran::Unknown, "agent", target.name, "the agent gave no answer", 0});
+  }
+  return reply.answer();
+}
+
+// ---- requests that may be repeated
+
+Awaitable<Result<schema::Answer>> RequestPath::serveRepeatable(RequestContext& request) {
+  std::vector<std::string> tried;
+  std::optional<Failure> last;
+  while (true) {
+    const TargetPointer target = pick(request, tried);
+    if (!target) co_return fail(noTarget(request, last));
+    Result<schema::Answer> answer = co_await runOn(request, target, std::nullopt);
+    if (answer) co_return answer;
+    Failure failure = takeFailure(answer);
+    // One try that may have run makes the whole request one that may have run.
+    if (last && last->ran != Ran::No) failure.ran = last->ran;
+    last = failure;
+    tried.push_back(target->name);
+    if (!mayRetry(failure, request)) co_return fail(std::move(failure));
+    m_context.metrics.count("retries", codeName(failure.code));
+  }
+}
+
+// ---- requests that must not be repeated
+
+Awaitable<Result<schema::CommandReply>> RequestPath::openClaim(const RequestContext& request, const Target& target,
+                                                               const std::string& opener) {
+  schema::Command command;
+  schema::OpenClaim* open = command.mutable_open_claim();
+  open->mutable_token()->set_workspace(request.workspace);
+  open->mutable_token()->set_request_id(request.requestId);
+  open->mutable_token()->set_target(target.name);
+  open->mutable_token()->set_incarnation(target.incarnation);
+  open->set_digest(request.digest);
+  open->set_service(request.service);
+  open->set_opener(opener);
+  Result<schema::CommandReply> reply = co_await m_follower.control().command(std::move(command), request.deadline);
+  if (reply && reply->has_failure()) co_return fail(fromInfo(reply->failure()));
+  co_return reply;
+}
+
+Awaitable<Result<schema::Answer>> RequestPath::serveOnce(RequestContext& request) {
+  std::vector<std::string> tried;
+  std::optional<Failure> last;
+  for (int round = 0; round < internal::MaxClaimRounds; ++round) {
+    const TargetPointer target = pick(request, tried);
+    if (!target && !request.claimKnown) co_return co_await answerWithoutTarget(request);
+    if (!target) co_return fail(noTarget(request, last));
+    const std::string opener = m_prefix + std::to_string(m_exchanges.fetch_add(1));
+    Result<schema::CommandReply> opened = co_await openClaim(request, *target, opener);
+    if (!opened) {
+      Failure failure = takeFailure(opened);
+      const bool digestRefused = failure.code == FailureCode::RequestIdReused;
+      // Without the claim nobody can say whether another entry ran it; nothing was sent from here.
+      if (!digestRefused) failure.ran = request.notRun();
+      co_return fail(std::move(failure));
+    }
+    request.claimKnown = true;
+    const schema::Claim claim = opened->claim();
+    if (!opened->granted()) {
+      Result<schema::Answer> known = co_await answerFromClaim(request, claim);
+      if (known) co_return known;
+      Failure failure = takeFailure(known);
+      if (failure.code != FailureCode::Fenced) co_return fail(std::move(failure));
+      last = std::nullopt;
+      continue;
+    }
+    Result<schema::Answer> answer = co_await dispatchClaim(request, target, claim.token());
+    if (answer) co_return answer;
+    Failure failure = takeFailure(answer);
+    if (failure.ran != Ran::No || !mayRetry(failure, request)) co_return fail(std::move(failure));
+    last = failure;
+    tried.push_back(target->name);
+  }
+  co_return fail(last.value_or(Failure{FailureCode::OutcomeUnknown, Ran::Unknown, "claim", "",
+                                       "others keep asking for the same request", internal::AskAgainMs}));
+}
+
+/** No target is live; an earlier answer may be kept all the same. */
+Awaitable<Result<schema::Answer>> RequestPath::answerWithoutTarget(RequestContext& request) {
+  schema::QueryRequest query;
+  query.set_kind(schema::QueryClaim);
+  query.set_workspace(request.workspace);
+  query.set_id(request.requestId);
+  Result<schema::QueryReply> reply = co_await m_follower.control().query(std::move(query), request.deadline);
+  if (!reply) co_return fail(noTarget(request, std::nullopt));
+  request.claimKnown = true;
+  const bool known = reply->has_claim() && reply->claim().phase() != schema::ClaimVoid;
+  if (!known) co_return fail(noTarget(request, std::nullopt));
+  if (reply->claim().digest() != request.digest) {
+    co_return fail(Failure{FailureCode::RequestIdReused, Ran::No, "claim", "",
+                           "the request id was used with another body or service", 0});
+  }
+  co_return co_await answerFromClaim(request, reply->claim());
+}
+
+/** The claim is not this dispatch's to send: tells what it says, or asks the agent. */
+Awaitable<Result<schema::Answer>> RequestPath::answerFromClaim(RequestContext& request, schema::Claim claim) {
+  if (claim.phase() == schema::ClaimOpen) co_return co_await resolveClaim(request, claim.token());
+  if (claim.answer_dropped()) {
+    co_return fail(
+        Failure{FailureCode::AnswerNotKept, Ran::Yes, "claim", "", "it ran; its answer was too large to keep", 0});
+  }
+  schema::ResolveReply fate;
+  fate.set_fate(claim.phase() == schema::ClaimFinished ? schema::TokenFinished : schema::TokenUnknown);
+  *fate.mutable_answer() = claim.answer();
+  co_return co_await concludeClaim(request, claim.token(), std::move(fate));
+}
+
+Awaitable<Result<schema::Answer>> RequestPath::dispatchClaim(RequestContext& request, TargetPointer target,
+                                                             schema::Token token) {
+  Result<schema::Answer> answer = co_await runOn(request, target, token);
+  if (answer) {
+    co_await endClaim(token, schema::ClaimFinished, *answer, request.deadline + internal::AnswerGrace);
+    co_return answer;
+  }
+  Failure failure = takeFailure(answer);
+  // A token is sent once, so a delivery that was fenced off means that it never started.
+  if (failure.code == FailureCode::Fenced) failure.ran = Ran::No;
+  if (failure.ran == Ran::No) {
+    // The agent made the token void, or never saw it, and nobody else may send it.
+    co_await endClaim(token, schema::ClaimVoid, {}, request.deadline + internal::AnswerGrace);
+    co_return fail(std::move(failure));
+  }
+  if (request.leftMs() > 0) co_return co_await resolveClaim(request, token);
+  asio::co_spawn(m_context.io, settleLater(token, target), asio::detached);
+  failure.retryAfterMs = internal::AskAgainMs;
+  co_return fail(std::move(failure));
+}
+
+/** Asks the agent that a token names what became of it. */
+Awaitable<Result<schema::Answer>> RequestPath::resolveClaim(RequestContext& request, schema::Token token) {
+  const TargetPointer target = findTarget(request.service, token.target());
+  const Failure unknown{FailureCode::OutcomeUnknown,
+                        Ran::Unknown,
+                        "resolve",
+                        token.target(),
+                        "its target cannot be asked now; ask again with the same request id",
+                        internal::AskAgainMs};
+  if (!target) co_return fail(unknown);
+  schema::ResolveRequest ask;
+  *ask.mutable_token() = token;
+  ask.set_deadline_ms(request.leftMs());
+  Result<schema::ResolveReply> fate =
+      co_await target->agent->call<schema::ResolveReply>("resolve", ask, request.deadline + internal::AnswerGrace);
+  if (!fate) {
+    asio::co_spawn(m_context.io, settleLater(token, target), asio::detached);
+    co_return fail(unknown);
+  }
+  co_return co_await concludeClaim(request, token, std::move(*fate));
+}
+
+Awaitable<Result<schema::Answer>> RequestPath::concludeClaim(RequestContext& request, schema::Token token,
+                                                             schema::ResolveReply fate) {
+  const Time deadline = request.deadline + internal::AnswerGrace;
+  switch (fate.fate()) {
+    case schema::TokenFinished:
+      co_await endClaim(token, schema::ClaimFinished, fate.answer(), deadline);
+      co_return fate.answer();
+    case schema::TokenTombstoned:
+      co_await endClaim(token, schema::ClaimVoid, {}, deadline);
+      co_return fail(
+          Failure{FailureCode::Fenced, Ran::No, "resolve", token.target(), "the earlier attempt never ran", 0});
+    case schema::TokenRunning:
+      co_return fail(Failure{FailureCode::OutcomeUnknown, Ran::Unknown, "resolve", token.target(),
+                             "it is still running; ask again with the same request id", internal::AskAgainMs});
+    default:
+      break;
+  }
+  logEvent(schema::ClaimLost, {{"request", token.request_id()}, {"target", token.target()}});
+  co_await endClaim(token, schema::ClaimUnknown, {}, deadline);
+  co_return fail(Failure{FailureCode::OutcomeUnknown, Ran::Unknown, "claim", token.target(),
+                         "its target or agent failed in the middle; whether it ran cannot be known", 0});
+}
+
+Awaitable<void> RequestPath::endClaim(schema::Token token, schema::ClaimPhase phase, schema::Answer answer,
+                                      Time deadline) {
+  schema::Command command;
+  schema::EndClaim* end = command.mutable_end_claim();
+  *end->mutable_token() = std::move(token);
+  end->set_phase(phase);
+  if (phase == schema::ClaimFinished) *end->mutable_answer() = std::move(answer);
+  Result<schema::CommandReply> reply = co_await m_follower.control().command(std::move(command), deadline);
+  // Not fatal: the claim stays open, and the next asker learns the outcome from the agent.
+  if (!reply) logFailure(schema::PeerFailed, takeFailure(reply));
+}
+
+/** Goes on asking after the caller has gone, so that the answer is kept for when it comes back. */
+Awaitable<void> RequestPath::settleLater(schema::Token token, TargetPointer target) {
+  const Time end = BootClock::now() + internal::SettleLimit;
+  while (BootClock::now() < end) {
+    schema::ResolveRequest ask;
+    *ask.mutable_token() = token;
+    ask.set_deadline_ms(static_cast<std::uint32_t>(toMilliseconds(end - BootClock::now())));
+    Result<schema::ResolveReply> fate = co_await target->agent->call<schema::ResolveReply>("resolve", ask, end);
+    if (fate && fate->fate() != schema::TokenRunning) {
+      const schema::ClaimPhase phase = fate->fate() == schema::TokenFinished     ? schema::ClaimFinished
+                                       : fate->fate() == schema::TokenTombstoned ? schema::ClaimVoid
+                                                                                 : schema::ClaimUnknown;
+      co_await endClaim(token, phase, fate->answer(), end);
+      co_return;
+    }
+    co_await sleepFor(milliseconds(internal::AskAgainMs));
+  }
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Membership/ControlClient.h
@@ -0,0 +1,48 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <atomic>
+#include <vector>
+
+#include "Courseloom/src/Transport/RpcClient.h"
+#include "generated/rpc.pb.h"
+#include "generated/settings.pb.h"
+
+namespace courseloom {
+
+/** \class ControlClient
+ * \brief Reaches the control leader: remembers it, follows its replicas' hints, tries the others until the deadline.
+ *
+ * A call may be sent again after an unknown outcome, so only calls that are safe to repeat go through here: commands
+ * carry a command id or an opener, queries and watches change nothing. Safe from any thread.
+ */
+class ControlClient {
+ public:
+  ControlClient(boost::asio::io_context& io, const schema::ClusterSettings& cluster);
+
+  Awaitable<Result<schema::CommandReply>> command(schema::Command command, Time deadline);
+  Awaitable<Result<schema::QueryReply>> query(schema::QueryRequest request, Time deadline);
+  Awaitable<Result<schema::WatchReply>> watch(schema::WatchRequest request, Time deadline);
+
+ private:
+  struct Replica {
+    std::uint32_t id = 0;
+    std::shared_ptr<RpcClient> client;
+  };
+
+  template <class Reply, class Request>
+  Awaitable<Result<Reply>> callLeader(std::string method, Request request, Time deadline);
+  /** Moves on after a failure: to the leader that the failure names, or to the next replica. */
+  void moveOn(std::size_t from, const Failure& failure);
+
+  std::vector<Replica> m_replicas;
+  std::atomic<std::size_t> m_current{0};
+  Duration m_tryLimit;
+};
+
+/** \returns the peer text by which a replica names the leader: "replica 2". */
+std::string replicaPeer(std::uint32_t id);
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Membership/NodeTable.h
@@ -0,0 +1,55 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Courseloom/src/Core/Clock.h"
+#include "generated/rpc.pb.h"
+
+namespace courseloom {
+
+/** \class NodeTable
+ * \brief The leader's soft state: which entries and agents are live, and the numbered list of targets made from it.
+ *
+ * Nothing here must survive: a new leader learns it again from the nodes' next heartbeats, so for one lease after it
+ * took over it knows less. The platform's list of instances lags and is only a hint that a target is leaving.
+ */
+class NodeTable {
+ public:
+  explicit NodeTable(Duration lease) : m_lease(lease) {}
+
+  /** Takes a heartbeat in. */
+  void heard(const schema::NodeStatus& node, Time now);
+  /** Forgets nodes that have been silent for longer than the lease. */
+  void expire(Time now);
+  /** Takes the platform's list of leaving instances. */
+  void setLeavingInstances(std::set<std::string> names);
+  void clear();
+
+  /** \returns a number that grows whenever the list of targets changes otherwise than in load. */
+  std::uint64_t version() const { return m_version; }
+  /** \returns the agents, leaving ones marked. */
+  std::vector<schema::NodeStatus> targets() const;
+  /** \returns all live nodes with the time since they were heard. */
+  std::vector<schema::NodeStatus> nodes(Time now) const;
+  /** \returns whether the platform says that a target is leaving. */
+  bool isLeaving(const std::string& target) const { return m_leavingInstances.count(target) > 0; }
+
+ private:
+  struct Entry {
+    schema::NodeStatus status;
+    Time heard{};
+  };
+
+  Duration m_lease;
+  std::map<std::string, Entry> m_nodes;
+  std::set<std::string> m_leavingInstances;
+  std::uint64_t m_version = 1;
+};
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Membership/ViewFollower.cpp
@@ -0,0 +1,105 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Membership/ViewFollower.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Runtime/OneShot.h"
+
+namespace courseloom {
+
+namespace asio = boost::asio;
+
+namespace internal {
+namespace {
+/** A leader holds an exchange back for at most this part of the freshness lease. */
+constexpr int WaitShare = 5;
+constexpr Duration FreshnessLook = milliseconds(50);
+constexpr Duration LeavingLimit = milliseconds(1000);
+}  // namespace
+}  // namespace internal
+
+ViewFollower::ViewFollower(asio::io_context& io, const schema::ClusterSettings& cluster, StatusSource status,
+                           ViewBuilder builder)
+    : m_io(io),
+      m_control(io, cluster),
+      m_status(std::move(status)),
+      m_builder(std::move(builder)),
+      m_view(std::make_unique<View>()),
+      m_freshness(milliseconds(cluster.freshness_lease_ms())) {}
+
+void ViewFollower::start() {
+  asio::co_spawn(m_io, follow(), asio::detached);
+  asio::co_spawn(m_io, watchFreshness(), asio::detached);
+}
+
+schema::WatchRequest ViewFollower::makeRequest() {
+  schema::WatchRequest request;
+  *request.mutable_node() = m_status();
+  request.mutable_node()->set_revision(m_revision.load());
+  const RcuReadGuard guard;
+  const View& view = m_view.read(guard);
+  request.set_revision(view.revision);
+  request.set_view(view.targetsVersion);
+  request.set_term(view.targetsTerm);
+  return request;
+}
+
+Awaitable<void> ViewFollower::follow() {
+  while (!m_stopped) {
+    schema::WatchRequest request = makeRequest();
+    if (everFollowed())
+      request.set_wait_ms(static_cast<std::uint32_t>(toMilliseconds(m_freshness)) / internal::WaitShare);
+    const Time sentAt = BootClock::now();
+    Result<schema::WatchReply> reply = co_await m_control.watch(std::move(request), sentAt + 2 * m_freshness);
+    if (reply) {
+      take(*reply, sentAt);
+    } else {
+      logFailure(schema::PeerFailed, takeFailure(reply));
+    }
+  }
+}
+
+void ViewFollower::take(const schema::WatchReply& reply, Time sentAt) {
+  {
+    std::unique_ptr<View> next;
+    {
+      const RcuReadGuard guard;
+      next = m_builder.next(m_view.read(guard), reply);
+    }
+    if (next) {
+      const bool changed = next->revision > m_revision.load();
+      const std::uint64_t revision = next->revision;
+      if (m_hook) m_hook(*next);
+      m_view.publish(std::move(next));
+      m_revision.store(revision);
+      if (changed) logEvent(schema::ConfigurationInForce, {{"revision", revision}});
+    }
+  }
+  m_leaving.store(reply.leaving());
+  m_freshUntil.store((sentAt + m_freshness).time_since_epoch().count());
+}
+
+Awaitable<void> ViewFollower::watchFreshness() {
+  bool was = false;
+  while (!m_stopped) {
+    const bool now = fresh();
+    if (now != was) logEvent(now ? schema::FreshnessRegained : schema::FreshnessLost);
+    was = now;
+    co_await sleepFor(internal::FreshnessLook);
+  }
+}
+
+Awaitable<void> ViewFollower::sayLeaving() {
+  m_stopped = true;
+  schema::WatchRequest request = makeRequest();
+  request.mutable_node()->set_leaving(true);
+  Result<schema::WatchReply> reply =
+      co_await m_control.watch(std::move(request), BootClock::now() + internal::LeavingLimit);
+  if (!reply) logFailure(schema::PeerFailed, takeFailure(reply));
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Replication/Replica.cpp
@@ -0,0 +1,574 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Replication/Replica.h"
+
+#include <algorithm>
+
+#include "Courseloom/src/Core/Assert.h"
+
+namespace courseloom {
+
+namespace internal {
+namespace {
+/** Appends to one peer that may wait for their answer. */
+constexpr unsigned MaxInFlight = 8;
+constexpr std::size_t MaxAppendBytes = 1024UL * 1024;
+/** The lease ends this much before followers may vote again, for clocks that run apart: nine tenths. */
+constexpr int LeaseNumerator = 9;
+constexpr int LeaseDenominator = 10;
+/** Heartbeats without progress after which appends are sent again. */
+constexpr int ResendHeartbeats = 3;
+/** Heartbeats granted to a snapshot on its way. */
+constexpr int SnapshotHeartbeats = 20;
+constexpr Term MaxTermStep = 1ULL << 32U;
+}  // namespace
+}  // namespace internal
+
+Replica::Replica(ReplicaOptions options, ReplicaState restored, Time now)
+    : m_options(std::move(options)),
+      m_hard(restored.hard),
+      m_log(std::move(restored.snapshot), std::move(restored.entries)),
+      m_now(now),
+      m_random(m_options.seed) {
+  m_commit = std::max(m_log.snapshot().info().index(), std::min(m_hard.commit(), m_log.lastIndex()));
+  m_syncedIndex = m_log.lastIndex();
+  if (m_options.mechanisms.waitAfterStart) m_leaderHeard = now;
+  m_electionDue = now + randomTimeout();
+  for (LogIndex index = m_log.firstIndex(); index <= m_commit; ++index) m_output.committed.push_back(m_log.at(index));
+}
+
+bool Replica::isVoter(ReplicaId id, const std::string& diskId) const {
+  for (const schema::Member& member : members().members()) {
+    if (member.id() != id || !member.voter()) continue;
+    return member.disk_id() == diskId || !m_options.mechanisms.diskIdentity;
+  }
+  return false;
+}
+
+std::size_t Replica::voters() const {
+  const auto& all = members().members();
+  return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto& m) { return m.voter(); }));
+}
+
+Duration Replica::randomTimeout() {
+  std::uniform_int_distribution<Duration::rep> extra(0, m_options.electionTimeout.count());
+  return m_options.electionTimeout + Duration(extra(m_random));
+}
+
+schema::ReplicaMessage Replica::make(schema::MessageKind kind, ReplicaId to) const {
+  schema::ReplicaMessage message;
+  message.set_cluster_id(m_options.clusterId);
+  message.set_from(m_options.id);
+  message.set_to(to);
+  message.set_disk_id(m_options.diskId);
+  message.set_kind(kind);
+  message.set_term(m_hard.term());
+  message.set_commit(m_commit);
+  return message;
+}
+
+void Replica::persistHard() {
+  m_hard.set_commit(m_commit);
+  m_output.hard = m_hard;
+}
+
+void Replica::tick(Time now) {
+  m_now = now;
+  if (isLeader()) {
+    checkQuorum(now);
+    if (!isLeader()) return;
+    continueHandOver(now);
+    if (now >= m_heartbeatDue) replicateToAll(now, true);
+    return;
+  }
+  if (now >= m_electionDue && isVoter()) startPreVote(now);
+}
+
+bool Replica::receive(const schema::ReplicaMessage& message, Time now) {
+  m_now = now;
+  const bool addressed = message.cluster_id() == m_options.clusterId && message.to() == m_options.id;
+  const bool possible = message.from() != m_options.id && message.term() < m_hard.term() + internal::MaxTermStep;
+  if (!addressed || !possible) return false;
+  switch (message.kind()) {
+    case schema::PreVote:
+    case schema::Vote:
+      onVoteRequest(message, now);
+      return true;
+    case schema::PreVoteReply:
+    case schema::VoteReply:
+      countVote(message, now);
+      return true;
+    default:
+      break;
+  }
+  if (message.term() < m_hard.term()) {
+    // A former leader learns the newer term from this answer.
+    if (message.kind() == schema::Append || message.kind() == schema::InstallSnapshot) replyToAppend(message, false, 0);
+    return true;
+  }
+  switch (message.kind()) {
+    case schema::Append:
+      onAppend(message, now);
+      return true;
+    case schema::AppendReply:
+      if (message.term() > m_hard.term()) {
+        becomeFollower(message.term(), 0, now);
+      } else {
+        onAppendReply(message, now);
+      }
+      return true;
+    case schema::InstallSnapshot:
+      onSnapshot(message, now);
+      return true;
+    case schema::TimeoutNow:
+      if (message.term() == m_hard.term() && isVoter()) startElection(now, true);
+      return true;
+    default:
+      return false;
+  }
+}
+
+// ---- elections
+
+void Replica::becomeFollower(Term term, ReplicaId leader, Time now) {
+  if (term > m_hard.term()) {
+    m_hard.set_term(term);
+    m_hard.set_voted_for(0);
+    persistHard();
+  }
+  m_role = ReplicaRole::Follower;
+  m_leader = leader;
+  m_handOverUntil.reset();
+  m_electionDue = now + randomTimeout();
+}
+
+bool Replica::hearsLeader(Time now) const {
+  if (isLeader()) return true;
+  return m_leaderHeard != Time{} && now < m_leaderHeard + m_options.electionTimeout;
+}
+
+void Replica::startPreVote(Time now) {
+  m_electionDue = now + randomTimeout();
+  if (!m_options.mechanisms.preVote) return startElection(now, false);
+  m_role = ReplicaRole::PreCandidate;
+  m_leader = 0;
+  m_votes = {m_options.id};
+  askForVotes(schema::PreVote, m_hard.term() + 1, false);
+  if (m_votes.size() >= quorum()) startElection(now, false);
+}
+
+void Replica::startElection(Time now, bool forced) {
+  m_role = ReplicaRole::Candidate;
+  m_leader = 0;
+  m_hard.set_term(m_hard.term() + 1);
+  m_hard.set_voted_for(m_options.id);
+  persistHard();
+  m_electionDue = now + randomTimeout();
+  m_votes = {m_options.id};
+  askForVotes(schema::Vote, m_hard.term(), forced);
+  if (m_votes.size() >= quorum()) becomeLeader(now);
+}
+
+void Replica::askForVotes(schema::MessageKind kind, Term term, bool forced) {
+  for (const schema::Member& member : members().members()) {
+    if (!member.voter() || member.id() == m_options.id) continue;
+    schema::ReplicaMessage request = make(kind, member.id());
+    request.set_term(term);
+    request.set_prev_index(m_log.lastIndex());
+    request.set_prev_term(m_log.lastTerm());
+    request.set_forced(forced);
+    // The own vote must last before others are asked to add theirs.
+    sendAfterSync(std::move(request));
+  }
+}
+
+bool Replica::logIsUpToDate(const schema::ReplicaMessage& message) const {
+  if (message.prev_term() != m_log.lastTerm()) return message.prev_term() > m_log.lastTerm();
+  return message.prev_index() >= m_log.lastIndex();
+}
+
+void Replica::onVoteRequest(const schema::ReplicaMessage& message, Time now) {
+  const bool pre = message.kind() == schema::PreVote;
+  if (!message.forced() && hearsLeader(now)) return;
+  if (!pre && message.term() > m_hard.term()) becomeFollower(message.term(), 0, now);
+  const bool termFits = pre ? message.term() > m_hard.term() : message.term() == m_hard.term();
+  const bool free = pre || m_hard.voted_for() == 0 || m_hard.voted_for() == message.from();
+  const bool granted = termFits && free && logIsUpToDate(message);
+  schema::ReplicaMessage reply = make(pre ? schema::PreVoteReply : schema::VoteReply, message.from());
+  reply.set_ok(granted);
+  if (pre && granted) reply.set_term(message.term());
+  if (!pre && granted && m_hard.voted_for() == 0) {
+    m_hard.set_voted_for(message.from());
+    persistHard();
+    m_electionDue = now + randomTimeout();
+  }
+  sendAfterSync(std::move(reply));
+}
+
+void Replica::countVote(const schema::ReplicaMessage& message, Time now) {
+  const bool pre = message.kind() == schema::PreVoteReply;
+  if (!message.ok()) {
+    if (message.term() > m_hard.term()) becomeFollower(message.term(), 0, now);
+    return;
+  }
+  const bool expected = pre ? m_role == ReplicaRole::PreCandidate && message.term() == m_hard.term() + 1
+                            : m_role == ReplicaRole::Candidate && message.term() == m_hard.term();
+  if (!expected || !isVoter(message.from(), message.disk_id())) return;
+  m_votes.insert(message.from());
+  if (m_votes.size() < quorum()) return;
+  if (pre) {
+    startElection(now, false);
+  } else {
+    becomeLeader(now);
+  }
+}
+
+void Replica::becomeLeader(Time now) {
+  m_role = ReplicaRole::Leader;
+  m_leader = m_options.id;
+  m_leaderSince = now;
+  m_peers.clear();
+  for (const ReplicaId id : m_options.peers) {
+    if (id == m_options.id) continue;
+    Peer& peer = m_peers[id];
+    peer.next = m_log.lastIndex() + 1;
+    peer.heard = now;
+  }
+  m_formerDisks.clear();
+  m_handOverSent = false;
+  m_termStart = m_log.lastIndex() + 1;
+  appendOwn(schema::LogEntry());
+  replicateToAll(now, true);
+}
+
+// ---- the follower's side of replication
+
+void Replica::replyToAppend(const schema::ReplicaMessage& message, bool ok, LogIndex match) {
+  schema::ReplicaMessage reply = make(schema::AppendReply, message.from());
+  reply.set_ok(ok);
+  reply.set_match(match);
+  reply.set_prev_index(m_log.lastIndex());
+  reply.set_sent_us(message.sent_us());
+  sendAfterSync(std::move(reply));
+}
+
+void Replica::onAppend(const schema::ReplicaMessage& message, Time now) {
+  becomeFollower(message.term(), message.from(), now);
+  m_leaderHeard = now;
+  LogIndex previous = message.prev_index();
+  if (previous + 1 < m_log.firstIndex()) {
+    // What comes before the snapshot is committed and agrees.
+    replyToAppend(message, true, m_log.snapshot().info().index());
+    return;
+  }
+  if (!m_log.knows(previous) || m_log.termAt(previous) != message.prev_term()) {
+    replyToAppend(message, false, 0);
+    return;
+  }
+  for (const schema::LogEntry& entry : message.entries()) {
+    ++previous;
+    if (entry.index() != previous) return;
+    if (previous <= m_log.lastIndex()) {
+      if (m_log.termAt(previous) == entry.term()) continue;
+      courseloom_assert(previous > m_commit);
+      m_log.truncateFrom(previous);
+      std::erase_if(m_output.append, [previous](const auto& stored) { return stored.index() >= previous; });
+      m_syncedIndex = std::min(m_syncedIndex, previous - 1);
+    }
+    m_log.append(entry);
+    m_output.append.push_back(entry);
+  }
+  commitTo(std::min<LogIndex>(message.commit(), previous));
+  replyToAppend(message, true, previous);
+}
+
+void Replica::onSnapshot(const schema::ReplicaMessage& message, Time now) {
+  becomeFollower(message.term(), message.from(), now);
+  m_leaderHeard = now;
+  const schema::SnapshotInfo& info = message.snapshot().info();
+  const bool known = info.index() <= m_commit;
+  if (!known) {
+    m_log.reset(message.snapshot());
+    m_commit = info.index();
+    m_syncedIndex = info.index();
+    m_output.append.clear();
+    m_output.committed.clear();
+    m_output.install = message.snapshot();
+    persistHard();
+  }
+  replyToAppend(message, true, std::max<LogIndex>(info.index(), known ? m_commit : 0));
+}
+
+void Replica::commitTo(LogIndex index) {
+  for (; m_commit < index; ++m_commit) m_output.committed.push_back(m_log.at(m_commit + 1));
+}
+
+// ---- the leader's side of replication
+
+std::optional<LogIndex> Replica::propose(std::string payload) {
+  if (!isLeader() || m_handOverUntil) return std::nullopt;
+  schema::LogEntry entry;
+  entry.set_payload(std::move(payload));
+  appendOwn(std::move(entry));
+  replicateToAll(m_now, false);
+  return m_log.lastIndex();
+}
+
+void Replica::appendOwn(schema::LogEntry entry) {
+  entry.set_index(m_log.lastIndex() + 1);
+  entry.set_term(m_hard.term());
+  m_log.append(entry);
+  m_output.append.push_back(std::move(entry));
+}
+
+void Replica::synced(LogIndex index, Term term) {
+  if (index > m_log.lastIndex() || !m_log.knows(index) || m_log.termAt(index) != term) return;
+  m_syncedIndex = std::max(m_syncedIndex, index);
+  if (isLeader()) advanceCommit();
+}
+
+void Replica::replicateToAll(Time now, bool heartbeat) {
+  if (heartbeat) m_heartbeatDue = now + m_options.heartbeat;
+  for (auto& [id, peer] : m_peers) replicateTo(id, now, heartbeat);
+}
+
+void Replica::replicateTo(ReplicaId id, Time now, bool heartbeat) {
+  Peer& peer = m_peers.at(id);
+  const bool stuck = peer.inFlight > 0 && now > peer.progressed + m_options.heartbeat * internal::ResendHeartbeats;
+  if (heartbeat && stuck) {
+    peer.inFlight = 0;
+    peer.next = peer.match + 1;
+    peer.progressed = now;
+  }
+  const bool waits = peer.inFlight >= internal::MaxInFlight || now < peer.snapshotUntil;
+  const bool hasNews = peer.next <= m_log.lastIndex() && !waits;
+  if (!hasNews && !heartbeat) return;
+  if (peer.next < m_log.firstIndex() && hasNews && !peer.diskId.empty()) {
+    schema::ReplicaMessage message = make(schema::InstallSnapshot, id);
+    *message.mutable_snapshot() = m_log.snapshot();
+    message.set_sent_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    peer.next = m_log.firstIndex();
+    peer.snapshotUntil = now + m_options.heartbeat * internal::SnapshotHeartbeats;
+    peer.progressed = now;
+    send(std::move(message));
+    return;
+  }
+  schema::ReplicaMessage message = make(schema::Append, id);
+  message.set_sent_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+  LogIndex previous = std::max(peer.next, m_log.firstIndex()) - 1;
+  previous = std::min(previous, m_log.lastIndex());
+  message.set_prev_index(previous);
+  message.set_prev_term(m_log.termAt(previous));
+  if (hasNews && peer.next >= m_log.firstIndex()) {
+    for (schema::LogEntry& entry : m_log.slice(peer.next, m_log.lastIndex(), internal::MaxAppendBytes)) {
+      peer.next = entry.index() + 1;
+      *message.add_entries() = std::move(entry);
+    }
+    if (peer.inFlight == 0) peer.progressed = now;
+    ++peer.inFlight;
+  }
+  send(std::move(message));
+}
+
+void Replica::onAppendReply(const schema::ReplicaMessage& message, Time now) {
+  const auto found = m_peers.find(message.from());
+  if (!isLeader() || found == m_peers.end()) return;
+  Peer& peer = found->second;
+  if (!acceptDisk(message, peer, now)) return;
+  reviewMembers(message);
+  peer.heard = now;
+  peer.acknowledged = std::max(peer.acknowledged, Time(Duration(message.sent_us())));
+  if (peer.inFlight > 0) --peer.inFlight;
+  if (!message.ok()) {
+    if (now < peer.snapshotUntil) return;
+    peer.inFlight = 0;
+    peer.next = std::max(peer.match + 1, std::min<LogIndex>(peer.next - 1, message.prev_index() + 1));
+  } else if (message.match() > peer.match && message.match() <= m_log.lastIndex()) {
+    peer.match = message.match();
+    peer.next = std::max(peer.next, peer.match + 1);
+    peer.progressed = now;
+    peer.snapshotUntil = Time{};
+    advanceCommit();
+  }
+  if (isLearner(message.from())) promoteLearner(message.from());
+  if (peer.next <= m_log.lastIndex()) replicateTo(message.from(), now, false);
+  if (m_handOverUntil) continueHandOver(now);
+}
+
+/** Follows a change of the peer's disk; an answer from a disk that was replaced is refused. */
+bool Replica::acceptDisk(const schema::ReplicaMessage& message, Peer& peer, Time now) {
+  const auto& retired = members().retired_disks();
+  const bool isRetired = std::find(retired.begin(), retired.end(), message.disk_id()) != retired.end();
+  if (isRetired || m_formerDisks.count(message.disk_id()) > 0) return false;
+  if (peer.diskId == message.disk_id()) return true;
+  if (!peer.diskId.empty()) m_formerDisks.insert(peer.diskId);
+  const LogIndex next = m_log.lastIndex() + 1;
+  peer = Peer{message.disk_id(), 0, next, 0, now, Time{}, now, Time{}};
+  return true;
+}
+
+void Replica::advanceCommit() {
+  std::vector<LogIndex> held;
+  for (const schema::Member& member : members().members()) {
+    if (!member.voter()) continue;
+    if (member.id() == m_options.id) {
+      held.push_back(m_syncedIndex);
+      continue;
+    }
+    const auto found = m_peers.find(member.id());
+    const bool counts = found != m_peers.end() && isVoter(member.id(), found->second.diskId);
+    held.push_back(counts ? found->second.match : 0);
+  }
+  if (held.empty()) return;
+  std::sort(held.begin(), held.end(), std::greater<>());
+  const LogIndex agreed = held[quorum() - 1];
+  if (agreed > m_commit && m_log.termAt(agreed) == m_hard.term()) commitTo(agreed);
+}
+
+LogIndex Replica::matchOf(ReplicaId peer) const {
+  if (peer == m_options.id) return m_syncedIndex;
+  const auto found = m_peers.find(peer);
+  return found == m_peers.end() ? 0 : found->second.match;
+}
+
+Time Replica::quorumAcknowledged(Time now) const {
+  std::vector<Time> times;
+  for (const schema::Member& member : members().members()) {
+    if (!member.voter()) continue;
+    if (member.id() == m_options.id) {
+      times.push_back(now);
+      continue;
+    }
+    const auto found = m_peers.find(member.id());
+    const bool counts = found != m_peers.end() && isVoter(member.id(), found->second.diskId);
+    times.push_back(counts ? found->second.acknowledged : Time{});
+  }
+  if (times.empty()) return Time{};
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[quorum() - 1];
+}
+
+bool Replica::canRead(Time now) const {
+  if (!isLeader() || m_commit < m_termStart || m_handOverSent) return false;
+  const Duration lease = m_options.electionTimeout * internal::LeaseNumerator / internal::LeaseDenominator;
+  return now < quorumAcknowledged(now) + lease;
+}
+
+void Replica::checkQuorum(Time now) {
+  if (!m_options.mechanisms.checkQuorum) return;
+  const Time since = std::max(quorumAcknowledged(now), m_leaderSince);
+  if (now < since + 2 * m_options.electionTimeout) return;
+  becomeFollower(m_hard.term(), 0, now);
+}
+
+// ---- members
+
+bool Replica::memberChangeAllowed() const {
+  return isLeader() && m_commit >= m_termStart && m_log.membersIndex() <= m_commit;
+}
+
+void Replica::changeMembers(schema::Members members) {
+  schema::LogEntry entry;
+  *entry.mutable_members() = std::move(members);
+  appendOwn(std::move(entry));
+  replicateToAll(m_now, false);
+  advanceCommit();
+}
+
+/** A known replica with a new disk: its old disk is lost and leaves, the new one joins without a vote. */
+void Replica::reviewMembers(const schema::ReplicaMessage& message) {
+  if (!m_options.mechanisms.diskIdentity || !memberChangeAllowed()) return;
+  schema::Members next = members();
+  schema::Member* found = nullptr;
+  for (schema::Member& member : *next.mutable_members()) {
+    if (member.id() == message.from()) found = &member;
+  }
+  if (found != nullptr && found->disk_id() == message.disk_id()) return;
+  if (found == nullptr) {
+    found = next.add_members();
+    found->set_id(message.from());
+  } else {
+    next.add_retired_disks(found->disk_id());
+  }
+  found->set_disk_id(message.disk_id());
+  found->set_voter(false);
+  changeMembers(std::move(next));
+}
+
+bool Replica::isLearner(ReplicaId id) const {
+  const auto& all = members().members();
+  return std::any_of(all.begin(), all.end(), [id](const auto& member) { return member.id() == id && !member.voter(); });
+}
+
+void Replica::promoteLearner(ReplicaId id) {
+  if (!memberChangeAllowed()) return;
+  schema::Members next = members();
+  for (schema::Member& member : *next.mutable_members()) {
+    const bool learner = member.id() == id && !member.voter() && member.disk_id() == m_peers.at(id).diskId;
+    if (!learner || m_peers.at(id).match < m_commit) continue;
+    member.set_voter(true);
+    return changeMembers(std::move(next));
+  }
+}
+
+// ---- hand-over and snapshots
+
+void Replica::handOver(Time now) {
+  if (!isLeader() || voters() < 2) return;
+  m_handOverUntil = now + m_options.electionTimeout;
+  m_handOverSent = false;
+  continueHandOver(now);
+}
+
+void Replica::continueHandOver(Time now) {
+  if (!m_handOverUntil) return;
+  if (now > *m_handOverUntil) {
+    m_handOverUntil.reset();
+    // The lease was given up when TimeoutNow left; it must not come back within this term.
+    if (m_handOverSent) becomeFollower(m_hard.term(), 0, now);
+    return;
+  }
+  if (m_handOverSent) return;
+  for (const schema::Member& member : members().members()) {
+    const auto found = m_peers.find(member.id());
+    if (found == m_peers.end() || !isVoter(member.id(), found->second.diskId)) continue;
+    if (found->second.match < m_log.lastIndex()) continue;
+    m_handOverSent = true;
+    return send(make(schema::TimeoutNow, member.id()));
+  }
+}
+
+void Replica::compact(schema::Snapshot snapshot) {
+  if (snapshot.info().index() <= m_log.snapshot().info().index() || snapshot.info().index() > m_commit) return;
+  m_log.compact(std::move(snapshot));
+}
+
+ReplicaOutput Replica::takeOutput() {
+  ReplicaOutput output = std::move(m_output);
+  m_output = ReplicaOutput();
+  return output;
+}
+
+std::vector<schema::ReplicaMessage> Replica::takeMessages() {
+  std::vector<schema::ReplicaMessage> messages = std::move(m_output.messages);
+  m_output.messages.clear();
+  return messages;
+}
+
+std::string foundingDiskId(const std::string& clusterId, ReplicaId id) {
+  return "founding-" + clusterId + "-" + std::to_string(id);
+}
+
+schema::Snapshot foundingSnapshot(const std::string& clusterId, const std::vector<ReplicaId>& ids) {
+  schema::Snapshot snapshot;
+  for (const ReplicaId id : ids) {
+    schema::Member* member = snapshot.mutable_info()->mutable_members()->add_members();
+    member->set_id(id);
+    member->set_disk_id(foundingDiskId(clusterId, id));
+    member->set_voter(true);
+  }
+  return snapshot;
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Routing/Target.h
@@ -0,0 +1,43 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "Courseloom/src/Core/Clock.h"
+#include "Courseloom/src/Transport/RpcClient.h"
+#include "generated/rpc.pb.h"
+
+namespace courseloom {
+
+/** \class Target
+ * \brief One target as an entry sees it: where its agent is, what is in flight from here, what the agent last said.
+ *
+ * The counters are atomics, read and written on the path of requests by all threads; the rest does not change.
+ */
+struct Target {
+  std::string service;
+  std::string name;
+  std::string dataHall;
+  std::uint64_t incarnation = 0;
+  std::shared_ptr<RpcClient> agent;  ///< null in benches
+
+  std::atomic<unsigned> inFlight{0};      ///< sent from this entry and not answered
+  std::atomic<unsigned> reportedLoad{0};  ///< running and queued, as last reported
+  std::atomic<unsigned> slots{1};
+  std::atomic<std::int64_t> reportedAt{0};  ///< microseconds since boot
+  std::atomic<unsigned> failuresInRow{0};
+  std::atomic<unsigned> ejections{0};  ///< in a row, for the back-off
+  std::atomic<std::int64_t> ejectedUntil{0};
+  std::atomic<bool> leaving{false};
+
+  /** Takes a report of the agent's load in. */
+  void report(const schema::AgentLoad& load, Time now);
+};
+
+using TargetPointer = std::shared_ptr<Target>;
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Runtime/Daemon.cpp
@@ -0,0 +1,145 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Runtime/Daemon.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+#include <thread>
+
+#include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Runtime/OneShot.h"
+#include "Courseloom/src/Schema/YamlReader.h"
+
+namespace courseloom {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace internal {
+namespace {
+
+constexpr Duration DrainLook = milliseconds(5);
+
+int report_failure(const std::string& program, const Failure& failure, int exitCode) {
+  std::cerr << program << ": " << failure.text() << "\n";
+  return exitCode;
+}
+
+void print_ready(const schema::NodeSettings& node, const Listening& listening) {
+  std::cout << "ready name=" << node.name();
+  if (listening.rpcPort != 0) std::cout << " rpc=" << node.address() << ":" << listening.rpcPort;
+  std::cout << " http=" << node.address() << ":" << listening.httpPort << std::endl;
+}
+
+Awaitable<void> stop_on_signal(asio::io_context& io, asio::signal_set& signals, Service& service) {
+  co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+  logEvent(schema::ProcessStopping);
+  const std::size_t cut = co_await service.stop();
+  logEvent(schema::ProcessStopped, {{"cut", cut}});
+  io.stop();
+}
+
+int serve(const DaemonProgram& program, const schema::Settings& settings) {
+  asio::io_context io;
+  Histograms metrics;
+  const DaemonContext context{io, settings, metrics};
+  const std::unique_ptr<Service> service = program.makeService(context);
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  Result<Listening> listening = service->start();
+  if (!listening) {
+    const Failure failure = takeFailure(listening);
+    logFailure(schema::ProcessFailed, failure);
+    const bool storage = failure.code == FailureCode::StorageDamaged || failure.code == FailureCode::StorageFull;
+    const bool wrongSettings = failure.code == FailureCode::BadSettings;
+    return report_failure(program.name, failure, storage ? ExitStorage : wrongSettings ? ExitSettings : ExitListen);
+  }
+  asio::co_spawn(io, stop_on_signal(io, signals, *service), asio::detached);
+  const schema::NodeSettings& node = settings.node();
+  logEvent(schema::ProcessStarted, {{"address", node.address()},
+                                    {"rpcPort", std::uint64_t{listening->rpcPort}},
+                                    {"httpPort", std::uint64_t{listening->httpPort}}});
+  print_ready(node, *listening);
+  std::vector<std::thread> threads;
+  for (std::uint32_t i = 1; i < node.threads(); ++i) threads.emplace_back([&io] { io.run(); });
+  io.run();
+  for (std::thread& thread : threads) thread.join();
+  return ExitSuccess;
+}
+
+}  // namespace
+}  // namespace internal
+
+Result<schema::Settings> readSettings(const std::vector<std::string>& files,
+                                      const std::function<void(schema::Settings&)>& needSections) {
+  schema::Settings settings;
+  for (const std::string& file : files) BOOST_LEAF_CHECK(readYamlFile(file, settings));
+  settings.mutable_log();
+  needSections(settings);
+  BOOST_LEAF_CHECK(checkRequired(files.back(), settings));
+  return settings;
+}
+
+int runDaemon(const DaemonProgram& program, int argc, char** argv) {
+  CLI::App app(program.description, program.name);
+  std::vector<std::string> files;
+  bool checkOnly = false;
+  std::string command;
+  app.add_option("--settings", files,
+                 "Settings file (YAML); may be given again, later files are laid over earlier ones")
+      ->required();
+  app.add_flag("--check-settings", checkOnly, "Check the settings and exit");
+  app.set_version_flag("--version", program.name + " " + COURSELOOM_VERSION);
+  for (const auto& [option, help] : program.commands) {
+    app.add_flag_callback(
+        "--" + option, [&command, name = option] { command = name; }, help);
+  }
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error);
+    return code == 0 ? ExitSuccess : ExitUsage;
+  }
+  Result<schema::Settings> settings = readSettings(files, program.needSections);
+  if (!settings) return internal::report_failure(program.name, takeFailure(settings), ExitSettings);
+  if (checkOnly) {
+    std::cout << "settings are valid\n";
+    return ExitSuccess;
+  }
+  setUpLog(settings->node().name(), settings->log().level(), settings->log().file());
+  if (!command.empty()) {
+    const std::optional<int> code = program.runCommand(*settings, command);
+    if (code) return *code;
+  }
+  return internal::serve(program, *settings);
+}
+
+std::optional<HttpResponse> answerAdmin(const HttpRequest& request, bool ready, const Histograms& metrics) {
+  const std::string_view path(request.target().data(), request.target().size());
+  if (path != "/healthz" && path != "/readyz" && path != "/metrics") return std::nullopt;
+  if (request.method() != http::verb::get) {
+    return problemResponse(Failure{FailureCode::MethodNotAllowed, Ran::No, "route", "", "use GET", 0});
+  }
+  HttpResponse response;
+  response.set(http::field::content_type, "text/plain; version=0.0.4");
+  if (path == "/metrics") {
+    response.body() = metrics.prometheus();
+  } else if (path == "/healthz") {
+    response.body() = "ok\n";
+  } else {
+    response.result(ready ? http::status::ok : http::status::service_unavailable);
+    response.body() = ready ? "ready\n" : "not ready\n";
+  }
+  return response;
+}
+
+Awaitable<std::size_t> drainToZero(std::function<std::size_t()> count, Duration limit) {
+  const Time end = BootClock::now() + limit;
+  while (count() > 0 && BootClock::now() < end) co_await sleepFor(internal::DrainLook);
+  co_return count();
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Scheduling/Scheduler.cpp
@@ -0,0 +1,542 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Scheduling/Scheduler.h"
+
+#include <algorithm>
+
+namespace courseloom {
+
+namespace internal {
+namespace {
+
+constexpr double PackFromWeight = 0.25;  ///< weight of fragmentation from which workers are filled up first
+constexpr double UrgencyCost = 1000.0;   ///< price of touching normal rather than low urgency work
+
+Guarantee make_guarantee(const schema::Object& object) {
+  Guarantee guarantee;
+  guarantee.name = object.name();
+  guarantee.workspace = object.guarantee().workspace();
+  guarantee.shape = object.guarantee().shape();
+  return guarantee;
+}
+
+void subtract_all(Capacities& room, const Placement& placement) {
+  for (const TaskPlace& place : placement) room[place.worker].subtract(place.part);
+}
+
+void add_all(Capacities& room, const Placement& placement) {
+  for (const TaskPlace& place : placement) room[place.worker].add(place.part);
+}
+
+bool covered(const Placement& placement, Capacities room) {
+  for (const TaskPlace& place : placement) {
+    if (!room[place.worker].covers(place.part)) return false;
+    room[place.worker].subtract(place.part);
+  }
+  return true;
+}
+
+}  // namespace
+}  // namespace internal
+
+Scheduler::Scheduler(SchedulerOptions options) : m_options(options), m_search(m_topology), m_book(m_topology) {}
+
+bool Scheduler::holdsLeases(schema::JobPhase phase) {
+  return phase == schema::JobReserving || phase == schema::JobStarting || phase == schema::JobRunning ||
+         phase == schema::JobStopping;
+}
+
+// ---- what the caller tells
+
+void Scheduler::setWorkers(std::vector<schema::Worker> workers) {
+  // Held places name workers by index; carry them over by name.
+  const std::vector<schema::Worker> before = m_topology.workers();
+  m_topology.setWorkers(std::move(workers));
+  std::vector<int> moved(before.size());
+  for (std::size_t i = 0; i < before.size(); ++i) moved[i] = m_topology.find(before[i].name());
+  const auto carry = [&moved](Placement& placement) {
+    const std::size_t size = placement.size();
+    std::erase_if(placement, [&](const TaskPlace& place) { return moved[place.worker] < 0; });
+    for (TaskPlace& place : placement) place.worker = static_cast<WorkerIndex>(moved[place.worker]);
+    return placement.size() == size;
+  };
+  for (auto& [id, job] : m_jobs) job.broken = !carry(job.held) || job.broken;
+  for (Guarantee& guarantee : m_book.guarantees())
+    guarantee.witnessed = carry(guarantee.witness) && guarantee.witnessed;
+  for (auto nomination = m_nominations.begin(); nomination != m_nominations.end();) {
+    nomination = carry(nomination->second.placement) ? std::next(nomination) : m_nominations.erase(nomination);
+  }
+  m_reservation.reset();
+}
+
+void Scheduler::setForeign(const std::map<std::string, Capacity>& foreign) { m_foreign = foreign; }
+
+void Scheduler::setGuarantees(const std::vector<schema::Object>& guarantees) {
+  std::vector<Guarantee> next;
+  for (const schema::Object& object : guarantees) {
+    if (!object.guarantee().has_shape()) continue;
+    Guarantee guarantee = internal::make_guarantee(object);
+    const Guarantee* known = m_book.find(guarantee.name);
+    if (known != nullptr && known->witnessed) {
+      guarantee.witness = known->witness;
+      guarantee.witnessed = true;
+    }
+    next.push_back(std::move(guarantee));
+  }
+  m_book.setGuarantees(std::move(next));
+}
+
+void Scheduler::setHeld(std::set<std::string> workspaces, std::set<std::string> services) {
+  m_heldWorkspaces = std::move(workspaces);
+  m_heldServices = std::move(services);
+}
+
+void Scheduler::updateJob(const schema::Job& job) {
+  const bool ended =
+      job.phase() == schema::JobFinished || job.phase() == schema::JobCancelled || job.phase() == schema::JobLost;
+  if (ended) {
+    m_jobs.erase(job.id());
+    m_nominations.erase(job.id());
+    return;
+  }
+  JobEntry& entry = m_jobs[job.id()];
+  entry.id = job.id();
+  entry.spec = job.spec();
+  entry.phase = job.phase();
+  entry.paused = job.paused();
+  entry.guarantee = job.guarantee();
+  entry.submittedMs = job.submitted_ms();
+  entry.startedMs = job.started_ms();
+  entry.held.clear();
+  entry.broken = false;
+  if (!holdsLeases(job.phase())) return;
+  m_nominations.erase(job.id());
+  for (const schema::Lease& lease : job.leases()) {
+    const int worker = m_topology.find(lease.worker());
+    if (worker < 0) {
+      entry.broken = true;
+      continue;
+    }
+    TaskPlace place{static_cast<WorkerIndex>(worker), {0, lease.cores(), static_cast<std::int64_t>(lease.memory_mb())}};
+    for (const std::uint32_t accelerator : lease.accelerators()) place.part.accelerators |= 1ULL << accelerator;
+    entry.held.push_back(place);
+  }
+}
+
+std::vector<std::string> Scheduler::brokenJobs() const {
+  std::vector<std::string> broken;
+  for (const auto& [id, job] : m_jobs) {
+    if (job.broken) broken.push_back(id);
+  }
+  return broken;
+}
+
+// ---- counting
+
+void Scheduler::recount() {
+  m_free = m_topology.total();
+  for (const auto& [name, used] : m_foreign) {
+    const int worker = m_topology.find(name);
+    if (worker >= 0) m_free[static_cast<std::size_t>(worker)].subtract(used);
+  }
+  for (Guarantee& guarantee : m_book.guarantees()) guarantee.used = 0;
+  for (const auto& [id, job] : m_jobs) {
+    internal::subtract_all(m_free, job.held);
+    Guarantee* charged = job.guarantee.empty() || job.held.empty() ? nullptr : m_book.find(job.guarantee);
+    if (charged != nullptr) charged->used += static_cast<unsigned>(job.held.size());
+  }
+  m_grantable = m_free;
+  for (const auto& [id, nomination] : m_nominations) {
+    // Places that are still held are not in the free part; only what is free already is set aside.
+    for (const TaskPlace& place : nomination.placement) {
+      Capacity& room = m_grantable[place.worker];
+      room.accelerators &= ~place.part.accelerators;
+      room.cores = std::max<std::int64_t>(0, room.cores - place.part.cores);
+      room.memoryMb = std::max<std::int64_t>(0, room.memoryMb - place.part.memoryMb);
+    }
+  }
+}
+
+Capacities Scheduler::roomForWitnesses() const {
+  Capacities room = m_topology.total();
+  for (const auto& [name, used] : m_foreign) {
+    const int worker = m_topology.find(name);
+    if (worker >= 0) room[static_cast<std::size_t>(worker)].subtract(used);
+  }
+  for (const auto& [id, job] : m_jobs) {
+    if (!job.guarantee.empty()) internal::subtract_all(room, job.held);
+  }
+  return room;
+}
+
+bool Scheduler::reclaimable(const JobEntry& job) const {
+  return job.guarantee.empty() && job.phase == schema::JobRunning && !job.held.empty();
+}
+
+std::uint64_t Scheduler::expectedEnd(const JobEntry& job, std::uint64_t nowMs) const {
+  const std::uint64_t run = job.spec.expected_ms() > 0 ? job.spec.expected_ms() : m_options.assumedRunMs;
+  const std::uint64_t started = job.startedMs > 0 ? job.startedMs : nowMs;
+  // A job that outlives its estimate is taken to end soon.
+  return std::max(started + run, nowMs + 1000);
+}
+
+// ---- order
+
+int Scheduler::rankOf(const JobEntry& job, std::uint64_t nowMs) const {
+  if (!m_options.urgentFirst) return 0;
+  if (job.spec.urgency() == schema::Urgent) return 0;
+  const bool aged = nowMs > job.submittedMs + m_options.agingMs;
+  return job.spec.urgency() == schema::Low && !aged ? 2 : 1;
+}
+
+std::vector<Scheduler::JobEntry*> Scheduler::queueInOrder(std::uint64_t nowMs) {
+  std::vector<std::pair<std::pair<int, std::uint64_t>, JobEntry*>> ranked;
+  for (auto& [id, job] : m_jobs) {
+    if (job.phase != schema::JobQueued) continue;
+    int rank = 2 * rankOf(job, nowMs);
+    if (m_options.urgentFirst && guaranteeFor(job) == nullptr) ++rank;
+    ranked.push_back({{rank, job.submittedMs}, &job});
+  }
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [](const auto& lhs, const auto& rhs) { return lhs.first < rhs.first; });
+  std::vector<JobEntry*> queue;
+  for (const auto& [key, job] : ranked) queue.push_back(job);
+  return queue;
+}
+
+bool Scheduler::mayStart(JobEntry& job) const {
+  if (job.paused) {
+    job.why = "the job is paused";
+  } else if (m_heldWorkspaces.count(job.spec.workspace()) > 0) {
+    job.why = "workspace '" + job.spec.workspace() + "' is paused or draining";
+  } else if (m_heldServices.count(job.spec.service()) > 0) {
+    job.why = "service '" + job.spec.service() + "' is paused or draining";
+  } else {
+    return true;
+  }
+  return false;
+}
+
+Guarantee* Scheduler::guaranteeFor(const JobEntry& job) {
+  for (Guarantee& guarantee : m_book.guarantees()) {
+    if (guarantee.holds(job.spec.workspace(), job.spec.shape())) return &guarantee;
+  }
+  return nullptr;
+}
+
+// ---- decisions
+
+std::vector<Decision> Scheduler::decide(std::uint64_t nowMs) {
+  m_nowMs = nowMs;
+  std::vector<Decision> decisions;
+  recount();
+  m_book.rebuild(roomForWitnesses(), m_free);
+  m_reservation.reset();
+  std::set<std::string> failedShapes;
+  for (JobEntry* job : queueInOrder(nowMs)) {
+    if (!mayStart(*job)) {
+      m_nominations.erase(job->id);
+      continue;
+    }
+    if (m_nominations.count(job->id) > 0) {
+      placeNominated(*job, decisions);
+      continue;
+    }
+    if (placeInGuarantee(*job, decisions)) continue;
+    // Once a shape has found no room outside guarantees, equal ones of no higher rank need not search again.
+    const std::string key = job->spec.shape().SerializeAsString() + std::to_string(job->spec.urgency());
+    if (failedShapes.count(key) > 0) {
+      job->why = "no room for its shape; an equal job waits before it";
+      continue;
+    }
+    if (!placeOutside(*job, nowMs, decisions)) {
+      failedShapes.insert(key);
+      if (m_options.reservation && !m_reservation) reserveFor(*job, nowMs);
+    }
+  }
+  return decisions;
+}
+
+void Scheduler::accept(JobEntry& job, const std::string& guarantee, Placement placement,
+                       std::vector<Decision>& decisions) {
+  internal::subtract_all(m_free, placement);
+  internal::subtract_all(m_grantable, placement);
+  job.held = placement;
+  job.guarantee = guarantee;
+  job.phase = schema::JobReserving;
+  job.startedMs = m_nowMs;
+  job.why = "starting";
+  m_nominations.erase(job.id);
+  if (Guarantee* charged = m_book.find(guarantee)) charged->used += static_cast<unsigned>(placement.size());
+  if (m_options.witness) m_book.rebuild(roomForWitnesses(), m_free);
+  decisions.push_back({DecisionKind::Place, job.id, guarantee, std::move(placement), ""});
+}
+
+bool Scheduler::witnessesSurvive(const std::string& guarantee, unsigned tasks, const Placement& placement) {
+  if (!m_options.witness) return true;
+  Capacities room = roomForWitnesses();
+  if (guarantee.empty()) return true;  // a gang outside guarantees is reclaimable and takes nothing from a witness
+  internal::subtract_all(room, placement);
+  Guarantee* charged = m_book.find(guarantee);
+  charged->used += tasks;
+  const bool survive = m_book.possible(room);
+  charged->used -= tasks;
+  return survive;
+}
+
+Placement Scheduler::witnessPlacement(const JobEntry& job, const Guarantee& guarantee) const {
+  Capacities own(m_topology.workers().size());
+  for (const TaskPlace& place : guarantee.witness) own[place.worker].add(place.part);
+  return m_search.find(job.spec.shape(), own);
+}
+
+bool Scheduler::placeInGuarantee(JobEntry& job, std::vector<Decision>& decisions) {
+  Guarantee* guarantee = guaranteeFor(job);
+  if (guarantee == nullptr) return false;
+  const auto tasks = static_cast<unsigned>(job.spec.shape().tasks());
+  const bool pack = m_options.fragmentationWeight >= internal::PackFromWeight;
+  Placement now = m_search.find(job.spec.shape(), m_grantable, {}, pack);
+  if (!now.empty() && witnessesSurvive(guarantee->name, tasks, now)) {
+    accept(job, guarantee->name, std::move(now), decisions);
+    return true;
+  }
+  Placement own = witnessPlacement(job, *guarantee);
+  if (own.empty()) return false;
+  if (internal::covered(own, m_grantable)) {
+    accept(job, guarantee->name, std::move(own), decisions);
+    return true;
+  }
+  if (!m_options.reclaim) return false;
+  // The cheapest gangs to stop, if the other guarantees survive that; else the places of the own witness.
+  Placement cheap = m_search.find(job.spec.shape(), reclaimableRoom(false), reclaimCosts(m_nowMs), pack);
+  const bool sound = !cheap.empty() && witnessesSurvive(guarantee->name, tasks, cheap);
+  return reclaimFor(job, guarantee->name, sound ? cheap : own, decisions);
+}
+
+bool Scheduler::placeOutside(JobEntry& job, std::uint64_t nowMs, std::vector<Decision>& decisions) {
+  const bool mustBeInside = job.spec.not_repeatable() && !job.spec.checkpointable();
+  if (mustBeInside && m_options.witness) {
+    job.why =
+        "it can be neither checkpointed nor repeated, so it runs only inside its workspace's guarantee, which is in "
+        "use";
+    return true;
+  }
+  const bool pack = m_options.fragmentationWeight >= internal::PackFromWeight;
+  Capacities room = m_grantable;
+  if (m_reservation && nowMs + expectedEnd(job, nowMs) - nowMs > m_reservation->atMs) {
+    for (const TaskPlace& place : m_reservation->placement) {
+      Capacity& there = room[place.worker];
+      there.accelerators &= ~place.part.accelerators;
+      there.cores = std::max<std::int64_t>(0, there.cores - place.part.cores);
+      there.memoryMb = std::max<std::int64_t>(0, there.memoryMb - place.part.memoryMb);
+    }
+  }
+  schema::Shape shape = job.spec.shape();
+  Placement placement = m_search.find(shape, room, {}, pack);
+  if (placement.empty() && !m_options.wholeGangs && shape.tasks() > 1) {
+    shape.set_tasks(1);
+    placement = m_search.find(shape, room, {}, pack);
+  }
+  if (!placement.empty()) {
+    accept(job, "", std::move(placement), decisions);
+    return true;
+  }
+  if (m_options.reclaim && job.spec.urgency() == schema::Urgent) {
+    Placement cheap = m_search.find(job.spec.shape(), reclaimableRoom(true), reclaimCosts(nowMs), pack);
+    if (!cheap.empty() && reclaimFor(job, "", cheap, decisions)) return true;
+  }
+  job.why = "no " + std::to_string(shape.tasks()) + " places of " + std::to_string(shape.accelerators()) +
+            " adjacent accelerators are free";
+  return false;
+}
+
+// ---- reclaim
+
+Capacities Scheduler::reclaimableRoom(bool lowOnly) const {
+  Capacities room = m_grantable;
+  for (const auto& [id, job] : m_jobs) {
+    if (!reclaimable(job) || (lowOnly && job.spec.urgency() != schema::Low)) continue;
+    internal::add_all(room, job.held);
+  }
+  // Nominated places are spoken for even while somebody still holds them.
+  for (const auto& [id, nomination] : m_nominations) {
+    for (const TaskPlace& place : nomination.placement) {
+      Capacity& there = room[place.worker];
+      there.accelerators &= ~place.part.accelerators;
+    }
+  }
+  return room;
+}
+
+std::vector<double> Scheduler::reclaimCosts(std::uint64_t nowMs) const {
+  std::vector<double> costs(m_topology.workers().size(), 0.0);
+  for (const auto& [id, job] : m_jobs) {
+    if (!reclaimable(job)) continue;
+    // Work lost is small where a checkpoint keeps it; every member of a gang is hit with it.
+    const double ranSeconds = nowMs > job.startedMs ? static_cast<double>(nowMs - job.startedMs) / 1000.0 : 0.0;
+    const double lost = job.spec.checkpointable() ? 1.0 : 1.0 + ranSeconds;
+    const double urgency = job.spec.urgency() == schema::Low ? 0.0 : internal::UrgencyCost;
+    for (const TaskPlace& place : job.held) costs[place.worker] += lost + urgency;
+  }
+  return costs;
+}
+
+std::vector<Scheduler::JobEntry*> Scheduler::victimsOn(const Placement& placement, schema::Urgency forUrgency,
+                                                       bool forOwner) {
+  std::vector<JobEntry*> victims;
+  Capacities free = m_free;
+  std::map<WorkerIndex, Capacity> wanted;
+  for (const TaskPlace& place : placement) wanted[place.worker].add(place.part);
+  for (auto& [id, job] : m_jobs) {
+    const bool allowed =
+        reclaimable(job) && (forOwner || (forUrgency == schema::Urgent && job.spec.urgency() == schema::Low));
+    if (!allowed) continue;
+    bool hit = false;
+    for (const TaskPlace& place : job.held) {
+      const auto want = wanted.find(place.worker);
+      if (want == wanted.end()) continue;
+      const Capacity& there = free[place.worker];
+      const bool shortOfCores = there.cores < want->second.cores || there.memoryMb < want->second.memoryMb;
+      hit = hit || want->second.intersects(place.part) || shortOfCores;
+    }
+    if (!hit) continue;
+    internal::add_all(free, job.held);
+    victims.push_back(&job);
+  }
+  if (!internal::covered(placement, free)) victims.clear();
+  return victims;
+}
+
+bool Scheduler::reclaimFor(JobEntry& job, const std::string& guarantee, const Placement& placement,
+                           std::vector<Decision>& decisions) {
+  std::vector<JobEntry*> victims = victimsOn(placement, job.spec.urgency(), !guarantee.empty());
+  if (victims.empty()) {
+    job.why = "places of its guarantee are being freed";
+    if (!guarantee.empty()) m_nominations[job.id] = {guarantee, placement};
+    return !guarantee.empty();
+  }
+  for (JobEntry* victim : victims) {
+    victim->phase = schema::JobStopping;
+    decisions.push_back({DecisionKind::Reclaim, victim->id, "", {}, job.id});
+  }
+  nominate(job, guarantee, placement, decisions);
+  return true;
+}
+
+void Scheduler::nominate(JobEntry& job, const std::string& guarantee, Placement placement,
+                         std::vector<Decision>& /*decisions*/) {
+  job.why = "accelerators are being reclaimed for it";
+  for (const TaskPlace& place : placement) {
+    Capacity& room = m_grantable[place.worker];
+    room.accelerators &= ~place.part.accelerators;
+    room.cores = std::max<std::int64_t>(0, room.cores - place.part.cores);
+    room.memoryMb = std::max<std::int64_t>(0, room.memoryMb - place.part.memoryMb);
+  }
+  m_nominations[job.id] = {guarantee, std::move(placement)};
+}
+
+bool Scheduler::placeNominated(JobEntry& job, std::vector<Decision>& decisions) {
+  const Nomination nomination = m_nominations.at(job.id);
+  if (!internal::covered(nomination.placement, m_free)) {
+    // Somebody still holds a place: its stop is under way, or it has come back and is reclaimed again.
+    for (JobEntry* victim : victimsOn(nomination.placement, job.spec.urgency(), !nomination.guarantee.empty())) {
+      victim->phase = schema::JobStopping;
+      decisions.push_back({DecisionKind::Reclaim, victim->id, "", {}, job.id});
+    }
+    return false;
+  }
+  const Guarantee* guarantee = m_book.find(nomination.guarantee);
+  const bool shapeFits = nomination.placement.size() == job.spec.shape().tasks();
+  const bool chargeFits = nomination.guarantee.empty() ||
+                          (guarantee != nullptr && guarantee->holds(job.spec.workspace(), job.spec.shape()));
+  const bool sound =
+      shapeFits && chargeFits && witnessesSurvive(nomination.guarantee, job.spec.shape().tasks(), nomination.placement);
+  if (!sound) {
+    m_nominations.erase(job.id);
+    job.why = "its nominated places no longer suit; looking again";
+    return false;
+  }
+  // accept() takes the room out of the grantable part, from which the nomination had taken it already.
+  internal::add_all(m_grantable, nomination.placement);
+  accept(job, nomination.guarantee, nomination.placement, decisions);
+  return true;
+}
+
+// ---- reservation
+
+void Scheduler::reserveFor(const JobEntry& job, std::uint64_t nowMs) {
+  std::vector<std::pair<std::uint64_t, const JobEntry*>> ends;
+  for (const auto& [id, running] : m_jobs) {
+    if (!running.held.empty()) ends.emplace_back(expectedEnd(running, nowMs), &running);
+  }
+  std::sort(ends.begin(), ends.end());
+  Capacities room = m_grantable;
+  std::size_t next = 0;
+  // Steps double, so that the search stays linear in the number of running jobs times its logarithm.
+  for (std::size_t step = 1; next < ends.size(); step *= 2) {
+    std::uint64_t at = nowMs;
+    for (std::size_t i = 0; i < step && next < ends.size(); ++i, ++next) {
+      internal::add_all(room, ends[next].second->held);
+      at = ends[next].first;
+    }
+    Placement placement = m_search.find(job.spec.shape(), room);
+    if (placement.empty()) continue;
+    m_reservation = Reservation{job.id, at, std::move(placement)};
+    return;
+  }
+}
+
+// ---- answers for operators
+
+std::string Scheduler::why(const std::string& job) const {
+  const auto found = m_jobs.find(job);
+  if (found == m_jobs.end()) return "the job has ended or does not exist";
+  if (found->second.phase != schema::JobQueued) return "the job is " + schema::JobPhase_Name(found->second.phase);
+  return found->second.why.empty() ? "the job has just arrived" : found->second.why;
+}
+
+bool Scheduler::everFits(const schema::Shape& shape) const { return !m_search.find(shape, m_topology.total()).empty(); }
+
+std::optional<std::string> Scheduler::refusesGuarantees(const std::vector<schema::Object>& guarantees) const {
+  GuaranteeBook trial(m_topology);
+  std::vector<Guarantee> wanted;
+  for (const schema::Object& object : guarantees) {
+    if (object.guarantee().has_shape()) wanted.push_back(internal::make_guarantee(object));
+  }
+  trial.setGuarantees(wanted);
+  if (trial.possible(m_topology.total())) return std::nullopt;
+  trial.rebuild(m_topology.total(), m_topology.total());
+  for (const Guarantee& guarantee : trial.guarantees()) {
+    if (guarantee.witnessed) continue;
+    // The nearest that can be held: fewer tasks of the same kind.
+    schema::Shape nearest = guarantee.shape;
+    unsigned tasks = nearest.tasks();
+    for (; tasks > 0; --tasks) {
+      std::vector<Guarantee> smaller = wanted;
+      for (Guarantee& candidate : smaller) {
+        if (candidate.name == guarantee.name) candidate.shape.set_tasks(tasks);
+      }
+      GuaranteeBook attempt(m_topology);
+      attempt.setGuarantees(smaller);
+      if (attempt.possible(m_topology.total())) break;
+    }
+    return "guarantee '" + guarantee.name + "' cannot be held beside the others; the nearest that can has " +
+           std::to_string(tasks) + " tasks";
+  }
+  return "the guarantees cannot all be held";
+}
+
+std::vector<schema::GuaranteeStatus> Scheduler::guaranteeStatus() const {
+  std::vector<schema::GuaranteeStatus> list;
+  for (const Guarantee& guarantee : m_book.guarantees()) {
+    schema::GuaranteeStatus status;
+    status.set_name(guarantee.name);
+    status.set_witnessed(guarantee.unused() == 0 || guarantee.witnessed);
+    status.set_reason(guarantee.reason);
+    list.push_back(std::move(status));
+  }
+  return list;
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Transport/Http2Connection.cpp
@@ -0,0 +1,331 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Transport/Http2Connection.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <cstring>
+
+namespace courseloom {
+
+namespace asio = boost::asio;
+
+namespace internal {
+namespace {
+
+constexpr std::size_t ReadBytes = 64U * 1024;
+constexpr std::size_t WriteBatchBytes = 256U * 1024;
+constexpr std::uint32_t StreamWindowBytes = 4U * 1024 * 1024;
+constexpr std::int32_t ConnectionWindowBytes = 64 * 1024 * 1024;
+constexpr std::uint32_t MaxStreams = 16384;
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusFailed = 500;
+
+nghttp2_nv make_header(const char* name, const std::string& value) {
+  nghttp2_nv header{};
+  header.name = reinterpret_cast<std::uint8_t*>(const_cast<char*>(name));
+  header.namelen = std::strlen(name);
+  header.value = reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data()));
+  header.valuelen = value.size();
+  header.flags = NGHTTP2_NV_FLAG_NONE;
+  return header;
+}
+
+}  // namespace
+}  // namespace internal
+
+Http2Connection::Http2Connection(asio::io_context& io, asio::ip::tcp::socket socket, Side side, std::string peer,
+                                 RpcDispatcher dispatcher)
+    : m_io(io),
+      m_socket(std::move(socket)),
+      m_side(side),
+      m_peer(std::move(peer)),
+      m_dispatcher(std::move(dispatcher)) {
+  setUpSession();
+}
+
+Http2Connection::~Http2Connection() { nghttp2_session_del(m_session); }
+
+nghttp2_session_callbacks* Http2Connection::callbacks() {
+  static nghttp2_session_callbacks* shared = [] {
+    nghttp2_session_callbacks* made = nullptr;
+    nghttp2_session_callbacks_new(&made);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(made, &Http2Connection::onBeginHeaders);
+    nghttp2_session_callbacks_set_on_header_callback(made, &Http2Connection::onHeader);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(made, &Http2Connection::onData);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(made, &Http2Connection::onFrame);
+    nghttp2_session_callbacks_set_on_stream_close_callback(made, &Http2Connection::onStreamClose);
+    return made;
+  }();
+  return shared;
+}
+
+void Http2Connection::setUpSession() {
+  if (m_side == Side::Client) {
+    nghttp2_session_client_new(&m_session, callbacks(), this);
+  } else {
+    nghttp2_session_server_new(&m_session, callbacks(), this);
+  }
+  const std::array settings{
+      nghttp2_settings_entry{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, internal::MaxStreams},
+      nghttp2_settings_entry{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, internal::StreamWindowBytes},
+  };
+  nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+  nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0, internal::ConnectionWindowBytes);
+}
+
+void Http2Connection::start() {
+  m_lastReceived = BootClock::now();
+  asio::co_spawn(
+      m_socket.get_executor(), [self = shared_from_this()] { return self->readLoop(); }, asio::detached);
+  pump();
+}
+
+Awaitable<void> Http2Connection::readLoop() {
+  const auto self = shared_from_this();
+  std::vector<std::uint8_t> buffer(internal::ReadBytes);
+  while (m_open) {
+    const auto [error, length] =
+        co_await m_socket.async_read_some(asio::buffer(buffer), asio::as_tuple(asio::use_awaitable));
+    if (error || !m_open) break;
+    m_lastReceived = BootClock::now();
+    const ssize_t used = nghttp2_session_mem_recv(m_session, buffer.data(), length);
+    if (used < 0) break;
+    pump();
+  }
+  close();
+}
+
+void Http2Connection::pump() {
+  if (m_writeBusy || !m_open) return;
+  m_writing.clear();
+  while (m_writing.size() < internal::WriteBatchBytes) {
+    const std::uint8_t* data = nullptr;
+    const ssize_t length = nghttp2_session_mem_send(m_session, &data);
+    if (length < 0) return close();
+    if (length == 0) break;
+    m_writing.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(length));
+  }
+  if (m_writing.empty()) {
+    const bool finished = nghttp2_session_want_read(m_session) == 0 && nghttp2_session_want_write(m_session) == 0;
+    if (finished && m_streams.empty()) close();
+    return;
+  }
+  m_writeBusy = true;
+  asio::async_write(m_socket, asio::buffer(m_writing),
+                    [self = shared_from_this()](const boost::system::error_code& error, std::size_t /*length*/) {
+                      self->onWritten(error);
+                    });
+}
+
+void Http2Connection::onWritten(const boost::system::error_code& error) {
+  m_writeBusy = false;
+  if (error) return close();
+  pump();
+}
+
+Awaitable<Result<std::string>> Http2Connection::call(std::string method, std::string body, Time deadline) {
+  const auto self = shared_from_this();
+  const Failure notSent{FailureCode::PeerUnreachable, Ran::No, method, m_peer, "the connection is closed", 0};
+  if (!usable()) co_return fail(notSent);
+  auto stream = std::make_shared<Stream>();
+  stream->method = std::move(method);
+  stream->outgoing = std::move(body);
+  stream->finished = std::make_unique<asio::steady_timer>(m_socket.get_executor());
+  const std::int32_t id = submitRequest(stream);
+  if (id < 0) co_return fail(notSent);
+  m_streams[id] = stream;
+  const Time sentAt = BootClock::now();
+  pump();
+  if (!stream->done) {
+    stream->finished->expires_after(std::max(deadline - BootClock::now(), Duration(0)));
+    co_await stream->finished->async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  const bool timedOut = !stream->done;
+  if (timedOut) {
+    m_streams.erase(id);
+    if (m_open) nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+    pump();
+    // Nothing at all came since the call was sent: a silent cut. The next call must open a new connection.
+    if (m_lastReceived < sentAt) close();
+  }
+  co_return outcome(*stream, timedOut);
+}
+
+std::int32_t Http2Connection::submitRequest(const StreamPointer& stream) {
+  static const std::string post = "POST";
+  static const std::string scheme = "http";
+  const std::string path = "/" + stream->method;
+  const std::array headers{internal::make_header(":method", post), internal::make_header(":path", path),
+                           internal::make_header(":scheme", scheme), internal::make_header(":authority", m_peer)};
+  nghttp2_data_provider provider{};
+  provider.source.ptr = stream.get();
+  provider.read_callback = &Http2Connection::readOutgoing;
+  return nghttp2_submit_request(m_session, nullptr, headers.data(), headers.size(), &provider, nullptr);
+}
+
+Result<std::string> Http2Connection::outcome(Stream& stream, bool timedOut) {
+  if (!timedOut && stream.status == internal::StatusOk) return std::move(stream.body);
+  Failure failure{FailureCode::PeerFailed, Ran::Unknown, stream.method, m_peer, "", 0};
+  if (timedOut) {
+    failure.detail = "no answer within the deadline";
+  } else if (stream.refused) {
+    failure.code = FailureCode::PeerUnreachable;
+    failure.ran = Ran::No;
+    failure.detail = "the peer is going away";
+  } else if (stream.status == internal::StatusFailed) {
+    schema::FailureInfo info;
+    if (info.ParseFromString(stream.body)) {
+      failure = fromInfo(info);
+      if (failure.peer.empty()) failure.peer = m_peer;
+    } else {
+      failure.detail = "the peer's failure could not be read";
+    }
+  } else {
+    failure.detail = "the stream ended before its answer was whole";
+  }
+  return fail(std::move(failure));
+}
+
+void Http2Connection::dispatch(std::int32_t id, const StreamPointer& stream) {
+  auto run = [self = shared_from_this(), id, stream]() -> Awaitable<void> {
+    RpcCall call{stream->method, std::move(stream->body), self->m_peer};
+    Result<std::string> reply = co_await self->m_dispatcher(std::move(call));
+    co_await asio::post(self->m_socket.get_executor(), asio::use_awaitable);
+    self->respond(id, stream, std::move(reply));
+  };
+  // The strand only frames; handlers run on the context's threads.
+  asio::co_spawn(m_io, std::move(run), asio::detached);
+}
+
+void Http2Connection::respond(std::int32_t id, const StreamPointer& stream, Result<std::string> reply) {
+  if (!m_open || m_streams.find(id) == m_streams.end()) return;
+  unsigned status = internal::StatusOk;
+  if (reply) {
+    stream->outgoing = std::move(*reply);
+  } else {
+    status = internal::StatusFailed;
+    stream->outgoing = toInfo(takeFailure(reply)).SerializeAsString();
+  }
+  const std::string statusText = std::to_string(status);
+  const std::array headers{internal::make_header(":status", statusText)};
+  nghttp2_data_provider provider{};
+  provider.source.ptr = stream.get();
+  provider.read_callback = &Http2Connection::readOutgoing;
+  nghttp2_submit_response(m_session, id, headers.data(), headers.size(), &provider);
+  pump();
+}
+
+void Http2Connection::goAway() {
+  if (!m_open || m_goingAway) return;
+  m_goingAway = true;
+  nghttp2_submit_goaway(m_session, NGHTTP2_FLAG_NONE, nghttp2_session_get_last_proc_stream_id(m_session),
+                        NGHTTP2_NO_ERROR, nullptr, 0);
+  pump();
+}
+
+void Http2Connection::close() {
+  if (!m_open) return;
+  m_open = false;
+  boost::system::error_code ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  m_socket.close(ignored);
+  auto streams = std::move(m_streams);
+  m_streams.clear();
+  for (auto& [id, stream] : streams) {
+    stream->done = true;
+    stream->status = 0;
+    if (stream->finished) stream->finished->cancel();
+  }
+}
+
+ssize_t Http2Connection::readOutgoing(nghttp2_session* /*session*/, std::int32_t id, std::uint8_t* buffer,
+                                      std::size_t length, std::uint32_t* flags, nghttp2_data_source* /*source*/,
+                                      void* user) {
+  auto* self = static_cast<Http2Connection*>(user);
+  const auto found = self->m_streams.find(id);
+  if (found == self->m_streams.end()) return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+  Stream& stream = *found->second;
+  const std::size_t part = std::min(length, stream.outgoing.size() - stream.sent);
+  std::memcpy(buffer, stream.outgoing.data() + stream.sent, part);
+  stream.sent += part;
+  if (stream.sent == stream.outgoing.size()) *flags |= NGHTTP2_DATA_FLAG_EOF;
+  return static_cast<ssize_t>(part);
+}
+
+int Http2Connection::onBeginHeaders(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user) {
+  auto* self = static_cast<Http2Connection*>(user);
+  if (self->m_side == Side::Server && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+    self->m_streams[frame->hd.stream_id] = std::make_shared<Stream>();
+  }
+  return 0;
+}
+
+int Http2Connection::onHeader(nghttp2_session* /*session*/, const nghttp2_frame* frame, const std::uint8_t* name,
+                              std::size_t nameLength, const std::uint8_t* value, std::size_t valueLength,
+                              std::uint8_t /*flags*/, void* user) {
+  auto* self = static_cast<Http2Connection*>(user);
+  const auto found = self->m_streams.find(frame->hd.stream_id);
+  if (found == self->m_streams.end()) return 0;
+  const std::string_view key(reinterpret_cast<const char*>(name), nameLength);
+  const std::string text(reinterpret_cast<const char*>(value), valueLength);
+  if (key == ":path" && !text.empty()) found->second->method = text.substr(1);
+  if (key == ":status") found->second->status = static_cast<unsigned>(std::strtoul(text.c_str(), nullptr, 10));
+  return 0;
+}
+
+int Http2Connection::onData(nghttp2_session* /*session*/, std::uint8_t /*flags*/, std::int32_t id,
+                            const std::uint8_t* data, std::size_t length, void* user) {
+  auto* self = static_cast<Http2Connection*>(user);
+  const auto found = self->m_streams.find(id);
+  if (found == self->m_streams.end()) return 0;
+  std::string& body = found->second->body;
+  if (body.size() + length > MaxRpcBytes) {
+    nghttp2_submit_rst_stream(self->m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_ENHANCE_YOUR_CALM);
+    return 0;
+  }
+  body.append(reinterpret_cast<const char*>(data), length);
+  return 0;
+}
+
+int Http2Connection::onFrame(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user) {
+  auto* self = static_cast<Http2Connection*>(user);
+  if (frame->hd.type == NGHTTP2_GOAWAY) {
+    self->m_goingAway = true;
+    return 0;
+  }
+  const bool carriesEnd = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+  if (!carriesEnd || (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0) return 0;
+  const auto found = self->m_streams.find(frame->hd.stream_id);
+  if (found == self->m_streams.end()) return 0;
+  if (self->m_side == Side::Server) {
+    self->dispatch(frame->hd.stream_id, found->second);
+  } else {
+    found->second->done = true;
+  }
+  return 0;
+}
+
+int Http2Connection::onStreamClose(nghttp2_session* /*session*/, std::int32_t id, std::uint32_t error, void* user) {
+  auto* self = static_cast<Http2Connection*>(user);
+  const auto found = self->m_streams.find(id);
+  if (found == self->m_streams.end()) return 0;
+  const StreamPointer stream = found->second;
+  self->m_streams.erase(found);
+  if (self->m_side == Side::Client) {
+    if (!stream->done) stream->status = 0;
+    stream->refused = error == NGHTTP2_REFUSED_STREAM;
+    stream->done = true;
+    stream->finished->cancel();
+  }
+  return 0;
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Transport/Http2Connection.h
@@ -0,0 +1,120 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <nghttp2/nghttp2.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "Courseloom/src/Core/Clock.h"
+#include "Courseloom/src/Core/Failure.h"
+
+namespace courseloom {
+
+template <class T>
+using Awaitable = boost::asio::awaitable<T>;
+
+/** Largest message between the system's own processes, bytes. */
+inline constexpr std::size_t MaxRpcBytes = 96U * 1024 * 1024;
+
+/** \class RpcCall
+ * \brief One call as the serving side sees it.
+ */
+struct RpcCall {
+  std::string method;
+  std::string body;
+  std::string peer;  ///< address and port of the caller
+};
+
+/** Answers a call with the bytes of a message, or with a failure that is carried to the caller. */
+using RpcDispatcher = std::function<Awaitable<Result<std::string>>(RpcCall)>;
+
+/** \class Http2Connection
+ * \brief One nghttp2 session over one Asio socket, either side; each call is one stream.
+ *
+ * Every member runs on the strand of the socket. A call ends whole or with a failure: a stream that closes before its
+ * end is PeerFailed with ran unknown, and a stream that the peer refused (it was going away) is ran no.
+ * \sa RpcClient, RpcServer
+ */
+class Http2Connection : public std::enable_shared_from_this<Http2Connection> {
+ public:
+  enum class Side : std::uint8_t { Client, Server };
+
+  Http2Connection(boost::asio::io_context& io, boost::asio::ip::tcp::socket socket, Side side, std::string peer,
+                  RpcDispatcher dispatcher = {});
+  ~Http2Connection();
+  Http2Connection(const Http2Connection&) = delete;
+  Http2Connection& operator=(const Http2Connection&) = delete;
+
+  /** Begins to read; must run on the strand. */
+  void start();
+  /** Makes one call. \param deadline instant after which the call is given up */
+  Awaitable<Result<std::string>> call(std::string method, std::string body, Time deadline);
+  /** Tells the peer to open no new streams; streams in flight go on. */
+  void goAway();
+  /** Closes at once; calls in flight fail. */
+  void close();
+  /** \returns whether new calls may be made here. */
+  bool usable() const { return m_open && !m_goingAway; }
+  bool isOpen() const { return m_open; }
+  /** \returns streams that are not finished yet. */
+  std::size_t inFlight() const { return m_streams.size(); }
+  boost::asio::any_io_executor executor() { return m_socket.get_executor(); }
+
+ private:
+  struct Stream {
+    std::string method;
+    std::string body;      ///< received
+    std::string outgoing;  ///< to be sent
+    std::size_t sent = 0;
+    unsigned status = 0;
+    bool done = false;
+    bool refused = false;
+    std::unique_ptr<boost::asio::steady_timer> finished;  ///< cancelled when a client's stream ends
+  };
+  using StreamPointer = std::shared_ptr<Stream>;
+
+  void setUpSession();
+  Awaitable<void> readLoop();
+  void pump();
+  void onWritten(const boost::system::error_code& error);
+  void dispatch(std::int32_t id, const StreamPointer& stream);
+  void respond(std::int32_t id, const StreamPointer& stream, Result<std::string> reply);
+  std::int32_t submitRequest(const StreamPointer& stream);
+  Result<std::string> outcome(Stream& stream, bool timedOut);
+
+  static nghttp2_session_callbacks* callbacks();
+  static ssize_t readOutgoing(nghttp2_session* session, std::int32_t id, std::uint8_t* buffer, std::size_t length,
+                              std::uint32_t* flags, nghttp2_data_source* source, void* user);
+  static int onBeginHeaders(nghttp2_session* session, const nghttp2_frame* frame, void* user);
+  static int onHeader(nghttp2_session* session, const nghttp2_frame* frame, const std::uint8_t* name,
+                      std::size_t nameLength, const std::uint8_t* value, std::size_t valueLength, std::uint8_t flags,
+                      void* user);
+  static int onData(nghttp2_session* session, std::uint8_t flags, std::int32_t id, const std::uint8_t* data,
+                    std::size_t length, void* user);
+  static int onFrame(nghttp2_session* session, const nghttp2_frame* frame, void* user);
+  static int onStreamClose(nghttp2_session* session, std::int32_t id, std::uint32_t error, void* user);
+
+  boost::asio::io_context& m_io;
+  boost::asio::ip::tcp::socket m_socket;
+  Side m_side;
+  std::string m_peer;
+  RpcDispatcher m_dispatcher;
+  nghttp2_session* m_session = nullptr;
+  std::map<std::int32_t, StreamPointer> m_streams;
+  std::string m_writing;
+  bool m_writeBusy = false;
+  bool m_open = true;
+  bool m_goingAway = false;
+  Time m_lastReceived{};
+};
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Transport/HttpClient.cpp
@@ -0,0 +1,85 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Transport/HttpClient.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace courseloom {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+HttpClient::Connection::Connection(asio::io_context& io) : stream(asio::make_strand(io)) {}
+
+HttpClient::HttpClient(asio::io_context& io, std::string address, unsigned port, std::size_t maxIdle)
+    : m_io(io),
+      m_endpoint(asio::ip::make_address(address), static_cast<std::uint16_t>(port)),
+      m_peer(address + ":" + std::to_string(port)),
+      m_maxIdle(maxIdle) {}
+
+HttpClient::ConnectionPointer HttpClient::takeIdle() {
+  const std::lock_guard lock(m_mutex);
+  while (!m_idle.empty()) {
+    ConnectionPointer connection = std::move(m_idle.back());
+    m_idle.pop_back();
+    // A quiet, open connection has nothing to read; end of file or stray bytes mean that it must not be used again.
+    char byte = 0;
+    const ssize_t length = ::recv(connection->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool quiet = length < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (quiet && connection->buffer.size() == 0) return connection;
+  }
+  return nullptr;
+}
+
+void HttpClient::putIdle(ConnectionPointer connection) {
+  const std::lock_guard lock(m_mutex);
+  if (m_idle.size() < m_maxIdle) m_idle.push_back(std::move(connection));
+}
+
+Awaitable<Result<HttpResponse>> HttpClient::exchange(std::string step, HttpRequest request, Duration limit,
+                                                     std::uint64_t maxBodyBytes) {
+  ConnectionPointer connection = takeIdle();
+  const Time deadline = BootClock::now() + limit;
+  if (!connection) {
+    connection = std::make_unique<Connection>(m_io);
+    connection->stream.expires_after(limit);
+    const auto [error] = co_await connection->stream.async_connect(m_endpoint, asio::as_tuple(asio::use_awaitable));
+    if (error) {
+      co_return fail(Failure{FailureCode::TargetUnreachable, Ran::No, step, m_peer, error.message(), 0});
+    }
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true));
+  }
+  request.version(11);
+  request.keep_alive(true);
+  if (request.find(http::field::host) == request.end()) request.set(http::field::host, m_peer);
+  request.prepare_payload();
+  connection->stream.expires_after(std::max(deadline - BootClock::now(), milliseconds(1)));
+  const auto [writeError, written] =
+      co_await http::async_write(connection->stream, request, asio::as_tuple(asio::use_awaitable));
+  if (writeError) {
+    co_return fail(Failure{FailureCode::TargetFailed, Ran::Unknown, step, m_peer, writeError.message(), 0});
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(maxBodyBytes);
+  const auto [readError, readBytes] =
+      co_await http::async_read(connection->stream, connection->buffer, parser, asio::as_tuple(asio::use_awaitable));
+  if (readError) {
+    Failure failure{FailureCode::TargetFailed, Ran::Unknown, step, m_peer, readError.message(), 0};
+    if (readError == http::error::partial_message || parser.got_some()) failure.code = FailureCode::AnswerIncomplete;
+    if (readError == http::error::body_limit) failure.code = FailureCode::BodyTooLarge;
+    co_return fail(std::move(failure));
+  }
+  HttpResponse response = parser.release();
+  if (response.keep_alive()) putIdle(std::move(connection));
+  co_return response;
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Transport/Listen.cpp
@@ -0,0 +1,32 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Transport/Listen.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace courseloom {
+
+namespace asio = boost::asio;
+
+Result<unsigned> listenOn(asio::ip::tcp::acceptor& acceptor, const std::string& address, unsigned port) {
+  const std::string peer = address + ":" + std::to_string(port);
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(address, error);
+  const asio::ip::tcp::endpoint endpoint(ip, static_cast<std::uint16_t>(port));
+  if (!error) acceptor.open(endpoint.protocol(), error);
+  if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor.bind(endpoint, error);
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return fail(Failure{FailureCode::Internal, Ran::No, "listen", peer, error.message(), 0});
+  return acceptor.local_endpoint().port();
+}
+
+boost::asio::awaitable<void> pauseAccept(asio::io_context& io) {
+  asio::steady_timer timer(io, std::chrono::milliseconds(20));
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Transport/Listen.h
@@ -0,0 +1,20 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+#include "Courseloom/src/Core/Failure.h"
+
+namespace courseloom {
+
+/** Opens, binds and listens. \returns the port in use, which the system picks where `port` is 0 */
+Result<unsigned> listenOn(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address, unsigned port);
+/** Waits a moment after a failed accept (no file descriptors left, say), so that the loop does not spin. */
+boost::asio::awaitable<void> pauseAccept(boost::asio::io_context& io);
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Transport/RpcClient.h
@@ -0,0 +1,67 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+#include <memory>
+#include <string>
+
+#include "Courseloom/src/Transport/Http2Connection.h"
+
+namespace courseloom {
+
+/** \class RpcClient
+ * \brief Calls one peer; connects when needed, and anew after a failure, a GOAWAY or a silent cut.
+ *
+ * Safe from any thread. A failure before the call left is ran no; after that it is ran unknown.
+ * \sa RpcServer
+ */
+class RpcClient : public std::enable_shared_from_this<RpcClient> {
+ public:
+  RpcClient(boost::asio::io_context& io, std::string address, unsigned port);
+
+  /** Calls with bytes. \param deadline instant after which the call is given up */
+  Awaitable<Result<std::string>> callBytes(std::string method, std::string body, Time deadline);
+
+  /** Calls with a message and reads the reply's message. */
+  template <class Reply, class Request>
+  Awaitable<Result<Reply>> call(std::string method, const Request& request, Time deadline) {
+    std::string body = request.SerializeAsString();
+    return readReply<Reply>(shared_from_this(), std::move(method), std::move(body), deadline);
+  }
+
+  /** Closes the connection; calls in flight fail. */
+  void close();
+  const std::string& peer() const { return m_peer; }
+
+ private:
+  using ConnectionPointer = std::shared_ptr<Http2Connection>;
+
+  template <class Reply>
+  static Awaitable<Result<Reply>> readReply(std::shared_ptr<RpcClient> self, std::string method, std::string body,
+                                            Time deadline) {
+    Result<std::string> bytes = co_await self->callBytes(method, std::move(body), deadline);
+    if (!bytes) co_return fail(takeFailure(bytes));
+    Reply reply;
+    if (!reply.ParseFromString(*bytes)) {
+      co_return fail(
+          Failure{FailureCode::PeerFailed, Ran::Unknown, method, self->m_peer, "the reply is not readable", 0});
+    }
+    co_return reply;
+  }
+
+  Awaitable<Result<std::string>> callOnStrand(std::string method, std::string body, Time deadline);
+  Awaitable<Result<ConnectionPointer>> connect(const std::string& step, Time deadline);
+
+  boost::asio::io_context& m_io;
+  boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
+  std::string m_address;
+  unsigned m_port;
+  std::string m_peer;
+  ConnectionPointer m_connection;
+  std::shared_ptr<boost::asio::steady_timer> m_connecting;  ///< cancelled when an attempt to connect has ended
+};
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Transport/RpcServer.cpp
@@ -0,0 +1,83 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Transport/RpcServer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Courseloom/src/Transport/Listen.h"
+
+namespace courseloom {
+
+namespace asio = boost::asio;
+
+Result<unsigned> RpcServer::start(const std::string& address, unsigned port) {
+  BOOST_LEAF_AUTO(bound, listenOn(m_acceptor, address, port));
+  asio::co_spawn(m_io, acceptLoop(), asio::detached);
+  return bound;
+}
+
+Awaitable<void> RpcServer::acceptLoop() {
+  while (m_acceptor.is_open()) {
+    auto [error, socket] =
+        co_await m_acceptor.async_accept(asio::make_strand(m_io), asio::as_tuple(asio::use_awaitable));
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) {
+      co_await pauseAccept(m_io);
+      continue;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const auto remote = socket.remote_endpoint(ignored);
+    const std::string peer = remote.address().to_string() + ":" + std::to_string(remote.port());
+    const auto connection =
+        std::make_shared<Http2Connection>(m_io, std::move(socket), Http2Connection::Side::Server, peer,
+                                          [this](RpcCall call) { return dispatch(std::move(call)); });
+    {
+      const std::lock_guard lock(m_mutex);
+      std::erase_if(m_connections, [](const auto& weak) { return weak.expired(); });
+      m_connections.insert(connection);
+    }
+    asio::dispatch(connection->executor(), [connection] { connection->start(); });
+  }
+}
+
+Awaitable<Result<std::string>> RpcServer::dispatch(RpcCall call) {
+  const auto found = m_handlers.find(call.method);
+  if (found == m_handlers.end()) {
+    co_return fail(Failure{FailureCode::NotFound, Ran::No, call.method, call.peer, "no such method", 0});
+  }
+  struct InFlight {
+    std::atomic<std::size_t>& count;
+    explicit InFlight(std::atomic<std::size_t>& counter) : count(counter) { ++count; }
+    ~InFlight() { --count; }
+  } const inFlight(m_inFlight);
+  co_return co_await found->second(std::move(call));
+}
+
+void RpcServer::goAway() {
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  const std::lock_guard lock(m_mutex);
+  for (const auto& weak : m_connections) {
+    if (const auto connection = weak.lock())
+      asio::dispatch(connection->executor(), [connection] { connection->goAway(); });
+  }
+}
+
+void RpcServer::close() {
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  const std::lock_guard lock(m_mutex);
+  for (const auto& weak : m_connections) {
+    if (const auto connection = weak.lock())
+      asio::dispatch(connection->executor(), [connection] { connection->close(); });
+  }
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/daemons/entry.cpp
@@ -0,0 +1,15 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Entry/EntryService.h"
+
+int main(int argc, char** argv) {
+  courseloom::DaemonProgram program;
+  program.name = "courseloom-entry";
+  program.description = "Entry of courseloom: HTTP for callers and operators";
+  program.needSections = [](courseloom::schema::Settings& settings) { settings.mutable_entry(); };
+  program.makeService = [](const courseloom::DaemonContext& context) {
+    return std::make_unique<courseloom::EntryService>(context);
+  };
+  return courseloom::runDaemon(program, argc, argv);
+}
