--- a/Courseloom/src/Replication/Replica.cpp
+++ b/Courseloom/src/Replication/Replica.cpp
@@ -289,6 +289,9 @@
   becomeFollower(message.term(), message.from(), now);
   m_leaderHeard = now;
   const schema::SnapshotInfo& info = message.snapshot().info();
+  // Raft, chapter 5: a log that agrees with the snapshot is kept, since what follows may have been acknowledged.
+  const bool agrees = m_log.knows(info.index()) && m_log.termAt(info.index()) == info.term();
+  if (agrees) commitTo(info.index());
   const bool known = info.index() <= m_commit;
   if (!known) {
     m_log.reset(message.snapshot());
@@ -299,7 +302,7 @@
     m_output.install = message.snapshot();
     persistHard();
   }
-  replyToAppend(message, true, std::max<LogIndex>(info.index(), known ? m_commit : 0));
+  replyToAppend(message, true, info.index());
 }
 
 void Replica::commitTo(LogIndex index) {
