--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -218,6 +218,7 @@
     schema::ReplicaStatus* row = status.add_replicas();
     row->set_id(member.id());
     row->set_voter(member.voter());
+    row->set_disk_id(member.disk_id());
     row->set_match(replica.matchOf(member.id()));
     row->set_leader(member.id() == replica.leader());
   }
--- /dev/null
+++ b/test/Processes.cpp
@@ -0,0 +1,276 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "test/Processes.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include "Courseloom/src/Transport/HttpClient.h"
+
+namespace courseloom::test {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr Duration ReadyLimit = milliseconds(20000);
+const std::string BuildFolder = COURSELOOM_BUILD_DIR;
+
+void pause(std::int64_t ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+
+/** A run of ports that nobody listens on now. */
+unsigned freePortBase() {
+  std::mt19937 random(std::random_device{}());
+  while (true) {
+    const unsigned base = 20000 + std::uniform_int_distribution<unsigned>(0, 230)(random) * 50;
+    bool free = true;
+    for (unsigned port = base; port < base + 50 && free; ++port) {
+      asio::io_context io;
+      asio::ip::tcp::acceptor acceptor(io);
+      boost::system::error_code error;
+      acceptor.open(asio::ip::tcp::v4(), error);
+      acceptor.bind({asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)}, error);
+      free = !error;
+    }
+    if (free) return base;
+  }
+}
+
+}  // namespace
+
+Process::Process(const std::vector<std::string>& arguments, const std::string& log) {
+  int pipeEnds[2];
+  if (::pipe2(pipeEnds, O_CLOEXEC) != 0) return;
+  m_pid = ::fork();
+  if (m_pid == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(pipeEnds[1], STDOUT_FILENO);
+    ::dup2(file, STDERR_FILENO);
+    std::vector<char*> argv;
+    for (const std::string& argument : arguments) argv.push_back(const_cast<char*>(argument.c_str()));
+    argv.push_back(nullptr);
+    ::execv(argv[0], argv.data());
+    ::_exit(127);
+  }
+  ::close(pipeEnds[1]);
+  ::fcntl(pipeEnds[0], F_SETFL, O_NONBLOCK);
+  std::string line;
+  const Time end = BootClock::now() + ReadyLimit;
+  while (BootClock::now() < end && line.find('\n') == std::string::npos) {
+    char buffer[256];
+    const ssize_t length = ::read(pipeEnds[0], buffer, sizeof(buffer));
+    if (length == 0) break;
+    if (length > 0) line.append(buffer, static_cast<std::size_t>(length));
+    if (length < 0) pause(2);
+  }
+  ::close(pipeEnds[0]);
+  const std::size_t at = line.find(" http=");
+  m_ready = line.rfind("ready ", 0) == 0 && at != std::string::npos;
+  if (m_ready) m_http = line.substr(at + 6, line.find_first_of(" \n", at + 6) - at - 6);
+}
+
+Process::~Process() { kill(); }
+
+void Process::signal(int number) const {
+  if (m_pid > 0) ::kill(m_pid, number);
+}
+
+int Process::wait(Duration limit) {
+  const Time end = BootClock::now() + limit;
+  int state = 0;
+  while (BootClock::now() < end) {
+    if (::waitpid(m_pid, &state, WNOHANG) == m_pid) {
+      m_pid = -1;
+      return WIFEXITED(state) ? WEXITSTATUS(state) : 128 + WTERMSIG(state);
+    }
+    pause(2);
+  }
+  return -1;
+}
+
+void Process::kill() {
+  if (m_pid <= 0) return;
+  ::kill(m_pid, SIGKILL);
+  ::waitpid(m_pid, nullptr, 0);
+  m_pid = -1;
+}
+
+std::vector<HttpReply> sendAll(const std::vector<HttpAsk>& asks) {
+  asio::io_context io;
+  std::vector<HttpReply> replies(asks.size());
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  for (std::size_t i = 0; i < asks.size(); ++i) {
+    const HttpAsk& ask = asks[i];
+    const std::size_t colon = ask.address.find(':');
+    clients.push_back(std::make_unique<HttpClient>(io, ask.address.substr(0, colon),
+                                                   std::strtoul(ask.address.c_str() + colon + 1, nullptr, 10), 0));
+    auto one = [&replies, i, &ask, client = clients.back().get()]() -> Awaitable<void> {
+      HttpRequest request(http::string_to_verb(ask.method), ask.path, 11);
+      for (const auto& [name, value] : ask.headers) request.set(name, value);
+      request.body() = ask.body;
+      Result<HttpResponse> response = co_await client->exchange("test", std::move(request), ask.limit, 1ULL << 30U);
+      if (response) replies[i] = {response->result_int(), response->body()};
+    };
+    asio::co_spawn(io, std::move(one), asio::detached);
+  }
+  io.run();
+  return replies;
+}
+
+HttpReply send(const HttpAsk& ask) { return sendAll({ask}).front(); }
+
+Deployment::Deployment(Size size) : m_size(std::move(size)), m_base(freePortBase()) {
+  std::string pattern = "/tmp/courseloom-test-XXXXXX";
+  m_folder = mkdtemp(pattern.data());
+  const std::string standins = BuildFolder + "/test/";
+  std::vector<std::string> platform{standins + "standin-platform", "--port", std::to_string(m_base + 40)};
+  std::istringstream options(m_size.platformOptions);
+  for (std::string word; options >> word;) platform.push_back(word);
+  m_commands["platform"] = platform;
+  start("platform");
+  for (unsigned i = 1; i <= m_size.targets; ++i) {
+    const std::string name = "target-" + std::to_string(i);
+    m_commands[name] = {standins + "standin-target", "--port", std::to_string(m_base + 40 + i), "--name", name};
+    start(name);
+  }
+  std::vector<std::string> names;
+  for (unsigned i = 1; i <= m_size.control; ++i) names.push_back("control-" + std::to_string(i));
+  for (unsigned i = 1; i <= m_size.targets; ++i) names.push_back("agent-" + std::to_string(i));
+  for (unsigned i = 1; i <= m_size.entries; ++i) names.push_back("entry-" + std::to_string(i));
+  for (const std::string& name : names) {
+    write(name + ".yaml", settingsOf(name));
+    const std::string program = BuildFolder + "/daemons/courseloom-" + name.substr(0, name.find('-'));
+    m_commands[name] = {program, "--settings", m_folder + "/" + name + ".yaml"};
+    if (name.rfind("control", 0) == 0) {
+      std::vector<std::string> init = m_commands[name];
+      init.emplace_back("--init");
+      Process(init, m_folder + "/init.log").wait(milliseconds(5000));
+    }
+    start(name);
+  }
+}
+
+Deployment::~Deployment() {
+  m_processes.clear();
+  if (std::getenv("COURSELOOM_KEEP") == nullptr) std::filesystem::remove_all(m_folder);
+}
+
+void Deployment::write(const std::string& file, const std::string& text) const {
+  std::ofstream stream(m_folder + "/" + file);
+  stream << text;
+}
+
+std::string Deployment::settingsOf(const std::string& name) const {
+  const unsigned number = static_cast<unsigned>(std::strtoul(name.c_str() + name.find('-') + 1, nullptr, 10));
+  const bool control = name.rfind("control", 0) == 0;
+  std::ostringstream text;
+  text << "node: {name: " << name << ", address: 127.0.0.1, dataHall: hall-1, dataFolder: " << m_folder << "/" << name
+       << ", rpcPort: " << (control ? m_base + number : 0) << "}\n"
+       << "cluster:\n  id: test\n  heartbeatMs: 50\n  electionTimeoutMs: 400\n  freshnessLeaseMs: 2000\n  members:\n";
+  for (unsigned i = 1; i <= m_size.control; ++i) {
+    text << "    - {id: " << i << ", address: 127.0.0.1, rpcPort: " << m_base + i << "}\n";
+  }
+  text << "platform: {address: 127.0.0.1, port: " << m_base + 40 << ", pollMs: 50}\n";
+  const bool agent = name.rfind("agent", 0) == 0;
+  if (agent) {
+    text << "agent: {service: quotes, target: target-" << number
+         << ", targetAddress: 127.0.0.1, targetPort: " << m_base + 40 + number
+         << (m_size.agentExtra.empty() ? "" : ", " + m_size.agentExtra) << "}\n";
+  }
+  text << m_size.commonExtra;
+  return text.str();
+}
+
+void Deployment::start(const std::string& name) {
+  m_processes[name] = std::make_unique<Process>(m_commands.at(name), m_folder + "/" + name + ".log");
+  if (!m_processes[name]->ready()) std::fprintf(stderr, "%s did not become ready; see its log\n", name.c_str());
+}
+
+void Deployment::restart(const std::string& name) {
+  kill(name);
+  start(name);
+}
+
+void Deployment::wipe(const std::string& name) { std::filesystem::remove_all(m_folder + "/" + name); }
+
+bool Deployment::until(const HttpAsk& ask, const std::string& text, Duration limit) {
+  const Time end = BootClock::now() + limit;
+  while (BootClock::now() < end) {
+    if (send(ask).has(text)) return true;
+    pause(20);
+  }
+  return false;
+}
+
+HttpReply Deployment::apply(const std::string& json, const std::string& commandId, const std::string& entry) {
+  Headers headers{{"Content-Type", "application/json"}};
+  if (!commandId.empty()) headers.emplace_back("Courseloom-Command-Id", commandId);
+  return send({http(entry), "POST", "/v1/objects", json, headers});
+}
+
+void Deployment::setUp() {
+  const std::string objects =
+      R"({"objects":[{"name":"quotes","service":{}},{"name":"andes","workspace":{}},{"name":"retail","workspace":{}}]})";
+  const Time end = BootClock::now() + milliseconds(20000);
+  while (apply(objects).status != 200 && BootClock::now() < end) pause(50);
+  for (unsigned e = 1; e <= m_size.entries; ++e) {
+    const std::string entry = "entry-" + std::to_string(e);
+    until({http(entry), "GET", "/readyz"}, "ready\n");
+    // Every target has answered through every entry: all views are complete.
+    for (unsigned t = 1; t <= m_size.targets; ++t) until(request(entry, "hello"), "target-" + std::to_string(t));
+  }
+}
+
+std::string Deployment::leader() {
+  const HttpReply reply = status();
+  const std::size_t at = reply.body.find("\"leader\": ");
+  const int number = at == std::string::npos ? 0 : std::atoi(reply.body.c_str() + at + 10);
+  return number == 0 ? std::string() : "control-" + std::to_string(number);
+}
+
+HttpAsk Deployment::request(const std::string& entry, const std::string& body, const std::string& id) const {
+  HttpAsk ask{
+      m_processes.at(entry)->http(), "POST", "/v1/services/quotes/requests", body, {{"Courseloom-Workspace", "andes"}}};
+  if (!id.empty()) {
+    ask.headers.emplace_back("Courseloom-Repeatable", "false");
+    ask.headers.emplace_back("Courseloom-Request-Id", id);
+  }
+  return ask;
+}
+
+HttpReply Deployment::waitJob(const std::string& id, unsigned ms) {
+  return send(
+      {http("entry-1"), "GET", "/v1/jobs/" + id + "?wait=" + std::to_string(ms), "", {}, milliseconds(ms + 5000)});
+}
+
+void Deployment::behave(const std::string& target, const std::string& mode, int ms) {
+  send({http(target), "POST", "/behave?mode=" + mode + "&ms=" + std::to_string(ms)});
+}
+
+int Deployment::runs(const std::string& requestId) {
+  int total = 0;
+  for (unsigned i = 1; i <= m_size.targets; ++i) {
+    const HttpReply reply = send({http("target-" + std::to_string(i)), "GET", "/runs"});
+    const std::size_t at = reply.body.find("\"" + requestId + "\":");
+    if (at != std::string::npos) total += std::atoi(reply.body.c_str() + at + requestId.size() + 3);
+  }
+  return total;
+}
+
+}  // namespace courseloom::test
--- a/test/ReplicaCluster.cpp
+++ b/test/ReplicaCluster.cpp
@@ -1,3 +1,6 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
 #include "test/ReplicaCluster.h"
 
 #include <algorithm>
@@ -28,7 +31,8 @@
 
 }  // namespace
 
-ReplicaCluster::ReplicaCluster(std::size_t count, std::uint64_t seed, ClusterFaults faults, ReplicaMechanisms mechanisms)
+ReplicaCluster::ReplicaCluster(std::size_t count, std::uint64_t seed, ClusterFaults faults,
+                               ReplicaMechanisms mechanisms)
     : m_nodes(count), m_random(seed), m_faults(faults), m_mechanisms(mechanisms) {
   std::vector<ReplicaId> ids;
   for (std::size_t i = 0; i < count; ++i) ids.push_back(static_cast<ReplicaId>(i + 1));
@@ -86,7 +90,8 @@
     const int copies = !m_healed && chance() < m_faults.duplicate ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
       const std::int64_t most = !m_healed && chance() < 0.05 ? 400 : 5;
-      m_events.push({m_now + delay(most), m_order++, to, 0, std::make_shared<schema::ReplicaMessage>(message), nullptr});
+      m_events.push(
+          {m_now + delay(most), m_order++, to, 0, std::make_shared<schema::ReplicaMessage>(message), nullptr});
     }
   }
 }
@@ -106,7 +111,8 @@
     return pump(index);
   }
   node.syncing = true;
-  m_events.push({m_now + delay(10), m_order++, index, node.life, nullptr, std::make_shared<ReplicaOutput>(std::move(output))});
+  m_events.push(
+      {m_now + delay(10), m_order++, index, node.life, nullptr, std::make_shared<ReplicaOutput>(std::move(output))});
 }
 
 void ReplicaCluster::store(Disk& disk, const ReplicaOutput& output) const {
--- a/test/ReplicaCluster.h
+++ b/test/ReplicaCluster.h
@@ -1,3 +1,6 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
 #pragma once
 
 #include <map>
@@ -85,7 +88,9 @@
 
   double chance() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
   std::size_t anyNode() { return std::uniform_int_distribution<std::size_t>(0, m_nodes.size() - 1)(m_random); }
-  Duration delay(std::int64_t mostMs) { return Duration(std::uniform_int_distribution<std::int64_t>(100, mostMs * 1000)(m_random)); }
+  Duration delay(std::int64_t mostMs) {
+    return Duration(std::uniform_int_distribution<std::int64_t>(100, mostMs * 1000)(m_random));
+  }
   void boot(std::size_t node);
   void pump(std::size_t node);
   void send(std::size_t from, const std::vector<schema::ReplicaMessage>& messages);
--- /dev/null
+++ b/test/claims_processes.cpp
@@ -0,0 +1,100 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// Requests that must not be repeated, through kills and cuts of real processes: never run twice.
+
+#include <csignal>
+#include <thread>
+
+#include "test/Processes.h"
+#include "test/main.h"
+
+using namespace courseloom;
+using namespace courseloom::test;
+
+namespace {
+
+void pause(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+
+/** Asks again, by the same id, through both entries in turn until the answer is final. */
+HttpReply askUntilFinal(Deployment& deployment, const std::string& id, const std::string& body) {
+  HttpReply reply;
+  const Time end = BootClock::now() + milliseconds(25000);
+  for (int i = 0; BootClock::now() < end; ++i) {
+    reply = send(deployment.request(i % 2 == 0 ? "entry-1" : "entry-2", body, id));
+    const bool askAgain = reply.status == 0 || reply.has("ask again") || reply.has("retryAfterMs");
+    if (!askAgain) return reply;
+    pause(100);
+  }
+  return reply;
+}
+
+}  // namespace
+
+Test(claims_processes, the_same_request_asked_many_times_at_once_runs_once) {
+  Deployment deployment({3, 2, 2, "", "", ""});
+  deployment.setUp();
+  deployment.behave("target-1", "slow", 100);
+  deployment.behave("target-2", "slow", 100);
+  std::vector<HttpAsk> asks;
+  for (int i = 0; i < 20; ++i) asks.push_back(deployment.request(i % 2 == 0 ? "entry-1" : "entry-2", "alert", "r1"));
+  unsigned answered = 0;
+  for (const HttpReply& reply : sendAll(asks)) answered += reply.status == 200 && reply.has("answers: alert") ? 1 : 0;
+  cr_assert_eq(answered, 20, "%u of 20 got the answer", answered);
+  cr_assert_eq(deployment.runs("r1"), 1);
+}
+
+Test(claims_processes, an_entry_killed_in_the_middle_leaves_one_run_and_a_kept_answer) {
+  Deployment deployment({3, 2, 2, "", "", ""});
+  deployment.setUp();
+  deployment.behave("target-1", "slow", 400);
+  deployment.behave("target-2", "slow", 400);
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "killed-" + std::to_string(i);
+    std::thread caller([&] { send(deployment.request("entry-1", "statement", id)); });
+    pause(20 + 110 * i);
+    deployment.kill("entry-1");
+    caller.join();
+    const HttpReply reply = send(deployment.request("entry-2", "statement", id));
+    cr_assert(reply.status == 200 && reply.has("answers: statement"), "%u %s", reply.status, reply.body.c_str());
+    cr_assert_eq(deployment.runs(id), 1, "%s", id.c_str());
+    deployment.start("entry-1");
+    deployment.until({deployment.http("entry-1"), "GET", "/readyz"}, "ready\n");
+  }
+}
+
+Test(claims_processes, an_agent_killed_in_the_middle_leaves_an_honest_unknown) {
+  Deployment deployment({3, 2, 1, "", "", ""});
+  deployment.setUp();
+  deployment.behave("target-1", "slow", 500);
+  std::thread caller([&] {
+    const HttpReply reply = send(deployment.request("entry-1", "bill", "lost"));
+    cr_assert(reply.has("\"ran\":\"unknown\""), "%u %s", reply.status, reply.body.c_str());
+  });
+  pause(200);
+  deployment.restart("agent-1");
+  caller.join();
+  const HttpReply reply = askUntilFinal(deployment, "lost", "bill");
+  cr_assert(reply.has("outcome-unknown") && reply.has("\"ran\":\"unknown\""), "%u %s", reply.status,
+            reply.body.c_str());
+  cr_assert(deployment.runs("lost") <= 1);
+}
+
+Test(claims_processes, the_leader_killed_in_mid_claim_doubles_nothing) {
+  Deployment deployment({3, 2, 2, "", "", ""});
+  deployment.setUp();
+  std::vector<HttpAsk> asks;
+  for (int i = 0; i < 60; ++i)
+    asks.push_back(deployment.request(i % 2 == 0 ? "entry-1" : "entry-2", "body", "c" + std::to_string(i)));
+  const std::string leader = deployment.leader();
+  std::thread callers([&] { sendAll(asks); });
+  pause(15);
+  deployment.kill(leader);
+  callers.join();
+  for (int i = 0; i < 60; ++i) {
+    const std::string id = "c" + std::to_string(i);
+    const HttpReply reply = askUntilFinal(deployment, id, "body");
+    cr_assert(reply.status == 200, "%s: %u %s", id.c_str(), reply.status, reply.body.c_str());
+    cr_assert_eq(deployment.runs(id), 1, "%s ran %d times", id.c_str(), deployment.runs(id));
+  }
+}
--- /dev/null
+++ b/test/cluster_state.cpp
@@ -0,0 +1,123 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// Configuration raced and resent, claims, and that a snapshot keeps all of it.
+
+#include "Courseloom/src/State/ClusterState.h"
+#include "test/main.h"
+
+using namespace courseloom;
+
+namespace {
+
+schema::Command applyWorkspace(const std::string& id, const std::string& who, unsigned weight, std::uint64_t revision) {
+  schema::Command command;
+  command.set_command_id(id);
+  command.set_operator_name(who);
+  command.set_time_ms(1000);
+  schema::Object* object = command.mutable_apply()->add_objects();
+  object->set_name("andes");
+  object->mutable_workspace()->set_weight(weight);
+  object->set_revision(revision);
+  return command;
+}
+
+schema::Command openClaim(const std::string& opener, const std::string& body) {
+  schema::Command command;
+  schema::OpenClaim* open = command.mutable_open_claim();
+  open->mutable_token()->set_workspace("andes");
+  open->mutable_token()->set_request_id("r1");
+  open->mutable_token()->set_target("t1");
+  open->mutable_token()->set_incarnation(5);
+  open->set_digest(body);
+  open->set_opener(opener);
+  return command;
+}
+
+schema::Command endClaim(const schema::Token& token, schema::ClaimPhase phase) {
+  schema::Command command;
+  *command.mutable_end_claim()->mutable_token() = token;
+  command.mutable_end_claim()->set_phase(phase);
+  command.mutable_end_claim()->mutable_answer()->set_body("answer");
+  return command;
+}
+
+unsigned weightOf(const ClusterState& state) {
+  return state.objects().find("workspace", "andes")->workspace().weight();
+}
+
+}  // namespace
+
+Test(cluster_state, of_two_operators_with_equal_revisions_one_wins_and_the_other_is_told_by_whom) {
+  ClusterState state;
+  state.apply(10, applyWorkspace("c1", "rosa", 1, 0));
+  const schema::CommandReply first = state.apply(11, applyWorkspace("c2", "luis", 2, 10));
+  const schema::CommandReply second = state.apply(12, applyWorkspace("c3", "ana", 3, 10));
+  cr_assert_eq(first.revision(), 11);
+  cr_assert_str_eq(second.failure().code().c_str(), "conflict");
+  cr_assert(second.failure().detail().find("luis") != std::string::npos, "%s", second.failure().detail().c_str());
+  cr_assert_eq(weightOf(state), 2);
+}
+
+Test(cluster_state, a_resent_command_gets_its_first_answer_and_reverts_nothing) {
+  ClusterState state;
+  state.apply(10, applyWorkspace("c1", "rosa", 1, 0));
+  state.apply(11, applyWorkspace("c2", "luis", 2, 0));
+  ClusterState restored;
+  cr_assert(bool(restored.load(state.save())));
+  const schema::CommandReply again = restored.apply(12, applyWorkspace("c1", "rosa", 1, 0));
+  cr_assert(again.replayed());
+  cr_assert_eq(again.revision(), 10);
+  cr_assert_eq(weightOf(restored), 2, "the resent command reverted a later change");
+  // Without its id the same command is a new one and does change the weight back: the id is what protects.
+  restored.apply(13, applyWorkspace("", "rosa", 1, 0));
+  cr_assert_eq(weightOf(restored), 1);
+}
+
+Test(cluster_state, a_command_id_used_for_another_command_is_refused) {
+  ClusterState state;
+  state.apply(10, applyWorkspace("c1", "rosa", 1, 0));
+  cr_assert(state.apply(11, applyWorkspace("c1", "rosa", 9, 0)).failure().code() == "command-id-reused");
+}
+
+Test(cluster_state, a_claim_is_granted_to_one_opener_until_it_is_void) {
+  ClusterState state;
+  const schema::CommandReply first = state.apply(1, openClaim("entry-1", "body"));
+  cr_assert(first.granted());
+  cr_assert(state.apply(2, openClaim("entry-1", "body")).granted(), "the opener's own resend");
+  cr_assert_not(state.apply(3, openClaim("entry-2", "body")).granted());
+  state.apply(4, endClaim(first.claim().token(), schema::ClaimVoid));
+  const schema::CommandReply second = state.apply(5, openClaim("entry-2", "body"));
+  cr_assert(second.granted());
+  cr_assert_eq(second.claim().token().attempt(), 2);
+  state.apply(6, endClaim(first.claim().token(), schema::ClaimFinished));
+  cr_assert_eq(state.claims().find("andes", "r1")->phase(), schema::ClaimOpen, "an old attempt ended the new one");
+  state.apply(7, endClaim(second.claim().token(), schema::ClaimFinished));
+  const schema::CommandReply asked = state.apply(8, openClaim("entry-3", "body"));
+  cr_assert_not(asked.granted());
+  cr_assert_str_eq(asked.claim().answer().body().c_str(), "answer");
+  cr_assert(state.apply(9, openClaim("entry-3", "other")).failure().code() == "request-id-reused");
+}
+
+Test(cluster_state, a_follower_far_behind_gets_everything_one_near_gets_deltas) {
+  ClusterState state;
+  for (LogIndex i = 1; i <= ObjectTable::MaxHistory + 500; ++i) state.apply(i, applyWorkspace("", "rosa", i % 900, 0));
+  std::vector<schema::ObjectChange> changes;
+  cr_assert_not(state.objects().changesSince(3, changes));
+  cr_assert(state.objects().changesSince(ObjectTable::MaxHistory + 490, changes));
+  cr_assert_eq(changes.size(), 10);
+}
+
+Test(cluster_state, a_selector_acts_on_what_matches_and_a_dry_run_on_nothing) {
+  ClusterState state;
+  state.apply(1, applyWorkspace("", "rosa", 1, 0));
+  schema::Command pause;
+  pause.mutable_action()->set_kind(schema::Pause);
+  pause.mutable_action()->set_selector("kind=workspace,name in (andes,other)");
+  cr_assert_eq(state.preview(pause).matched_size(), 1);
+  cr_assert_not(state.objects().find("workspace", "andes")->paused());
+  state.apply(2, pause);
+  cr_assert(state.objects().find("workspace", "andes")->paused());
+  pause.mutable_action()->set_selector("kind=(");
+  cr_assert(state.apply(3, pause).failure().code() == "bad-selector");
+}
--- a/test/main.h
+++ b/test/main.h
@@ -1,3 +1,6 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
 #pragma once
 
 /** Shared by all tests: seeds, printed so that a failure can be run again, and small helpers.
--- /dev/null
+++ b/test/replica_proofs.cpp
@@ -0,0 +1,94 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// What the replicas' protections are for: each proof fails with one of them switched off, and passes with it.
+
+#include <csignal>
+
+#include "test/ReplicaCluster.h"
+#include "test/main.h"
+
+using namespace courseloom;
+using namespace courseloom::test;
+
+namespace {
+
+constexpr std::size_t Steps = 1500;
+
+void commitSome(ReplicaCluster& cluster, int count) {
+  for (int i = 0; i < count; ++i) {
+    cluster.propose();
+    cluster.advance(milliseconds(60));
+  }
+}
+
+/** Replaces one follower's disk and waits until the others have dropped it. \returns its node */
+std::size_t replaceFollower(ReplicaCluster& cluster) {
+  const auto leader = static_cast<std::size_t>(cluster.leader());
+  const std::size_t follower = (leader + 1) % 3;
+  cluster.wipe(follower);
+  cluster.restart(follower);
+  cluster.advance(milliseconds(500));
+  return follower;
+}
+
+}  // namespace
+
+Test(replica_proofs, a_wiped_disk_that_votes_overwrites_what_was_committed, .signal = SIGABRT) {
+  ReplicaMechanisms mechanisms;
+  mechanisms.diskIdentity = false;
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    ReplicaCluster cluster(3, seed, {}, mechanisms);
+    cluster.run(Steps);
+    cluster.healAndCheck();
+    // Either the checker sees it, or the replica itself stops before it overwrites a committed entry.
+    if (!cluster.violation().empty()) std::abort();
+  }
+}
+
+Test(replica_proofs, a_wiped_disk_rejoins_by_itself) {
+  ReplicaCluster cluster(3, 7, {0, 0, false, false, false, false, false});
+  cluster.advance(milliseconds(2000));
+  commitSome(cluster, 100);
+  const std::size_t wiped = replaceFollower(cluster);
+  commitSome(cluster, 20);
+  cluster.advance(milliseconds(2000));
+  cr_assert(cluster.violation().empty(), "%s", cluster.violation().c_str());
+  cr_assert(cluster.replica(wiped)->isVoter(), "the new disk was not promoted");
+  cr_assert_eq(cluster.missingOnDisk(wiped), 0);
+}
+
+Test(replica_proofs, a_second_loss_after_the_repair_loses_nothing) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    ReplicaCluster cluster(3, seed, {0, 0, false, false, false, false, false});
+    cluster.advance(milliseconds(2000));
+    commitSome(cluster, 30);
+    // The new disk cannot be reached, so redundancy is not restored when the second disk is lost.
+    const auto leader = static_cast<std::size_t>(cluster.leader());
+    const std::size_t first = (leader + 1) % 3;
+    const std::size_t second = (leader + 2) % 3;
+    cluster.wipe(first);
+    cluster.restart(first);
+    cluster.advance(milliseconds(30));
+    cluster.cut(first, true);
+    cluster.advance(milliseconds(500));
+    commitSome(cluster, 10);
+    const std::size_t acknowledged = cluster.acknowledged();
+    cr_assert(acknowledged >= 30, "seed %lu: only %zu acknowledged", seed, acknowledged);
+    cr_assert_eq(cluster.missingOnDisk(leader), 0, "seed %lu: the leader's disk misses commands", seed);
+    cr_assert_eq(cluster.missingOnDisk(second), 0, "seed %lu: the other voter's disk misses commands", seed);
+  }
+}
+
+Test(replica_proofs, a_leader_cut_off_in_silence_stops_reading_and_steps_down) {
+  ReplicaCluster cluster(3, 3, {0, 0, false, false, false, false, false});
+  cluster.advance(milliseconds(2000));
+  commitSome(cluster, 5);
+  const auto old = static_cast<std::size_t>(cluster.leader());
+  cluster.cut(old, true);
+  cluster.advance(milliseconds(290));
+  cr_assert_not(cluster.replica(old)->canRead(cluster.now()), "the lease outlived the election timeout");
+  cluster.advance(milliseconds(2000));
+  cr_assert_not(cluster.replica(old)->isLeader());
+  cr_assert(cluster.leader() >= 0 && static_cast<std::size_t>(cluster.leader()) != old);
+}
--- a/test/replica_seeded.cpp
+++ b/test/replica_seeded.cpp
@@ -1,3 +1,6 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
 // Seeded runs of the replicas under loss, delay, doubling, crashes, freezes, cuts, hand-overs and wiped disks.
 
 #include "test/ReplicaCluster.h"
@@ -11,7 +14,8 @@
 constexpr std::size_t StepsPerSeed = 1500;
 
 /** Runs seeds until the first violation. \returns it with its seed, or an empty string */
-std::string firstViolation(std::size_t replicas, std::uint64_t seeds, ClusterFaults faults, ReplicaMechanisms mechanisms) {
+std::string firstViolation(std::size_t replicas, std::uint64_t seeds, ClusterFaults faults,
+                           ReplicaMechanisms mechanisms) {
   for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seeds; ++seed) {
     ReplicaCluster cluster(replicas, seed, faults, mechanisms);
     cluster.run(StepsPerSeed);
