--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -163,6 +163,7 @@
                         "the workers are not known yet, so no guarantee can be witnessed", 1000});
   }
   std::vector<schema::Object> all;
+  all.reserve(guarantees.size());
   for (const auto& [name, object] : guarantees) all.push_back(object);
   const std::optional<std::string> refused = m_jobs.scheduler().refusesGuarantees(all);
   if (!refused) return {};
@@ -189,6 +190,11 @@
   if (m_configuring) co_return fail(Failure{FailureCode::Overloaded, Ran::No, "apply", "", "other changes wait", 500});
   m_configuring = true;
   Result<void> checked = checkGuarantees(command);
+  // A new leader reads the inventory within one poll; a guarantee can wait that long.
+  while (!checked && !m_jobs.knowsWorkers() && BootClock::now() < deadline) {
+    co_await sleepFor(internal::ConfigurePause);
+    checked = checkGuarantees(command);
+  }
   if (!checked) {
     m_configuring = false;
     co_return fail(takeFailure(checked));
--- a/Courseloom/src/Metrics/Histograms.cpp
+++ b/Courseloom/src/Metrics/Histograms.cpp
@@ -68,7 +68,7 @@
   std::string out;
   for (const auto& [name, family] : m_families) print(name, family, out);
   for (const auto& [name, labels] : m_counters) {
-    out += "# TYPE courseloom_" + name + "_total counter\n";
+    out.append("# TYPE courseloom_").append(name).append("_total counter\n");
     for (const auto& [label, value] : labels) {
       out += "courseloom_" + name + "_total{kind=\"" + label + "\"} " + std::to_string(value) + "\n";
     }
--- a/Courseloom/src/Scheduling/Scheduler.cpp
+++ b/Courseloom/src/Scheduling/Scheduler.cpp
@@ -231,7 +231,8 @@
   m_nowMs = nowMs;
   std::vector<Decision> decisions;
   recount();
-  m_book.rebuild(roomForWitnesses(), m_free);
+  m_witnessRoom = roomForWitnesses();
+  m_book.rebuild(m_witnessRoom, m_free);
   m_reservation.reset();
   std::set<std::string> failedShapes;
   for (JobEntry* job : queueInOrder(nowMs)) {
@@ -269,14 +270,18 @@
   job.why = "starting";
   m_nominations.erase(job.id);
   if (Guarantee* charged = m_book.find(guarantee)) charged->used += static_cast<unsigned>(placement.size());
-  if (m_options.witness) m_book.rebuild(roomForWitnesses(), m_free);
+  if (!guarantee.empty()) {
+    // Only gangs inside guarantees take room from the witnesses.
+    internal::subtract_all(m_witnessRoom, placement);
+    if (m_options.witness) m_book.rebuild(m_witnessRoom, m_free);
+  }
   decisions.push_back({DecisionKind::Place, job.id, guarantee, std::move(placement), ""});
 }
 
 bool Scheduler::witnessesSurvive(const std::string& guarantee, unsigned tasks, const Placement& placement) {
-  if (!m_options.witness) return true;
-  Capacities room = roomForWitnesses();
-  if (guarantee.empty()) return true;  // a gang outside guarantees is reclaimable and takes nothing from a witness
+  // A gang outside guarantees is reclaimable and takes nothing from a witness.
+  if (!m_options.witness || guarantee.empty()) return true;
+  Capacities room = m_witnessRoom;
   internal::subtract_all(room, placement);
   Guarantee* charged = m_book.find(guarantee);
   charged->used += tasks;
--- a/Courseloom/src/Scheduling/Scheduler.h
+++ b/Courseloom/src/Scheduling/Scheduler.h
@@ -139,6 +139,7 @@
   };
   std::map<std::string, Nomination> m_nominations;  ///< places being reclaimed for a waiting job
   Capacities m_free;                                ///< held by nobody
+  Capacities m_witnessRoom;  ///< all live capacity less what gangs inside guarantees hold
   Capacities m_grantable;                           ///< free and not nominated for another job
   struct Reservation {
     std::string job;
--- a/test/Processes.h
+++ b/test/Processes.h
@@ -99,6 +99,8 @@
 
   HttpAsk request(const std::string& entry, const std::string& body, const std::string& id = "") const;
   HttpReply status() { return send({http("entry-1"), "GET", "/v1/status", "", {}, milliseconds(5000)}); }
+  /** \returns the cluster as a client's settings name it, for programs that talk to control directly. */
+  std::string commonSettings() const { return settingsOf("entry-1"); }
   /** Applies objects given as JSON. */
   HttpReply apply(const std::string& json, const std::string& commandId = "", const std::string& entry = "entry-1");
   HttpReply submit(const std::string& json) {
