--- a/Courseloom/src/Scheduling/Scheduler.cpp
+++ b/Courseloom/src/Scheduling/Scheduler.cpp
@@ -11,7 +11,10 @@
 namespace {
 
 constexpr double PackFromWeight = 0.25;  ///< weight of fragmentation from which workers are filled up first
-constexpr double UrgencyCost = 1000.0;   ///< price of touching normal rather than low urgency work
+/** Waiting jobs for which a reservation is sought in one pass; one that can never fit must not cost the others theirs.
+ */
+constexpr int ReservationTries = 2;
+constexpr double UrgencyCost = 1000.0;  ///< price of touching normal rather than low urgency work
 
 Guarantee make_guarantee(const schema::Object& object) {
   Guarantee guarantee;
@@ -235,6 +238,8 @@
   m_book.rebuild(m_witnessRoom, m_free);
   m_reservation.reset();
   std::set<std::string> failedShapes;
+  int reservationTries = 0;
+  m_costs.clear();
   for (JobEntry* job : queueInOrder(nowMs)) {
     if (!mayStart(*job)) {
       m_nominations.erase(job->id);
@@ -253,7 +258,8 @@
     }
     if (!placeOutside(*job, nowMs, decisions)) {
       failedShapes.insert(key);
-      if (m_options.reservation && !m_reservation) reserveFor(*job, nowMs);
+      const bool reserve = m_options.reservation && !m_reservation && reservationTries++ < internal::ReservationTries;
+      if (reserve) reserveFor(*job, nowMs);
     }
   }
   return decisions;
@@ -374,8 +380,11 @@
   return room;
 }
 
-std::vector<double> Scheduler::reclaimCosts(std::uint64_t nowMs) const {
-  std::vector<double> costs(m_topology.workers().size(), 0.0);
+/** Price of touching each worker; counted once a pass, on the first reclaim. */
+const std::vector<double>& Scheduler::reclaimCosts(std::uint64_t nowMs) {
+  if (!m_costs.empty()) return m_costs;
+  std::vector<double>& costs = m_costs;
+  costs.assign(m_topology.workers().size(), 0.0);
   for (const auto& [id, job] : m_jobs) {
     if (!reclaimable(job)) continue;
     // Work lost is small where a checkpoint keeps it; every member of a gang is hit with it.
--- a/Courseloom/src/Scheduling/Scheduler.h
+++ b/Courseloom/src/Scheduling/Scheduler.h
@@ -119,7 +119,7 @@
   Placement witnessPlacement(const JobEntry& job, const Guarantee& guarantee) const;
   bool witnessesSurvive(const std::string& guarantee, unsigned tasks, const Placement& placement);
   std::vector<JobEntry*> victimsOn(const Placement& placement, schema::Urgency forUrgency, bool forOwner);
-  std::vector<double> reclaimCosts(std::uint64_t nowMs) const;
+  const std::vector<double>& reclaimCosts(std::uint64_t nowMs);
   bool reclaimable(const JobEntry& job) const;
   Capacities reclaimableRoom(bool lowOnly) const;
   void reserveFor(const JobEntry& job, std::uint64_t nowMs);
@@ -139,7 +139,8 @@
   };
   std::map<std::string, Nomination> m_nominations;  ///< places being reclaimed for a waiting job
   Capacities m_free;                                ///< held by nobody
-  Capacities m_witnessRoom;  ///< all live capacity less what gangs inside guarantees hold
+  std::vector<double> m_costs;                      ///< of reclaim, by worker; empty until a pass needs them
+  Capacities m_witnessRoom;                         ///< all live capacity less what gangs inside guarantees hold
   Capacities m_grantable;                           ///< free and not nominated for another job
   struct Reservation {
     std::string job;
--- a/bench/replication.cpp
+++ b/bench/replication.cpp
@@ -1,3 +1,6 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
 // Commit latency and rate on three real replicas against one synced write of the same bytes; time without a leader.
 
 #include <boost/asio/co_spawn.hpp>
@@ -128,7 +131,8 @@
   for (const unsigned count : {1000U, 4000U}) {
     ClusterState state;
     for (unsigned i = 0; i < count; ++i) state.apply(i + 1, claim(i));
-    figure(("snapshot_bytes_a_claim_at_" + std::to_string(count)).c_str(), static_cast<double>(state.save().size()) / count, "bytes");
+    figure(("snapshot_bytes_a_claim_at_" + std::to_string(count)).c_str(),
+           static_cast<double>(state.save().size()) / count, "bytes");
   }
 }
 
--- a/bench/requests.cpp
+++ b/bench/requests.cpp
@@ -1,3 +1,6 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
 // What the path adds to a request: caller to target directly, and through entry and agent; and the rate of refusals.
 
 #include <boost/asio/co_spawn.hpp>
@@ -22,7 +25,8 @@
 };
 
 /** Open loop: requests leave at times fixed beforehand, and each counts from that time. */
-Run openLoop(const std::string& address, const std::string& path, double perSecond, unsigned count, unsigned deadlineMs) {
+Run openLoop(const std::string& address, const std::string& path, double perSecond, unsigned count,
+             unsigned deadlineMs) {
   asio::io_context io;
   const std::size_t colon = address.find(':');
   HttpClient client(io, address.substr(0, colon), std::strtoul(address.c_str() + colon + 1, nullptr, 10), 512);
@@ -70,9 +74,11 @@
   deployment.behave("target-2", "slow", 20);
   for (const double load : {0.5, 1.0, 2.0}) {
     const double capacity = 2 * 7 / 0.020;
-    const Run run = openLoop(deployment.http("entry-1"), path, capacity * load, static_cast<unsigned>(capacity * load * 3), 200);
+    const Run run =
+        openLoop(deployment.http("entry-1"), path, capacity * load, static_cast<unsigned>(capacity * load * 3), 200);
     const std::string prefix = "load_" + std::to_string(load).substr(0, 3);
-    figure((prefix + "_goodput_to_capacity").c_str(), static_cast<double>(run.answered.size()) / 3.0 / capacity, "ratio");
+    figure((prefix + "_goodput_to_capacity").c_str(), static_cast<double>(run.answered.size()) / 3.0 / capacity,
+           "ratio");
     figure((prefix + "_answered_p99").c_str(), quantile(run.answered, 0.99), "ms");
     figure((prefix + "_refused").c_str(), static_cast<double>(run.refused.size()), "requests");
     figure((prefix + "_refused_p99").c_str(), quantile(run.refused, 0.99), "ms");
--- a/bench/scheduling.cpp
+++ b/bench/scheduling.cpp
@@ -1,3 +1,6 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
 // Time of one decision at the sizes of today and of two years ahead, with running work, a queue and guarantees.
 
 #include <random>
@@ -20,7 +23,8 @@
   unsigned workspaces;
 };
 
-schema::Job makeJob(unsigned number, unsigned workspaces, unsigned mostTasks, unsigned accelerators, std::mt19937& random) {
+schema::Job makeJob(unsigned number, unsigned workspaces, unsigned mostTasks, unsigned accelerators,
+                    std::mt19937& random) {
   schema::Job job;
   job.set_id("j" + std::to_string(number));
   schema::JobSpec* spec = job.mutable_spec();
@@ -45,7 +49,7 @@
   for (unsigned i = 0; i < size.workers; ++i) {
     workers[i].set_name("worker-" + std::to_string(i));
     workers[i].set_rack("rack-" + std::to_string(i / 3));
-    workers[i].set_data_hall("hall-" + std::to_string(i % 8));
+    workers[i].set_data_hall("hall-" + std::to_string(i / 3 % 8));
     workers[i].set_accelerators(std::min(each, size.accelerators));
     workers[i].set_cores(130);
     workers[i].set_memory_mb(260000);
--- a/test/reclaim.cpp
+++ b/test/reclaim.cpp
@@ -1,3 +1,6 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
 // An owner's shape among others' backfills, in the scheduler and on real processes.
 
 #include <thread>
@@ -24,7 +27,8 @@
   Deployment deployment({3, 1, 1, "--workers 6", "", ""});
   deployment.setUp();
   cr_assert_eq(deployment.apply(GuaranteeJson).status, 200);
-  for (int i = 0; i < 6; ++i) deployment.submit(job("retail", 1, R"("checkpointable":true,"urgency":"Low","expectedMs":600000)"));
+  for (int i = 0; i < 6; ++i)
+    deployment.submit(job("retail", 1, R"("checkpointable":true,"urgency":"Low","expectedMs":600000)"));
   cr_assert(deployment.until({deployment.http("entry-1"), "GET", "/v1/jobs/job-6"}, "JobRunning"));
   send({deployment.http("platform"), "POST", "/behave?checkpointMs=500"});
   const Time begun = BootClock::now();
--- a/test/scheduler_seeded.cpp
+++ b/test/scheduler_seeded.cpp
@@ -1,6 +1,9 @@
-// Seeded runs of the scheduler against a checker that is written apart from it: whole gangs, no accelerator given twice,
-// adjacency, every guarantee reclaimable, and nothing irreplaceable outside a guarantee. Each mechanism is then switched
-// off, and the checker must find a violation.
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// Seeded runs of the scheduler against a checker that is written apart from it: whole gangs, no accelerator given
+// twice, adjacency, every guarantee reclaimable, and nothing irreplaceable outside a guarantee. Each mechanism is then
+// switched off, and the checker must find a violation.
 
 #include <algorithm>
 #include <map>
@@ -193,7 +196,8 @@
     if (job.leases_size() != static_cast<int>(shape.tasks())) fail(job.id() + " runs in part");
     std::set<std::string> places;
     for (const schema::Lease& lease : job.leases()) {
-      if (lease.accelerators_size() != static_cast<int>(shape.accelerators())) fail(job.id() + " has too few accelerators");
+      if (lease.accelerators_size() != static_cast<int>(shape.accelerators()))
+        fail(job.id() + " has too few accelerators");
       const schema::Worker& worker = m_workers.at(lease.worker());
       if (shape.adjacency() == schema::SameWorker) places.insert(worker.name());
       if (shape.adjacency() == schema::SameRack) places.insert(worker.rack());
@@ -201,7 +205,8 @@
     }
     if (places.size() > 1) fail(job.id() + " is not adjacent");
     const bool irreplaceable = job.spec().not_repeatable() && !job.spec().checkpointable();
-    if (irreplaceable && job.guarantee().empty()) fail(job.id() + " can be neither repeated nor checkpointed, and runs outside a guarantee");
+    if (irreplaceable && job.guarantee().empty())
+      fail(job.id() + " can be neither repeated nor checkpointed, and runs outside a guarantee");
   }
 
   /** Whole workers and halves suffice here: tries all groups for all guarantees, by search with going back. */
@@ -215,7 +220,9 @@
     std::map<std::string, std::vector<std::string>> groups;
     for (const auto& [name, worker] : m_workers) {
       if (m_lost.count(name) > 0) continue;
-      const std::string group = shape.adjacency() == schema::SameWorker ? name : shape.adjacency() == schema::SameRack ? worker.rack() : worker.data_hall();
+      const std::string group = shape.adjacency() == schema::SameWorker ? name
+                                : shape.adjacency() == schema::SameRack ? worker.rack()
+                                                                        : worker.data_hall();
       groups[group].push_back(name);
     }
     for (const auto& [name, members] : groups) {
@@ -239,11 +246,15 @@
     return false;
   }
 
-  void checkGuarantees(const std::map<std::string, std::set<unsigned>>& charged, const std::map<std::string, unsigned>& used) {
+  void checkGuarantees(const std::map<std::string, std::set<unsigned>>& charged,
+                       const std::map<std::string, unsigned>& used) {
     std::map<std::string, unsigned> free;
     for (const auto& [name, worker] : m_workers) {
       const auto taken = charged.find(name);
-      free[name] = m_lost.count(name) > 0 ? 0 : AcceleratorsPerWorker - static_cast<unsigned>(taken == charged.end() ? 0 : taken->second.size());
+      free[name] =
+          m_lost.count(name) > 0
+              ? 0
+              : AcceleratorsPerWorker - static_cast<unsigned>(taken == charged.end() ? 0 : taken->second.size());
     }
     const bool possible = fits(0, free, used);
     // Lost workers may break a guarantee; the scheduler must then have said so. Its own decisions may not.
