--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -84,17 +84,6 @@
   }
 }
 
-Failure ControlService::notLeading(const std::string& step) const {
-  const Replica& replica = m_driver.replica();
-  const ReplicaId leader = replica.isLeader() ? 0 : replica.leader();
-  return Failure{FailureCode::NoLeader,
-                 Ran::No,
-                 step,
-                 leader == 0 ? "" : "replica " + std::to_string(leader),
-                 leader == 0 ? "no leader is known" : "another replica leads",
-                 m_context.settings.cluster().election_timeout_ms()};
-}
-
 // ---- the replicas' own messages
 
 Awaitable<Result<schema::Empty>> ControlService::replicate(schema::ReplicaMessage message) {
@@ -172,7 +161,7 @@
 
 Awaitable<Result<schema::CommandReply>> ControlService::command(schema::CommandRequest request) {
   const Time deadline = BootClock::now() + 2 * milliseconds(m_context.settings.cluster().election_timeout_ms());
-  if (!leads()) co_return fail(notLeading("command"));
+  if (!leads()) co_return fail(m_driver.noLeader("command"));
   schema::Command& command = *request.mutable_command();
   // A resent command gets its first answer, whatever has changed since.
   if (m_driver.state().knowsCommand(command.command_id()))
@@ -298,7 +287,7 @@
 Awaitable<Result<schema::QueryReply>> ControlService::query(schema::QueryRequest request) {
   const Time end = BootClock::now() + milliseconds(request.wait_ms());
   while (true) {
-    if (!leads()) co_return fail(notLeading("query"));
+    if (!leads()) co_return fail(m_driver.noLeader("query"));
     const bool waits = request.kind() == schema::QueryJob && BootClock::now() < end && !m_stopping;
     const schema::Job* job = waits ? m_driver.state().job(request.id()) : nullptr;
     if (job == nullptr || isEnded(job->phase())) co_return answerQuery(request);
@@ -352,7 +341,7 @@
 }
 
 Awaitable<Result<schema::WatchReply>> ControlService::watch(schema::WatchRequest request) {
-  if (!leads()) co_return fail(notLeading("watch"));
+  if (!leads()) co_return fail(m_driver.noLeader("watch"));
   m_nodes.heard(request.node(), BootClock::now());
   const bool leavingBefore = m_nodes.isLeaving(request.node().target());
   const Time end = BootClock::now() + milliseconds(request.wait_ms());
@@ -360,7 +349,7 @@
     if (m_nodes.isLeaving(request.node().target()) != leavingBefore) break;
     co_await m_changed.wait(end);
   }
-  if (!leads()) co_return fail(notLeading("watch"));
+  if (!leads()) co_return fail(m_driver.noLeader("watch"));
   co_return makeWatchReply(request);
 }
 
--- a/Courseloom/src/Control/ControlService.h
+++ b/Courseloom/src/Control/ControlService.h
@@ -38,7 +38,6 @@
   bool hasNews(const schema::WatchRequest& request) const;
   bool targetsSettled() const;
   bool leads() const { return m_driver.canRead(); }
-  Failure notLeading(const std::string& step) const;
   HttpResponse answerHttp(const HttpRequest& request) const;
 
   DaemonContext m_context;
--- a/Courseloom/src/Control/JobRunner.cpp
+++ b/Courseloom/src/Control/JobRunner.cpp
@@ -186,8 +186,6 @@
   }
 }
 
-void JobRunner::poke() { decide(); }
-
 void JobRunner::decide() {
   if (!leads() || !m_knowsWorkers) return;
   const Time before = BootClock::now();
--- a/Courseloom/src/Control/JobRunner.h
+++ b/Courseloom/src/Control/JobRunner.h
@@ -28,8 +28,6 @@
   void lead(bool leads);
   /** Takes changes of the state in: jobs, guarantees, pauses. */
   void onApplied();
-  /** Runs a scheduling pass soon. */
-  void poke();
   void start();
 
   const Scheduler& scheduler() const { return m_scheduler; }
--- a/Courseloom/src/Control/ReplicaDriver.h
+++ b/Courseloom/src/Control/ReplicaDriver.h
@@ -50,7 +50,8 @@
   const ClusterState& state() const { return m_state; }
   std::set<std::string> takeChangedJobs() { return m_state.takeChangedJobs(); }
   bool canRead() const { return m_replica->canRead(BootClock::now()); }
-  LogIndex applied() const { return m_applied; }
+  /** \returns the failure of whoever asks this replica for what only the leader can do; it names the leader. */
+  Failure noLeader(const std::string& step) const;
 
  private:
   struct Waiter {
@@ -70,7 +71,6 @@
   bool snapshotDue() const;
   void takeSnapshot();
   [[noreturn]] static void endOnStorageFailure(const Failure& failure);
-  Failure noLeader(const std::string& step) const;
 
   DaemonContext m_context;
   ControlStrand m_strand;
--- /dev/null
+++ b/Courseloom/src/Core/Counted.h
@@ -0,0 +1,26 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+
+namespace courseloom {
+
+/** \class Counted
+ * \brief Counts one thing in flight for as long as it lives.
+ */
+template <class Number>
+class Counted {
+ public:
+  explicit Counted(std::atomic<Number>& count) : m_count(count) { ++m_count; }
+  ~Counted() { --m_count; }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
+
+ private:
+  std::atomic<Number>& m_count;
+};
+
+}  // namespace courseloom
--- a/Courseloom/src/Entry/OperatorRoutes.cpp
+++ b/Courseloom/src/Entry/OperatorRoutes.cpp
@@ -26,11 +26,6 @@
   return Failure{FailureCode::MethodNotAllowed, Ran::No, "route", "", "use " + allowed, 0};
 }
 
-std::string header(const HttpRequest& request, const std::string& name) {
-  const auto found = request.find(name);
-  return found == request.end() ? std::string() : std::string(found->value());
-}
-
 template <class Message>
 Result<Message> read_body(const HttpRequest& request) {
   const std::string type(request[http::field::content_type]);
@@ -131,9 +126,9 @@
 }
 
 Awaitable<HttpResponse> OperatorRoutes::change(schema::Command command, const HttpRequest& request, unsigned status) {
-  const std::string id = internal::header(request, "Courseloom-Command-Id");
+  const std::string id = headerValue(request, "Courseloom-Command-Id");
   command.set_command_id(id.empty() ? internal::random_id() : id);
-  const std::string who = internal::header(request, "Courseloom-Operator");
+  const std::string who = headerValue(request, "Courseloom-Operator");
   command.set_operator_name(who.empty() ? "unnamed" : who);
   Result<schema::CommandReply> reply =
       co_await m_control.command(std::move(command), BootClock::now() + internal::CommandLimit);
@@ -185,7 +180,7 @@
     ask_for.set_selector(queryValue(query, "selector"));
     co_return co_await ask(std::move(ask_for));
   }
-  Result<std::uint64_t> revision = internal::read_revision(internal::header(request, "If-Match"));
+  Result<std::uint64_t> revision = internal::read_revision(headerValue(request, "If-Match"));
   if (!revision) co_return problemResponse(takeFailure(revision));
   schema::Command command;
   if (path.size() == 1 && request.method() == http::verb::post) {
--- a/Courseloom/src/Entry/RequestContext.cpp
+++ b/Courseloom/src/Entry/RequestContext.cpp
@@ -19,11 +19,6 @@
 constexpr std::uint32_t MostDeadlineMs = 3600 * 1000;
 constexpr std::size_t MostIdLength = 128;
 
-std::string header(const HttpRequest& request, const char* name) {
-  const auto found = request.find(name);
-  return found == request.end() ? std::string() : std::string(found->value());
-}
-
 Failure bad_header(const std::string& name, const std::string& detail) {
   return Failure{FailureCode::BadRequest, Ran::No, "read request", "", "header " + name + ": " + detail, 0};
 }
@@ -69,10 +64,10 @@
   RequestContext context;
   context.arrived = BootClock::now();
   context.service = std::move(service);
-  context.workspace = internal::header(request, "Courseloom-Workspace");
+  context.workspace = headerValue(request, "Courseloom-Workspace");
   if (context.workspace.empty()) return fail(internal::bad_header("Courseloom-Workspace", "is missing"));
-  BOOST_LEAF_ASSIGN(context.repeatable, internal::read_flag(internal::header(request, "Courseloom-Repeatable")));
-  context.requestId = internal::header(request, "Courseloom-Request-Id");
+  BOOST_LEAF_ASSIGN(context.repeatable, internal::read_flag(headerValue(request, "Courseloom-Repeatable")));
+  context.requestId = headerValue(request, "Courseloom-Request-Id");
   if (!context.repeatable && context.requestId.empty()) {
     return fail(
         internal::bad_header("Courseloom-Request-Id", "is missing; a request that must not be repeated needs one"));
@@ -80,9 +75,9 @@
   if (context.requestId.size() > internal::MostIdLength) {
     return fail(internal::bad_header("Courseloom-Request-Id", "is longer than 128 characters"));
   }
-  BOOST_LEAF_ASSIGN(context.urgency, internal::read_urgency(internal::header(request, "Courseloom-Urgency")));
+  BOOST_LEAF_ASSIGN(context.urgency, internal::read_urgency(headerValue(request, "Courseloom-Urgency")));
   BOOST_LEAF_AUTO(deadlineMs,
-                  internal::read_deadline(internal::header(request, "Courseloom-Deadline-Ms"), defaultDeadlineMs));
+                  internal::read_deadline(headerValue(request, "Courseloom-Deadline-Ms"), defaultDeadlineMs));
   context.deadline = context.arrived + milliseconds(deadlineMs);
   context.contentType = std::string(request[http::field::content_type]);
   context.body = std::move(request.body());
--- a/Courseloom/src/Scheduling/GuaranteeBook.cpp
+++ b/Courseloom/src/Scheduling/GuaranteeBook.cpp
@@ -11,10 +11,6 @@
 namespace internal {
 namespace {
 
-void subtract_all(Capacities& room, const Placement& placement) {
-  for (const TaskPlace& place : placement) room[place.worker].subtract(place.part);
-}
-
 /** Tighter adjacency is harder to place. */
 int tightness(schema::Adjacency adjacency) {
   if (adjacency == schema::SameWorker) return 3;
@@ -93,7 +89,7 @@
     guarantee.reason = std::to_string(shape.tasks()) + " tasks of " + std::to_string(shape.accelerators()) +
                        " accelerators cannot be held together any more";
   }
-  internal::subtract_all(room, guarantee.witness);
+  subtractAll(room, guarantee.witness);
   return guarantee.witnessed;
 }
 
@@ -119,7 +115,7 @@
     if (guarantee.unused() == 0) continue;
     const Placement witness = m_search.find(guarantee.unusedShape(), left);
     if (witness.empty()) return false;
-    internal::subtract_all(left, witness);
+    subtractAll(left, witness);
   }
   return true;
 }
--- a/Courseloom/src/Scheduling/Placement.cpp
+++ b/Courseloom/src/Scheduling/Placement.cpp
@@ -48,6 +48,31 @@
   return (other.accelerators & ~accelerators) == 0 && other.cores <= cores && other.memoryMb <= memoryMb;
 }
 
+void subtractAll(Capacities& room, const Placement& placement) {
+  for (const TaskPlace& place : placement) room[place.worker].subtract(place.part);
+}
+
+void addAll(Capacities& room, const Placement& placement) {
+  for (const TaskPlace& place : placement) room[place.worker].add(place.part);
+}
+
+bool coversAll(Capacities room, const Placement& placement) {
+  for (const TaskPlace& place : placement) {
+    if (!room[place.worker].covers(place.part)) return false;
+    room[place.worker].subtract(place.part);
+  }
+  return true;
+}
+
+void setAside(Capacities& room, const Placement& placement) {
+  for (const TaskPlace& place : placement) {
+    Capacity& there = room[place.worker];
+    there.accelerators &= ~place.part.accelerators;
+    there.cores = std::max<std::int64_t>(0, there.cores - place.part.cores);
+    there.memoryMb = std::max<std::int64_t>(0, there.memoryMb - place.part.memoryMb);
+  }
+}
+
 void Topology::setWorkers(std::vector<schema::Worker> workers) {
   m_workers = std::move(workers);
   m_byWorker.clear();
--- a/Courseloom/src/Scheduling/Placement.h
+++ b/Courseloom/src/Scheduling/Placement.h
@@ -46,6 +46,15 @@
 using Placement = std::vector<TaskPlace>;
 using Capacities = std::vector<Capacity>;
 
+/** Takes all places out of a room. */
+void subtractAll(Capacities& room, const Placement& placement);
+/** Gives all places back to a room. */
+void addAll(Capacities& room, const Placement& placement);
+/** \returns whether a room covers all places at once. */
+bool coversAll(Capacities room, const Placement& placement);
+/** Takes places out of a room of which a part may be held already; nothing falls below zero. */
+void setAside(Capacities& room, const Placement& placement);
+
 /** \class Topology
  * \brief The workers with their racks and data halls, and the groups within which tasks count as adjacent.
  */
--- a/Courseloom/src/Scheduling/Scheduler.cpp
+++ b/Courseloom/src/Scheduling/Scheduler.cpp
@@ -14,7 +14,6 @@
 /** Waiting jobs for which a reservation is sought in one pass; one that can never fit must not cost the others theirs.
  */
 constexpr int ReservationTries = 2;
-constexpr double UrgencyCost = 1000.0;  ///< price of touching normal rather than low urgency work
 
 Guarantee make_guarantee(const schema::Object& object) {
   Guarantee guarantee;
@@ -24,22 +23,6 @@
   return guarantee;
 }
 
-void subtract_all(Capacities& room, const Placement& placement) {
-  for (const TaskPlace& place : placement) room[place.worker].subtract(place.part);
-}
-
-void add_all(Capacities& room, const Placement& placement) {
-  for (const TaskPlace& place : placement) room[place.worker].add(place.part);
-}
-
-bool covered(const Placement& placement, Capacities room) {
-  for (const TaskPlace& place : placement) {
-    if (!room[place.worker].covers(place.part)) return false;
-    room[place.worker].subtract(place.part);
-  }
-  return true;
-}
-
 }  // namespace
 }  // namespace internal
 
@@ -145,19 +128,14 @@
   }
   for (Guarantee& guarantee : m_book.guarantees()) guarantee.used = 0;
   for (const auto& [id, job] : m_jobs) {
-    internal::subtract_all(m_free, job.held);
+    subtractAll(m_free, job.held);
     Guarantee* charged = job.guarantee.empty() || job.held.empty() ? nullptr : m_book.find(job.guarantee);
     if (charged != nullptr) charged->used += static_cast<unsigned>(job.held.size());
   }
   m_grantable = m_free;
   for (const auto& [id, nomination] : m_nominations) {
     // Places that are still held are not in the free part; only what is free already is set aside.
-    for (const TaskPlace& place : nomination.placement) {
-      Capacity& room = m_grantable[place.worker];
-      room.accelerators &= ~place.part.accelerators;
-      room.cores = std::max<std::int64_t>(0, room.cores - place.part.cores);
-      room.memoryMb = std::max<std::int64_t>(0, room.memoryMb - place.part.memoryMb);
-    }
+    setAside(m_grantable, nomination.placement);
   }
 }
 
@@ -168,7 +146,7 @@
     if (worker >= 0) room[static_cast<std::size_t>(worker)].subtract(used);
   }
   for (const auto& [id, job] : m_jobs) {
-    if (!job.guarantee.empty()) internal::subtract_all(room, job.held);
+    if (!job.guarantee.empty()) subtractAll(room, job.held);
   }
   return room;
 }
@@ -267,8 +245,8 @@
 
 void Scheduler::accept(JobEntry& job, const std::string& guarantee, Placement placement,
                        std::vector<Decision>& decisions) {
-  internal::subtract_all(m_free, placement);
-  internal::subtract_all(m_grantable, placement);
+  subtractAll(m_free, placement);
+  subtractAll(m_grantable, placement);
   job.held = placement;
   job.guarantee = guarantee;
   job.phase = schema::JobReserving;
@@ -278,7 +256,7 @@
   if (Guarantee* charged = m_book.find(guarantee)) charged->used += static_cast<unsigned>(placement.size());
   if (!guarantee.empty()) {
     // Only gangs inside guarantees take room from the witnesses.
-    internal::subtract_all(m_witnessRoom, placement);
+    subtractAll(m_witnessRoom, placement);
     if (m_options.witness) m_book.rebuild(m_witnessRoom, m_free);
   }
   decisions.push_back({DecisionKind::Place, job.id, guarantee, std::move(placement), ""});
@@ -288,7 +266,7 @@
   // A gang outside guarantees is reclaimable and takes nothing from a witness.
   if (!m_options.witness || guarantee.empty()) return true;
   Capacities room = m_witnessRoom;
-  internal::subtract_all(room, placement);
+  subtractAll(room, placement);
   Guarantee* charged = m_book.find(guarantee);
   charged->used += tasks;
   const bool survive = m_book.possible(room);
@@ -314,7 +292,7 @@
   }
   Placement own = witnessPlacement(job, *guarantee);
   if (own.empty()) return false;
-  if (internal::covered(own, m_grantable)) {
+  if (coversAll(m_grantable, own)) {
     accept(job, guarantee->name, std::move(own), decisions);
     return true;
   }
@@ -335,13 +313,8 @@
   }
   const bool pack = m_options.fragmentationWeight >= internal::PackFromWeight;
   Capacities room = m_grantable;
-  if (m_reservation && nowMs + expectedEnd(job, nowMs) - nowMs > m_reservation->atMs) {
-    for (const TaskPlace& place : m_reservation->placement) {
-      Capacity& there = room[place.worker];
-      there.accelerators &= ~place.part.accelerators;
-      there.cores = std::max<std::int64_t>(0, there.cores - place.part.cores);
-      there.memoryMb = std::max<std::int64_t>(0, there.memoryMb - place.part.memoryMb);
-    }
+  if (m_reservation && expectedEnd(job, nowMs) > m_reservation->atMs) {
+    setAside(room, m_reservation->placement);
   }
   schema::Shape shape = job.spec.shape();
   Placement placement = m_search.find(shape, room, {}, pack);
@@ -362,145 +335,6 @@
   return false;
 }
 
-// ---- reclaim
-
-Capacities Scheduler::reclaimableRoom(bool lowOnly) const {
-  Capacities room = m_grantable;
-  for (const auto& [id, job] : m_jobs) {
-    if (!reclaimable(job) || (lowOnly && job.spec.urgency() != schema::Low)) continue;
-    internal::add_all(room, job.held);
-  }
-  // Nominated places are spoken for even while somebody still holds them.
-  for (const auto& [id, nomination] : m_nominations) {
-    for (const TaskPlace& place : nomination.placement) {
-      Capacity& there = room[place.worker];
-      there.accelerators &= ~place.part.accelerators;
-    }
-  }
-  return room;
-}
-
-/** Price of touching each worker; counted once a pass, on the first reclaim. */
-const std::vector<double>& Scheduler::reclaimCosts(std::uint64_t nowMs) {
-  if (!m_costs.empty()) return m_costs;
-  std::vector<double>& costs = m_costs;
-  costs.assign(m_topology.workers().size(), 0.0);
-  for (const auto& [id, job] : m_jobs) {
-    if (!reclaimable(job)) continue;
-    // Work lost is small where a checkpoint keeps it; every member of a gang is hit with it.
-    const double ranSeconds = nowMs > job.startedMs ? static_cast<double>(nowMs - job.startedMs) / 1000.0 : 0.0;
-    const double lost = job.spec.checkpointable() ? 1.0 : 1.0 + ranSeconds;
-    const double urgency = job.spec.urgency() == schema::Low ? 0.0 : internal::UrgencyCost;
-    for (const TaskPlace& place : job.held) costs[place.worker] += lost + urgency;
-  }
-  return costs;
-}
-
-std::vector<Scheduler::JobEntry*> Scheduler::victimsOn(const Placement& placement, schema::Urgency forUrgency,
-                                                       bool forOwner) {
-  std::vector<JobEntry*> victims;
-  Capacities free = m_free;
-  std::map<WorkerIndex, Capacity> wanted;
-  for (const TaskPlace& place : placement) wanted[place.worker].add(place.part);
-  for (auto& [id, job] : m_jobs) {
-    const bool allowed =
-        reclaimable(job) && (forOwner || (forUrgency == schema::Urgent && job.spec.urgency() == schema::Low));
-    if (!allowed) continue;
-    bool hit = false;
-    for (const TaskPlace& place : job.held) {
-      const auto want = wanted.find(place.worker);
-      if (want == wanted.end()) continue;
-      const Capacity& there = free[place.worker];
-      const bool shortOfCores = there.cores < want->second.cores || there.memoryMb < want->second.memoryMb;
-      hit = hit || want->second.intersects(place.part) || shortOfCores;
-    }
-    if (!hit) continue;
-    internal::add_all(free, job.held);
-    victims.push_back(&job);
-  }
-  if (!internal::covered(placement, free)) victims.clear();
-  return victims;
-}
-
-bool Scheduler::reclaimFor(JobEntry& job, const std::string& guarantee, const Placement& placement,
-                           std::vector<Decision>& decisions) {
-  std::vector<JobEntry*> victims = victimsOn(placement, job.spec.urgency(), !guarantee.empty());
-  if (victims.empty()) {
-    job.why = "places of its guarantee are being freed";
-    if (!guarantee.empty()) m_nominations[job.id] = {guarantee, placement};
-    return !guarantee.empty();
-  }
-  for (JobEntry* victim : victims) {
-    victim->phase = schema::JobStopping;
-    decisions.push_back({DecisionKind::Reclaim, victim->id, "", {}, job.id});
-  }
-  nominate(job, guarantee, placement, decisions);
-  return true;
-}
-
-void Scheduler::nominate(JobEntry& job, const std::string& guarantee, Placement placement,
-                         std::vector<Decision>& /*decisions*/) {
-  job.why = "accelerators are being reclaimed for it";
-  for (const TaskPlace& place : placement) {
-    Capacity& room = m_grantable[place.worker];
-    room.accelerators &= ~place.part.accelerators;
-    room.cores = std::max<std::int64_t>(0, room.cores - place.part.cores);
-    room.memoryMb = std::max<std::int64_t>(0, room.memoryMb - place.part.memoryMb);
-  }
-  m_nominations[job.id] = {guarantee, std::move(placement)};
-}
-
-bool Scheduler::placeNominated(JobEntry& job, std::vector<Decision>& decisions) {
-  const Nomination nomination = m_nominations.at(job.id);
-  if (!internal::covered(nomination.placement, m_free)) {
-    // Somebody still holds a place: its stop is under way, or it has come back and is reclaimed again.
-    for (JobEntry* victim : victimsOn(nomination.placement, job.spec.urgency(), !nomination.guarantee.empty())) {
-      victim->phase = schema::JobStopping;
-      decisions.push_back({DecisionKind::Reclaim, victim->id, "", {}, job.id});
-    }
-    return false;
-  }
-  const Guarantee* guarantee = m_book.find(nomination.guarantee);
-  const bool shapeFits = nomination.placement.size() == job.spec.shape().tasks();
-  const bool chargeFits = nomination.guarantee.empty() ||
-                          (guarantee != nullptr && guarantee->holds(job.spec.workspace(), job.spec.shape()));
-  const bool sound =
-      shapeFits && chargeFits && witnessesSurvive(nomination.guarantee, job.spec.shape().tasks(), nomination.placement);
-  if (!sound) {
-    m_nominations.erase(job.id);
-    job.why = "its nominated places no longer suit; looking again";
-    return false;
-  }
-  // accept() takes the room out of the grantable part, from which the nomination had taken it already.
-  internal::add_all(m_grantable, nomination.placement);
-  accept(job, nomination.guarantee, nomination.placement, decisions);
-  return true;
-}
-
-// ---- reservation
-
-void Scheduler::reserveFor(const JobEntry& job, std::uint64_t nowMs) {
-  std::vector<std::pair<std::uint64_t, const JobEntry*>> ends;
-  for (const auto& [id, running] : m_jobs) {
-    if (!running.held.empty()) ends.emplace_back(expectedEnd(running, nowMs), &running);
-  }
-  std::sort(ends.begin(), ends.end());
-  Capacities room = m_grantable;
-  std::size_t next = 0;
-  // Steps double, so that the search stays linear in the number of running jobs times its logarithm.
-  for (std::size_t step = 1; next < ends.size(); step *= 2) {
-    std::uint64_t at = nowMs;
-    for (std::size_t i = 0; i < step && next < ends.size(); ++i, ++next) {
-      internal::add_all(room, ends[next].second->held);
-      at = ends[next].first;
-    }
-    Placement placement = m_search.find(job.spec.shape(), room);
-    if (placement.empty()) continue;
-    m_reservation = Reservation{job.id, at, std::move(placement)};
-    return;
-  }
-}
-
 // ---- answers for operators
 
 std::string Scheduler::why(const std::string& job) const {
--- a/Courseloom/src/Scheduling/Scheduler.h
+++ b/Courseloom/src/Scheduling/Scheduler.h
@@ -113,7 +113,7 @@
   bool placeOutside(JobEntry& job, std::uint64_t nowMs, std::vector<Decision>& decisions);
   bool reclaimFor(JobEntry& job, const std::string& guarantee, const Placement& placement,
                   std::vector<Decision>& decisions);
-  void nominate(JobEntry& job, const std::string& guarantee, Placement placement, std::vector<Decision>& decisions);
+  void nominate(JobEntry& job, const std::string& guarantee, Placement placement);
   void accept(JobEntry& job, const std::string& guarantee, Placement placement, std::vector<Decision>& decisions);
   bool placeNominated(JobEntry& job, std::vector<Decision>& decisions);
   Placement witnessPlacement(const JobEntry& job, const Guarantee& guarantee) const;
--- a/Courseloom/src/Transport/HttpServer.cpp
+++ b/Courseloom/src/Transport/HttpServer.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "Courseloom/src/Core/Counted.h"
 #include "Courseloom/src/Transport/Listen.h"
 
 namespace courseloom {
@@ -41,14 +42,6 @@
   return failure;
 }
 
-struct Counted {
-  std::atomic<std::size_t>& count;
-  explicit Counted(std::atomic<std::size_t>& counter) : count(counter) { ++count; }
-  ~Counted() { --count; }
-  Counted(const Counted&) = delete;
-  Counted& operator=(const Counted&) = delete;
-};
-
 }  // namespace
 }  // namespace internal
 
@@ -80,7 +73,7 @@
 }
 
 Awaitable<void> HttpServer::serve(asio::ip::tcp::socket socket) {
-  const internal::Counted connection(m_connections);
+  const Counted<std::size_t> connection(m_connections);
   boost::system::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   const auto remote = socket.remote_endpoint(ignored);
@@ -103,7 +96,7 @@
       co_await http::async_write(stream, response, asio::as_tuple(asio::use_awaitable));
       break;
     }
-    const internal::Counted inFlight(m_inFlight);
+    const Counted<std::size_t> inFlight(m_inFlight);
     HttpRequest request = parser.release();
     const bool keepAlive = request.keep_alive();
     const unsigned version = request.version();
@@ -120,6 +113,11 @@
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
+std::string headerValue(const HttpRequest& request, const std::string& name) {
+  const auto found = request.find(name);
+  return found == request.end() ? std::string() : std::string(found->value());
+}
+
 HttpResponse jsonResponse(unsigned status, std::string body) {
   HttpResponse response;
   response.result(status);
--- a/Courseloom/src/Transport/HttpServer.h
+++ b/Courseloom/src/Transport/HttpServer.h
@@ -60,6 +60,8 @@
   std::atomic<bool> m_draining{false};
 };
 
+/** \returns the value of a header, or an empty string. */
+std::string headerValue(const HttpRequest& request, const std::string& name);
 /** \returns a JSON response. */
 HttpResponse jsonResponse(unsigned status, std::string body);
 /** \returns an `application/problem+json` response with code, ran, step, peer and Retry-After. */
--- a/Courseloom/src/Transport/RpcServer.cpp
+++ b/Courseloom/src/Transport/RpcServer.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Courseloom/src/Core/Counted.h"
 #include "Courseloom/src/Transport/Listen.h"
 
 namespace courseloom {
@@ -52,11 +53,7 @@
   if (found == m_handlers.end()) {
     co_return fail(Failure{FailureCode::NotFound, Ran::No, call.method, call.peer, "no such method", 0});
   }
-  struct InFlight {
-    std::atomic<std::size_t>& count;
-    explicit InFlight(std::atomic<std::size_t>& counter) : count(counter) { ++count; }
-    ~InFlight() { --count; }
-  } const inFlight(m_inFlight);
+  const Counted<std::size_t> inFlight(m_inFlight);
   co_return co_await found->second(std::move(call));
 }
 
--- a/test/Processes.cpp
+++ b/test/Processes.cpp
@@ -28,6 +28,8 @@
 
 namespace {
 
+/** Control at +1, platform at +40, targets after it. */
+constexpr unsigned PortsEach = 100;
 constexpr Duration ReadyLimit = milliseconds(20000);
 const std::string BuildFolder = COURSELOOM_BUILD_DIR;
 
@@ -37,9 +39,9 @@
 unsigned freePortBase() {
   std::mt19937 random(std::random_device{}());
   while (true) {
-    const unsigned base = 20000 + std::uniform_int_distribution<unsigned>(0, 230)(random) * 50;
+    const unsigned base = 20000 + std::uniform_int_distribution<unsigned>(0, 115)(random) * PortsEach;
     bool free = true;
-    for (unsigned port = base; port < base + 50 && free; ++port) {
+    for (unsigned port = base; port < base + PortsEach && free; ++port) {
       asio::io_context io;
       asio::ip::tcp::acceptor acceptor(io);
       boost::system::error_code error;
--- a/test/Processes.h
+++ b/test/Processes.h
@@ -32,6 +32,7 @@
   void kill();
   const std::string& http() const { return m_http; }
   bool ready() const { return m_ready; }
+  pid_t pid() const { return m_pid; }
 
  private:
   pid_t m_pid = -1;
