Control: a new leader checks shapes only once it knows the workers

Ruled out: the shape check itself (right once workers are known), the entry. Conclusion: with the platform out of reach for longer a job is still accepted unchecked and waits; that is by intent.

--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -18,6 +18,8 @@
 
 constexpr Duration HousekeepingInterval = milliseconds(100);
 constexpr Duration ConfigurePause = milliseconds(2);
+/** With the platform out of reach for longer, a job is accepted unchecked and waits. */
+constexpr Duration InventoryLimit = milliseconds(400);
 constexpr Duration StopLimit = milliseconds(3000);
 
 }  // namespace
@@ -166,6 +168,8 @@
   // A resent command gets its first answer, whatever has changed since.
   if (m_driver.state().knowsCommand(command.command_id()))
     co_return co_await m_driver.submit(std::move(command), deadline);
+  const bool hasShape = command.has_submit() || command.has_action();
+  if (hasShape) co_await waitForInventory(BootClock::now() + internal::InventoryLimit);
   Result<void> checked = checkCommand(command);
   if (!checked) co_return fail(takeFailure(checked));
   if (command.has_action() && command.action().dry_run()) co_return m_driver.state().preview(command);
@@ -173,15 +177,20 @@
   co_return co_await m_driver.submit(std::move(command), deadline);
 }
 
+/** A new leader reads the inventory within one poll; what names a shape can wait that long, to be checked against it.
+ */
+Awaitable<void> ControlService::waitForInventory(Time deadline) const {
+  while (!m_jobs.knowsWorkers() && leads() && BootClock::now() < deadline) co_await sleepFor(internal::ConfigurePause);
+}
+
 /** One change of configuration at a time, so that each is checked against all that were accepted before. */
 Awaitable<Result<schema::CommandReply>> ControlService::configure(schema::Command command, Time deadline) {
   while (m_configuring && BootClock::now() < deadline) co_await sleepFor(internal::ConfigurePause);
   if (m_configuring) co_return fail(Failure{FailureCode::Overloaded, Ran::No, "apply", "", "other changes wait", 500});
   m_configuring = true;
   Result<void> checked = checkGuarantees(command);
-  // A new leader reads the inventory within one poll; a guarantee can wait that long.
-  while (!checked && !m_jobs.knowsWorkers() && BootClock::now() < deadline) {
-    co_await sleepFor(internal::ConfigurePause);
+  if (!checked && !m_jobs.knowsWorkers()) {
+    co_await waitForInventory(deadline);
     checked = checkGuarantees(command);
   }
   if (!checked) {
--- a/Courseloom/src/Control/ControlService.h
+++ b/Courseloom/src/Control/ControlService.h
@@ -23,6 +23,7 @@
   void registerHandlers();
   Awaitable<Result<schema::Empty>> replicate(schema::ReplicaMessage message);
   Awaitable<Result<schema::CommandReply>> command(schema::CommandRequest request);
+  Awaitable<void> waitForInventory(Time deadline) const;
   Awaitable<Result<schema::CommandReply>> configure(schema::Command command, Time deadline);
   Awaitable<Result<schema::QueryReply>> query(schema::QueryRequest request);
   Awaitable<Result<schema::WatchReply>> watch(schema::WatchRequest request);
