Entry: no time to come back with an outcome that is lost for good; cut and malformed requests tested

Cause: the test of a killed agent took 25 s: the final 'outcome-unknown' carried Retry-After, so its caller went on asking. Ruled out: an unfinished claim (the log held it as unknown at once). Change: that refusal names no time any more; one that may still be learnt keeps its own. New cases: a body cut half way, a head without end, no grammar, a wrong length: each 400 and ran: no.

--- a/Courseloom/src/Entry/RequestPath.cpp
+++ b/Courseloom/src/Entry/RequestPath.cpp
@@ -132,8 +132,10 @@
   Failure failure = takeFailure(answer);
   m_context.metrics.count("refused", codeName(failure.code));
   logFailure(schema::RequestRefused, failure);
-  const bool comingBackHelps =
-      codeStatus(failure.code) == 503 || codeStatus(failure.code) == 429 || codeStatus(failure.code) >= 502;
+  // An outcome that is lost for good says nothing else later; one that may still be learnt carries its own time.
+  const unsigned status = codeStatus(failure.code);
+  const bool later = status == 503 || status == 429 || status >= 502;
+  const bool comingBackHelps = later && failure.code != FailureCode::OutcomeUnknown;
   if (comingBackHelps && failure.retryAfterMs == 0) failure.retryAfterMs = internal::AskAgainMs;
   co_return fail(std::move(failure));
 }
--- a/test/Processes.cpp
+++ b/test/Processes.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -137,6 +139,20 @@
 
 HttpReply send(const HttpAsk& ask) { return sendAll({ask}).front(); }
 
+std::string sendRaw(const std::string& address, const std::string& bytes) {
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  const std::size_t colon = address.find(':');
+  const auto port = static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10));
+  boost::system::error_code error;
+  socket.connect({asio::ip::make_address(address.substr(0, colon)), port}, error);
+  asio::write(socket, asio::buffer(bytes), error);
+  socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
 Deployment::Deployment(Size size) : m_size(std::move(size)), m_base(freePortBase()) {
   std::string pattern = "/tmp/courseloom-test-XXXXXX";
   m_folder = mkdtemp(pattern.data());
--- a/test/Processes.h
+++ b/test/Processes.h
@@ -66,6 +66,8 @@
 /** Sends all at once, each on a connection of its own. \returns the replies in the same order */
 std::vector<HttpReply> sendAll(const std::vector<HttpAsk>& asks);
 HttpReply send(const HttpAsk& ask);
+/** Sends bytes as they are, then closes the sending side. \returns all that comes back */
+std::string sendRaw(const std::string& address, const std::string& bytes);
 
 /** \class Deployment
  * \brief A whole courseloom with stand-ins on loopback, in a folder of its own.
--- a/test/whole_path.cpp
+++ b/test/whole_path.cpp
@@ -104,6 +104,13 @@
                  reply.body.c_str());
     cr_assert(reply.has("\"code\":\"" + one.code + "\"") && reply.has("\"ran\":\"no\""), "%s", reply.body.c_str());
   }
+  const std::string head = "POST " + path + " HTTP/1.1\r\nHost: x\r\nCourseloom-Workspace: andes\r\n";
+  for (const std::string& bytes : {head + "Content-Length: 100\r\n\r\nhalf a body", head,
+                                   std::string("no grammar\r\n\r\n"), head + "Content-Length: many\r\n\r\n"}) {
+    const std::string answer = sendRaw(entry, bytes);
+    const bool refused = answer.rfind("HTTP/1.1 400", 0) == 0 && answer.find("\"ran\":\"no\"") != std::string::npos;
+    cr_assert(refused, "'%s' got '%s'", bytes.c_str(), answer.c_str());
+  }
   cr_assert_eq(send(deployment.request("entry-1", "still here")).status, 200);
 }
 
