Read once more: voters are counted in one place

Cause: Recovery counted a set of members' voters beside Replica's own count, and two process tests searched the status for voters each in its own loop. Change: voterCount beside the log's members serves both; votersIn serves both tests. Behaviour and assertions unchanged. Ruled out: joining Recovery's test of one disk with Replica::isVoter, which obeys a switch that only proofs may turn; joining the request batches of two tests, which are alike in shape but not in what they send.

--- a/Courseloom/src/Control/Recovery.cpp
+++ b/Courseloom/src/Control/Recovery.cpp
@@ -13,12 +13,6 @@
 namespace internal {
 namespace {
 
-std::size_t voters_in(const schema::Members& members) {
-  std::size_t count = 0;
-  for (const schema::Member& member : members.members()) count += member.voter() ? 1 : 0;
-  return count;
-}
-
 bool votes(const schema::Members& members, const std::string& diskId) {
   for (const schema::Member& member : members.members()) {
     if (member.disk_id() == diskId && member.voter()) return true;
@@ -28,7 +22,7 @@
 
 /** Every commit since the newest members entry needed this disk if a quorum of its voters is all of them. */
 std::string say_what_is_missing(const ReplicaLog& log, const schema::HardState& hard, const std::string& diskId) {
-  const std::size_t voters = voters_in(log.members());
+  const std::size_t voters = voterCount(log.members());
   const bool everyVoterNeeded = voters / 2 + 1 == voters;
   const bool membersCommitted = log.membersIndex() <= std::max<LogIndex>(hard.commit(), log.snapshot().info().index());
   if (!votes(log.members(), diskId)) return "this disk does not vote; commands of any age could be missing";
--- a/Courseloom/src/Replication/Replica.cpp
+++ b/Courseloom/src/Replication/Replica.cpp
@@ -46,11 +46,6 @@
   return false;
 }
 
-std::size_t Replica::voters() const {
-  const auto& all = members().members();
-  return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto& m) { return m.voter(); }));
-}
-
 Duration Replica::randomTimeout() {
   std::uniform_int_distribution<Duration::rep> extra(0, m_options.electionTimeout.count());
   return m_options.electionTimeout + Duration(extra(m_random));
--- a/Courseloom/src/Replication/Replica.h
+++ b/Courseloom/src/Replication/Replica.h
@@ -76,7 +76,7 @@
   };
 
   bool isVoter(ReplicaId id, const std::string& diskId) const;
-  std::size_t voters() const;
+  std::size_t voters() const { return voterCount(members()); }
   std::size_t quorum() const { return voters() / 2 + 1; }
   Duration randomTimeout();
   schema::ReplicaMessage make(schema::MessageKind kind, ReplicaId to) const;
--- a/Courseloom/src/Replication/ReplicaLog.cpp
+++ b/Courseloom/src/Replication/ReplicaLog.cpp
@@ -3,6 +3,8 @@
 
 #include "Courseloom/src/Replication/ReplicaLog.h"
 
+#include <algorithm>
+
 #include "Courseloom/src/Core/Assert.h"
 
 namespace courseloom {
@@ -67,4 +69,10 @@
 
 LogIndex ReplicaLog::membersIndex() const { return m_memberChanges.empty() ? 0 : m_memberChanges.back(); }
 
+std::size_t voterCount(const schema::Members& members) {
+  const auto& all = members.members();
+  const auto count = std::count_if(all.begin(), all.end(), [](const auto& member) { return member.voter(); });
+  return static_cast<std::size_t>(count);
+}
+
 }  // namespace courseloom
--- a/Courseloom/src/Replication/ReplicaLog.h
+++ b/Courseloom/src/Replication/ReplicaLog.h
@@ -47,4 +47,7 @@
   std::vector<LogIndex> m_memberChanges;
 };
 
+/** \returns how many of the members vote. */
+std::size_t voterCount(const schema::Members& members);
+
 }  // namespace courseloom
--- a/test/control_processes.cpp
+++ b/test/control_processes.cpp
@@ -28,6 +28,13 @@
   return reply;
 }
 
+/** Counts the replicas that vote, as the status tells them. */
+std::size_t votersIn(const std::string& status) {
+  std::size_t count = 0;
+  for (std::size_t at = 0; (at = status.find("\"voter\": true", at)) != std::string::npos; ++at) ++count;
+  return count;
+}
+
 bool shows(Deployment& deployment, const std::string& text) {
   return deployment.until({deployment.http("entry-1"), "GET", "/v1/objects?selector=name%3Dandes"}, text,
                           milliseconds(10000));
@@ -64,9 +71,7 @@
     const std::string founding = "founding-test-" + std::string(lost).substr(8);
     const auto promoted = [&] {
       const std::string body = deployment.status().body;
-      std::size_t voters = 0;
-      for (std::size_t at = 0; (at = body.find("\"voter\": true", at)) != std::string::npos; ++at) ++voters;
-      return voters == 3 && body.find(founding) == std::string::npos;
+      return votersIn(body) == 3 && body.find(founding) == std::string::npos;
     };
     const Time end = BootClock::now() + milliseconds(15000);
     while (!promoted() && BootClock::now() < end) pause(50);
@@ -94,12 +99,7 @@
   cr_assert(shows(deployment, "\"weight\": 7"));
   cr_assert_eq(applyUntilAccepted(deployment, weightOf(8), "after").status, 200);
   const HttpAsk status{deployment.http("entry-1"), "GET", "/v1/status"};
-  const auto voters = [&] {
-    const std::string body = send(status).body;
-    std::size_t count = 0;
-    for (std::size_t at = 0; (at = body.find("\"voter\": true", at)) != std::string::npos; ++at) ++count;
-    return count;
-  };
+  const auto voters = [&] { return votersIn(send(status).body); };
   const Time end = BootClock::now() + milliseconds(15000);
   while (voters() < 3 && BootClock::now() < end) pause(50);
   cr_assert_eq(voters(), 3, "the two new disks were not taken in");
