--- /dev/null
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -0,0 +1,437 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Agent/RunAgentService.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <random>
+
+#include "Courseloom/src/Core/Log.h"
+
+namespace courseloom {
+
+namespace asio = boost::asio;
+
+namespace internal {
+namespace {
+
+/** A target's clock may run this much slower than ours: it is counted on to show 98 ms for each 100 ms of ours. */
+constexpr std::int64_t SlowClockNumerator = 98;
+constexpr std::int64_t SlowClockDenominator = 100;
+/** Taken off each hold, so that it surely ends before the leader's grant does. */
+constexpr Duration HoldMargin = milliseconds(50);
+/** Added before holds count as over. */
+constexpr Duration LapseSlack = milliseconds(200);
+constexpr Duration FailedPause = milliseconds(150);
+constexpr Duration UncommittedPause = milliseconds(250);
+constexpr Duration AttendPause = milliseconds(50);
+constexpr Duration ReplyLimit = milliseconds(1500);
+constexpr Duration StopLimit = milliseconds(700);
+/** Looks without answer after which a target gets nothing new. */
+constexpr unsigned FailuresUnreachable = 2;
+
+std::uint64_t random_incarnation() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string run_text(const schema::TaskId& id) {
+  return id.workflow() + "." + std::to_string(id.occurrence()) + "." + std::to_string(id.step()) + "." +
+         std::to_string(id.index());
+}
+
+/** \returns address and port of an endpoint that the settings' check has passed. */
+std::pair<std::string, unsigned> split_endpoint(const std::string& endpoint) {
+  const std::size_t colon = endpoint.rfind(':');
+  return {endpoint.substr(0, colon), static_cast<unsigned>(std::stoul(endpoint.substr(colon + 1)))};
+}
+
+}  // namespace
+}  // namespace internal
+
+RunAgentService::RunAgentService(const DaemonContext& context, RunAgentEdges edges)
+    : m_context(context),
+      m_edges(std::move(edges)),
+      m_strand(asio::make_strand(context.io)),
+      m_control(context.io, context.settings.cluster()),
+      m_port(m_edges.makePort(context)),
+      m_registration(
+          context.io, HttpLimits(),
+          [this](HttpRequest request, std::string) { return m_edges.answerRegistration(std::move(request), *this); }),
+      m_http(context.io, HttpLimits(),
+             [this](HttpRequest request, std::string) -> Awaitable<HttpResponse> {
+               std::optional<HttpResponse> admin = answerAdmin(request, m_following, m_context.metrics);
+               if (admin) co_return std::move(*admin);
+               co_return problemResponse(Failure{FailureCode::NotFound, Ran::No, "route", "", "no such path", 0});
+             }),
+      m_incarnation(internal::random_incarnation()) {}
+
+Result<Listening> RunAgentService::start() {
+  const schema::NodeSettings& node = m_context.settings.node();
+  const auto [address, port] = internal::split_endpoint(m_context.settings.edge().control_endpoint());
+  Listening listening;
+  BOOST_LEAF_CHECK(m_registration.start(address, port));
+  BOOST_LEAF_ASSIGN(listening.httpPort, m_http.start(node.address(), node.http_port()));
+  asio::co_spawn(m_strand, attendLoop(), asio::detached);
+  asio::co_spawn(m_strand, newsLoop(), asio::detached);
+  asio::co_spawn(m_strand, lookLoop(), asio::detached);
+  return listening;
+}
+
+Awaitable<std::size_t> RunAgentService::stop() {
+  co_await asio::co_spawn(
+      m_strand,
+      [this]() -> Awaitable<void> {
+        m_stopping = true;
+        const Time end = BootClock::now() + internal::StopLimit;
+        const auto busy = [this] {
+          return std::any_of(m_runs.begin(), m_runs.end(), [](const auto& run) { return run.second.busy; });
+        };
+        while (busy() && BootClock::now() < end) co_await sleepFor(milliseconds(10));
+        co_await exchange(0);
+      },
+      asio::use_awaitable);
+  co_return 0;
+}
+
+// ---- the target's announcements
+
+Awaitable<void> RunAgentService::announce(TargetAnnouncement announcement) {
+  co_await asio::co_spawn(m_strand, announceOnStrand(std::move(announcement)), asio::use_awaitable);
+}
+
+Awaitable<void> RunAgentService::announceOnStrand(TargetAnnouncement announcement) {
+  takeAnnouncement(announcement);
+  co_return;
+}
+
+void RunAgentService::takeAnnouncement(const TargetAnnouncement& announcement) {
+  const Time now = BootClock::now();
+  const std::string& id = announcement.report.id();
+  const bool newLife = !isLife(id);
+  if (newLife) {
+    logEvent(schema::TargetRegistered, {{"target", id}, {"former", m_life ? m_life->report.id() : ""}});
+    // What ran in the former life ended with it; the leader concludes that from the new identity.
+    m_life = Life();
+    m_runs.clear();
+    m_fates.clear();
+    m_started.clear();
+    m_heldUntil = Time{};
+  } else if (announcement.sequence <= m_life->sequence) {
+    return;
+  }
+  const bool wasDraining = m_life->report.draining();
+  m_life->report = announcement.report;
+  m_life->report.set_reachable(m_life->failures < internal::FailuresUnreachable);
+  m_life->sequence = announcement.sequence;
+  if (announcement.clockMs > 0) {
+    m_life->clockMs = announcement.clockMs;
+    m_life->clockAt = now;
+  }
+  if (newLife || wasDraining != announcement.report.draining()) {
+    if (announcement.report.draining()) logEvent(schema::TargetLeaving, {{"target", id}});
+    news();
+  }
+  m_lifeSignal.notify();
+}
+
+Awaitable<void> RunAgentService::leave(std::string id) {
+  co_await asio::co_spawn(m_strand, leaveOnStrand(std::move(id)), asio::use_awaitable);
+}
+
+Awaitable<void> RunAgentService::leaveOnStrand(std::string id) {
+  if (isLife(id)) m_life->left = true;
+  co_return;
+}
+
+// ---- the leader
+
+void RunAgentService::news() {
+  m_hasNews = true;
+  m_newsSignal.notify();
+}
+
+schema::AttendRequest RunAgentService::makeReport() const {
+  schema::AttendRequest request;
+  request.set_agent(m_context.settings.node().name());
+  request.set_incarnation(m_incarnation);
+  request.set_term(m_term);
+  request.set_leaving(m_stopping);
+  if (!m_life) return request;
+  *request.mutable_target() = m_life->report;
+  for (const schema::RunReport& row : m_life->running) *request.add_running() = row;
+  for (const auto& [number, row] : m_life->ends) *request.add_ends() = row;
+  for (const auto& [key, row] : m_fates) *request.add_ends() = row;
+  for (const auto& [key, row] : m_started) *request.add_started() = row;
+  return request;
+}
+
+Awaitable<bool> RunAgentService::exchange(std::uint32_t waitMs) {
+  schema::AttendRequest request = makeReport();
+  request.set_wait_ms(waitMs);
+  const Time sentAt = BootClock::now();
+  const Time deadline = sentAt + milliseconds(waitMs) + internal::ReplyLimit;
+  Result<schema::AttendReply> reply = co_await m_control.attend(request, deadline);
+  if (!reply) {
+    const Failure failure = takeFailure(reply);
+    if (m_following && failure.code != FailureCode::NoLeader) logFailure(schema::PeerFailed, failure);
+    if (m_following && !granted()) {
+      m_following = false;
+      logEvent(schema::LeaderLost, {{"term", m_term}});
+    }
+    co_return false;
+  }
+  takeReply(request, *reply, sentAt);
+  co_return true;
+}
+
+Awaitable<void> RunAgentService::attendLoop() {
+  while (true) {
+    const bool reached = co_await exchange(m_context.settings.runner().attend_ms());
+    if (!reached) co_await sleepFor(internal::AttendPause);
+  }
+}
+
+/** News go at once, beside the exchange that the leader holds back. */
+Awaitable<void> RunAgentService::newsLoop() {
+  while (true) {
+    while (!m_hasNews) co_await m_newsSignal.wait(BootClock::now() + milliseconds(60000));
+    m_hasNews = false;
+    const bool reached = co_await exchange(0);
+    if (reached) continue;
+    m_hasNews = true;
+    co_await sleepFor(internal::AttendPause);
+  }
+}
+
+void RunAgentService::takeReply(const schema::AttendRequest& request, const schema::AttendReply& reply, Time sentAt) {
+  m_control.setMembers({reply.members().begin(), reply.members().end()});
+  if (reply.term() < m_term) return;  // a former leader's word
+  if (!m_following || reply.term() != m_term) logEvent(schema::LeaderFound, {{"term", reply.term()}});
+  m_following = true;
+  m_term = reply.term();
+  // Counted from the sending of the request plus the time that the leader held it: never later than its own count.
+  const Time until = sentAt + milliseconds(reply.held_ms()) + milliseconds(reply.grant_ms());
+  const bool wasGranted = granted();
+  m_grantUntil = std::max(m_grantUntil, until);
+  if (!wasGranted) m_lifeSignal.notify();
+  for (const schema::EndReport& end : request.ends()) {
+    if (end.number() == 0) m_fates.erase(runKeyOf(end.task(), end.run()));
+  }
+  for (const schema::StartReport& start : request.started()) m_started.erase(runKeyOf(start.task(), start.run()));
+  if (isLife(reply.ends_target()) && reply.ends_taken() > m_life->endsTaken) {
+    m_life->endsTaken = reply.ends_taken();
+    m_life->ends.erase(m_life->ends.begin(), m_life->ends.upper_bound(reply.ends_taken()));
+    m_lookSignal.notify();
+  }
+  if (m_stopping) return;
+  for (const schema::RunOrder& order : reply.orders()) takeOrder(order);
+}
+
+void RunAgentService::takeOrder(const schema::RunOrder& order) {
+  if (!isLife(order.target())) return;
+  const RunKey key = runKeyOf(order.task(), order.run());
+  const auto found = m_runs.find(key);
+  if (found != m_runs.end() && found->second.busy) return;
+  if (order.kind() == schema::OrderStop) {
+    m_runs[key].busy = true;
+    asio::co_spawn(m_strand, stopRun(order), asio::detached);
+    return;
+  }
+  if (!granted()) return;
+  if (found != m_runs.end()) {
+    // Given again: either the leader has not heard of it yet, or nobody knows where it went.
+    if (listed(key)) return news();
+    found->second.busy = true;
+    asio::co_spawn(m_strand, stopRun(order), asio::detached);
+    return;
+  }
+  LocalRun& run = m_runs[key];
+  run.busy = true;
+  asio::co_spawn(m_strand, startRun(order), asio::detached);
+}
+
+// ---- holding and looking
+
+/** \returns the target's clock at an instant, at the latest: what is held until then ends no later. */
+std::uint64_t RunAgentService::deadlineOnTarget(Time until) const {
+  const Duration ahead = until - m_life->clockAt;
+  if (ahead <= Duration(0)) return m_life->clockMs;
+  const Duration shown = ahead * internal::SlowClockNumerator / internal::SlowClockDenominator;
+  return m_life->clockMs + static_cast<std::uint64_t>(toMilliseconds(shown));
+}
+
+/** A target that does not answer gets no longer hold, so that it is known when everything there has ended. */
+std::optional<std::uint64_t> RunAgentService::holdDeadline() {
+  if (!granted() || m_life->failures > 0 || m_life->clockMs == 0) return std::nullopt;
+  const Time limit = BootClock::now() + milliseconds(m_context.settings.runner().max_hold_ms());
+  const Time until = std::min(m_grantUntil, limit) - internal::HoldMargin;
+  m_heldUntil = std::max(m_heldUntil, until);
+  return deadlineOnTarget(until);
+}
+
+Awaitable<bool> RunAgentService::look(std::uint32_t waitMs) {
+  const std::string life = m_life->report.id();
+  TargetHold hold;
+  hold.deadlineMs = holdDeadline();
+  hold.term = m_term;
+  hold.lastSeen = m_life->endsTaken;
+  hold.waitMs = waitMs;
+  const Duration limit = milliseconds(waitMs) + milliseconds(m_context.settings.runner().order_limit_ms());
+  Result<TargetAnswer> answer = co_await m_port->hold(life, hold, limit);
+  if (!isLife(life)) co_return false;
+  if (answer && answer->verdict == TargetVerdict::Taken) {
+    takeLook(life, *answer, BootClock::now());
+    co_return true;
+  }
+  if (answer && answer->verdict == TargetVerdict::OtherLife) {
+    settleAll(schema::RunTargetLost, "another life answers");
+  }
+  takeSilence();
+  co_return false;
+}
+
+void RunAgentService::takeLook(const std::string& life, const TargetAnswer& answer, Time receivedAt) {
+  if (m_life->failures >= internal::FailuresUnreachable) {
+    logEvent(schema::TargetRegained, {{"target", life}});
+    news();
+  }
+  m_life->failures = 0;
+  m_life->report.set_reachable(true);
+  ++m_life->looks;
+  if (answer.clockMs > 0) {
+    m_life->clockMs = answer.clockMs;
+    m_life->clockAt = receivedAt;
+  }
+  m_life->running = answer.running;
+  for (const schema::RunReport& row : answer.running) {
+    const auto [run, added] = m_runs.try_emplace(runKeyOf(row.task(), row.run()));
+    if (!run->second.busy) run->second.phase = Phase::Running;
+  }
+  for (const schema::EndReport& end : answer.ends) {
+    if (end.number() <= m_life->endsTaken) continue;
+    const bool added = m_life->ends.emplace(end.number(), end).second;
+    m_runs.erase(runKeyOf(end.task(), end.run()));
+    if (added) news();
+  }
+}
+
+void RunAgentService::takeSilence() {
+  ++m_life->failures;
+  if (m_life->failures == internal::FailuresUnreachable) {
+    logEvent(schema::TargetLost, {{"target", m_life->report.id()}});
+    m_life->report.set_reachable(false);
+    news();
+  }
+  if (BootClock::now() > m_heldUntil + internal::LapseSlack) settleAll(schema::RunLapsed, "the target is silent");
+}
+
+Awaitable<void> RunAgentService::lookLoop() {
+  while (true) {
+    if (!m_life) {
+      co_await m_lifeSignal.wait(BootClock::now() + milliseconds(1000));
+      continue;
+    }
+    const bool uncommitted = !m_life->ends.empty();
+    const std::uint32_t waitMs = uncommitted || m_life->failures > 0 ? 0 : m_context.settings.runner().look_ms();
+    const bool answered = co_await look(waitMs);
+    if (!answered) {
+      co_await sleepFor(internal::FailedPause);
+    } else if (m_life && !m_life->ends.empty()) {
+      co_await m_lookSignal.wait(BootClock::now() + internal::UncommittedPause);
+    }
+  }
+}
+
+// ---- orders
+
+bool RunAgentService::listed(const RunKey& key) const {
+  const auto isKey = [&](const auto& row) { return runKeyOf(row.task(), row.run()) == key; };
+  if (std::any_of(m_life->running.begin(), m_life->running.end(), isKey)) return true;
+  return std::any_of(m_life->ends.begin(), m_life->ends.end(), [&](const auto& row) { return isKey(row.second); });
+}
+
+void RunAgentService::settle(const schema::TaskId& task, std::uint32_t run, schema::RunEndKind kind,
+                             const std::string& reason) {
+  const RunKey key = runKeyOf(task, run);
+  schema::EndReport& fate = m_fates[key];
+  *fate.mutable_task() = task;
+  fate.set_run(run);
+  fate.set_kind(kind);
+  fate.set_reason(reason);
+  m_runs.erase(key);
+  news();
+}
+
+void RunAgentService::settleAll(schema::RunEndKind kind, const std::string& reason) {
+  const std::map<RunKey, LocalRun> runs = m_runs;
+  for (const auto& [key, run] : runs) settle(makeTaskId(key.workflow, key.task), key.run, kind, reason);
+}
+
+Awaitable<void> RunAgentService::startRun(schema::RunOrder order) {
+  const std::string life = order.target();
+  const std::string name = internal::run_text(order.task());
+  if (m_life->report.draining() || m_life->left) {
+    settle(order.task(), order.run(), schema::RunVoided, "draining");
+    co_return;
+  }
+  const Time until = m_grantUntil - internal::HoldMargin;
+  m_heldUntil = std::max(m_heldUntil, until);
+  const TargetStart start{order, deadlineOnTarget(until), m_term};
+  Result<TargetAnswer> answer =
+      co_await m_port->start(life, start, milliseconds(m_context.settings.runner().order_limit_ms()));
+  if (!isLife(life)) co_return;
+  const RunKey key = runKeyOf(order.task(), order.run());
+  if (answer && answer->verdict == TargetVerdict::Taken) {
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end()) co_return;  // it has ended already
+    found->second.busy = false;
+    found->second.phase = Phase::Running;
+    schema::StartReport& started = m_started[key];
+    *started.mutable_task() = order.task();
+    started.set_run(order.run());
+    logEvent(schema::RunStarted, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"target", life}});
+    news();
+    co_return;
+  }
+  const bool neverBegan = (answer && answer->verdict == TargetVerdict::Refused && answer->reason != "old");
+  if (neverBegan) {
+    logEvent(schema::RunRefused, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"reason", answer->reason}});
+    settle(order.task(), order.run(), schema::RunVoided, answer->reason);
+    co_return;
+  }
+  logEvent(schema::RunInDoubt, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"target", life}});
+  co_await stopRun(std::move(order));
+}
+
+/** Stops a run until the target answers that; then its lists tell what became of it. */
+Awaitable<void> RunAgentService::stopRun(schema::RunOrder order) {
+  const std::string life = order.target();
+  const RunKey key = runKeyOf(order.task(), order.run());
+  m_runs[key].phase = Phase::InDoubt;
+  m_runs[key].busy = true;
+  const Duration limit = milliseconds(m_context.settings.runner().order_limit_ms());
+  while (true) {
+    Result<TargetAnswer> answer = co_await m_port->stop(life, order.task(), order.run(), m_term, limit);
+    if (!isLife(life) || m_runs.count(key) == 0) co_return;
+    if (answer && answer->verdict == TargetVerdict::OtherLife) {
+      settle(order.task(), order.run(), schema::RunTargetLost, "another life answers");
+      co_return;
+    }
+    if (answer && answer->reason != "fence") break;
+    co_await sleepFor(internal::FailedPause);
+    if (!isLife(life) || m_runs.count(key) == 0) co_return;
+  }
+  // Only a look that was asked for after the answer says whether the run was there.
+  while (!co_await look(0)) {
+    co_await sleepFor(internal::FailedPause);
+    if (!isLife(life) || m_runs.count(key) == 0) co_return;
+  }
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end()) co_return;
+  found->second.busy = false;
+  if (!listed(key)) settle(order.task(), order.run(), schema::RunVoided, "never began");
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -0,0 +1,116 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <boost/asio/strand.hpp>
+#include <map>
+#include <memory>
+
+#include "Courseloom/src/Agent/TargetPort.h"
+#include "Courseloom/src/Membership/ControlClient.h"
+#include "Courseloom/src/Runtime/ChangeSignal.h"
+#include "Courseloom/src/Runtime/Daemon.h"
+#include "Courseloom/src/Runtime/OneShot.h"
+#include "Courseloom/src/Scheduling/RunLedger.h"
+
+namespace courseloom {
+
+/** \class RunAgentEdges
+ * \brief The deployment's protocol, as far as an agent speaks it.
+ */
+struct RunAgentEdges {
+  std::function<std::unique_ptr<TargetPort>(const DaemonContext&)> makePort;
+  std::function<Awaitable<HttpResponse>(HttpRequest, TargetRegistry&)> answerRegistration;
+};
+
+/** \class RunAgentService
+ * \brief The agent daemon that runs tasks of workflows: the only process that calls the target beside it.
+ *
+ * It follows the control leader, carries out its orders under the leader's term, and holds what runs for as long as the
+ * leader's grants last. A start without an answer is stopped until the target answers that, and its fate is read from
+ * the target's lists afterwards. Ends are reported until the leader has committed them; only then may the target forget
+ * them. Everything runs on one strand.
+ * \sa RunLedger
+ */
+class RunAgentService : public Service, private TargetRegistry {
+ public:
+  RunAgentService(const DaemonContext& context, RunAgentEdges edges);
+  Result<Listening> start() override;
+  Awaitable<std::size_t> stop() override;
+
+ private:
+  using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+  enum class Phase : std::uint8_t { Starting, Running, InDoubt };
+
+  struct LocalRun {
+    Phase phase = Phase::Starting;
+    bool busy = false;  ///< a call for it is under way
+  };
+  /** The target's present life. */
+  struct Life {
+    schema::TargetReport report;
+    std::uint64_t sequence = 0;
+    std::uint64_t clockMs = 0;  ///< its clock ...
+    Time clockAt{};             ///< ... at or before this instant
+    bool left = false;          ///< it said that it ends
+    unsigned failures = 0;      ///< looks in a row without answer
+    std::uint64_t endsTaken = 0;
+    std::map<std::uint64_t, schema::EndReport> ends;  ///< not committed yet, by number
+    std::vector<schema::RunReport> running;
+    std::uint64_t looks = 0;  ///< looks answered
+  };
+
+  Awaitable<void> announce(TargetAnnouncement announcement) override;
+  Awaitable<void> leave(std::string id) override;
+  Awaitable<void> announceOnStrand(TargetAnnouncement announcement);
+  Awaitable<void> leaveOnStrand(std::string id);
+  void takeAnnouncement(const TargetAnnouncement& announcement);
+
+  Awaitable<void> attendLoop();
+  Awaitable<void> newsLoop();
+  Awaitable<bool> exchange(std::uint32_t waitMs);
+  schema::AttendRequest makeReport() const;
+  void takeReply(const schema::AttendRequest& request, const schema::AttendReply& reply, Time sentAt);
+  void takeOrder(const schema::RunOrder& order);
+  void news();
+
+  Awaitable<void> lookLoop();
+  Awaitable<bool> look(std::uint32_t waitMs);
+  void takeLook(const std::string& life, const TargetAnswer& answer, Time receivedAt);
+  void takeSilence();
+  bool granted() const { return BootClock::now() < m_grantUntil; }
+  bool isLife(const std::string& id) const { return m_life && m_life->report.id() == id; }
+  std::uint64_t deadlineOnTarget(Time until) const;
+  std::optional<std::uint64_t> holdDeadline();
+
+  Awaitable<void> startRun(schema::RunOrder order);
+  Awaitable<void> stopRun(schema::RunOrder order);
+  void settle(const schema::TaskId& task, std::uint32_t run, schema::RunEndKind kind, const std::string& reason);
+  void settleAll(schema::RunEndKind kind, const std::string& reason);
+  bool listed(const RunKey& key) const;
+
+  DaemonContext m_context;
+  RunAgentEdges m_edges;
+  Strand m_strand;
+  ControlClient m_control;
+  std::unique_ptr<TargetPort> m_port;
+  HttpServer m_registration;
+  HttpServer m_http;
+  std::uint64_t m_incarnation;
+  std::optional<Life> m_life;
+  std::map<RunKey, LocalRun> m_runs;
+  std::map<RunKey, schema::EndReport> m_fates;      ///< made sure of here, not reported yet
+  std::map<RunKey, schema::StartReport> m_started;  ///< not reported yet
+  std::uint64_t m_term = 0;
+  Time m_grantUntil{};
+  Time m_heldUntil{};  ///< latest end of any hold that the target may have taken
+  bool m_following = false;
+  bool m_hasNews = false;
+  bool m_stopping = false;
+  ChangeSignal m_newsSignal;
+  ChangeSignal m_lifeSignal;
+  ChangeSignal m_lookSignal;
+};
+
+}  // namespace courseloom
--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Membership/ControlClient.h"
 #include "Courseloom/src/Schema/YamlReader.h"
 
 namespace courseloom {
@@ -25,41 +26,96 @@
 }  // namespace
 }  // namespace internal
 
-ControlService::ControlService(const DaemonContext& context)
+ControlService::ControlService(const DaemonContext& context, ControlEdges edges)
     : m_context(context),
+      m_edges(std::move(edges)),
       m_strand(asio::make_strand(context.io)),
       m_driver(context, m_strand),
       m_jobs(context, m_strand, m_driver),
+      m_workflows(context, m_strand, m_driver, m_edges.makeAdvice ? m_edges.makeAdvice(context) : nullptr),
       m_nodes(2 * milliseconds(context.settings.cluster().freshness_lease_ms())),
       m_rpc(context.io),
       m_http(context.io, HttpLimits(),
-             [this](HttpRequest request, std::string) -> Awaitable<HttpResponse> { co_return answerHttp(request); }) {}
+             [this](HttpRequest request, std::string) -> Awaitable<HttpResponse> { co_return answerHttp(request); }),
+      m_operators(context.io, HttpLimits(), [this](HttpRequest request, std::string) {
+        return m_edges.answerOperator(std::move(request), *this, m_edgePort);
+      }) {}
 
 Result<Listening> ControlService::start() {
   const schema::NodeSettings& node = m_context.settings.node();
   BOOST_LEAF_CHECK(m_driver.open());
   m_driver.onApplied([this] {
     m_jobs.onApplied();
+    m_workflows.onApplied();
     m_changed.notify();
   });
   m_driver.onRole([this](bool leads) {
     m_leadsSince = BootClock::now();
     m_nodes.clear();
     m_jobs.lead(leads);
+    m_workflows.lead(leads);
     m_changed.notify();
   });
   registerHandlers();
   Listening listening;
   BOOST_LEAF_ASSIGN(listening.rpcPort, m_rpc.start(node.address(), node.rpc_port()));
   BOOST_LEAF_ASSIGN(listening.httpPort, m_http.start(node.address(), node.http_port()));
+  BOOST_LEAF_CHECK(startEdge());
   m_driver.start();
   m_jobs.start();
+  m_workflows.start();
   asio::co_spawn(m_strand, housekeeping(), asio::detached);
   m_ready = true;
   return listening;
 }
 
+Result<void> ControlService::startEdge() {
+  const std::string& endpoint = m_context.settings.edge().control_endpoint();
+  if (endpoint.empty() || !m_edges.answerOperator) return {};
+  const std::size_t colon = endpoint.rfind(':');
+  BOOST_LEAF_ASSIGN(m_edgePort, m_operators.start(endpoint.substr(0, colon),
+                                                  static_cast<unsigned>(std::stoul(endpoint.substr(colon + 1)))));
+  return {};
+}
+
+void ControlService::registerWorkflowHandlers() {
+  m_workflows.setMembersSource([this] { return m_driver.memberIds(); });
+  m_rpc.handle<schema::QueueCall>("queue", [this](schema::QueueCall call, std::string) {
+    return asio::co_spawn(m_strand, m_workflows.call(std::move(call)), asio::use_awaitable);
+  });
+  m_rpc.handle<schema::AttendRequest>("attend", [this](schema::AttendRequest request, std::string) {
+    return asio::co_spawn(m_strand, m_workflows.attend(std::move(request)), asio::use_awaitable);
+  });
+  m_rpc.handle<schema::JoinRequest>("join", [this](schema::JoinRequest request, std::string) {
+    return asio::co_spawn(
+        m_strand, [this, request]() -> Awaitable<Result<schema::JoinReply>> { co_return m_driver.join(request); },
+        asio::use_awaitable);
+  });
+}
+
+// ---- the operator's protocol
+
+Awaitable<Result<void>> ControlService::put(schema::QueueConfiguration configuration) {
+  co_return co_await asio::co_spawn(m_strand, m_workflows.putConfiguration(std::move(configuration)),
+                                    asio::use_awaitable);
+}
+
+Awaitable<Result<std::string>> ControlService::read() {
+  Result<schema::QueueConfiguration> configuration =
+      co_await asio::co_spawn(m_strand, m_workflows.readConfiguration(), asio::use_awaitable);
+  if (!configuration) co_return fail(takeFailure(configuration));
+  co_return configuration->source();
+}
+
+std::string ControlService::leaderAddress() {
+  const ReplicaId leader = m_leader.load();
+  const bool named = leader != 0 && m_context.settings.cluster().seeds_size() > 0;
+  return named && replicaAddressOf(leader) != m_context.settings.node().address() ? replicaAddressOf(leader)
+                                                                                  : std::string();
+}
+
 void ControlService::registerHandlers() {
+  registerWorkflowHandlers();
   // Handlers arrive on any thread; all that they touch lives on the strand.
   m_rpc.handle<schema::ReplicaMessage>("replicate", [this](schema::ReplicaMessage message, std::string) {
     return asio::co_spawn(m_strand, replicate(std::move(message)), asio::use_awaitable);
@@ -79,6 +135,7 @@
   std::uint64_t announced = 0;
   while (true) {
     m_nodes.expire(BootClock::now());
+    m_leader.store(m_driver.replica().leader());
     m_nodes.setLeavingInstances(m_jobs.leavingInstances());
     if (m_nodes.version() != announced) m_changed.notify();
     announced = m_nodes.version();
@@ -340,6 +397,7 @@
       *change->mutable_object() = object;
     }
   }
+  for (const ReplicaId id : m_driver.memberIds()) reply.add_members(id);
   if (hasNewTargets(request)) {
     reply.set_has_targets(true);
     reply.set_view(m_nodes.version());
@@ -377,10 +435,12 @@
       m_strand,
       [this]() -> Awaitable<void> {
         co_await m_driver.handOver(milliseconds(m_context.settings.control().handover_limit_ms()));
+        m_workflows.release();
         m_changed.notify();
       },
       asio::use_awaitable);
   m_rpc.goAway();
+  m_operators.drain();
   m_http.drain();
   co_return co_await drainToZero([this] { return m_rpc.inFlight() + m_http.inFlight(); }, internal::StopLimit);
 }
--- a/Courseloom/src/Control/ControlService.h
+++ b/Courseloom/src/Control/ControlService.h
@@ -3,24 +3,39 @@
 
 #pragma once
 
+#include "Courseloom/src/Control/ConfigurationGateway.h"
 #include "Courseloom/src/Control/JobRunner.h"
+#include "Courseloom/src/Control/WorkflowRunner.h"
 #include "Courseloom/src/Membership/NodeTable.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
 #include "Courseloom/src/Transport/RpcServer.h"
 
 namespace courseloom {
 
+/** \class ControlEdges
+ * \brief The deployment's protocol, as far as a control replica speaks it; empty where none is spoken.
+ */
+struct ControlEdges {
+  std::function<std::unique_ptr<AdvicePort>(const DaemonContext&)> makeAdvice;
+  std::function<Awaitable<HttpResponse>(HttpRequest, ConfigurationGateway&, unsigned port)> answerOperator;
+};
+
 /** \class ControlService
  * \brief The control daemon: serves commands, queries and heartbeats on the leader, and the replicas' own messages.
  */
-class ControlService : public Service {
+class ControlService : public Service, private ConfigurationGateway {
  public:
-  explicit ControlService(const DaemonContext& context);
+  explicit ControlService(const DaemonContext& context, ControlEdges edges = {});
   Result<Listening> start() override;
   Awaitable<std::size_t> stop() override;
 
  private:
+  Awaitable<Result<void>> put(schema::QueueConfiguration configuration) override;
+  Awaitable<Result<std::string>> read() override;
+  std::string leaderAddress() override;
+  Result<void> startEdge();
   void registerHandlers();
+  void registerWorkflowHandlers();
   Awaitable<Result<schema::Empty>> replicate(schema::ReplicaMessage message);
   Awaitable<Result<schema::CommandReply>> command(schema::CommandRequest request);
   Awaitable<void> waitForInventory(Time deadline) const;
@@ -42,15 +57,20 @@
   HttpResponse answerHttp(const HttpRequest& request) const;
 
   DaemonContext m_context;
+  ControlEdges m_edges;
   ControlStrand m_strand;
   ReplicaDriver m_driver;
   JobRunner m_jobs;
+  WorkflowRunner m_workflows;
   NodeTable m_nodes;
   ChangeSignal m_changed;
   RpcServer m_rpc;
   HttpServer m_http;
+  HttpServer m_operators;
+  unsigned m_edgePort = 0;
   Time m_leadsSince{};
   bool m_configuring = false;
+  std::atomic<ReplicaId> m_leader{0};  ///< as the replica last knew it, for threads off the strand
   std::atomic<bool> m_ready{false};
   std::atomic<bool> m_stopping{false};
 };
--- a/Courseloom/src/Control/JobRunner.cpp
+++ b/Courseloom/src/Control/JobRunner.cpp
@@ -27,6 +27,10 @@
   return options;
 }
 
+std::string platform_address(const schema::Settings& settings) {
+  return settings.has_platform() ? settings.platform().address() : "127.0.0.1";
+}
+
 std::string class_of(const schema::Job& job) { return schema::Urgency_Name(job.spec().urgency()); }
 
 bool all_are(const std::vector<schema::TaskPhase>& phases, schema::TaskPhase phase) {
@@ -40,11 +44,13 @@
     : m_context(context),
       m_strand(std::move(strand)),
       m_driver(driver),
-      m_platform(context.io, context.settings.platform().address(), context.settings.platform().port(),
+      m_platform(context.io, internal::platform_address(context.settings), context.settings.platform().port(),
                  milliseconds(context.settings.platform().timeout_ms())),
       m_scheduler(internal::scheduler_options(context.settings.control())) {}
 
 void JobRunner::start() {
+  // Without the platform's interface there are no workers, and gangs wait.
+  if (!m_context.settings.has_platform()) return;
   asio::co_spawn(m_strand, scheduleLoop(), asio::detached);
   asio::co_spawn(m_strand, pollLoop(), asio::detached);
 }
--- a/Courseloom/src/Control/ReplicaDriver.cpp
+++ b/Courseloom/src/Control/ReplicaDriver.cpp
@@ -5,13 +5,17 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/post.hpp>
 #include <iostream>
 #include <random>
 
+#include "Courseloom/src/Core/Counted.h"
 #include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Membership/ControlClient.h"
 #include "generated/rpc.pb.h"
 
 namespace courseloom {
@@ -34,16 +38,27 @@
 std::vector<ReplicaId> member_ids(const schema::Settings& settings) {
   std::vector<ReplicaId> ids;
   for (const schema::ControlMember& member : settings.cluster().members()) ids.push_back(member.id());
+  for (const schema::Seed& seed : settings.cluster().seeds()) ids.push_back(replicaIdOf(seed.endpoint()));
+  std::sort(ids.begin(), ids.end());
   return ids;
 }
 
+/** Messages that may be under way to one peer; more are dropped, as a network would. */
+constexpr unsigned MaxSending = 32;
+constexpr Duration JoinInterval = milliseconds(250);
+constexpr Duration JoinLimit = milliseconds(800);
+/** Silence of the leader after which a replica asks to be taken in. */
+constexpr Duration JoinAfter = milliseconds(800);
+
 StateLimits state_limits(const schema::ControlSettings& control) {
-  return {control.max_kept_answer_bytes(), 1000ULL * control.claim_retention_s()};
+  return {control.max_kept_answer_bytes(), 1000ULL * control.claim_retention_s(),
+          1000ULL * control.workflow_retention_s()};
 }
 
 /** New work may be refused for want of space; what ends work that has begun must not be. */
 bool is_new_work(const schema::Command& command) {
-  return command.has_apply() || command.has_action() || command.has_open_claim() || command.has_submit();
+  return command.has_apply() || command.has_action() || command.has_open_claim() || command.has_submit() ||
+         command.has_submit_workflow() || command.has_put_configuration();
 }
 
 schema::DiskIdentity make_identity(const schema::Settings& settings, ReplicaId id, const std::string& diskId) {
@@ -59,6 +74,7 @@
 }  // namespace internal
 
 Result<ReplicaId> ownReplicaId(const schema::Settings& settings) {
+  if (settings.cluster().seeds_size() > 0) return replicaIdOf(settings.node().address());
   for (const schema::ControlMember& member : settings.cluster().members()) {
     const bool own = member.address() == settings.node().address() && member.rpc_port() == settings.node().rpc_port();
     if (own) return member.id();
@@ -90,15 +106,12 @@
   const schema::Settings& settings = m_context.settings;
   const schema::ClusterSettings& cluster = settings.cluster();
   BOOST_LEAF_AUTO(id, ownReplicaId(settings));
-  if (!m_store.exists()) {
-    logEvent(schema::DiskJoining, {{"folder", settings.node().data_folder()}});
-    BOOST_LEAF_CHECK(m_store.initialise(internal::make_identity(settings, id, internal::random_disk_id()), {}));
-  }
+  BOOST_LEAF_CHECK(prepareFolder(id));
   BOOST_LEAF_AUTO(restored, m_store.open(cluster.id(), id));
   if (m_store.bytesCut() > 0) logEvent(schema::LogTailCut, {{"bytes", m_store.bytesCut()}});
   m_appliedMembers = restored.snapshot.info().members();
   for (const schema::Member& member : m_appliedMembers.members()) {
-    if (m_peers.count(member.id()) > 0) continue;
+    if (usesSeeds() || m_peers.count(member.id()) > 0) continue;
     return fail(Failure{FailureCode::BadSettings, Ran::No, "open storage", settings.node().data_folder(),
                         "the log names replica " + std::to_string(member.id()) + ", which the settings do not list",
                         0});
@@ -110,7 +123,12 @@
   options.clusterId = cluster.id();
   options.id = id;
   options.diskId = m_store.identity().disk_id();
-  options.peers = internal::member_ids(settings);
+  if (!usesSeeds()) options.peers = internal::member_ids(settings);
+  if (usesSeeds()) {
+    options.replaceAfter = milliseconds(settings.control().replace_after_ms());
+    options.wantedVoters = static_cast<std::size_t>(cluster.seeds_size());
+    for (const ReplicaId seed : internal::member_ids(settings)) m_joinAt.insert(seed);
+  }
   options.heartbeat = milliseconds(cluster.heartbeat_ms());
   options.electionTimeout = milliseconds(cluster.election_timeout_ms());
   options.seed = std::random_device()();
@@ -118,7 +136,85 @@
   return {};
 }
 
-void ReplicaDriver::start() { asio::co_spawn(m_strand, tickLoop(), asio::detached); }
+/** An empty folder becomes that of a founder, at the very first start of a seed, or of a replica that joins. */
+Result<void> ReplicaDriver::prepareFolder(ReplicaId id) {
+  if (m_store.exists()) return {};
+  const schema::Settings& settings = m_context.settings;
+  const std::vector<ReplicaId> founders = internal::member_ids(settings);
+  const bool isFounder = std::find(founders.begin(), founders.end(), id) != founders.end();
+  if (usesSeeds() && settings.cluster().bootstrap() && isFounder) return initialiseFounder(settings);
+  logEvent(schema::DiskJoining, {{"folder", settings.node().data_folder()}});
+  return m_store.initialise(internal::make_identity(settings, id, internal::random_disk_id()), {});
+}
+
+void ReplicaDriver::start() {
+  asio::co_spawn(m_strand, tickLoop(), asio::detached);
+  if (usesSeeds()) asio::co_spawn(m_strand, joinLoop(), asio::detached);
+}
+
+// ---- joining
+
+std::vector<ReplicaId> ReplicaDriver::memberIds() const {
+  std::vector<ReplicaId> ids;
+  for (const schema::Member& member : m_replica->members().members()) ids.push_back(member.id());
+  return ids;
+}
+
+Awaitable<void> ReplicaDriver::joinLoop() {
+  while (true) {
+    co_await sleepFor(internal::JoinInterval);
+    const Time now = BootClock::now();
+    if (now < m_replica->leaderHeard(now) + internal::JoinAfter) continue;
+    for (const ReplicaId id : memberIds()) m_joinAt.insert(id);
+    for (const ReplicaId id : m_joinAt) asio::co_spawn(m_strand, askToJoin(id), asio::detached);
+  }
+}
+
+Awaitable<void> ReplicaDriver::askToJoin(ReplicaId at) {
+  schema::JoinRequest request;
+  request.set_id(replicaIdOf(m_context.settings.node().address()));
+  request.set_disk_id(m_store.identity().disk_id());
+  if (at == request.id()) co_return;
+  Result<schema::JoinReply> reply =
+      co_await clientOf(at)->call<schema::JoinReply>("join", request, BootClock::now() + internal::JoinLimit);
+  if (reply) {
+    for (const ReplicaId id : reply->members()) m_joinAt.insert(id);
+    co_return;
+  }
+  const Failure failure = takeFailure(reply);
+  const std::optional<ReplicaId> leader = replicaNamedBy(failure);
+  if (leader) m_joinAt.insert(*leader);
+}
+
+Result<schema::JoinReply> ReplicaDriver::join(const schema::JoinRequest& request) {
+  if (!m_replica->isLeader()) return fail(noLeader("join"));
+  m_replica->addPeer(request.id(), BootClock::now());
+  drive();
+  schema::JoinReply reply;
+  for (const ReplicaId id : memberIds()) reply.add_members(id);
+  return reply;
+}
+
+/** A disk that was replaced has no say any more; the replica begins anew with an empty one. */
+void ReplicaDriver::leaveIfRetired() {
+  if (!usesSeeds()) return;
+  const auto& retired = m_appliedMembers.retired_disks();
+  if (std::find(retired.begin(), retired.end(), m_store.identity().disk_id()) == retired.end()) return;
+  logEvent(schema::DiskRetired, {{"disk", m_store.identity().disk_id()}});
+  Result<void> erased = m_store.erase();
+  if (!erased) logFailure(schema::StorageFailed, takeFailure(erased));
+  std::_Exit(ExitStorage);
+}
+
+std::shared_ptr<RpcClient> ReplicaDriver::clientOf(ReplicaId id) {
+  const auto found = m_peers.find(id);
+  if (found != m_peers.end()) return found->second;
+  if (!usesSeeds()) return nullptr;
+  auto client =
+      std::make_shared<RpcClient>(m_context.io, replicaAddressOf(id), m_context.settings.cluster().seed_rpc_port());
+  m_peers[id] = client;
+  return client;
+}
 
 Awaitable<void> ReplicaDriver::tickLoop() {
   const Duration step = milliseconds(m_context.settings.cluster().heartbeat_ms()) / internal::TicksPerHeartbeat;
@@ -199,6 +295,7 @@
   if (entry.has_members()) {
     m_appliedMembers = entry.members();
     logEvent(schema::MembersChanged, {{"index", entry.index()}, {"members", entry.members().ShortDebugString()}});
+    leaveIfRetired();
   }
   Result<schema::CommandReply> reply = schema::CommandReply();
   schema::Command command;
@@ -220,13 +317,17 @@
 }
 
 void ReplicaDriver::sendOne(schema::ReplicaMessage message) {
-  const auto peer = m_peers.find(message.to());
-  if (peer == m_peers.end()) return;
+  const std::shared_ptr<RpcClient> client = clientOf(message.to());
+  if (!client) return;
+  std::shared_ptr<std::atomic<unsigned>>& sending = m_sending[message.to()];
+  if (!sending) sending = std::make_shared<std::atomic<unsigned>>(0);
+  if (sending->load() >= internal::MaxSending) return;
   const Time deadline = BootClock::now() + 2 * milliseconds(m_context.settings.cluster().election_timeout_ms());
   // A lost message is the replica's to repeat; failures show in the metrics and in the peer's silence.
   asio::co_spawn(
       m_context.io,
-      [this, client = peer->second, message = std::move(message), deadline]() -> Awaitable<void> {
+      [this, client, sending, message = std::move(message), deadline]() -> Awaitable<void> {
+        const Counted<unsigned> counted(*sending);
         Result<schema::Empty> reply = co_await client->call<schema::Empty>("replicate", message, deadline);
         if (!reply) m_context.metrics.count("replica_send_failures", client->peer());
       },
--- a/Courseloom/src/Control/ReplicaDriver.h
+++ b/Courseloom/src/Control/ReplicaDriver.h
@@ -46,9 +46,16 @@
   /** Called on the strand when this replica begins or ends to lead. */
   void onRole(std::function<void(bool leads)> hook) { m_onRole = std::move(hook); }
 
+  /** Takes a replica in that asks to join; on the strand. */
+  Result<schema::JoinReply> join(const schema::JoinRequest& request);
+  /** \returns the ids of the replicas in the log. */
+  std::vector<ReplicaId> memberIds() const;
+
   const Replica& replica() const { return *m_replica; }
   const ClusterState& state() const { return m_state; }
   std::set<std::string> takeChangedJobs() { return m_state.takeChangedJobs(); }
+  std::vector<RunChange> takeRunChanges() { return m_state.workflows().takeRunChanges(); }
+  std::vector<std::string> takeEndedWithRuns() { return m_state.workflows().takeEndedWithRuns(); }
   bool canRead() const { return m_replica->canRead(BootClock::now()); }
   /** \returns the failure of whoever asks this replica for what only the leader can do; it names the leader. */
   Failure noLeader(const std::string& step) const;
@@ -60,6 +67,12 @@
   };
 
   Awaitable<void> tickLoop();
+  Awaitable<void> joinLoop();
+  Awaitable<void> askToJoin(ReplicaId at);
+  bool usesSeeds() const { return m_context.settings.cluster().seeds_size() > 0; }
+  std::shared_ptr<RpcClient> clientOf(ReplicaId id);
+  Result<void> prepareFolder(ReplicaId id);
+  void leaveIfRetired();
   void drive();
   void store(ReplicaOutput output);
   void finish(const ReplicaOutput& output);
@@ -79,6 +92,8 @@
   std::unique_ptr<Replica> m_replica;
   ClusterState m_state;
   std::map<ReplicaId, std::shared_ptr<RpcClient>> m_peers;
+  std::map<ReplicaId, std::shared_ptr<std::atomic<unsigned>>> m_sending;  ///< messages under way, by peer
+  std::set<ReplicaId> m_joinAt;                                           ///< replicas that may know the leader
   std::map<LogIndex, Waiter> m_waiters;
   LogIndex m_applied = 0;
   Term m_appliedTerm = 0;
--- /dev/null
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -0,0 +1,516 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Control/WorkflowRunner.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Courseloom/src/Core/Log.h"
+
+namespace courseloom {
+
+namespace asio = boost::asio;
+
+namespace internal {
+namespace {
+
+constexpr Duration TickInterval = milliseconds(100);
+constexpr Duration CommitLimit = milliseconds(3000);
+constexpr Duration AdviceMargin = milliseconds(300);
+constexpr Duration AdviceLimit = milliseconds(5000);
+constexpr Duration AdvicePause = milliseconds(200);
+constexpr std::size_t MaxAdvisedTargets = 100;
+constexpr double AcceleratorCores = 8.0;
+constexpr double MillisecondsPerSecond = 1000.0;
+/** An unfinished task whose percent stands at this is taken to be about to end. */
+constexpr double WholePercent = 100.0;
+
+RunLedgerOptions ledger_options(const schema::Settings& settings) {
+  RunLedgerOptions options;
+  options.grant = milliseconds(settings.control().run_grant_ms());
+  return options;
+}
+
+std::string gang_name(const RunKey& key) {
+  return key.workflow + "." + std::to_string(key.task.occurrence) + "." + std::to_string(key.task.step) + "." +
+         std::to_string(key.run);
+}
+
+/** \returns "ID.OCCURRENCE.STEP.INDEX", as logs name a task. */
+std::string task_text(const schema::TaskId& id) {
+  return id.workflow() + "." + std::to_string(id.occurrence()) + "." + std::to_string(id.step()) + "." +
+         std::to_string(id.index());
+}
+
+}  // namespace
+}  // namespace internal
+
+double longestChainMs(const schema::WorkflowSpec& spec) {
+  std::vector<double> ends;
+  double longest = 0.0;
+  for (const schema::StepSpec& step : spec.steps()) {
+    double begins = 0.0;
+    for (const std::uint32_t earlier : step.after()) begins = std::max(begins, ends[earlier]);
+    ends.push_back(begins + static_cast<double>(step.estimate_ms()));
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+WorkflowRunner::WorkflowRunner(const DaemonContext& context, ControlStrand strand, ReplicaDriver& driver,
+                               std::unique_ptr<AdvicePort> advice)
+    : m_context(context),
+      m_strand(std::move(strand)),
+      m_driver(driver),
+      m_advice(std::move(advice)),
+      m_ledger(internal::ledger_options(context.settings)) {}
+
+void WorkflowRunner::start() {
+  asio::co_spawn(m_strand, tickLoop(), asio::detached);
+  asio::co_spawn(m_strand, planLoop(), asio::detached);
+}
+
+void WorkflowRunner::lead(bool leads) {
+  m_leads = leads;
+  m_permissions.clear();
+  m_readySince.clear();
+  if (leads) m_ledger.lead(table(), BootClock::now());
+  for (auto& [agent, signal] : m_agentSignals) signal.notify();
+  wake();
+}
+
+void WorkflowRunner::release() {
+  m_released = true;
+  for (auto& [agent, signal] : m_agentSignals) signal.notify();
+}
+
+void WorkflowRunner::wake() {
+  m_dirty = true;
+  m_planWanted.notify();
+}
+
+void WorkflowRunner::notifyAgent(const std::string& agent) {
+  const auto found = m_agentSignals.find(agent);
+  if (found != m_agentSignals.end()) found->second.notify();
+}
+
+void WorkflowRunner::onApplied() {
+  const std::vector<RunChange> changes = m_driver.takeRunChanges();
+  const std::vector<std::string> ended = m_driver.takeEndedWithRuns();
+  if (!m_leads) return;
+  m_ledger.apply(changes, BootClock::now());
+  for (const RunChange& change : changes) {
+    if (change.started) notifyAgent(change.run.agent());
+  }
+  for (const std::string& id : ended) {
+    const WorkflowState* workflow = table().find(id);
+    if (workflow == nullptr) continue;
+    for (const auto& [key, task] : workflow->tasks) {
+      for (const schema::ActiveRun& run : task.active) notifyAgent(run.agent());
+    }
+  }
+  wake();
+}
+
+Awaitable<void> WorkflowRunner::tickLoop() {
+  while (true) {
+    co_await sleepFor(internal::TickInterval);
+    if (!leads()) continue;
+    co_await expireRuns();
+    if (!table().open().empty()) wake();
+  }
+}
+
+Awaitable<void> WorkflowRunner::expireRuns() {
+  schema::RecordRuns runs;
+  for (schema::RunEnd& end : m_ledger.expire(BootClock::now())) *runs.add_ends() = std::move(end);
+  if (runs.ends_size() == 0) co_return;
+  for (const schema::RunEnd& end : runs.ends()) {
+    logEvent(schema::RunExpired, {{"task", internal::task_text(end.task())}, {"run", std::uint64_t{end.run()}}});
+  }
+  co_await commitRuns(std::move(runs));
+}
+
+Awaitable<bool> WorkflowRunner::commitRuns(schema::RecordRuns runs) {
+  schema::Command command;
+  *command.mutable_record_runs() = std::move(runs);
+  Result<schema::CommandReply> reply =
+      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
+  co_return static_cast<bool>(reply);
+}
+
+// ---- planning
+
+Awaitable<void> WorkflowRunner::planLoop() {
+  while (true) {
+    while (!m_dirty) co_await m_planWanted.wait(BootClock::now() + milliseconds(1000));
+    m_dirty = false;
+    if (!leads()) continue;
+    const Time before = BootClock::now();
+    schema::RecordRuns runs = makePlan();
+    m_context.metrics.record("plan_ms", "all", "all", toMilliseconds(BootClock::now() - before));
+    if (runs.starts_size() > 0) co_await commitRuns(std::move(runs));
+  }
+}
+
+schema::RecordRuns WorkflowRunner::makePlan() {
+  schema::RecordRuns runs;
+  std::vector<PlannedStep> steps = planSteps();
+  if (steps.empty()) return runs;
+  const std::vector<PlannedTarget> targets = planTargets();
+  const RunPlan plan = m_planner.plan(targets, planRuns(targets), steps);
+  for (const RunKey& key : plan.stops) {
+    const std::string agent = m_ledger.wantStop(key);
+    logEvent(schema::RunPreempted,
+             {{"task", internal::task_text(makeTaskId(key.workflow, key.task))}, {"run", std::uint64_t{key.run}}});
+    notifyAgent(agent);
+  }
+  for (const RunPlan::Start& start : plan.starts) {
+    const PlannedStep& step = steps[start.step];
+    const PlannedTarget& target = targets[start.target];
+    const TaskKey key{step.key.occurrence, step.key.step, start.task};
+    schema::RunStart* row = runs.add_starts();
+    *row->mutable_task() = makeTaskId(step.workflow->record.id(), key);
+    row->mutable_run()->set_number(step.workflow->nextRun(key));
+    row->mutable_run()->set_target(target.id);
+    row->mutable_run()->set_agent(target.agent);
+    row->mutable_run()->set_checkpoint(step.workflow->checkpointOf(key));
+    if (step.tickets) row->mutable_run()->set_ticket(step.tickets->at(target.id));
+    logEvent(schema::RunPlaced, {{"task", internal::task_text(row->task())},
+                                 {"run", std::uint64_t{row->run().number()}},
+                                 {"target", target.id},
+                                 {"waitedMs", static_cast<std::uint64_t>(step.waitedMs)}});
+  }
+  return runs;
+}
+
+std::vector<PlannedTarget> WorkflowRunner::planTargets() const {
+  const Time now = BootClock::now();
+  std::vector<PlannedTarget> targets;
+  for (const auto& [agent, track] : m_ledger.targets()) {
+    const schema::TargetReport& report = track.report;
+    PlannedTarget& target = targets.emplace_back();
+    target.id = report.id();
+    target.agent = agent;
+    target.service = report.service();
+    target.rack = report.rack();
+    target.labels.insert(report.labels().begin(), report.labels().end());
+    target.capacity.cpuMilli = static_cast<std::int64_t>(report.capacity().cpu_milli());
+    target.capacity.memoryMb = static_cast<std::int64_t>(report.capacity().memory_mb());
+    target.capacity.accelerators = report.capacity().accelerators();
+    target.open = m_ledger.open(agent, now);
+  }
+  return targets;
+}
+
+std::vector<PlannedRun> WorkflowRunner::planRuns(const std::vector<PlannedTarget>& targets) const {
+  std::map<std::string, std::size_t> byAgent;
+  for (std::size_t i = 0; i < targets.size(); ++i) byAgent[targets[i].agent] = i;
+  const Time now = BootClock::now();
+  std::vector<PlannedRun> runs;
+  for (const auto& [key, track] : m_ledger.runs()) {
+    const auto target = byAgent.find(track.agent);
+    const WorkflowState* workflow = table().find(key.workflow);
+    if (target == byAgent.end() || workflow == nullptr) continue;
+    const schema::StepSpec& step = workflow->step(key.task.step);
+    PlannedRun& run = runs.emplace_back();
+    run.key = key;
+    run.target = target->second;
+    run.need = roomOf(step);
+    run.priority = workflow->record.priority();
+    run.stopping = track.stopWanted || workflow->ended();
+    run.movable = !step.long_running();
+    if (step.gang()) run.gang = internal::gang_name(key);
+    const double ranMs = toMilliseconds(now - track.startedAt);
+    const double cores = static_cast<double>(step.need().cpu_milli()) / internal::MillisecondsPerSecond +
+                         internal::AcceleratorCores * step.need().accelerators();
+    run.lostWork = step.checkpointable() ? 0.0 : cores * ranMs / internal::MillisecondsPerSecond;
+    const double share = track.percent / internal::WholePercent;
+    const double whole = std::max(static_cast<double>(step.estimate_ms()), share > 0.1 ? ranMs / share : 0.0);
+    run.remainingMs = std::max(0.0, whole * (1.0 - share));
+  }
+  return runs;
+}
+
+std::vector<PlannedStep> WorkflowRunner::planSteps() {
+  const std::uint64_t nowMs = wallClockMs();
+  std::vector<PlannedStep> steps;
+  for (const std::string& id : table().open()) {
+    const WorkflowState* workflow = table().find(id);
+    if (!workflow->ended()) addSteps(*workflow, nowMs, steps);
+  }
+  return steps;
+}
+
+void WorkflowRunner::addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps) {
+  const schema::Workflow& record = workflow.record;
+  const schema::Queue* queue = queueNamed(record.queue());
+  for (std::uint32_t occurrence = 0; occurrence < workflow.occurrences(); ++occurrence) {
+    const std::uint64_t due = workflow.dueMs(occurrence);
+    if (due > nowMs) break;
+    for (int s = 0; s < record.spec().steps_size(); ++s) {
+      const StepKey key{occurrence, static_cast<std::uint32_t>(s)};
+      if (workflow.stepDone(key) || !workflow.stepReady(key)) continue;
+      const schema::StepSpec& spec = record.spec().steps(s);
+      PlannedStep step;
+      step.workflow = &workflow;
+      step.key = key;
+      for (std::uint32_t i = 0; i < spec.count(); ++i) {
+        const TaskState* task = workflow.task({occurrence, key.step, i});
+        const bool waits = task == nullptr || (!task->done && task->active.empty());
+        if (waits) step.tasks.push_back(i);
+        if (task == nullptr) continue;
+        for (const schema::ActiveRun& run : task->active) ++step.placedOn[run.target()];
+      }
+      const bool partOfGang = spec.gang() && step.tasks.size() < spec.count();
+      if (step.tasks.empty() || partOfGang) continue;
+      step.priority = record.priority();
+      step.estimateMs = static_cast<double>(spec.estimate_ms());
+      step.objectiveMs =
+          static_cast<double>(due) + record.stretch() * longestChainMs(record.spec()) + record.latency_target_ms();
+      const StepName name{record.id(), key};
+      const Time now = BootClock::now();
+      step.waitedMs = toMilliseconds(now - m_readySince.try_emplace(name, now).first->second);
+      if (permit(step, queue)) steps.push_back(std::move(step));
+    }
+  }
+}
+
+const schema::Queue* WorkflowRunner::queueNamed(const std::string& name) const {
+  for (const schema::Queue& queue : table().configuration().queues()) {
+    if (queue.name() == name) return &queue;
+  }
+  return nullptr;
+}
+
+// ---- advice
+
+/** \returns whether a step may be planned now: no permission is needed, or some is held. */
+bool WorkflowRunner::permit(PlannedStep& step, const schema::Queue* queue) {
+  if (queue == nullptr || !queue->has_advice() || !m_advice) return true;
+  const StepName name{step.workflow->record.id(), step.key};
+  Permission& permission = m_permissions[name];
+  const Time now = BootClock::now();
+  if (now >= permission.until) {
+    permission.tickets.clear();
+    permission.asked.clear();
+  }
+  std::vector<std::string> unasked;
+  for (const auto& [agent, track] : m_ledger.targets()) {
+    const bool wanted = m_ledger.open(agent, now) && track.report.service() == step.workflow->record.service();
+    if (wanted && permission.asked.count(track.report.id()) == 0) unasked.push_back(track.report.id());
+  }
+  if (!unasked.empty() && !permission.asking) {
+    permission.asking = true;
+    if (unasked.size() > internal::MaxAdvisedTargets) unasked.resize(internal::MaxAdvisedTargets);
+    asio::co_spawn(m_strand, askAdvice(name, std::move(unasked), milliseconds(queue->advice().validity_ms())),
+                   asio::detached);
+  }
+  step.tickets = permission.tickets;
+  return !permission.tickets.empty();
+}
+
+Awaitable<void> WorkflowRunner::askAdvice(StepName name, std::vector<std::string> targets, Duration validity) {
+  const Time askedAt = BootClock::now();
+  const schema::TaskId step = makeTaskId(name.first, {name.second.occurrence, name.second.step, 0});
+  Result<std::vector<Ticket>> tickets = co_await m_advice->advise(step, targets, internal::AdviceLimit);
+  if (!tickets) {
+    logFailure(schema::AdviceFailed, takeFailure(tickets));
+    co_await sleepFor(internal::AdvicePause);
+  }
+  const auto found = m_permissions.find(name);
+  if (found == m_permissions.end()) co_return;
+  Permission& permission = found->second;
+  permission.asking = false;
+  if (tickets) {
+    if (permission.asked.empty()) permission.until = askedAt + validity - internal::AdviceMargin;
+    permission.asked.insert(targets.begin(), targets.end());
+    for (Ticket& ticket : *tickets) permission.tickets[ticket.target] = std::move(ticket.text);
+  }
+  wake();
+}
+
+// ---- agents
+
+Awaitable<Result<schema::AttendReply>> WorkflowRunner::attend(schema::AttendRequest request) {
+  const Time received = BootClock::now();
+  if (!leads()) co_return fail(m_driver.noLeader("attend"));
+  schema::RecordRuns runs;
+  for (schema::RunEnd& end : m_ledger.takeReport(request, table(), received)) {
+    logEvent(schema::RunEnded, {{"task", internal::task_text(end.task())},
+                                {"run", std::uint64_t{end.run()}},
+                                {"kind", schema::RunEndKind_Name(end.kind())},
+                                {"target", request.target().id()}});
+    *runs.add_ends() = std::move(end);
+  }
+  schema::AttendReply reply;
+  if (runs.ends_size() > 0 && !co_await commitRuns(std::move(runs))) co_return fail(m_driver.noLeader("attend"));
+  wake();
+  reply.set_ends_target(request.target().id());
+  for (const schema::EndReport& end : request.ends()) {
+    reply.set_ends_taken(std::max<std::uint64_t>(reply.ends_taken(), end.number()));
+  }
+  const Time end = received + milliseconds(request.wait_ms());
+  const bool hasNews = request.ends_size() > 0 || request.started_size() > 0;
+  while (leads() && !hasNews && !m_released && BootClock::now() < end) {
+    if (m_ledger.hasOrders(request.agent(), table(), BootClock::now())) break;
+    co_await m_agentSignals[request.agent()].wait(end);
+  }
+  if (!leads() || m_released) co_return fail(m_driver.noLeader("attend"));
+  const Time now = BootClock::now();
+  for (schema::RunOrder& order : m_ledger.takeOrders(request.agent(), table(), now)) {
+    *reply.add_orders() = std::move(order);
+  }
+  m_ledger.granted(request.agent(), now);
+  reply.set_term(m_driver.replica().term());
+  reply.set_grant_ms(m_context.settings.control().run_grant_ms());
+  reply.set_held_ms(static_cast<std::uint32_t>(toMilliseconds(now - received)));
+  if (m_membersSource) {
+    for (const ReplicaId id : m_membersSource()) reply.add_members(id);
+  }
+  co_return reply;
+}
+
+// ---- callers
+
+const schema::Queue* WorkflowRunner::findQueue(const schema::QueueCall& call, std::string& id) const {
+  const schema::Queue* found = nullptr;
+  for (const schema::Queue& queue : table().configuration().queues()) {
+    if (queue.host() != call.host() || call.path().rfind(queue.path_prefix(), 0) != 0) continue;
+    if (found == nullptr || queue.path_prefix().size() > found->path_prefix().size()) found = &queue;
+  }
+  if (found != nullptr) id = call.path().substr(found->path_prefix().size());
+  return found;
+}
+
+Result<std::string> WorkflowRunner::tenantOf(const schema::Queue& queue, const schema::QueueCall& call) const {
+  for (const schema::Tenant& tenant : table().configuration().tenants()) {
+    for (const std::string& key : tenant.keys()) {
+      if (!call.key().empty() && key == call.key()) return tenant.name();
+    }
+  }
+  if (queue.public_access()) return std::string();
+  return fail(Failure{FailureCode::UnknownWorkspace, Ran::No, "authorise", "", "the key belongs to no tenant", 0});
+}
+
+Awaitable<Result<schema::QueueAnswer>> WorkflowRunner::call(schema::QueueCall call) {
+  if (!leads()) co_return fail(m_driver.noLeader("queue"));
+  schema::QueueAnswer answer;
+  if (!table().configured()) {
+    answer.set_outcome(schema::QueueUnconfigured);
+    co_return answer;
+  }
+  std::string id;
+  const schema::Queue* queue = findQueue(call, id);
+  if (queue == nullptr) {
+    answer.set_outcome(schema::QueueUnknown);
+    co_return answer;
+  }
+  Result<std::string> tenant = tenantOf(*queue, call);
+  if (!tenant) {
+    answer.set_outcome(schema::QueueUnauthorised);
+    co_return answer;
+  }
+  if (call.kind() == schema::QueueSubmit) co_return co_await submit(call, *queue, *tenant, id);
+  if (call.kind() == schema::QueueCancel) co_return co_await cancel(*tenant, id);
+  if (!id.empty()) co_return stateOf(*tenant, id);
+  answer.set_outcome(schema::QueueAnswered);
+  answer.set_counted(true);
+  answer.set_pending(pendingOf(queue->name()));
+  co_return answer;
+}
+
+Awaitable<Result<schema::QueueAnswer>> WorkflowRunner::submit(const schema::QueueCall& call, const schema::Queue& queue,
+                                                              std::string tenant, std::string id) {
+  schema::QueueAnswer answer;
+  if (!call.unreadable().empty() || id.empty()) {
+    answer.set_outcome(schema::QueueInvalid);
+    answer.set_detail(id.empty() ? "the path names no workflow" : call.unreadable());
+    co_return answer;
+  }
+  answer.set_outcome(schema::QueueAccepted);
+  if (table().find(id) != nullptr) co_return answer;
+  schema::Command command;
+  schema::Workflow& workflow = *command.mutable_submit_workflow()->mutable_workflow();
+  workflow.set_id(id);
+  *workflow.mutable_spec() = call.spec();
+  workflow.set_queue(queue.name());
+  workflow.set_tenant(tenant);
+  workflow.set_service(queue.service());
+  workflow.set_priority(queue.priority());
+  workflow.set_max_attempts(std::max(1U, queue.max_attempts()));
+  workflow.set_stretch(queue.stretch());
+  workflow.set_latency_target_ms(queue.latency_target_ms());
+  const std::string queueName = queue.name();
+  const Time before = BootClock::now();
+  Result<schema::CommandReply> reply =
+      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
+  if (!reply) co_return fail(takeFailure(reply));
+  const double tookMs = toMilliseconds(BootClock::now() - before);
+  m_context.metrics.record("workflow_accept_ms", tenant, queueName, tookMs);
+  logEvent(schema::WorkflowAccepted, {{"workflow", id},
+                                      {"queue", queueName},
+                                      {"tenant", tenant},
+                                      {"configuration", table().configuration().version()},
+                                      {"tookMs", static_cast<std::uint64_t>(tookMs)}});
+  co_return answer;
+}
+
+Awaitable<Result<schema::QueueAnswer>> WorkflowRunner::cancel(const std::string& tenant, std::string id) {
+  schema::QueueAnswer answer = stateOf(tenant, id);
+  if (answer.outcome() == schema::WorkflowUnknown || isEnded(answer.phase())) co_return answer;
+  schema::Command command;
+  command.mutable_cancel_workflow()->set_id(id);
+  Result<schema::CommandReply> reply =
+      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
+  if (!reply) co_return fail(takeFailure(reply));
+  logEvent(schema::WorkflowCancelledByCaller, {{"workflow", id}});
+  answer.set_phase(schema::WorkflowCancelled);
+  co_return answer;
+}
+
+schema::QueueAnswer WorkflowRunner::stateOf(const std::string& tenant, const std::string& id) const {
+  schema::QueueAnswer answer;
+  const WorkflowState* workflow = table().find(id);
+  const bool visible = workflow != nullptr &&
+                       (tenant.empty() || workflow->record.tenant().empty() || workflow->record.tenant() == tenant);
+  if (!visible) {
+    answer.set_outcome(schema::WorkflowUnknown);
+    return answer;
+  }
+  answer.set_outcome(schema::QueueAnswered);
+  answer.set_phase(workflow->record.phase());
+  return answer;
+}
+
+std::uint32_t WorkflowRunner::pendingOf(const std::string& queue) const {
+  std::uint32_t pending = 0;
+  for (const std::string& id : table().open()) {
+    const schema::Workflow& record = table().find(id)->record;
+    if (record.queue() == queue && record.phase() == schema::WorkflowQueued) ++pending;
+  }
+  return pending;
+}
+
+// ---- configuration
+
+Awaitable<Result<void>> WorkflowRunner::putConfiguration(schema::QueueConfiguration configuration) {
+  if (!leads()) co_return fail(m_driver.noLeader("put configuration"));
+  if (configuration.version() <= table().configuration().version()) co_return Result<void>();
+  const std::uint64_t version = configuration.version();
+  schema::Command command;
+  *command.mutable_put_configuration()->mutable_configuration() = std::move(configuration);
+  Result<schema::CommandReply> reply =
+      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
+  if (!reply) co_return fail(takeFailure(reply));
+  logEvent(schema::ConfigurationAccepted, {{"version", version}});
+  co_return Result<void>();
+}
+
+Awaitable<Result<schema::QueueConfiguration>> WorkflowRunner::readConfiguration() {
+  if (!leads()) co_return fail(m_driver.noLeader("read configuration"));
+  co_return table().configuration();
+}
+
+}  // namespace courseloom
--- a/Courseloom/src/Entry/EntryService.cpp
+++ b/Courseloom/src/Entry/EntryService.cpp
@@ -25,8 +25,9 @@
 }  // namespace
 }  // namespace internal
 
-EntryService::EntryService(const DaemonContext& context)
+EntryService::EntryService(const DaemonContext& context, EntryEdges edges)
     : m_context(context),
+      m_edges(std::move(edges)),
       m_follower(
           context.io, context.settings.cluster(), [this] { return status(); },
           ViewBuilder([&io = context.io](const std::string& address, unsigned port) {
@@ -34,16 +35,39 @@
           })),
       m_requests(context, m_follower),
       m_operators(m_follower.control(), context.settings.node().name()),
+      m_queues(m_follower.control()),
       m_http(context.io, internal::http_limits(context.settings.entry()),
-             [this](HttpRequest request, std::string peer) { return handle(std::move(request), std::move(peer)); }) {}
+             [this](HttpRequest request, std::string peer) { return handle(std::move(request), std::move(peer)); }),
+      m_callers(
+          context.io, internal::http_limits(context.settings.entry()),
+          [this](HttpRequest request, std::string) { return m_edges.answerCaller(std::move(request), m_queues); }),
+      m_readiness(context.io, HttpLimits(), [this](HttpRequest request, std::string) -> Awaitable<HttpResponse> {
+        co_return m_edges.answerReadiness(request, ready());
+      }) {}
 
 Result<Listening> EntryService::start() {
   const schema::NodeSettings& node = m_context.settings.node();
   BOOST_LEAF_ASSIGN(m_listening.httpPort, m_http.start(node.address(), node.http_port()));
+  BOOST_LEAF_CHECK(startEdge());
   m_follower.start();
   return m_listening;
 }
 
+Result<void> EntryService::startEdge() {
+  const auto listen = [](HttpServer& server, const std::string& endpoint) {
+    const std::size_t colon = endpoint.rfind(':');
+    return server.start(endpoint.substr(0, colon), static_cast<unsigned>(std::stoul(endpoint.substr(colon + 1))));
+  };
+  const schema::EdgeSettings& edge = m_context.settings.edge();
+  if (m_edges.answerCaller && !edge.client_endpoint().empty()) {
+    BOOST_LEAF_CHECK(listen(m_callers, edge.client_endpoint()));
+  }
+  if (m_edges.answerReadiness && !edge.readiness_endpoint().empty()) {
+    BOOST_LEAF_CHECK(listen(m_readiness, edge.readiness_endpoint()));
+  }
+  return {};
+}
+
 schema::NodeStatus EntryService::status() const {
   const schema::NodeSettings& node = m_context.settings.node();
   schema::NodeStatus status;
@@ -95,7 +119,9 @@
   m_stopping = true;
   co_await sleepFor(milliseconds(entry.not_ready_ms()));
   m_http.drain();
-  co_return co_await drainToZero([this] { return m_http.inFlight(); }, milliseconds(entry.drain_limit_ms()));
+  m_callers.drain();
+  co_return co_await drainToZero([this] { return m_http.inFlight() + m_callers.inFlight(); },
+                                 milliseconds(entry.drain_limit_ms()));
 }
 
 }  // namespace courseloom
--- a/Courseloom/src/Membership/ControlClient.h
+++ b/Courseloom/src/Membership/ControlClient.h
@@ -3,7 +3,8 @@
 
 #pragma once
 
-#include <atomic>
+#include <mutex>
+#include <optional>
 #include <vector>
 
 #include "Courseloom/src/Transport/RpcClient.h"
@@ -26,6 +27,13 @@
   Awaitable<Result<schema::QueryReply>> query(schema::QueryRequest request, Time deadline);
   Awaitable<Result<schema::WatchReply>> watch(schema::WatchRequest request, Time deadline);
 
+  Awaitable<Result<schema::QueueAnswer>> call(schema::QueueCall call, Time deadline);
+  /** Not retried: the next report brings newer news. */
+  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request, Time deadline);
+
+  /** Takes the replicas that the leader names; those of the settings stay as the last resort. */
+  void setMembers(const std::vector<std::uint32_t>& ids);
+
  private:
   struct Replica {
     std::uint32_t id = 0;
@@ -34,15 +42,30 @@
 
   template <class Reply, class Request>
   Awaitable<Result<Reply>> callLeader(std::string method, Request request, Time deadline);
+  template <class Reply, class Request>
+  Awaitable<Result<Reply>> tryOnce(const std::string& method, const Request& request, Time deadline);
+  Replica current() const;
   /** Moves on after a failure: to the leader that the failure names, or to the next replica. */
-  void moveOn(std::size_t from, const Failure& failure);
+  void moveOn(std::uint32_t from, const Failure& failure);
+  Replica make(std::uint32_t id) const;
 
+  boost::asio::io_context& m_io;
+  unsigned m_seedPort;
+  mutable std::mutex m_mutex;
   std::vector<Replica> m_replicas;
-  std::atomic<std::size_t> m_current{0};
+  std::vector<Replica> m_configured;  ///< of the settings
+  std::size_t m_current = 0;
   Duration m_tryLimit;
 };
 
 /** \returns the peer text by which a replica names the leader: "replica 2". */
 std::string replicaPeer(std::uint32_t id);
+/** \returns the leader that a failure names, or nothing. */
+std::optional<std::uint32_t> replicaNamedBy(const Failure& failure);
+/** \returns the number of a replica that is found through seeds: its IPv4 number. \param endpoint IP number, or with
+ * port */
+std::uint32_t replicaIdOf(const std::string& endpoint);
+/** \returns the IP number of a replica that is found through seeds. */
+std::string replicaAddressOf(std::uint32_t id);
 
 }  // namespace courseloom
--- a/Courseloom/src/Membership/ViewFollower.cpp
+++ b/Courseloom/src/Membership/ViewFollower.cpp
@@ -56,6 +56,7 @@
     const Time sentAt = BootClock::now();
     Result<schema::WatchReply> reply = co_await m_control.watch(std::move(request), sentAt + 2 * m_freshness);
     if (reply) {
+      m_control.setMembers({reply->members().begin(), reply->members().end()});
       take(*reply, sentAt);
     } else {
       logFailure(schema::PeerFailed, takeFailure(reply));
--- a/Courseloom/src/Replication/LogStore.cpp
+++ b/Courseloom/src/Replication/LogStore.cpp
@@ -247,6 +247,13 @@
   return {};
 }
 
+Result<void> LogStore::erase() {
+  if (::unlink(path(internal::IdentityFile).c_str()) != 0) {
+    return fail(storageFailure("erase", internal::IdentityFile, errno));
+  }
+  return syncFolder();
+}
+
 std::uint64_t LogStore::freeBytes() const {
   struct statvfs info {};
   if (::statvfs(m_folder.c_str(), &info) != 0) return 0;
--- a/Courseloom/src/Replication/LogStore.h
+++ b/Courseloom/src/Replication/LogStore.h
@@ -38,6 +38,8 @@
   /** Writes a snapshot and drops the log that it covers. \param keep entries that follow it */
   Result<void> compact(const schema::Snapshot& snapshot, const schema::HardState& hard,
                        const std::vector<schema::LogEntry>& keep);
+  /** Takes the identity away, so that the next start finds an empty folder. */
+  Result<void> erase();
   /** \returns free bytes on the folder's file system. */
   std::uint64_t freeBytes() const;
 
--- a/Courseloom/src/Replication/Replica.cpp
+++ b/Courseloom/src/Replication/Replica.cpp
@@ -74,6 +74,7 @@
     checkQuorum(now);
     if (!isLeader()) return;
     continueHandOver(now);
+    dropSurplusVoter(now);
     if (now >= m_heartbeatDue) replicateToAll(now, true);
     return;
   }
@@ -224,12 +225,8 @@
   m_leader = m_options.id;
   m_leaderSince = now;
   m_peers.clear();
-  for (const ReplicaId id : m_options.peers) {
-    if (id == m_options.id) continue;
-    Peer& peer = m_peers[id];
-    peer.next = m_log.lastIndex() + 1;
-    peer.heard = now;
-  }
+  m_joiners.clear();
+  for (const ReplicaId id : knownPeers()) addPeer(id, now);
   m_formerDisks.clear();
   m_handOverSent = false;
   m_termStart = m_log.lastIndex() + 1;
--- a/Courseloom/src/Replication/Replica.h
+++ b/Courseloom/src/Replication/Replica.h
@@ -38,6 +38,10 @@
   void applied(LogIndex index) { m_applied = index; }
   /** Begins to hand leadership to the most advanced voter; no proposals are taken until that ends. */
   void handOver(Time now);
+  /** Takes a replica in that asks to join; the leader then finds out what its disk holds. */
+  void addPeer(ReplicaId id, Time now);
+  /** \returns when the leader was last heard; a leader hears itself. */
+  Time leaderHeard(Time now) const { return isLeader() ? now : m_leaderHeard; }
   /** Drops the log that a snapshot covers. */
   void compact(schema::Snapshot snapshot);
   /** \returns what is to be done since the last call. */
@@ -110,6 +114,10 @@
   void promoteLearner(ReplicaId id);
   bool acceptDisk(const schema::ReplicaMessage& message, Peer& peer, Time now);
   bool memberChangeAllowed() const;
+  const schema::Member* silentVoter(Time now) const;
+  bool dropSilentVoter(Time now);
+  void dropSurplusVoter(Time now);
+  std::set<ReplicaId> knownPeers() const;
   void changeMembers(schema::Members members);
   void continueHandOver(Time now);
   void persistHard();
@@ -124,6 +132,7 @@
   ReplicaId m_leader = 0;
   std::map<ReplicaId, Peer> m_peers;
   std::set<ReplicaId> m_votes;
+  std::set<ReplicaId> m_joiners;        ///< replicas that asked this leader to join
   std::set<std::string> m_formerDisks;  ///< disks that this leader has seen replaced
   LogIndex m_termStart = 0;             ///< first index of the leader's own term
   Time m_electionDue{};
--- a/Courseloom/src/Replication/ReplicaMembers.cpp
+++ b/Courseloom/src/Replication/ReplicaMembers.cpp
@@ -23,6 +23,49 @@
   advanceCommit();
 }
 
+std::set<ReplicaId> Replica::knownPeers() const {
+  std::set<ReplicaId> known(m_options.peers.begin(), m_options.peers.end());
+  for (const schema::Member& member : members().members()) known.insert(member.id());
+  known.erase(m_options.id);
+  return known;
+}
+
+void Replica::addPeer(ReplicaId id, Time now) {
+  if (!isLeader() || id == m_options.id || m_peers.count(id) > 0) return;
+  Peer& peer = m_peers[id];
+  peer.next = m_log.lastIndex() + 1;
+  peer.heard = now;
+}
+
+/** \returns a voter other than this leader that has been silent for too long, or nothing. */
+const schema::Member* Replica::silentVoter(Time now) const {
+  if (m_options.replaceAfter == Duration(0)) return nullptr;
+  for (const schema::Member& member : members().members()) {
+    const auto found = m_peers.find(member.id());
+    if (!member.voter() || found == m_peers.end()) continue;
+    if (now > std::max(found->second.heard, m_leaderSince) + m_options.replaceAfter) return &member;
+  }
+  return nullptr;
+}
+
+/** Takes a silent voter out, so that the voters that are left can lose another one. */
+bool Replica::dropSilentVoter(Time now) {
+  const schema::Member* silent = silentVoter(now);
+  if (silent == nullptr || !memberChangeAllowed()) return false;
+  schema::Members next;
+  *next.mutable_retired_disks() = members().retired_disks();
+  next.add_retired_disks(silent->disk_id());
+  for (const schema::Member& member : members().members()) {
+    if (member.id() != silent->id()) *next.add_members() = member;
+  }
+  changeMembers(std::move(next));
+  return true;
+}
+
+void Replica::dropSurplusVoter(Time now) {
+  if (m_options.wantedVoters > 0 && voters() > m_options.wantedVoters) dropSilentVoter(now);
+}
+
 /** A known replica with a new disk: its old disk is lost and leaves, the new one joins without a vote. */
 void Replica::reviewMembers(const schema::ReplicaMessage& message) {
   if (!m_options.mechanisms.diskIdentity || !memberChangeAllowed()) return;
@@ -50,6 +93,8 @@
 
 void Replica::promoteLearner(ReplicaId id) {
   if (!memberChangeAllowed()) return;
+  // One that is gone leaves first: with it among the voters, the loss of one more would cost the quorum.
+  if (m_peers.at(id).match >= m_commit && dropSilentVoter(m_now)) return;
   schema::Members next = members();
   for (schema::Member& member : *next.mutable_members()) {
     const bool learner = member.id() == id && !member.voter() && member.disk_id() == m_peers.at(id).diskId;
--- a/Courseloom/src/Replication/ReplicaTypes.h
+++ b/Courseloom/src/Replication/ReplicaTypes.h
@@ -36,6 +36,9 @@
   std::vector<ReplicaId> peers;  ///< replicas that the settings list; a wiped one is found by its answers
   Duration heartbeat = milliseconds(100);
   Duration electionTimeout = milliseconds(600);  ///< randomised up to twice this
+  /** A voter that was silent for this long is replaced by a replica that has joined and caught up; zero is never. */
+  Duration replaceAfter{};
+  std::size_t wantedVoters = 0;  ///< a silent voter beyond this number is dropped; zero is none
   std::uint64_t seed = 1;
   ReplicaMechanisms mechanisms;
 };
--- a/Courseloom/src/Runtime/Daemon.cpp
+++ b/Courseloom/src/Runtime/Daemon.cpp
@@ -29,6 +29,25 @@
   return exitCode;
 }
 
+/** Checks what spans several keys. */
+Result<void> check_cluster(const std::string& file, const schema::Settings& settings) {
+  const schema::ClusterSettings& cluster = settings.cluster();
+  const auto refuse = [&file](const std::string& detail) -> Result<void> {
+    return fail(Failure{FailureCode::BadSettings, Ran::No, "read settings", file, detail, 0});
+  };
+  if (cluster.members_size() == 0 && cluster.seeds_size() == 0) {
+    return refuse("key 'cluster.members' is missing, and so is 'cluster.seeds'");
+  }
+  if (cluster.members_size() > 0 && cluster.seeds_size() > 0) {
+    return refuse("keys 'cluster.members' and 'cluster.seeds' exclude each other");
+  }
+  if (cluster.seeds_size() > 0 && cluster.seed_rpc_port() == 0) return refuse("key 'cluster.seedRpcPort' is missing");
+  if (settings.has_runner() && settings.edge().control_endpoint().empty()) {
+    return refuse("key 'edge.controlEndpoint' is missing");
+  }
+  return {};
+}
+
 void print_ready(const schema::NodeSettings& node, const Listening& listening) {
   std::cout << "ready name=" << node.name();
   if (listening.rpcPort != 0) std::cout << " rpc=" << node.address() << ":" << listening.rpcPort;
@@ -80,6 +99,7 @@
   settings.mutable_log();
   needSections(settings);
   BOOST_LEAF_CHECK(checkRequired(files.back(), settings));
+  BOOST_LEAF_CHECK(internal::check_cluster(files.back(), settings));
   return settings;
 }
 
--- /dev/null
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -0,0 +1,237 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Scheduling/RunLedger.h"
+
+namespace courseloom {
+
+namespace internal {
+namespace {
+
+/** Ends of a gang's other members arrive by themselves; only what stays longer is stopped. */
+constexpr Duration DoneGrace = milliseconds(600);
+
+bool is_over(const WorkflowTable& table, const RunKey& key) {
+  const WorkflowState* workflow = table.find(key.workflow);
+  if (workflow == nullptr || workflow->ended()) return true;
+  const TaskState* task = workflow->task(key.task);
+  return task == nullptr || task->done;
+}
+
+}  // namespace
+}  // namespace internal
+
+RunKey runKeyOf(const schema::TaskId& task, std::uint32_t run) { return {task.workflow(), keyOf(task), run}; }
+
+void RunLedger::lead(const WorkflowTable& table, Time now) {
+  m_leaderSince = now;
+  m_runs.clear();
+  m_byAgent.clear();
+  m_targets.clear();
+  for (const std::string& id : table.open()) {
+    for (const auto& [key, task] : table.find(id)->tasks) {
+      for (const schema::ActiveRun& run : task.active) add(makeTaskId(id, key), run, now);
+    }
+  }
+}
+
+void RunLedger::add(const schema::TaskId& task, const schema::ActiveRun& run, Time now) {
+  const RunKey key = runKeyOf(task, run.number());
+  RunTrack& track = m_runs[key];
+  track.agent = run.agent();
+  track.target = run.target();
+  track.checkpoint = run.checkpoint();
+  track.startedAt = now;
+  track.percentChanged = now;
+  m_byAgent[run.agent()].insert(key);
+}
+
+void RunLedger::apply(const std::vector<RunChange>& changes, Time now) {
+  for (const RunChange& change : changes) {
+    if (change.started) {
+      add(change.task, change.run, now);
+      continue;
+    }
+    const RunKey key = runKeyOf(change.task, change.run.number());
+    m_byAgent[change.run.agent()].erase(key);
+    m_runs.erase(key);
+  }
+}
+
+schema::RunEnd RunLedger::makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint) const {
+  schema::RunEnd end;
+  *end.mutable_task() = makeTaskId(key.workflow, key.task);
+  end.set_run(key.run);
+  end.set_kind(kind);
+  end.set_checkpoint(checkpoint);
+  return end;
+}
+
+// ---- reports
+
+std::vector<schema::RunEnd> RunLedger::takeReport(const schema::AttendRequest& report, const WorkflowTable& table,
+                                                  Time now) {
+  TargetTrack& target = m_targets[report.agent()];
+  const std::set<RunKey>& keys = m_byAgent[report.agent()];
+  const bool newAgent = target.incarnation != report.incarnation();
+  target.incarnation = report.incarnation();
+  target.report = report.target();
+  target.heard = now;
+  if (!report.target().id().empty()) {
+    target.withoutTargetSince = Time{};
+  } else if (target.withoutTargetSince == Time{}) {
+    target.withoutTargetSince = now;
+  }
+  std::vector<schema::RunEnd> ends;
+  for (const RunKey& key : keys) {
+    RunTrack& track = m_runs.at(key);
+    if (newAgent) {
+      track.confirmed = false;
+      track.startDelivered = Time{};
+      track.stopDelivered = Time{};
+    }
+    const bool otherLife = !report.target().id().empty() && track.target != report.target().id();
+    if (otherLife) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
+  }
+  takeRows(report, now);
+  for (const schema::EndReport& row : report.ends()) {
+    const RunKey key = runKeyOf(row.task(), row.run());
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end() || found->second.agent != report.agent()) continue;
+    if (found->second.target != report.target().id()) continue;
+    ends.push_back(makeEnd(key, row.kind(), row.checkpoint().empty() ? found->second.checkpoint : row.checkpoint()));
+  }
+  return ends;
+}
+
+void RunLedger::takeRows(const schema::AttendRequest& report, Time now) {
+  TargetTrack& target = m_targets[report.agent()];
+  target.strays.clear();
+  for (const schema::RunReport& row : report.running()) {
+    const RunKey key = runKeyOf(row.task(), row.run());
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end()) {
+      target.strays.push_back(key);
+      continue;
+    }
+    RunTrack& track = found->second;
+    track.confirmed = true;
+    if (!row.checkpoint().empty()) track.checkpoint = row.checkpoint();
+    if (row.percent() != track.percent) track.percentChanged = now;
+    track.percent = row.percent();
+    track.usage = row.usage();
+  }
+  for (const schema::StartReport& row : report.started()) {
+    const auto found = m_runs.find(runKeyOf(row.task(), row.run()));
+    if (found != m_runs.end()) found->second.confirmed = true;
+  }
+}
+
+// ---- leases
+
+void RunLedger::granted(const std::string& agent, Time now) { m_targets[agent].grantUntil = now + m_options.grant; }
+
+/** A former leader may have granted until the very instant at which this one began. */
+Time RunLedger::heldUntil(const std::string& agent) const {
+  const Time inherited = m_leaderSince + m_options.grant;
+  const auto found = m_targets.find(agent);
+  return found == m_targets.end() ? inherited : std::max(inherited, found->second.grantUntil);
+}
+
+std::vector<schema::RunEnd> RunLedger::expire(Time now) const {
+  std::vector<schema::RunEnd> ends;
+  for (const auto& [agent, keys] : m_byAgent) {
+    if (keys.empty()) continue;
+    const auto target = m_targets.find(agent);
+    const bool silent = now > heldUntil(agent) + m_options.slack;
+    const bool gone =
+        target != m_targets.end() && target->second.withoutTargetSince != Time{} &&
+        now > std::max(target->second.withoutTargetSince, m_leaderSince) + m_options.grant + m_options.slack;
+    if (!silent && !gone) continue;
+    for (const RunKey& key : keys) ends.push_back(makeEnd(key, schema::RunLapsed, m_runs.at(key).checkpoint));
+  }
+  return ends;
+}
+
+bool RunLedger::open(const std::string& agent, Time now) const {
+  const auto found = m_targets.find(agent);
+  if (found == m_targets.end()) return false;
+  const schema::TargetReport& report = found->second.report;
+  const bool heardLately = now < found->second.heard + m_options.grant / 2;
+  return heardLately && !report.id().empty() && report.reachable() && !report.draining();
+}
+
+// ---- orders
+
+bool RunLedger::startDue(const RunTrack& track, Time now) const {
+  if (track.confirmed || track.stopWanted) return false;
+  return track.startDelivered == Time{} || now >= track.startDelivered + m_options.redeliverAfter;
+}
+
+bool RunLedger::stopDue(const RunKey& key, const RunTrack& track, const WorkflowTable& table, Time now) const {
+  const WorkflowState* workflow = table.find(key.workflow);
+  const bool over = internal::is_over(table, key);
+  if (!over && !track.stopWanted) return false;
+  const bool finishing = workflow != nullptr && workflow->record.phase() == schema::WorkflowCompleted;
+  const TaskState* task = workflow == nullptr ? nullptr : workflow->task(key.task);
+  const bool endsByItself = finishing || (task != nullptr && task->done);
+  if (endsByItself && now < track.percentChanged + internal::DoneGrace) return false;
+  return track.stopDelivered == Time{} || now >= track.stopDelivered + m_options.redeliverAfter;
+}
+
+bool RunLedger::hasOrders(const std::string& agent, const WorkflowTable& table, Time now) const {
+  const auto keys = m_byAgent.find(agent);
+  if (keys == m_byAgent.end()) return false;
+  for (const RunKey& key : keys->second) {
+    const RunTrack& track = m_runs.at(key);
+    if (stopDue(key, track, table, now)) return true;
+    if (!internal::is_over(table, key) && startDue(track, now)) return true;
+  }
+  return false;
+}
+
+std::vector<schema::RunOrder> RunLedger::takeOrders(const std::string& agent, const WorkflowTable& table, Time now) {
+  std::vector<schema::RunOrder> orders;
+  const auto add = [&](schema::RunOrderKind kind, const RunKey& key) -> schema::RunOrder& {
+    schema::RunOrder& order = orders.emplace_back();
+    order.set_kind(kind);
+    *order.mutable_task() = makeTaskId(key.workflow, key.task);
+    order.set_run(key.run);
+    return order;
+  };
+  for (const RunKey& key : m_byAgent[agent]) {
+    RunTrack& track = m_runs.at(key);
+    if (stopDue(key, track, table, now)) {
+      add(schema::OrderStop, key).set_target(track.target);
+      track.stopDelivered = now;
+      continue;
+    }
+    if (internal::is_over(table, key) || !startDue(track, now)) continue;
+    const WorkflowState& workflow = *table.find(key.workflow);
+    const schema::StepSpec& step = workflow.step(key.task.step);
+    schema::RunOrder& order = add(schema::OrderStart, key);
+    order.set_target(track.target);
+    order.set_payload(workflow.record.spec().payload());
+    for (const schema::ActiveRun& run : workflow.task(key.task)->active) {
+      if (run.number() != key.run) continue;
+      order.set_checkpoint(run.checkpoint());
+      order.set_ticket(run.ticket());
+    }
+    order.set_filler(step.filler());
+    order.set_latency_target_ms(step.latency_target_ms());
+    track.startDelivered = now;
+  }
+  for (const RunKey& key : m_targets[agent].strays)
+    add(schema::OrderStop, key).set_target(m_targets[agent].report.id());
+  m_targets[agent].strays.clear();
+  return orders;
+}
+
+std::string RunLedger::wantStop(const RunKey& key) {
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end()) return {};
+  found->second.stopWanted = true;
+  return found->second.agent;
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -0,0 +1,116 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Courseloom/src/Core/Clock.h"
+#include "Courseloom/src/State/WorkflowTable.h"
+
+namespace courseloom {
+
+/** \class RunKey
+ * \brief Names one run of one task.
+ */
+struct RunKey {
+  std::string workflow;
+  TaskKey task;
+  std::uint32_t run = 0;
+  auto operator<=>(const RunKey&) const = default;
+};
+
+/** \class RunLedgerOptions
+ * \brief Times that the ledger keeps to.
+ */
+struct RunLedgerOptions {
+  Duration grant = milliseconds(5500);           ///< time for which an agent may hold runs after word from the leader
+  Duration slack = milliseconds(300);            ///< added before runs of a silent agent count as lapsed
+  Duration redeliverAfter = milliseconds(1500);  ///< an order without result is given again after this
+};
+
+/** \class RunTrack
+ * \brief What the leader believes of one active run, beyond the log.
+ */
+struct RunTrack {
+  std::string agent;
+  std::string target;
+  bool confirmed = false;  ///< its start is known to have been carried out
+  bool stopWanted = false;
+  Time startDelivered{};
+  Time stopDelivered{};
+  Time startedAt{};
+  std::string checkpoint;  ///< newest one reported
+  std::uint32_t percent = 0;
+  Time percentChanged{};
+  std::uint64_t usage = 0;
+};
+
+/** \class TargetTrack
+ * \brief What the leader believes of one agent and the target that it guards.
+ */
+struct TargetTrack {
+  schema::TargetReport report;
+  std::uint64_t incarnation = 0;
+  Time grantUntil{};
+  Time heard{};
+  Time withoutTargetSince{};   ///< when the agent began to report no target; zero while it has one
+  std::vector<RunKey> strays;  ///< reported as running, but not active in the log
+};
+
+/** \class RunLedger
+ * \brief The leader's account of runs between the log and the agents.
+ *
+ * A plain class without clock or socket: it is told what was committed and what agents report, and says which ends to
+ * commit and which orders to give. Rules that it keeps: an order is given only for a run that the log holds as active;
+ * a run is over only when its target listed its end, its target's life is over, its agent made sure that it never
+ * began, or every grant that could have kept it alive has surely run out. \sa WorkflowTable, RunAgent
+ */
+class RunLedger {
+ public:
+  explicit RunLedger(RunLedgerOptions options = {}) : m_options(options) {}
+
+  /** Begins to lead: everything that a former leader knew has to be learnt again. */
+  void lead(const WorkflowTable& table, Time now);
+  /** Takes committed changes in. */
+  void apply(const std::vector<RunChange>& changes, Time now);
+  /** Takes an agent's report in. \returns ends to commit; those of the target may be forgotten only afterwards */
+  std::vector<schema::RunEnd> takeReport(const schema::AttendRequest& report, const WorkflowTable& table, Time now);
+  /** \returns ends of runs that nothing can hold any longer. */
+  std::vector<schema::RunEnd> expire(Time now) const;
+  /** Says that an agent is being told that it may hold its runs for a grant from now. */
+  void granted(const std::string& agent, Time now);
+  /** \returns orders that are due for an agent, and counts them as delivered. */
+  std::vector<schema::RunOrder> takeOrders(const std::string& agent, const WorkflowTable& table, Time now);
+  /** \returns whether takeOrders() would give any. */
+  bool hasOrders(const std::string& agent, const WorkflowTable& table, Time now) const;
+  /** Wants a run stopped. \returns its agent, or an empty string if the run is not active */
+  std::string wantStop(const RunKey& key);
+
+  const std::map<RunKey, RunTrack>& runs() const { return m_runs; }
+  const std::map<std::string, TargetTrack>& targets() const { return m_targets; }
+  /** \returns whether an agent may be given new runs now. */
+  bool open(const std::string& agent, Time now) const;
+  const RunLedgerOptions& options() const { return m_options; }
+
+ private:
+  schema::RunEnd makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint) const;
+  void takeRows(const schema::AttendRequest& report, Time now);
+  bool startDue(const RunTrack& track, Time now) const;
+  bool stopDue(const RunKey& key, const RunTrack& track, const WorkflowTable& table, Time now) const;
+  Time heldUntil(const std::string& agent) const;
+  void add(const schema::TaskId& task, const schema::ActiveRun& run, Time now);
+
+  RunLedgerOptions m_options;
+  Time m_leaderSince{};
+  std::map<RunKey, RunTrack> m_runs;
+  std::map<std::string, std::set<RunKey>> m_byAgent;
+  std::map<std::string, TargetTrack> m_targets;  ///< by agent
+};
+
+RunKey runKeyOf(const schema::TaskId& task, std::uint32_t run);
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -0,0 +1,347 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Scheduling/RunPlanner.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace courseloom {
+
+namespace internal {
+namespace {
+
+/** Cost of running away from the data, against packing. */
+constexpr double AwayFromData = 1000.0;
+constexpr double CpuWeight = 0.0001;
+
+}  // namespace
+}  // namespace internal
+
+void Room::add(const Room& other) {
+  cpuMilli += other.cpuMilli;
+  memoryMb += other.memoryMb;
+  accelerators += other.accelerators;
+}
+
+void Room::subtract(const Room& other) {
+  cpuMilli -= other.cpuMilli;
+  memoryMb -= other.memoryMb;
+  accelerators -= other.accelerators;
+}
+
+bool Room::holds(const Room& need) const {
+  const bool cpu = need.cpuMilli == 0 || cpuMilli >= need.cpuMilli;
+  const bool memory = need.memoryMb == 0 || memoryMb >= need.memoryMb;
+  return cpu && memory && (need.accelerators == 0 || accelerators >= need.accelerators);
+}
+
+Room roomOf(const schema::StepSpec& step) {
+  Room room;
+  room.cpuMilli = step.filler() ? 0 : static_cast<std::int64_t>(step.need().cpu_milli());
+  room.memoryMb = static_cast<std::int64_t>(step.need().memory_mb());
+  room.accelerators = step.need().accelerators();
+  return room;
+}
+
+RunPlan RunPlanner::plan(const std::vector<PlannedTarget>& targets, const std::vector<PlannedRun>& runs,
+                         std::vector<PlannedStep> steps) {
+  m_targets = &targets;
+  m_runs = &runs;
+  m_steps = std::move(steps);
+  m_plan = RunPlan();
+  m_hasReservation = false;
+  m_reserved.assign(targets.size(), Room());
+  m_stopped.assign(runs.size(), false);
+  m_free.clear();
+  for (const PlannedTarget& target : targets) m_free.push_back(target.capacity);
+  m_later = m_free;
+  for (const PlannedRun& run : runs) {
+    m_free[run.target].subtract(run.need);
+    if (!run.stopping) m_later[run.target].subtract(run.need);
+  }
+  std::vector<std::size_t> order(m_steps.size());
+  std::iota(order.begin(), order.end(), 0U);
+  std::stable_sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) {
+    const PlannedStep& left = m_steps[a];
+    const PlannedStep& right = m_steps[b];
+    if (left.priority != right.priority) return left.priority < right.priority;
+    return left.objectiveMs < right.objectiveMs;
+  });
+  for (const std::size_t index : order) serve(index);
+  return std::move(m_plan);
+}
+
+std::vector<std::size_t> RunPlanner::all() const {
+  std::vector<std::size_t> among(m_targets->size());
+  std::iota(among.begin(), among.end(), 0U);
+  return among;
+}
+
+void RunPlanner::serve(std::size_t index) {
+  const PlannedStep& step = m_steps[index];
+  if (step.tickets && step.tickets->empty()) return;
+  if (step.workflow->step(step.key.step).gang()) {
+    serveGang(index);
+  } else {
+    servePieces(index);
+  }
+}
+
+bool RunPlanner::allowed(const PlannedStep& step, const PlannedTarget& target) const {
+  if (!target.open || target.service != step.workflow->record.service()) return false;
+  const std::string& label = step.workflow->step(step.key.step).required_label();
+  if (!label.empty() && target.labels.count(label) == 0) return false;
+  return !step.tickets || step.tickets->count(target.id) > 0;
+}
+
+std::optional<std::size_t> RunPlanner::best(const PlannedStep& step, const std::vector<std::size_t>& among,
+                                            const Rooms& rooms, const std::map<std::string, unsigned>& placed) const {
+  const schema::StepSpec& spec = step.workflow->step(step.key.step);
+  const Room need = roomOf(spec);
+  const bool backfills = !m_hasReservation || step.estimateMs <= m_reservedUntilMs;
+  std::optional<std::size_t> chosen;
+  double least = std::numeric_limits<double>::max();
+  for (const std::size_t i : among) {
+    const PlannedTarget& target = (*m_targets)[i];
+    if (!allowed(step, target) || !rooms[i].holds(need)) continue;
+    if (!backfills) {
+      Room spare = rooms[i];
+      spare.subtract(m_reserved[i]);
+      if (!spare.holds(need)) continue;
+    }
+    if (spec.max_per_target() > 0) {
+      const auto count = placed.find(target.id);
+      if (count != placed.end() && count->second >= spec.max_per_target()) continue;
+    }
+    const bool away = !spec.preferred_rack().empty() && target.rack != spec.preferred_rack();
+    const double cost = static_cast<double>(rooms[i].accelerators - need.accelerators) +
+                        internal::CpuWeight * static_cast<double>(rooms[i].cpuMilli - need.cpuMilli) / 1000.0 +
+                        (away ? internal::AwayFromData : 0.0) + target.penalty;
+    if (cost >= least) continue;
+    // Far from its data a task takes several times as long, so it first waits about as long as it would run.
+    if (away && step.waitedMs < step.estimateMs) continue;
+    least = cost;
+    chosen = i;
+  }
+  return chosen;
+}
+
+void RunPlanner::take(std::size_t index, const std::vector<std::size_t>& chosen) {
+  PlannedStep& step = m_steps[index];
+  const Room need = roomOf(step.workflow->step(step.key.step));
+  for (std::size_t i = 0; i < chosen.size(); ++i) {
+    m_plan.starts.push_back({index, step.tasks[i], chosen[i]});
+    m_free[chosen[i]].subtract(need);
+    m_later[chosen[i]].subtract(need);
+    ++step.placedOn[(*m_targets)[chosen[i]].id];
+  }
+}
+
+void RunPlanner::servePieces(std::size_t index) {
+  const std::vector<std::size_t> among = all();
+  std::vector<std::size_t> chosen;
+  {
+    PlannedStep& step = m_steps[index];
+    Rooms rooms = m_free;
+    std::map<std::string, unsigned> placed = step.placedOn;
+    const Room need = roomOf(step.workflow->step(step.key.step));
+    while (chosen.size() < step.tasks.size()) {
+      const std::optional<std::size_t> target = best(step, among, rooms, placed);
+      if (!target) break;
+      chosen.push_back(*target);
+      rooms[*target].subtract(need);
+      ++placed[(*m_targets)[*target].id];
+    }
+  }
+  take(index, chosen);
+  PlannedStep& step = m_steps[index];
+  step.tasks.erase(step.tasks.begin(), step.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
+  if (step.tasks.empty() || step.priority != 0 || !m_options.preemption) return;
+  preempt(index);
+}
+
+/** Groups of targets within one of which a gang has to be. */
+std::vector<std::vector<std::size_t>> RunPlanner::gangGroups(const PlannedStep& step) const {
+  const schema::StepSpec& spec = step.workflow->step(step.key.step);
+  if (!spec.gang() || !spec.same_rack()) return {all()};
+  std::map<std::string, std::vector<std::size_t>> racks;
+  for (std::size_t i = 0; i < m_targets->size(); ++i) racks[(*m_targets)[i].rack].push_back(i);
+  Rooms empty;
+  for (const PlannedTarget& target : *m_targets) empty.push_back(target.capacity);
+  std::vector<std::vector<std::size_t>> groups;
+  for (auto& [rack, members] : racks) {
+    Choice choice;
+    if (fillGang(step, members, empty, choice)) groups.push_back(std::move(members));
+  }
+  // No rack could ever hold it: better spread, and slower, than never.
+  if (groups.empty()) groups.push_back(all());
+  return groups;
+}
+
+bool RunPlanner::fillGang(const PlannedStep& step, const std::vector<std::size_t>& among, Rooms rooms,
+                          Choice& choice) const {
+  const Room need = roomOf(step.workflow->step(step.key.step));
+  std::map<std::string, unsigned> placed = step.placedOn;
+  choice = Choice();
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const std::optional<std::size_t> target = best(step, among, rooms, placed);
+    if (!target) return false;
+    choice.targets.push_back(*target);
+    rooms[*target].subtract(need);
+    ++placed[(*m_targets)[*target].id];
+    choice.cost += (*m_targets)[*target].penalty;
+  }
+  for (const std::size_t i : among)
+    choice.cost += static_cast<double>(std::max<std::int64_t>(0, rooms[i].accelerators));
+  return true;
+}
+
+bool RunPlanner::tryGang(const PlannedStep& step, const Rooms& rooms, Choice& choice) const {
+  bool found = false;
+  for (const std::vector<std::size_t>& group : gangGroups(step)) {
+    Choice next;
+    if (!fillGang(step, group, rooms, next)) continue;
+    if (!found || next.cost < choice.cost) choice = std::move(next);
+    found = true;
+  }
+  return found;
+}
+
+void RunPlanner::serveGang(std::size_t index) {
+  const PlannedStep& step = m_steps[index];
+  Choice choice;
+  if (tryGang(step, m_free, choice)) return take(index, choice.targets);
+  if (step.priority == 0 && m_options.preemption && preempt(index)) return;
+  if (m_options.reservation && !m_hasReservation && step.waitedMs >= m_options.reserveAfterMs) reserve(step);
+}
+
+// ---- making room for priority 0
+
+/** Sets room aside for what waits; if what is being stopped is not enough, chooses more to stop. */
+bool RunPlanner::preempt(std::size_t index) {
+  const PlannedStep& step = m_steps[index];
+  const Room need = roomOf(step.workflow->step(step.key.step));
+  Choice choice;
+  std::vector<std::size_t> victims;
+  const bool soon = tryGang(step, m_later, choice);
+  if (!soon) {
+    double least = std::numeric_limits<double>::max();
+    for (const std::vector<std::size_t>& group : gangGroups(step)) {
+      Choice next;
+      std::vector<std::size_t> nextVictims;
+      double cost = 0.0;
+      if (!makeRoom(step, group, next, nextVictims, cost) || cost >= least) continue;
+      least = cost;
+      choice = std::move(next);
+      victims = std::move(nextVictims);
+    }
+    if (choice.targets.empty()) return false;
+  }
+  for (const std::size_t run : victims) {
+    m_stopped[run] = true;
+    m_plan.stops.push_back((*m_runs)[run].key);
+    m_later[(*m_runs)[run].target].add((*m_runs)[run].need);
+  }
+  // Later steps must not take what is being freed.
+  for (const std::size_t target : choice.targets) {
+    m_free[target].subtract(need);
+    m_later[target].subtract(need);
+  }
+  return true;
+}
+
+bool RunPlanner::makeRoom(const PlannedStep& step, const std::vector<std::size_t>& among, Choice& choice,
+                          std::vector<std::size_t>& victims, double& cost) const {
+  const schema::StepSpec& spec = step.workflow->step(step.key.step);
+  const Room need = roomOf(spec);
+  Rooms rooms = m_later;
+  std::vector<bool> gone = m_stopped;
+  std::map<std::string, unsigned> placed = step.placedOn;
+  std::map<std::string, std::vector<std::size_t>> gangs;
+  std::map<std::size_t, std::vector<std::size_t>> byTarget;
+  for (std::size_t r = 0; r < m_runs->size(); ++r) {
+    const PlannedRun& run = (*m_runs)[r];
+    if (run.stopping || !run.movable || run.priority <= step.priority) continue;
+    byTarget[run.target].push_back(r);
+    if (!run.gang.empty()) gangs[run.gang].push_back(r);
+  }
+  const auto wholeOf = [&](std::size_t r) {
+    const std::string& gang = (*m_runs)[r].gang;
+    return gang.empty() ? std::vector<std::size_t>{r} : gangs[gang];
+  };
+  const auto priceOf = [&](std::size_t r) {
+    double price = 0.0;
+    for (const std::size_t member : wholeOf(r)) price += (*m_runs)[member].lostWork + 1.0;
+    return price;
+  };
+  for (std::size_t task = 0; task < step.tasks.size(); ++task) {
+    std::optional<std::size_t> chosen;
+    double least = std::numeric_limits<double>::max();
+    std::vector<std::size_t> chosenVictims;
+    for (const std::size_t i : among) {
+      const PlannedTarget& target = (*m_targets)[i];
+      if (!allowed(step, target)) continue;
+      const auto count = placed.find(target.id);
+      if (spec.max_per_target() > 0 && count != placed.end() && count->second >= spec.max_per_target()) continue;
+      std::vector<std::size_t> candidates;
+      for (const std::size_t r : byTarget[i]) {
+        if (!gone[r]) candidates.push_back(r);
+      }
+      std::sort(candidates.begin(), candidates.end(),
+                [&](std::size_t a, std::size_t b) { return priceOf(a) < priceOf(b); });
+      Room room = rooms[i];
+      double price = target.penalty;
+      std::vector<std::size_t> taken;
+      for (const std::size_t r : candidates) {
+        if (room.holds(need)) break;
+        price += priceOf(r);
+        for (const std::size_t member : wholeOf(r)) {
+          if (std::find(taken.begin(), taken.end(), member) != taken.end()) continue;
+          taken.push_back(member);
+          if ((*m_runs)[member].target == i) room.add((*m_runs)[member].need);
+        }
+      }
+      if (!room.holds(need) || price >= least) continue;
+      least = price;
+      chosen = i;
+      chosenVictims = std::move(taken);
+    }
+    if (!chosen) return false;
+    for (const std::size_t r : chosenVictims) {
+      gone[r] = true;
+      victims.push_back(r);
+      rooms[(*m_runs)[r].target].add((*m_runs)[r].need);
+    }
+    rooms[*chosen].subtract(need);
+    ++placed[(*m_targets)[*chosen].id];
+    choice.targets.push_back(*chosen);
+    cost += least;
+  }
+  return true;
+}
+
+// ---- a place in time for a gang that waits
+
+/** Finds when enough runs will have ended, and keeps that place from later work that would take longer. */
+void RunPlanner::reserve(const PlannedStep& step) {
+  std::vector<std::size_t> order(m_runs->size());
+  std::iota(order.begin(), order.end(), 0U);
+  std::sort(order.begin(), order.end(),
+            [this](std::size_t a, std::size_t b) { return (*m_runs)[a].remainingMs < (*m_runs)[b].remainingMs; });
+  Rooms rooms = m_free;
+  for (const std::size_t r : order) {
+    const PlannedRun& run = (*m_runs)[r];
+    rooms[run.target].add(run.need);
+    Choice choice;
+    if (!tryGang(step, rooms, choice)) continue;
+    const Room need = roomOf(step.workflow->step(step.key.step));
+    for (const std::size_t target : choice.targets) m_reserved[target].add(need);
+    m_reservedUntilMs = run.remainingMs;
+    m_hasReservation = true;
+    return;
+  }
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -0,0 +1,150 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Courseloom/src/Scheduling/RunLedger.h"
+
+namespace courseloom {
+
+/** \class Room
+ * \brief Free room of one target; may fall below zero where room is set aside for somebody.
+ */
+struct Room {
+  std::int64_t cpuMilli = 0;
+  std::int64_t memoryMb = 0;
+  std::int64_t accelerators = 0;
+
+  void add(const Room& other);
+  void subtract(const Room& other);
+  bool holds(const Room& need) const;
+};
+
+/** \returns what one task of a step takes; a filler takes no processor time that others could use. */
+Room roomOf(const schema::StepSpec& step);
+
+/** \class PlannedTarget
+ * \brief One target as the planner sees it.
+ */
+struct PlannedTarget {
+  std::string id;
+  std::string agent;
+  std::string service;
+  std::string rack;
+  std::set<std::string> labels;
+  Room capacity;
+  bool open = false;     ///< may be given new runs
+  double penalty = 0.0;  ///< added to its cost: slow or failing targets come last
+};
+
+/** \class PlannedRun
+ * \brief One active run as the planner sees it.
+ */
+struct PlannedRun {
+  RunKey key;
+  std::size_t target = 0;
+  Room need;
+  std::uint32_t priority = 0;
+  bool stopping = false;
+  bool movable = true;       ///< may be stopped to make room
+  std::string gang;          ///< names the gang's run; empty for a task of its own
+  double lostWork = 0.0;     ///< core-seconds since its last checkpoint
+  double remainingMs = 0.0;  ///< expected time until it ends
+};
+
+/** \class PlannedStep
+ * \brief Tasks of one step that wait for room.
+ */
+struct PlannedStep {
+  const WorkflowState* workflow = nullptr;
+  StepKey key;
+  std::vector<std::uint32_t> tasks;  ///< indexes that wait; for a gang all of them
+  std::uint32_t priority = 0;
+  double objectiveMs = 0.0;                  ///< wall clock by which the workflow should be done
+  double estimateMs = 0.0;                   ///< expected run time of one task
+  double waitedMs = 0.0;                     ///< time since the step became ready
+  std::map<std::string, unsigned> placedOn;  ///< tasks of this step by target id, for the limit on one target
+  /** Targets that may run it, with their tickets; nothing where no permission is needed. */
+  std::optional<std::map<std::string, std::string>> tickets;
+};
+
+/** \class RunPlan
+ * \brief What to start and what to stop.
+ */
+struct RunPlan {
+  struct Start {
+    std::size_t step = 0;  ///< index among the given steps
+    std::uint32_t task = 0;
+    std::size_t target = 0;
+  };
+  std::vector<Start> starts;
+  std::vector<RunKey> stops;
+};
+
+/** \class RunPlannerOptions
+ * \brief Switches with which proofs and benches turn one mechanism off; all on in production.
+ */
+struct RunPlannerOptions {
+  bool preemption = true;          ///< priority 0 makes room for itself
+  bool reservation = true;         ///< the first gang that waits keeps its place against later work
+  double reserveAfterMs = 1000.0;  ///< wait after which a gang gets a reservation
+};
+
+/** \class RunPlanner
+ * \brief Decides which waiting tasks start where, and which runs make room for work of priority 0.
+ *
+ * A plain class without clock, input or output. Steps are served by priority, then by the time by which they should be
+ * done. A gang is placed whole or not at all. Tasks are packed onto the fullest target that holds them, so that whole
+ * targets stay free for tasks that need them; the rack of the data and the rack of the gang come first.
+ */
+class RunPlanner {
+ public:
+  explicit RunPlanner(RunPlannerOptions options = {}) : m_options(options) {}
+
+  RunPlan plan(const std::vector<PlannedTarget>& targets, const std::vector<PlannedRun>& runs,
+               std::vector<PlannedStep> steps);
+
+ private:
+  using Rooms = std::vector<Room>;
+  struct Choice {
+    std::vector<std::size_t> targets;  ///< one for each task
+    double cost = 0.0;
+  };
+
+  void serve(std::size_t index);
+  void servePieces(std::size_t index);
+  void serveGang(std::size_t index);
+  bool tryGang(const PlannedStep& step, const Rooms& rooms, Choice& choice) const;
+  bool fillGang(const PlannedStep& step, const std::vector<std::size_t>& among, Rooms rooms, Choice& choice) const;
+  std::optional<std::size_t> best(const PlannedStep& step, const std::vector<std::size_t>& among, const Rooms& rooms,
+                                  const std::map<std::string, unsigned>& placed) const;
+  bool allowed(const PlannedStep& step, const PlannedTarget& target) const;
+  bool preempt(std::size_t index);
+  bool makeRoom(const PlannedStep& step, const std::vector<std::size_t>& among, Choice& choice,
+                std::vector<std::size_t>& victims, double& cost) const;
+  void reserve(const PlannedStep& step);
+  void take(std::size_t index, const std::vector<std::size_t>& chosen);
+  std::vector<std::vector<std::size_t>> gangGroups(const PlannedStep& step) const;
+  std::vector<std::size_t> all() const;
+
+  RunPlannerOptions m_options;
+  const std::vector<PlannedTarget>* m_targets = nullptr;
+  const std::vector<PlannedRun>* m_runs = nullptr;
+  std::vector<PlannedStep> m_steps;
+  Rooms m_free;      ///< now
+  Rooms m_later;     ///< once what is being stopped has ended
+  Rooms m_reserved;  ///< set aside for a gang that waits, until m_reservedFor
+  double m_reservedUntilMs = 0.0;
+  bool m_hasReservation = false;
+  std::vector<bool> m_stopped;  ///< by run: chosen as victim now
+  RunPlan m_plan;
+};
+
+}  // namespace courseloom
--- a/Courseloom/src/Schema/YamlReader.cpp
+++ b/Courseloom/src/Schema/YamlReader.cpp
@@ -38,6 +38,17 @@
                      [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; });
 }
 
+bool valid_endpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon + 1 == text.size()) return false;
+  const std::string port = text.substr(colon + 1);
+  const bool digits = std::all_of(port.begin(), port.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
+  if (!digits || port.size() > 5 || std::stoul(port) > 65535) return false;
+  boost::system::error_code error;
+  boost::asio::ip::make_address(text.substr(0, colon), error);
+  return !error;
+}
+
 bool has_range(const schema::Rule& rule) { return rule.max() > rule.min(); }
 
 std::string range_text(const schema::Rule& rule) {
@@ -55,6 +66,9 @@
   if (rule.form() == "name" && !valid_name(text)) {
     return "'" + text + "' is not a name (letters, digits, '-', '_', '.'; at most 63)";
   }
+  if (rule.form() == "endpoint" && !text.empty() && !valid_endpoint(text)) {
+    return "'" + text + "' is not an IP number and a port";
+  }
   if (rule.form() == "ip") {
     boost::system::error_code error;
     boost::asio::ip::make_address(text, error);
--- a/Courseloom/src/State/ClusterState.cpp
+++ b/Courseloom/src/State/ClusterState.cpp
@@ -88,6 +88,7 @@
 }
 
 void ClusterState::expire(std::uint64_t nowMs) {
+  m_workflows.expire(nowMs);
   if (nowMs < m_limits.retentionMs) return;
   const std::uint64_t before = nowMs - m_limits.retentionMs;
   m_claims.expire(before);
@@ -123,6 +124,11 @@
       return cancel(command);
     case schema::Command::kChangeJob:
       return changeJob(command);
+    case schema::Command::kPutConfiguration:
+    case schema::Command::kSubmitWorkflow:
+    case schema::Command::kCancelWorkflow:
+    case schema::Command::kRecordRuns:
+      return applyToWorkflows(command);
     case schema::Command::CHANGE_NOT_SET:
       break;
   }
@@ -318,12 +324,33 @@
   return reply;
 }
 
+// ---- workflows
+
+schema::CommandReply ClusterState::applyToWorkflows(const schema::Command& command) {
+  schema::CommandReply reply;
+  if (command.has_put_configuration()) {
+    m_workflows.putConfiguration(command.put_configuration().configuration());
+  } else if (command.has_submit_workflow()) {
+    reply.set_replayed(!m_workflows.submit(command.submit_workflow().workflow(), command.time_ms()));
+  } else if (command.has_cancel_workflow()) {
+    const std::string& id = command.cancel_workflow().id();
+    if (!m_workflows.cancel(id, command.time_ms())) {
+      return internal::refusal(
+          Failure{FailureCode::NotFound, Ran::No, "cancel", "", "workflow '" + id + "' does not exist", 0});
+    }
+  } else {
+    m_workflows.record(command.record_runs(), command.time_ms());
+  }
+  return reply;
+}
+
 // ---- snapshots
 
 std::string ClusterState::save() const {
   schema::StateSnapshot snapshot;
   m_objects.save(snapshot);
   m_claims.save(snapshot);
+  m_workflows.save(snapshot);
   for (const auto& [id, job] : m_jobs) *snapshot.add_jobs() = job;
   for (const auto& [time, id] : m_replyOrder) {
     const auto kept = m_replies.find(id);
@@ -342,6 +369,7 @@
   *this = ClusterState(m_limits);
   m_objects.load(snapshot);
   m_claims.load(snapshot);
+  m_workflows.load(snapshot);
   std::multimap<std::uint64_t, std::string> ended;
   for (const schema::Job& job : snapshot.jobs()) {
     m_jobs[job.id()] = job;
--- a/Courseloom/src/State/ClusterState.h
+++ b/Courseloom/src/State/ClusterState.h
@@ -11,6 +11,7 @@
 #include "Courseloom/src/Replication/ReplicaTypes.h"
 #include "Courseloom/src/State/ClaimTable.h"
 #include "Courseloom/src/State/ObjectTable.h"
+#include "Courseloom/src/State/WorkflowTable.h"
 
 namespace courseloom {
 
@@ -20,6 +21,7 @@
 struct StateLimits {
   std::size_t maxAnswerBytes = 65536;
   std::uint64_t retentionMs = 7ULL * 24 * 3600 * 1000;
+  std::uint64_t workflowRetentionMs = 300ULL * 1000;
 };
 
 /** \class ClusterState
@@ -29,7 +31,7 @@
  */
 class ClusterState {
  public:
-  explicit ClusterState(StateLimits limits = {}) : m_limits(limits) {}
+  explicit ClusterState(StateLimits limits = {}) : m_limits(limits), m_workflows(limits.workflowRetentionMs) {}
 
   /** Applies one committed command. A command whose id was seen gets its first reply and changes nothing. */
   schema::CommandReply apply(LogIndex index, const schema::Command& command);
@@ -41,6 +43,8 @@
 
   const ObjectTable& objects() const { return m_objects; }
   const ClaimTable& claims() const { return m_claims; }
+  const WorkflowTable& workflows() const { return m_workflows; }
+  WorkflowTable& workflows() { return m_workflows; }
   const std::map<std::string, schema::Job>& jobs() const { return m_jobs; }
   const schema::Job* job(const std::string& id) const;
   /** \returns jobs changed since the last call, for the scheduler; each id once. */
@@ -58,6 +62,7 @@
   schema::CommandReply submit(const schema::Command& command);
   schema::CommandReply cancel(const schema::Command& command);
   schema::CommandReply changeJob(const schema::Command& command);
+  schema::CommandReply applyToWorkflows(const schema::Command& command);
   schema::CommandReply matchAction(const schema::Action& action, std::vector<ObjectId>& objects,
                                    std::vector<std::string>& jobs) const;
   void actOnObject(const ObjectId& id, const schema::Action& action, LogIndex index, const std::string& operatorName);
@@ -70,6 +75,7 @@
   StateLimits m_limits;
   ObjectTable m_objects;
   ClaimTable m_claims;
+  WorkflowTable m_workflows;
   std::map<std::string, schema::Job> m_jobs;
   std::map<std::pair<std::string, std::string>, std::string> m_jobByRequest;
   std::deque<std::pair<std::uint64_t, std::string>> m_endedJobs;
--- /dev/null
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -0,0 +1,276 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/State/WorkflowTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace courseloom {
+
+namespace internal {
+namespace {
+
+/** The task that keeps what belongs to a whole gang. */
+TaskKey lead_of(const WorkflowState& workflow, const TaskKey& key) {
+  const bool gang = workflow.step(key.step).gang();
+  return gang ? TaskKey{key.occurrence, key.step, 0} : key;
+}
+
+bool valid_key(const WorkflowState& workflow, const TaskKey& key) {
+  const bool stepExists = key.step < static_cast<std::uint32_t>(workflow.record.spec().steps_size());
+  return stepExists && key.occurrence < workflow.occurrences() && key.index < workflow.step(key.step).count();
+}
+
+}  // namespace
+}  // namespace internal
+
+bool isEnded(schema::WorkflowPhase phase) {
+  return phase == schema::WorkflowCompleted || phase == schema::WorkflowFailed || phase == schema::WorkflowCancelled;
+}
+
+TaskKey keyOf(const schema::TaskId& id) { return {id.occurrence(), id.step(), id.index()}; }
+
+schema::TaskId makeTaskId(const std::string& workflow, const TaskKey& key) {
+  schema::TaskId id;
+  id.set_workflow(workflow);
+  id.set_occurrence(key.occurrence);
+  id.set_step(key.step);
+  id.set_index(key.index);
+  return id;
+}
+
+// ---- one workflow
+
+const TaskState* WorkflowState::task(const TaskKey& key) const {
+  const auto found = tasks.find(key);
+  return found == tasks.end() ? nullptr : &found->second;
+}
+
+bool WorkflowState::stepDone(const StepKey& key) const {
+  const auto found = doneCounts.find(key);
+  return found != doneCounts.end() && found->second >= step(key.step).count();
+}
+
+bool WorkflowState::stepReady(const StepKey& key) const {
+  const auto& after = step(key.step).after();
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+    return stepDone({key.occurrence, earlier});
+  });
+}
+
+std::uint64_t WorkflowState::dueMs(std::uint32_t occurrence) const {
+  const schema::WorkflowSpec& spec = record.spec();
+  if (spec.occurrences() == 0) return record.submitted_ms();
+  return spec.first_due_ms() + occurrence * spec.interval_ms();
+}
+
+std::string WorkflowState::checkpointOf(const TaskKey& key) const {
+  const TaskState* state = task(internal::lead_of(*this, key));
+  return state == nullptr ? std::string() : state->checkpoint;
+}
+
+std::uint32_t WorkflowState::nextRun(const TaskKey& key) const {
+  const TaskState* own = task(key);
+  std::uint32_t last = own == nullptr ? 0 : own->lastRun;
+  if (step(key.step).gang()) {
+    for (std::uint32_t i = 0; i < step(key.step).count(); ++i) {
+      const TaskState* member = task({key.occurrence, key.step, i});
+      if (member != nullptr) last = std::max(last, member->lastRun);
+    }
+  }
+  return last + 1;
+}
+
+bool WorkflowState::ended() const { return isEnded(record.phase()); }
+
+// ---- commands
+
+void WorkflowTable::putConfiguration(const schema::QueueConfiguration& configuration) {
+  if (configuration.version() <= m_configuration.version()) return;
+  m_configuration = configuration;
+  ++m_version;
+}
+
+const WorkflowState* WorkflowTable::find(const std::string& id) const {
+  const auto found = m_workflows.find(id);
+  return found == m_workflows.end() ? nullptr : &found->second;
+}
+
+bool WorkflowTable::submit(const schema::Workflow& workflow, std::uint64_t timeMs) {
+  const auto [entry, added] = m_workflows.try_emplace(workflow.id());
+  if (!added) return false;
+  WorkflowState& state = entry->second;
+  state.record = workflow;
+  state.record.clear_tasks();
+  state.record.set_phase(schema::WorkflowQueued);
+  state.record.set_submitted_ms(timeMs);
+  m_open.insert(workflow.id());
+  ++m_version;
+  return true;
+}
+
+bool WorkflowTable::cancel(const std::string& id, std::uint64_t timeMs) {
+  const auto found = m_workflows.find(id);
+  if (found == m_workflows.end()) return false;
+  if (!found->second.ended()) endWorkflow(found->second, schema::WorkflowCancelled, "cancelled by its caller", timeMs);
+  return true;
+}
+
+void WorkflowTable::record(const schema::RecordRuns& runs, std::uint64_t timeMs) {
+  for (const schema::RunEnd& end : runs.ends()) recordEnd(end, timeMs);
+  for (const schema::RunStart& start : runs.starts()) recordStart(start, timeMs);
+  ++m_version;
+}
+
+void WorkflowTable::recordStart(const schema::RunStart& start, std::uint64_t timeMs) {
+  const auto found = m_workflows.find(start.task().workflow());
+  if (found == m_workflows.end()) return;
+  WorkflowState& workflow = found->second;
+  const TaskKey key = keyOf(start.task());
+  if (workflow.ended() || !internal::valid_key(workflow, key)) return;
+  TaskState& task = workflow.tasks[key];
+  if (task.done || !task.active.empty() || start.run().number() <= task.lastRun) return;
+  task.lastRun = start.run().number();
+  task.active.push_back(start.run());
+  task.active.back().set_started_ms(timeMs);
+  ++workflow.activeRuns;
+  m_runChanges.push_back({start.task(), task.active.back(), true, schema::RunDone});
+  if (workflow.record.phase() == schema::WorkflowQueued) {
+    workflow.record.set_phase(schema::WorkflowRunning);
+    workflow.record.set_started_ms(timeMs);
+  }
+}
+
+void WorkflowTable::recordEnd(const schema::RunEnd& end, std::uint64_t timeMs) {
+  const auto found = m_workflows.find(end.task().workflow());
+  if (found == m_workflows.end()) return;
+  WorkflowState& workflow = found->second;
+  const TaskKey key = keyOf(end.task());
+  const auto taskFound = workflow.tasks.find(key);
+  if (taskFound == workflow.tasks.end()) return;
+  std::vector<schema::ActiveRun>& active = taskFound->second.active;
+  const auto run = std::find_if(active.begin(), active.end(), [&](const auto& r) { return r.number() == end.run(); });
+  if (run == active.end()) return;
+  m_runChanges.push_back({end.task(), *run, false, end.kind()});
+  active.erase(run);
+  --workflow.activeRuns;
+  if (!end.checkpoint().empty()) workflow.tasks[internal::lead_of(workflow, key)].checkpoint = end.checkpoint();
+  if (!workflow.ended() && end.kind() == schema::RunDone && !workflow.step(key.step).long_running()) {
+    markDone(workflow, key);
+  }
+  if (!workflow.ended() && end.kind() == schema::RunFailed) countFailure(workflow, key, end.run(), timeMs);
+  finishIfDone(workflow, timeMs);
+  review(workflow);
+}
+
+/** A gang ends together: one member's end counts for all. */
+void WorkflowTable::markDone(WorkflowState& workflow, const TaskKey& key) {
+  const bool gang = workflow.step(key.step).gang();
+  const std::uint32_t first = gang ? 0 : key.index;
+  const std::uint32_t last = gang ? workflow.step(key.step).count() - 1 : key.index;
+  for (std::uint32_t index = first; index <= last; ++index) {
+    TaskState& task = workflow.tasks[{key.occurrence, key.step, index}];
+    if (!task.done) ++workflow.doneCounts[key.stepKey()];
+    task.done = true;
+    task.checkpoint.clear();
+  }
+}
+
+void WorkflowTable::countFailure(WorkflowState& workflow, const TaskKey& key, std::uint32_t run, std::uint64_t timeMs) {
+  if (workflow.step(key.step).long_running()) return;
+  TaskState& lead = workflow.tasks[internal::lead_of(workflow, key)];
+  if (lead.done || lead.failedRun == run) return;
+  lead.failedRun = run;
+  ++lead.failures;
+  if (lead.failures < workflow.record.max_attempts()) return;
+  endWorkflow(workflow, schema::WorkflowFailed,
+              "step " + std::to_string(key.step) + " failed " + std::to_string(lead.failures) + " times", timeMs);
+}
+
+void WorkflowTable::finishIfDone(WorkflowState& workflow, std::uint64_t timeMs) {
+  if (workflow.ended()) return;
+  for (std::uint32_t occurrence = 0; occurrence < workflow.occurrences(); ++occurrence) {
+    for (int step = 0; step < workflow.record.spec().steps_size(); ++step) {
+      if (!workflow.stepDone({occurrence, static_cast<std::uint32_t>(step)})) return;
+    }
+  }
+  endWorkflow(workflow, schema::WorkflowCompleted, "every task is done", timeMs);
+}
+
+void WorkflowTable::endWorkflow(WorkflowState& workflow, schema::WorkflowPhase phase, const std::string& reason,
+                                std::uint64_t timeMs) {
+  workflow.record.set_phase(phase);
+  workflow.record.set_reason(reason);
+  workflow.record.set_ended_ms(timeMs);
+  m_ended.emplace_back(timeMs, workflow.record.id());
+  ++m_version;
+  if (workflow.activeRuns > 0) m_endedWithRuns.push_back(workflow.record.id());
+  review(workflow);
+}
+
+std::vector<RunChange> WorkflowTable::takeRunChanges() { return std::exchange(m_runChanges, {}); }
+
+std::vector<std::string> WorkflowTable::takeEndedWithRuns() { return std::exchange(m_endedWithRuns, {}); }
+
+void WorkflowTable::review(const WorkflowState& workflow) {
+  if (workflow.ended() && workflow.activeRuns == 0) m_open.erase(workflow.record.id());
+}
+
+void WorkflowTable::expire(std::uint64_t nowMs) {
+  while (!m_ended.empty() && m_ended.front().first + m_retentionMs < nowMs) {
+    const std::string id = m_ended.front().second;
+    if (m_open.count(id) > 0) return;
+    m_workflows.erase(id);
+    m_ended.pop_front();
+  }
+}
+
+// ---- snapshots
+
+void WorkflowTable::save(schema::StateSnapshot& snapshot) const {
+  *snapshot.mutable_configuration() = m_configuration;
+  for (const auto& [id, workflow] : m_workflows) {
+    schema::Workflow* saved = snapshot.add_workflows();
+    *saved = workflow.record;
+    for (const auto& [key, task] : workflow.tasks) {
+      schema::TaskRecord* row = saved->add_tasks();
+      *row->mutable_id() = makeTaskId("", key);
+      row->set_done(task.done);
+      row->set_failures(task.failures);
+      row->set_failed_run(task.failedRun);
+      row->set_last_run(task.lastRun);
+      row->set_checkpoint(task.checkpoint);
+      for (const schema::ActiveRun& run : task.active) *row->add_active() = run;
+    }
+  }
+}
+
+void WorkflowTable::load(const schema::StateSnapshot& snapshot) {
+  m_configuration = snapshot.configuration();
+  std::multimap<std::uint64_t, std::string> ended;
+  for (const schema::Workflow& saved : snapshot.workflows()) {
+    WorkflowState& workflow = m_workflows[saved.id()];
+    workflow.record = saved;
+    workflow.record.clear_tasks();
+    for (const schema::TaskRecord& row : saved.tasks()) {
+      const TaskKey key = keyOf(row.id());
+      TaskState& task = workflow.tasks[key];
+      task.done = row.done();
+      task.failures = row.failures();
+      task.failedRun = row.failed_run();
+      task.lastRun = row.last_run();
+      task.checkpoint = row.checkpoint();
+      task.active.assign(row.active().begin(), row.active().end());
+      workflow.activeRuns += static_cast<unsigned>(task.active.size());
+      if (task.done) ++workflow.doneCounts[key.stepKey()];
+    }
+    if (workflow.ended()) ended.emplace(saved.ended_ms(), saved.id());
+    m_open.insert(saved.id());
+    review(workflow);
+  }
+  m_ended.assign(ended.begin(), ended.end());
+  ++m_version;
+}
+
+}  // namespace courseloom
--- a/Courseloom/src/Transport/Listen.cpp
+++ b/Courseloom/src/Transport/Listen.cpp
@@ -3,6 +3,10 @@
 
 #include "Courseloom/src/Transport/Listen.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,6 +28,12 @@
   return acceptor.local_endpoint().port();
 }
 
+void limitSilence(int socket) {
+  constexpr unsigned SilenceMs = 2000;
+  // A socket that cannot be set so still ends with its calls' deadlines.
+  ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &SilenceMs, sizeof(SilenceMs));
+}
+
 boost::asio::awaitable<void> pauseAccept(asio::io_context& io) {
   asio::steady_timer timer(io, std::chrono::milliseconds(20));
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/Courseloom/src/Transport/Listen.h
+++ b/Courseloom/src/Transport/Listen.h
@@ -14,6 +14,8 @@
 
 /** Opens, binds and listens. \returns the port in use, which the system picks where `port` is 0 */
 Result<unsigned> listenOn(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address, unsigned port);
+/** Makes a connection end when what it sent stays unanswered for a while, so that a silent cut does not hold it. */
+void limitSilence(int socket);
 /** Waits a moment after a failed accept (no file descriptors left, say), so that the loop does not spin. */
 boost::asio::awaitable<void> pauseAccept(boost::asio::io_context& io);
 
--- a/Courseloom/src/Transport/RpcClient.cpp
+++ b/Courseloom/src/Transport/RpcClient.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "Courseloom/src/Transport/Listen.h"
+
 namespace courseloom {
 
 namespace asio = boost::asio;
@@ -16,7 +18,7 @@
 namespace internal {
 namespace {
 /** Longest wait for a connection, so that a dead peer is found before a long deadline. */
-constexpr Duration ConnectLimit = milliseconds(1000);
+constexpr Duration ConnectLimit = milliseconds(500);
 }  // namespace
 }  // namespace internal
 
@@ -63,6 +65,7 @@
   }
   asio::ip::tcp::socket socket = stream.release_socket();
   socket.set_option(asio::ip::tcp::no_delay(true));
+  limitSilence(socket.native_handle());
   m_connection = std::make_shared<Http2Connection>(m_io, std::move(socket), Http2Connection::Side::Client, m_peer);
   m_connection->start();
   co_return m_connection;
--- a/Courseloom/src/Transport/RpcServer.cpp
+++ b/Courseloom/src/Transport/RpcServer.cpp
@@ -34,6 +34,7 @@
     }
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    limitSilence(socket.native_handle());
     const auto remote = socket.remote_endpoint(ignored);
     const std::string peer = remote.address().to_string() + ":" + std::to_string(remote.port());
     const auto connection =
--- a/daemons/control.cpp
+++ b/daemons/control.cpp
@@ -5,6 +5,7 @@
 
 #include "Courseloom/src/Control/ControlService.h"
 #include "Courseloom/src/Control/Recovery.h"
+#include "platform/Endpoints.h"
 
 namespace {
 
@@ -33,7 +34,8 @@
   program.description = "Control replica of courseloom: the replicated log and the decisions of its leader";
   program.needSections = [](courseloom::schema::Settings& settings) {
     settings.mutable_control();
-    settings.mutable_platform();
+    // Gangs need workers; workflows alone run through the agents.
+    if (!settings.has_edge()) settings.mutable_platform();
   };
   program.commands = {
       {"init", "Make the data folder of a founding member, then exit; never again on a replaced disk"},
@@ -43,7 +45,10 @@
   };
   program.runCommand = runCommand;
   program.makeService = [](const courseloom::DaemonContext& context) {
-    return std::make_unique<courseloom::ControlService>(context);
+    courseloom::ControlEdges edges;
+    edges.makeAdvice = courseloom::platform::makeAdvicePort;
+    edges.answerOperator = courseloom::platform::answerOperator;
+    return std::make_unique<courseloom::ControlService>(context, std::move(edges));
   };
   return courseloom::runDaemon(program, argc, argv);
 }
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: MPL-2.0
 
 #include "Courseloom/src/Entry/EntryService.h"
+#include "platform/Endpoints.h"
 
 int main(int argc, char** argv) {
   courseloom::DaemonProgram program;
@@ -9,7 +10,10 @@
   program.description = "Entry of courseloom: HTTP for callers and operators";
   program.needSections = [](courseloom::schema::Settings& settings) { settings.mutable_entry(); };
   program.makeService = [](const courseloom::DaemonContext& context) {
-    return std::make_unique<courseloom::EntryService>(context);
+    courseloom::EntryEdges edges;
+    edges.answerCaller = courseloom::platform::answerCaller;
+    edges.answerReadiness = courseloom::platform::answerReadiness;
+    return std::make_unique<courseloom::EntryService>(context, std::move(edges));
   };
   return courseloom::runDaemon(program, argc, argv);
 }
