SIGHUP reloads; runs leave targets that go, hang or fail; no exits of its own

Ruled out: the exits as crashes (code 129 is SIGHUP's default action). Change: daemons reload on SIGHUP and when the file changes; ControlClient and ReplicaDriver take new seeds; WorkflowRunner stops runs whose target leaves before they would end, and runs that stand still; TargetHealth keeps suspect targets last.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -434,4 +434,6 @@
   if (!listed(key)) settle(order.task(), order.run(), schema::RunVoided, "never began");
 }
 
+void RunAgentService::reload(const schema::Settings& settings) { m_control.setSeeds(settings.cluster()); }
+
 }  // namespace courseloom
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -38,6 +38,7 @@
   RunAgentService(const DaemonContext& context, RunAgentEdges edges);
   Result<Listening> start() override;
   Awaitable<std::size_t> stop() override;
+  void reload(const schema::Settings& settings) override;
 
  private:
   using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Membership/ControlClient.h"
@@ -445,4 +446,8 @@
   co_return co_await drainToZero([this] { return m_rpc.inFlight() + m_http.inFlight(); }, internal::StopLimit);
 }
 
+void ControlService::reload(const schema::Settings& settings) {
+  asio::post(m_strand, [this, cluster = settings.cluster()] { m_driver.addSeeds(cluster); });
+}
+
 }  // namespace courseloom
--- a/Courseloom/src/Control/ControlService.h
+++ b/Courseloom/src/Control/ControlService.h
@@ -28,6 +28,7 @@
   explicit ControlService(const DaemonContext& context, ControlEdges edges = {});
   Result<Listening> start() override;
   Awaitable<std::size_t> stop() override;
+  void reload(const schema::Settings& settings) override;
 
  private:
   Awaitable<Result<void>> put(schema::QueueConfiguration configuration) override;
--- a/Courseloom/src/Control/ReplicaDriver.cpp
+++ b/Courseloom/src/Control/ReplicaDriver.cpp
@@ -160,6 +160,10 @@
   return ids;
 }
 
+void ReplicaDriver::addSeeds(const schema::ClusterSettings& cluster) {
+  for (const schema::Seed& seed : cluster.seeds()) m_joinAt.insert(replicaIdOf(seed.endpoint()));
+}
+
 Awaitable<void> ReplicaDriver::joinLoop() {
   while (true) {
     co_await sleepFor(internal::JoinInterval);
--- a/Courseloom/src/Control/ReplicaDriver.h
+++ b/Courseloom/src/Control/ReplicaDriver.h
@@ -48,6 +48,8 @@
 
   /** Takes a replica in that asks to join; on the strand. */
   Result<schema::JoinReply> join(const schema::JoinRequest& request);
+  /** Takes further seeds in, through which a leader may be found; on the strand. */
+  void addSeeds(const schema::ClusterSettings& cluster);
   /** \returns the ids of the replicas in the log. */
   std::vector<ReplicaId> memberIds() const;
 
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -25,6 +25,15 @@
 constexpr double MillisecondsPerSecond = 1000.0;
 /** An unfinished task whose percent stands at this is taken to be about to end. */
 constexpr double WholePercent = 100.0;
+/** Share of a task from which its pace so far tells its whole time. */
+constexpr double TellingShare = 0.1;
+/** Time that stopping a run may take before its target is gone, ms. */
+constexpr double LeaveMarginMs = 300.0;
+/** A run whose percent has not moved for this long, or for this share of its estimate, stands still. */
+constexpr double StallMs = 2000.0;
+constexpr double StallShare = 0.3;
+/** Cost of a suspect target: used only where nothing else holds the task. */
+constexpr double SuspectPenalty = 500.0;
 
 RunLedgerOptions ledger_options(const schema::Settings& settings) {
   RunLedgerOptions options;
@@ -75,6 +84,7 @@
   m_leads = leads;
   m_permissions.clear();
   m_readySince.clear();
+  m_health.clear();
   if (leads) m_ledger.lead(table(), BootClock::now());
   for (auto& [agent, signal] : m_agentSignals) signal.notify();
   wake();
@@ -101,6 +111,7 @@
   if (!m_leads) return;
   m_ledger.apply(changes, BootClock::now());
   for (const RunChange& change : changes) {
+    if (!change.started) m_health.ended(change.run.target(), change.task.workflow(), change.kind, BootClock::now());
     if (change.started) notifyAgent(change.run.agent());
   }
   for (const std::string& id : ended) {
@@ -118,6 +129,7 @@
     co_await sleepFor(internal::TickInterval);
     if (!leads()) continue;
     co_await expireRuns();
+    reviewRuns();
     if (!table().open().empty()) wake();
   }
 }
@@ -140,6 +152,71 @@
   co_return static_cast<bool>(reply);
 }
 
+// ---- runs that have to move
+
+/** Stops a run, and with it all members of its gang, so that they start again elsewhere from their checkpoint. */
+void WorkflowRunner::stopWhole(const RunKey& key, const char* reason) {
+  const WorkflowState* workflow = table().find(key.workflow);
+  if (workflow == nullptr) return;
+  const bool gang = workflow->step(key.task.step).gang();
+  const std::uint32_t first = gang ? 0 : key.task.index;
+  const std::uint32_t last = gang ? workflow->step(key.task.step).count() - 1 : key.task.index;
+  for (std::uint32_t index = first; index <= last; ++index) {
+    const RunKey member{key.workflow, {key.task.occurrence, key.task.step, index}, key.run};
+    notifyAgent(m_ledger.wantStop(member));
+  }
+  logEvent(schema::RunMoved, {{"task", internal::task_text(makeTaskId(key.workflow, key.task))},
+                              {"run", std::uint64_t{key.run}},
+                              {"reason", reason}});
+}
+
+/** \returns whether a run's target goes before the run would end. */
+bool WorkflowRunner::leavesTooLate(const RunKey& key, const RunTrack& track) const {
+  const auto found = m_ledger.targets().find(track.agent);
+  if (found == m_ledger.targets().end() || found->second.report.id() != track.target) return false;
+  const TargetTrack& target = found->second;
+  if (!target.report.draining()) return false;
+  const schema::StepSpec& step = table().find(key.workflow)->step(key.task.step);
+  if (step.long_running()) return true;
+  const double leftMs = static_cast<double>(target.report.remaining_ms()) - toMilliseconds(BootClock::now() - target.heard);
+  return remainingMs(step, track) + internal::LeaveMarginMs > leftMs;
+}
+
+bool WorkflowRunner::standsStill(const RunKey& key, const RunTrack& track) const {
+  const schema::StepSpec& step = table().find(key.workflow)->step(key.task.step);
+  if (!track.confirmed || step.long_running() || track.percent >= internal::WholePercent) return false;
+  const auto found = m_ledger.targets().find(track.agent);
+  if (found == m_ledger.targets().end() || !found->second.report.reachable()) return false;
+  const double stillMs = toMilliseconds(BootClock::now() - track.percentChanged);
+  // A sound task moves by a hundredth of its work at a time, and its estimate may be far too short.
+  const double patienceMs = std::max(internal::StallMs, internal::StallShare * static_cast<double>(step.estimate_ms()));
+  return stillMs > patienceMs;
+}
+
+void WorkflowRunner::reviewRuns() {
+  std::vector<RunKey> leaving;
+  std::vector<RunKey> still;
+  for (const auto& [key, track] : m_ledger.runs()) {
+    const WorkflowState* workflow = table().find(key.workflow);
+    if (track.stopWanted || workflow == nullptr || workflow->ended()) continue;
+    if (leavesTooLate(key, track)) leaving.push_back(key);
+    if (standsStill(key, track)) still.push_back(key);
+  }
+  for (const RunKey& key : leaving) stopWhole(key, "its target leaves");
+  for (const RunKey& key : still) {
+    m_health.stalled(m_ledger.runs().at(key).target, BootClock::now());
+    stopWhole(key, "it stands still");
+  }
+}
+
+double WorkflowRunner::remainingMs(const schema::StepSpec& step, const RunTrack& track) {
+  const double ranMs = toMilliseconds(BootClock::now() - track.startedAt);
+  const double share = track.percent / internal::WholePercent;
+  const double whole = std::max(static_cast<double>(step.estimate_ms()),
+                                share > internal::TellingShare ? ranMs / share : 0.0);
+  return std::max(0.0, whole * (1.0 - share));
+}
+
 // ---- planning
 
 Awaitable<void> WorkflowRunner::planLoop() {
@@ -199,7 +276,8 @@
     target.capacity.cpuMilli = static_cast<std::int64_t>(report.capacity().cpu_milli());
     target.capacity.memoryMb = static_cast<std::int64_t>(report.capacity().memory_mb());
     target.capacity.accelerators = report.capacity().accelerators();
-    target.open = m_ledger.open(agent, now);
+    target.open = m_ledger.open(agent, now) && !m_health.paused(report.id(), now);
+    if (m_health.suspect(report.id(), now)) target.penalty = internal::SuspectPenalty;
   }
   return targets;
 }
@@ -226,9 +304,7 @@
     const double cores = static_cast<double>(step.need().cpu_milli()) / internal::MillisecondsPerSecond +
                          internal::AcceleratorCores * step.need().accelerators();
     run.lostWork = step.checkpointable() ? 0.0 : cores * ranMs / internal::MillisecondsPerSecond;
-    const double share = track.percent / internal::WholePercent;
-    const double whole = std::max(static_cast<double>(step.estimate_ms()), share > 0.1 ? ranMs / share : 0.0);
-    run.remainingMs = std::max(0.0, whole * (1.0 - share));
+    run.remainingMs = remainingMs(step, track);
   }
   return runs;
 }
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -11,6 +11,7 @@
 #include "Courseloom/src/Control/ReplicaDriver.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
+#include "Courseloom/src/Scheduling/TargetHealth.h"
 
 namespace courseloom {
 
@@ -78,6 +79,11 @@
   const WorkflowTable& table() const { return m_driver.state().workflows(); }
 
   schema::RecordRuns makePlan();
+  void reviewRuns();
+  bool leavesTooLate(const RunKey& key, const RunTrack& track) const;
+  bool standsStill(const RunKey& key, const RunTrack& track) const;
+  static double remainingMs(const schema::StepSpec& step, const RunTrack& track);
+  void stopWhole(const RunKey& key, const char* reason);
   std::vector<PlannedTarget> planTargets() const;
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
   std::vector<PlannedStep> planSteps();
@@ -101,6 +107,7 @@
   std::unique_ptr<AdvicePort> m_advice;
   RunLedger m_ledger;
   RunPlanner m_planner;
+  TargetHealth m_health;
   ChangeSignal m_planWanted;
   std::map<std::string, ChangeSignal> m_agentSignals;
   std::map<StepName, Permission> m_permissions;
--- a/Courseloom/src/Entry/EntryService.cpp
+++ b/Courseloom/src/Entry/EntryService.cpp
@@ -124,4 +124,6 @@
                                  milliseconds(entry.drain_limit_ms()));
 }
 
+void EntryService::reload(const schema::Settings& settings) { m_follower.control().setSeeds(settings.cluster()); }
+
 }  // namespace courseloom
--- a/Courseloom/src/Entry/EntryService.h
+++ b/Courseloom/src/Entry/EntryService.h
@@ -25,6 +25,7 @@
   explicit EntryService(const DaemonContext& context, EntryEdges edges = {});
   Result<Listening> start() override;
   Awaitable<std::size_t> stop() override;
+  void reload(const schema::Settings& settings) override;
 
  private:
   Awaitable<HttpResponse> handle(HttpRequest request, std::string peer);
--- a/Courseloom/src/Membership/ControlClient.cpp
+++ b/Courseloom/src/Membership/ControlClient.cpp
@@ -56,18 +56,18 @@
   return m_replicas[m_current % m_replicas.size()];
 }
 
-void ControlClient::setMembers(const std::vector<std::uint32_t>& ids) {
-  const std::lock_guard lock(m_mutex);
-  if (m_seedPort == 0 || ids.empty()) return;
+ControlClient::Replica ControlClient::knownOrNew(std::uint32_t id) const {
+  for (const Replica& replica : m_replicas) {
+    if (replica.id == id) return replica;
+  }
+  return make(id);
+}
+
+/** Puts the named replicas first and those of the settings after them; the current one stays current. */
+void ControlClient::rebuild(const std::vector<std::uint32_t>& ids) {
   const std::uint32_t now = m_replicas[m_current % m_replicas.size()].id;
-  const auto known = [this](std::uint32_t id) {
-    for (const Replica& replica : m_replicas) {
-      if (replica.id == id) return replica;
-    }
-    return make(id);
-  };
   std::vector<Replica> next;
-  for (const std::uint32_t id : ids) next.push_back(known(id));
+  for (const std::uint32_t id : ids) next.push_back(knownOrNew(id));
   for (const Replica& replica : m_configured) {
     const bool named = std::find(ids.begin(), ids.end(), replica.id) != ids.end();
     if (!named) next.push_back(replica);
@@ -79,6 +79,21 @@
   }
 }
 
+void ControlClient::setMembers(const std::vector<std::uint32_t>& ids) {
+  const std::lock_guard lock(m_mutex);
+  if (m_seedPort == 0 || ids.empty() || ids == m_members) return;
+  m_members = ids;
+  rebuild(ids);
+}
+
+void ControlClient::setSeeds(const schema::ClusterSettings& cluster) {
+  const std::lock_guard lock(m_mutex);
+  if (cluster.seeds_size() == 0) return;
+  m_configured.clear();
+  for (const schema::Seed& seed : cluster.seeds()) m_configured.push_back(knownOrNew(replicaIdOf(seed.endpoint())));
+  rebuild(m_members);
+}
+
 void ControlClient::moveOn(std::uint32_t from, const Failure& failure) {
   const std::lock_guard lock(m_mutex);
   if (m_replicas[m_current % m_replicas.size()].id != from) return;  // another call has moved on already
--- a/Courseloom/src/Membership/ControlClient.h
+++ b/Courseloom/src/Membership/ControlClient.h
@@ -33,6 +33,8 @@
 
   /** Takes the replicas that the leader names; those of the settings stay as the last resort. */
   void setMembers(const std::vector<std::uint32_t>& ids);
+  /** Takes the seeds of changed settings as the new last resort. */
+  void setSeeds(const schema::ClusterSettings& cluster);
 
  private:
   struct Replica {
@@ -48,12 +50,15 @@
   /** Moves on after a failure: to the leader that the failure names, or to the next replica. */
   void moveOn(std::uint32_t from, const Failure& failure);
   Replica make(std::uint32_t id) const;
+  Replica knownOrNew(std::uint32_t id) const;
+  void rebuild(const std::vector<std::uint32_t>& ids);
 
   boost::asio::io_context& m_io;
   unsigned m_seedPort;
   mutable std::mutex m_mutex;
   std::vector<Replica> m_replicas;
-  std::vector<Replica> m_configured;  ///< of the settings
+  std::vector<Replica> m_configured;     ///< of the settings
+  std::vector<std::uint32_t> m_members;  ///< as the leader named them last
   std::size_t m_current = 0;
   Duration m_tryLimit;
 };
--- a/Courseloom/src/Runtime/Daemon.cpp
+++ b/Courseloom/src/Runtime/Daemon.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <thread>
 
 #include "Courseloom/src/Core/Log.h"
@@ -23,6 +25,7 @@
 namespace {
 
 constexpr Duration DrainLook = milliseconds(5);
+constexpr Duration SettingsLook = milliseconds(1000);
 
 int report_failure(const std::string& program, const Failure& failure, int exitCode) {
   std::cerr << program << ": " << failure.text() << "\n";
@@ -62,7 +65,45 @@
   io.stop();
 }
 
-int serve(const DaemonProgram& program, const schema::Settings& settings) {
+/** \returns the text of all settings files, to see whether they changed. */
+std::string read_texts(const std::vector<std::string>& files) {
+  std::ostringstream texts;
+  for (const std::string& file : files) texts << std::ifstream(file).rdbuf();
+  return texts.str();
+}
+
+void reload_settings(const DaemonProgram& program, const std::vector<std::string>& files, Service& service) {
+  Result<schema::Settings> settings = readSettings(files, program.needSections);
+  if (!settings) return logFailure(schema::SettingsRefused, takeFailure(settings));
+  logEvent(schema::SettingsReloaded);
+  service.reload(*settings);
+}
+
+/** Reloads on SIGHUP, and when the files change without it. */
+Awaitable<void> reload_on_change(const DaemonProgram& program, const std::vector<std::string>& files,
+                                 Service& service) {
+  asio::signal_set hangUp(co_await asio::this_coro::executor, SIGHUP);
+  bool signalled = false;
+  std::function<void()> listen = [&] {
+    hangUp.async_wait([&](const boost::system::error_code& error, int) {
+      if (error) return;
+      signalled = true;
+      listen();
+    });
+  };
+  listen();
+  std::string inForce = read_texts(files);
+  while (true) {
+    co_await sleepFor(SettingsLook);
+    std::string texts = read_texts(files);
+    if (!signalled && texts == inForce) continue;
+    signalled = false;
+    inForce = std::move(texts);
+    reload_settings(program, files, service);
+  }
+}
+
+int serve(const DaemonProgram& program, const schema::Settings& settings, const std::vector<std::string>& files) {
   asio::io_context io;
   Histograms metrics;
   const DaemonContext context{io, settings, metrics};
@@ -77,6 +118,7 @@
     return report_failure(program.name, failure, storage ? ExitStorage : wrongSettings ? ExitSettings : ExitListen);
   }
   asio::co_spawn(io, stop_on_signal(io, signals, *service), asio::detached);
+  asio::co_spawn(io, reload_on_change(program, files, *service), asio::detached);
   const schema::NodeSettings& node = settings.node();
   logEvent(schema::ProcessStarted, {{"address", node.address()},
                                     {"rpcPort", std::uint64_t{listening->rpcPort}},
@@ -134,7 +176,7 @@
     const std::optional<int> code = program.runCommand(*settings, command);
     if (code) return *code;
   }
-  return internal::serve(program, *settings);
+  return internal::serve(program, *settings, files);
 }
 
 std::optional<HttpResponse> answerAdmin(const HttpRequest& request, bool ready, const Histograms& metrics) {
--- a/Courseloom/src/Runtime/Daemon.h
+++ b/Courseloom/src/Runtime/Daemon.h
@@ -52,6 +52,8 @@
   virtual Result<Listening> start() = 0;
   /** Ends in peace: takes nothing new, drains. \returns how many requests the drain limit cut */
   virtual Awaitable<std::size_t> stop() = 0;
+  /** Takes changed settings in as far as they can change while serving: the seeds. */
+  virtual void reload(const schema::Settings& settings) { static_cast<void>(settings); }
 };
 
 /** \class DaemonProgram
