--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <cmath>
 
 #include "Courseloom/src/Core/Log.h"
 
@@ -32,6 +33,10 @@
 /** A run whose percent has not moved for this long, or for this share of its estimate, stands still. */
 constexpr double StallMs = 2000.0;
 constexpr double StallShare = 0.3;
+/** Accelerators that urgent work is taken to need before any was seen, and the time in which a peak fades to a third. */
+constexpr double FirstUrgentPeak = 16.0;
+constexpr double UrgentPeakFadeMs = 20000.0;
+constexpr double AcceleratorsPerTarget = 8.0;
 /** Cost of a suspect target: used only where nothing else holds the task. */
 constexpr double SuspectPenalty = 500.0;
 
@@ -236,7 +241,9 @@
   std::vector<PlannedStep> steps = planSteps();
   if (steps.empty()) return runs;
   const std::vector<PlannedTarget> targets = planTargets();
-  const RunPlan plan = m_planner.plan(targets, planRuns(targets), steps);
+  const std::vector<PlannedRun> active = planRuns(targets);
+  const unsigned keepWhole = wholeTargetsToKeep(active, steps);
+  const RunPlan plan = m_planner.plan(targets, active, steps, keepWhole, static_cast<double>(wallClockMs()));
   for (const RunKey& key : plan.stops) {
     const std::string agent = m_ledger.wantStop(key);
     logEvent(schema::RunPreempted,
@@ -262,6 +269,23 @@
   return runs;
 }
 
+/** As many as urgent work lately needed at its peak, less what it holds now; the peak fades. */
+unsigned WorkflowRunner::wholeTargetsToKeep(const std::vector<PlannedRun>& runs, const std::vector<PlannedStep>& steps) {
+  double held = 0.0;
+  for (const PlannedRun& run : runs) held += run.priority == 0 ? static_cast<double>(run.need.accelerators) : 0.0;
+  double wanted = held;
+  for (const PlannedStep& step : steps) {
+    if (step.priority != 0) continue;
+    wanted += static_cast<double>(step.tasks.size()) * step.workflow->step(step.key.step).need().accelerators();
+  }
+  const Time now = BootClock::now();
+  if (m_urgentSeen == Time{}) m_urgentPeak = internal::FirstUrgentPeak;
+  const double elapsedMs = m_urgentSeen == Time{} ? 0.0 : toMilliseconds(now - m_urgentSeen);
+  m_urgentSeen = now;
+  m_urgentPeak = std::max(wanted, m_urgentPeak * std::exp(-elapsedMs / internal::UrgentPeakFadeMs));
+  return static_cast<unsigned>(std::ceil(std::max(0.0, m_urgentPeak - held) / internal::AcceleratorsPerTarget));
+}
+
 std::vector<PlannedTarget> WorkflowRunner::planTargets() const {
   const Time now = BootClock::now();
   std::vector<PlannedTarget> targets;
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -80,6 +80,7 @@
 
   schema::RecordRuns makePlan();
   void reviewRuns();
+  unsigned wholeTargetsToKeep(const std::vector<PlannedRun>& runs, const std::vector<PlannedStep>& steps);
   bool leavesTooLate(const RunKey& key, const RunTrack& track) const;
   bool standsStill(const RunKey& key, const RunTrack& track) const;
   static double remainingMs(const schema::StepSpec& step, const RunTrack& track);
@@ -113,6 +114,8 @@
   std::map<StepName, Permission> m_permissions;
   std::map<StepName, Time> m_readySince;
   std::function<std::vector<ReplicaId>()> m_membersSource;
+  double m_urgentPeak = 0.0;  ///< accelerators that priority 0 lately needed at once
+  Time m_urgentSeen{};        ///< when the peak was last brought up to date
   bool m_leads = false;
   bool m_dirty = false;
   bool m_expiring = false;
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -15,6 +15,8 @@
 /** Cost of running away from the data, against packing. */
 constexpr double AwayFromData = 1000.0;
 constexpr double CpuWeight = 0.0001;
+/** Urgent work begins at one end of the targets and other work at the other, so that whole racks stay free between. */
+constexpr double OrderWeight = 0.01;
 
 }  // namespace
 }  // namespace internal
@@ -46,8 +48,10 @@
 }
 
 RunPlan RunPlanner::plan(const std::vector<PlannedTarget>& targets, const std::vector<PlannedRun>& runs,
-                         std::vector<PlannedStep> steps) {
+                         std::vector<PlannedStep> steps, unsigned keepWhole, double nowMs) {
   m_targets = &targets;
+  m_keepWhole = m_options.headroom ? keepWhole : 0;
+  m_nowMs = nowMs;
   m_runs = &runs;
   m_steps = std::move(steps);
   m_plan = RunPlan();
@@ -105,7 +109,7 @@
   double least = std::numeric_limits<double>::max();
   for (const std::size_t i : among) {
     const PlannedTarget& target = (*m_targets)[i];
-    if (!allowed(step, target) || !rooms[i].holds(need)) continue;
+    if (!allowed(step, target) || !rooms[i].holds(need) || keptForUrgent(step, i, rooms)) continue;
     if (!backfills) {
       Room spare = rooms[i];
       spare.subtract(m_reserved[i]);
@@ -118,6 +122,7 @@
     const bool away = !spec.preferred_rack().empty() && target.rack != spec.preferred_rack();
     const double cost = static_cast<double>(rooms[i].accelerators - need.accelerators) +
                         internal::CpuWeight * static_cast<double>(rooms[i].cpuMilli - need.cpuMilli) / 1000.0 +
+                        internal::OrderWeight * static_cast<double>(step.priority == 0 ? m_targets->size() - i : i) +
                         (away ? internal::AwayFromData : 0.0) + target.penalty;
     if (cost >= least) continue;
     // Far from its data a task takes several times as long, so it first waits about as long as it would run.
@@ -128,6 +133,18 @@
   return chosen;
 }
 
+/** \returns whether a target is one of the last whole ones, and the step can still wait. */
+bool RunPlanner::keptForUrgent(const PlannedStep& step, std::size_t target, const Rooms& rooms) const {
+  if (m_keepWhole == 0 || step.priority == 0 || step.waitedMs >= m_options.headroomWaitMs) return false;
+  const auto isWhole = [&](std::size_t i) {
+    return (*m_targets)[i].open && rooms[i].accelerators >= (*m_targets)[i].capacity.accelerators;
+  };
+  if (!isWhole(target)) return false;
+  unsigned whole = 0;
+  for (std::size_t i = 0; i < rooms.size(); ++i) whole += isWhole(i) ? 1 : 0;
+  return whole <= m_keepWhole;
+}
+
 void RunPlanner::take(std::size_t index, const std::vector<std::size_t>& chosen) {
   PlannedStep& step = m_steps[index];
   const Room need = roomOf(step.workflow->step(step.key.step));
@@ -159,7 +176,7 @@
   PlannedStep& step = m_steps[index];
   step.tasks.erase(step.tasks.begin(), step.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
   if (step.tasks.empty() || step.priority != 0 || !m_options.preemption) return;
-  preempt(index);
+  if (!waitsInPeace(step)) preempt(index);
 }
 
 /** Groups of targets within one of which a gang has to be. */
@@ -213,7 +230,7 @@
   const PlannedStep& step = m_steps[index];
   Choice choice;
   if (tryGang(step, m_free, choice)) return take(index, choice.targets);
-  if (step.priority == 0 && m_options.preemption && preempt(index)) return;
+  if (step.priority == 0 && m_options.preemption && (waitsInPeace(step) || preempt(index))) return;
   if (m_options.reservation && !m_hasReservation && step.waitedMs >= m_options.reserveAfterMs) reserve(step);
 }
 
@@ -222,7 +239,6 @@
 /** Sets room aside for what waits; if what is being stopped is not enough, chooses more to stop. */
 bool RunPlanner::preempt(std::size_t index) {
   const PlannedStep& step = m_steps[index];
-  const Room need = roomOf(step.workflow->step(step.key.step));
   Choice choice;
   std::vector<std::size_t> victims;
   const bool soon = tryGang(step, m_later, choice);
@@ -244,11 +260,28 @@
     m_plan.stops.push_back((*m_runs)[run].key);
     m_later[(*m_runs)[run].target].add((*m_runs)[run].need);
   }
-  // Later steps must not take what is being freed.
+  setAside(step, choice);
+  return true;
+}
+
+/** Keeps room that is being freed from later steps. */
+void RunPlanner::setAside(const PlannedStep& step, const Choice& choice) {
+  const Room need = roomOf(step.workflow->step(step.key.step));
   for (const std::size_t target : choice.targets) {
     m_free[target].subtract(need);
     m_later[target].subtract(need);
   }
+}
+
+/** \returns whether enough runs end by themselves soon enough; their room is set aside then. */
+bool RunPlanner::waitsInPeace(const PlannedStep& step) {
+  if (!m_options.patience) return false;
+  const double slackMs = step.objectiveMs - m_nowMs - step.estimateMs;
+  const double budgetMs = std::min(m_options.patienceShare * slackMs, m_options.patienceLimitMs - step.waitedMs);
+  Choice choice;
+  const std::optional<double> wait = naturalWait(step, choice);
+  if (!wait || *wait > budgetMs) return false;
+  setAside(step, choice);
   return true;
 }
 
@@ -324,8 +357,8 @@
 
 // ---- a place in time for a gang that waits
 
-/** Finds when enough runs will have ended, and keeps that place from later work that would take longer. */
-void RunPlanner::reserve(const PlannedStep& step) {
+/** \returns the time after which enough runs will have ended by themselves, ms, and the places that are free then. */
+std::optional<double> RunPlanner::naturalWait(const PlannedStep& step, Choice& choice) const {
   std::vector<std::size_t> order(m_runs->size());
   std::iota(order.begin(), order.end(), 0U);
   std::sort(order.begin(), order.end(),
@@ -334,14 +367,20 @@
   for (const std::size_t r : order) {
     const PlannedRun& run = (*m_runs)[r];
     rooms[run.target].add(run.need);
-    Choice choice;
-    if (!tryGang(step, rooms, choice)) continue;
-    const Room need = roomOf(step.workflow->step(step.key.step));
-    for (const std::size_t target : choice.targets) m_reserved[target].add(need);
-    m_reservedUntilMs = run.remainingMs;
-    m_hasReservation = true;
-    return;
+    if (tryGang(step, rooms, choice)) return run.remainingMs;
   }
+  return std::nullopt;
+}
+
+/** Keeps the place that will be free first from later work that would take longer. */
+void RunPlanner::reserve(const PlannedStep& step) {
+  Choice choice;
+  const std::optional<double> wait = naturalWait(step, choice);
+  if (!wait) return;
+  const Room need = roomOf(step.workflow->step(step.key.step));
+  for (const std::size_t target : choice.targets) m_reserved[target].add(need);
+  m_reservedUntilMs = *wait;
+  m_hasReservation = true;
 }
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -95,6 +95,11 @@
   bool preemption = true;          ///< priority 0 makes room for itself
   bool reservation = true;         ///< the first gang that waits keeps its place against later work
   double reserveAfterMs = 1000.0;  ///< wait after which a gang gets a reservation
+  bool patience = true;           ///< priority 0 waits for runs that end by themselves in time, rather than stop others
+  double patienceShare = 0.5;     ///< share of the time to its objective that it may wait so
+  double patienceLimitMs = 1400.0;  ///< longest wait after which others are stopped for it
+  bool headroom = true;           ///< whole targets are kept free for priority 0
+  double headroomWaitMs = 4000.0;  ///< wait after which other work may take them all the same
 };
 
 /** \class RunPlanner
@@ -108,8 +113,9 @@
  public:
   explicit RunPlanner(RunPlannerOptions options = {}) : m_options(options) {}
 
+  /** \param keepWhole targets to be kept wholly free for priority 0 \param nowMs wall clock, ms since 1970 */
   RunPlan plan(const std::vector<PlannedTarget>& targets, const std::vector<PlannedRun>& runs,
-               std::vector<PlannedStep> steps);
+               std::vector<PlannedStep> steps, unsigned keepWhole = 0, double nowMs = 0.0);
 
  private:
   using Rooms = std::vector<Room>;
@@ -130,6 +136,10 @@
   bool makeRoom(const PlannedStep& step, const std::vector<std::size_t>& among, Choice& choice,
                 std::vector<std::size_t>& victims, double& cost) const;
   void reserve(const PlannedStep& step);
+  std::optional<double> naturalWait(const PlannedStep& step, Choice& choice) const;
+  bool waitsInPeace(const PlannedStep& step);
+  bool keptForUrgent(const PlannedStep& step, std::size_t target, const Rooms& rooms) const;
+  void setAside(const PlannedStep& step, const Choice& choice);
   void take(std::size_t index, const std::vector<std::size_t>& chosen);
   std::vector<std::vector<std::size_t>> gangGroups(const PlannedStep& step) const;
   std::vector<std::size_t> all() const;
@@ -143,6 +153,8 @@
   Rooms m_reserved;  ///< set aside for a gang that waits, until m_reservedFor
   double m_reservedUntilMs = 0.0;
   bool m_hasReservation = false;
+  unsigned m_keepWhole = 0;
+  double m_nowMs = 0.0;
   std::vector<bool> m_stopped;  ///< by run: chosen as victim now
   RunPlan m_plan;
 };
