Guaranteed work goes before, and may stop, other urgent work

Ruled out: preemption itself (it freed room at once where the victims were of lower priority). Change: ranks: guaranteed, urgent, the rest; the earliest workflows of a tenant that fit its guarantee are guaranteed; waiting counts from submission.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -238,6 +238,7 @@
 
 schema::RecordRuns WorkflowRunner::makePlan() {
   schema::RecordRuns runs;
+  markGuaranteed();
   std::vector<PlannedStep> steps = planSteps();
   if (steps.empty()) return runs;
   const std::vector<PlannedTarget> targets = planTargets();
@@ -269,13 +270,43 @@
   return runs;
 }
 
+/** A tenant's workflows of priority 0 lie within its guarantee, the earliest first, as long as it holds them all. */
+void WorkflowRunner::markGuaranteed() {
+  m_guaranteed.clear();
+  std::map<std::string, std::uint64_t> left;
+  for (const schema::Tenant& tenant : table().configuration().tenants()) {
+    left[tenant.name()] = tenant.guaranteed_accelerators();
+  }
+  std::multimap<std::uint64_t, const WorkflowState*> bySubmission;
+  for (const std::string& id : table().open()) {
+    const WorkflowState* workflow = table().find(id);
+    if (!workflow->ended() && workflow->record.priority() == 0) {
+      bySubmission.emplace(workflow->record.submitted_ms(), workflow);
+    }
+  }
+  for (const auto& [submitted, workflow] : bySubmission) {
+    std::uint64_t need = 0;
+    for (const schema::StepSpec& step : workflow->record.spec().steps()) {
+      need = std::max<std::uint64_t>(need, std::uint64_t{step.count()} * step.need().accelerators());
+    }
+    std::uint64_t& room = left[workflow->record.tenant()];
+    if (need == 0 || need > room) continue;
+    room -= need;
+    m_guaranteed.insert(workflow->record.id());
+  }
+}
+
+Rank WorkflowRunner::rankOfWorkflow(const WorkflowState& workflow) const {
+  return rankOf(workflow.record.priority(), m_guaranteed.count(workflow.record.id()) > 0);
+}
+
 /** As many as urgent work lately needed at its peak, less what it holds now; the peak fades. */
 unsigned WorkflowRunner::wholeTargetsToKeep(const std::vector<PlannedRun>& runs, const std::vector<PlannedStep>& steps) {
   double held = 0.0;
-  for (const PlannedRun& run : runs) held += run.priority == 0 ? static_cast<double>(run.need.accelerators) : 0.0;
+  for (const PlannedRun& run : runs) held += run.rank <= UrgentRank ? static_cast<double>(run.need.accelerators) : 0.0;
   double wanted = held;
   for (const PlannedStep& step : steps) {
-    if (step.priority != 0) continue;
+    if (!step.isUrgent()) continue;
     wanted += static_cast<double>(step.tasks.size()) * step.workflow->step(step.key.step).need().accelerators();
   }
   const Time now = BootClock::now();
@@ -320,7 +351,7 @@
     run.key = key;
     run.target = target->second;
     run.need = roomOf(step);
-    run.priority = workflow->record.priority();
+    run.rank = rankOfWorkflow(*workflow);
     run.stopping = track.stopWanted || workflow->ended();
     run.movable = !step.long_running();
     if (step.gang()) run.gang = internal::gang_name(key);
@@ -365,13 +396,15 @@
       }
       const bool partOfGang = spec.gang() && step.tasks.size() < spec.count();
       if (step.tasks.empty() || partOfGang) continue;
-      step.priority = record.priority();
+      step.rank = rankOfWorkflow(workflow);
       step.estimateMs = static_cast<double>(spec.estimate_ms());
       step.objectiveMs =
           static_cast<double>(due) + record.stretch() * longestChainMs(record.spec()) + record.latency_target_ms();
       const StepName name{record.id(), key};
       const Time now = BootClock::now();
       step.waitedMs = toMilliseconds(now - m_readySince.try_emplace(name, now).first->second);
+      // A former leader's waiting counts too, as far as the log tells of it.
+      if (spec.after().empty()) step.waitedMs = std::max(step.waitedMs, static_cast<double>(nowMs - due));
       if (permit(step, queue)) steps.push_back(std::move(step));
     }
   }
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -80,6 +80,8 @@
 
   schema::RecordRuns makePlan();
   void reviewRuns();
+  void markGuaranteed();
+  Rank rankOfWorkflow(const WorkflowState& workflow) const;
   unsigned wholeTargetsToKeep(const std::vector<PlannedRun>& runs, const std::vector<PlannedStep>& steps);
   bool leavesTooLate(const RunKey& key, const RunTrack& track) const;
   bool standsStill(const RunKey& key, const RunTrack& track) const;
@@ -114,6 +116,7 @@
   std::map<StepName, Permission> m_permissions;
   std::map<StepName, Time> m_readySince;
   std::function<std::vector<ReplicaId>()> m_membersSource;
+  std::set<std::string> m_guaranteed;  ///< workflows within their tenants' guarantees, as of this plan
   double m_urgentPeak = 0.0;  ///< accelerators that priority 0 lately needed at once
   Time m_urgentSeen{};        ///< when the peak was last brought up to date
   bool m_leads = false;
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -39,6 +39,11 @@
   return cpu && memory && (need.accelerators == 0 || accelerators >= need.accelerators);
 }
 
+Rank rankOf(std::uint32_t priority, bool guaranteed) {
+  if (priority == 0) return guaranteed ? GuaranteedRank : UrgentRank;
+  return UrgentRank + priority;
+}
+
 Room roomOf(const schema::StepSpec& step) {
   Room room;
   room.cpuMilli = step.filler() ? 0 : static_cast<std::int64_t>(step.need().cpu_milli());
@@ -70,7 +75,7 @@
   std::stable_sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) {
     const PlannedStep& left = m_steps[a];
     const PlannedStep& right = m_steps[b];
-    if (left.priority != right.priority) return left.priority < right.priority;
+    if (left.rank != right.rank) return left.rank < right.rank;
     return left.objectiveMs < right.objectiveMs;
   });
   for (const std::size_t index : order) serve(index);
@@ -122,7 +127,7 @@
     const bool away = !spec.preferred_rack().empty() && target.rack != spec.preferred_rack();
     const double cost = static_cast<double>(rooms[i].accelerators - need.accelerators) +
                         internal::CpuWeight * static_cast<double>(rooms[i].cpuMilli - need.cpuMilli) / 1000.0 +
-                        internal::OrderWeight * static_cast<double>(step.priority == 0 ? m_targets->size() - i : i) +
+                        internal::OrderWeight * static_cast<double>(step.isUrgent() ? m_targets->size() - i : i) +
                         (away ? internal::AwayFromData : 0.0) + target.penalty;
     if (cost >= least) continue;
     // Far from its data a task takes several times as long, so it first waits about as long as it would run.
@@ -135,7 +140,7 @@
 
 /** \returns whether a target is one of the last whole ones, and the step can still wait. */
 bool RunPlanner::keptForUrgent(const PlannedStep& step, std::size_t target, const Rooms& rooms) const {
-  if (m_keepWhole == 0 || step.priority == 0 || step.waitedMs >= m_options.headroomWaitMs) return false;
+  if (m_keepWhole == 0 || step.isUrgent() || step.waitedMs >= m_options.headroomWaitMs) return false;
   const auto isWhole = [&](std::size_t i) {
     return (*m_targets)[i].open && rooms[i].accelerators >= (*m_targets)[i].capacity.accelerators;
   };
@@ -175,7 +180,7 @@
   take(index, chosen);
   PlannedStep& step = m_steps[index];
   step.tasks.erase(step.tasks.begin(), step.tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
-  if (step.tasks.empty() || step.priority != 0 || !m_options.preemption) return;
+  if (step.tasks.empty() || !step.isUrgent() || !m_options.preemption) return;
   if (!waitsInPeace(step)) preempt(index);
 }
 
@@ -230,7 +235,7 @@
   const PlannedStep& step = m_steps[index];
   Choice choice;
   if (tryGang(step, m_free, choice)) return take(index, choice.targets);
-  if (step.priority == 0 && m_options.preemption && (waitsInPeace(step) || preempt(index))) return;
+  if (step.isUrgent() && m_options.preemption && (waitsInPeace(step) || preempt(index))) return;
   if (m_options.reservation && !m_hasReservation && step.waitedMs >= m_options.reserveAfterMs) reserve(step);
 }
 
@@ -296,7 +301,7 @@
   std::map<std::size_t, std::vector<std::size_t>> byTarget;
   for (std::size_t r = 0; r < m_runs->size(); ++r) {
     const PlannedRun& run = (*m_runs)[r];
-    if (run.stopping || !run.movable || run.priority <= step.priority) continue;
+    if (run.stopping || !run.movable || run.rank <= step.rank) continue;
     byTarget[run.target].push_back(r);
     if (!run.gang.empty()) gangs[run.gang].push_back(r);
   }
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -30,6 +30,15 @@
 /** \returns what one task of a step takes; a filler takes no processor time that others could use. */
 Room roomOf(const schema::StepSpec& step);
 
+/** Order in which work is served and may make room for itself: lower goes first. */
+using Rank = std::uint32_t;
+/** Work of priority 0 within its tenant's guarantee; may stop whatever is not. */
+inline constexpr Rank GuaranteedRank = 0;
+/** Other work of priority 0; may stop work of lower priority. */
+inline constexpr Rank UrgentRank = 1;
+/** \returns the rank of a workflow. \param guaranteed whether it lies within its tenant's guarantee */
+Rank rankOf(std::uint32_t priority, bool guaranteed);
+
 /** \class PlannedTarget
  * \brief One target as the planner sees it.
  */
@@ -51,7 +60,7 @@
   RunKey key;
   std::size_t target = 0;
   Room need;
-  std::uint32_t priority = 0;
+  Rank rank = UrgentRank;
   bool stopping = false;
   bool movable = true;       ///< may be stopped to make room
   std::string gang;          ///< names the gang's run; empty for a task of its own
@@ -66,10 +75,11 @@
   const WorkflowState* workflow = nullptr;
   StepKey key;
   std::vector<std::uint32_t> tasks;  ///< indexes that wait; for a gang all of them
-  std::uint32_t priority = 0;
+  Rank rank = UrgentRank;
   double objectiveMs = 0.0;                  ///< wall clock by which the workflow should be done
   double estimateMs = 0.0;                   ///< expected run time of one task
   double waitedMs = 0.0;                     ///< time since the step became ready
+  bool isUrgent() const { return rank <= UrgentRank; }
   std::map<std::string, unsigned> placedOn;  ///< tasks of this step by target id, for the limit on one target
   /** Targets that may run it, with their tickets; nothing where no permission is needed. */
   std::optional<std::map<std::string, std::string>> tickets;
@@ -105,7 +115,7 @@
 /** \class RunPlanner
  * \brief Decides which waiting tasks start where, and which runs make room for work of priority 0.
  *
- * A plain class without clock, input or output. Steps are served by priority, then by the time by which they should be
+ * A plain class without clock, input or output. Steps are served by rank, then by the time by which they should be
  * done. A gang is placed whole or not at all. Tasks are packed onto the fullest target that holds them, so that whole
  * targets stay free for tasks that need them; the rack of the data and the rack of the gang come first.
  */
