--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -33,7 +33,8 @@
 /** A run whose percent has not moved for this long, or for this share of its estimate, stands still. */
 constexpr double StallMs = 2000.0;
 constexpr double StallShare = 0.3;
-/** Accelerators that urgent work is taken to need before any was seen, and the time in which a peak fades to a third. */
+/** Accelerators that urgent work is taken to need before any was seen, and the time in which a peak fades to a third.
+ */
 constexpr double FirstUrgentPeak = 16.0;
 constexpr double UrgentPeakFadeMs = 20000.0;
 constexpr double AcceleratorsPerTarget = 8.0;
@@ -183,7 +184,8 @@
   if (!target.report.draining()) return false;
   const schema::StepSpec& step = table().find(key.workflow)->step(key.task.step);
   if (step.long_running()) return true;
-  const double leftMs = static_cast<double>(target.report.remaining_ms()) - toMilliseconds(BootClock::now() - target.heard);
+  const double leftMs =
+      static_cast<double>(target.report.remaining_ms()) - toMilliseconds(BootClock::now() - target.heard);
   return remainingMs(step, track) + internal::LeaveMarginMs > leftMs;
 }
 
@@ -217,8 +219,8 @@
 double WorkflowRunner::remainingMs(const schema::StepSpec& step, const RunTrack& track) {
   const double ranMs = toMilliseconds(BootClock::now() - track.startedAt);
   const double share = track.percent / internal::WholePercent;
-  const double whole = std::max(static_cast<double>(step.estimate_ms()),
-                                share > internal::TellingShare ? ranMs / share : 0.0);
+  const double whole =
+      std::max(static_cast<double>(step.estimate_ms()), share > internal::TellingShare ? ranMs / share : 0.0);
   return std::max(0.0, whole * (1.0 - share));
 }
 
@@ -301,7 +303,8 @@
 }
 
 /** As many as urgent work lately needed at its peak, less what it holds now; the peak fades. */
-unsigned WorkflowRunner::wholeTargetsToKeep(const std::vector<PlannedRun>& runs, const std::vector<PlannedStep>& steps) {
+unsigned WorkflowRunner::wholeTargetsToKeep(const std::vector<PlannedRun>& runs,
+                                            const std::vector<PlannedStep>& steps) {
   double held = 0.0;
   for (const PlannedRun& run : runs) held += run.rank <= UrgentRank ? static_cast<double>(run.need.accelerators) : 0.0;
   double wanted = held;
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -117,8 +117,8 @@
   std::map<StepName, Time> m_readySince;
   std::function<std::vector<ReplicaId>()> m_membersSource;
   std::set<std::string> m_guaranteed;  ///< workflows within their tenants' guarantees, as of this plan
-  double m_urgentPeak = 0.0;  ///< accelerators that priority 0 lately needed at once
-  Time m_urgentSeen{};        ///< when the peak was last brought up to date
+  double m_urgentPeak = 0.0;           ///< accelerators that priority 0 lately needed at once
+  Time m_urgentSeen{};                 ///< when the peak was last brought up to date
   bool m_leads = false;
   bool m_dirty = false;
   bool m_expiring = false;
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -133,7 +133,8 @@
 
 /** A former leader may have granted until the very instant at which this one began. */
 Time RunLedger::heldUntil(const std::string& agent) const {
-  const Time inherited = m_leaderSince + m_options.grant;
+  if (!m_options.waitForGrants) return m_leaderSince;
+  const Time inherited = m_options.inheritGrants ? m_leaderSince + m_options.grant : m_leaderSince;
   const auto found = m_targets.find(agent);
   return found == m_targets.end() ? inherited : std::max(inherited, found->second.grantUntil);
 }
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -30,6 +30,9 @@
   Duration grant = milliseconds(5500);           ///< time for which an agent may hold runs after word from the leader
   Duration slack = milliseconds(300);            ///< added before runs of a silent agent count as lapsed
   Duration redeliverAfter = milliseconds(1500);  ///< an order without result is given again after this
+  // Switches with which proofs turn one mechanism off; all on in production.
+  bool waitForGrants = true;  ///< runs of a silent agent are over only when its grant has run out
+  bool inheritGrants = true;  ///< a new leader counts on grants that a former one gave until it began
 };
 
 /** \class RunTrack
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -76,9 +76,9 @@
   StepKey key;
   std::vector<std::uint32_t> tasks;  ///< indexes that wait; for a gang all of them
   Rank rank = UrgentRank;
-  double objectiveMs = 0.0;                  ///< wall clock by which the workflow should be done
-  double estimateMs = 0.0;                   ///< expected run time of one task
-  double waitedMs = 0.0;                     ///< time since the step became ready
+  double objectiveMs = 0.0;  ///< wall clock by which the workflow should be done
+  double estimateMs = 0.0;   ///< expected run time of one task
+  double waitedMs = 0.0;     ///< time since the step became ready
   bool isUrgent() const { return rank <= UrgentRank; }
   std::map<std::string, unsigned> placedOn;  ///< tasks of this step by target id, for the limit on one target
   /** Targets that may run it, with their tickets; nothing where no permission is needed. */
@@ -105,11 +105,11 @@
   bool preemption = true;          ///< priority 0 makes room for itself
   bool reservation = true;         ///< the first gang that waits keeps its place against later work
   double reserveAfterMs = 1000.0;  ///< wait after which a gang gets a reservation
-  bool patience = true;           ///< priority 0 waits for runs that end by themselves in time, rather than stop others
-  double patienceShare = 0.5;     ///< share of the time to its objective that it may wait so
+  bool patience = true;        ///< priority 0 waits for runs that end by themselves in time, rather than stop others
+  double patienceShare = 0.5;  ///< share of the time to its objective that it may wait so
   double patienceLimitMs = 1400.0;  ///< longest wait after which others are stopped for it
-  bool headroom = true;           ///< whole targets are kept free for priority 0
-  double headroomWaitMs = 4000.0;  ///< wait after which other work may take them all the same
+  bool headroom = true;             ///< whole targets are kept free for priority 0
+  double headroomWaitMs = 4000.0;   ///< wait after which other work may take them all the same
 };
 
 /** \class RunPlanner
--- a/Courseloom/src/Scheduling/TargetHealth.h
+++ b/Courseloom/src/Scheduling/TargetHealth.h
@@ -16,7 +16,7 @@
  * \brief When a target is taken to be unsound, and for how long.
  */
 struct TargetHealthOptions {
-  unsigned failuresSuspect = 2;               ///< failed runs of different workflows without one that was done
+  unsigned failuresSuspect = 2;                  ///< failed runs of different workflows without one that was done
   Duration firstSuspicion = milliseconds(4000);  ///< doubles with each further one
   Duration longestSuspicion = milliseconds(32000);
   Duration refusalPause = milliseconds(400);  ///< no new runs after the target refused one
--- /dev/null
+++ b/test/run_ledger.cpp
@@ -0,0 +1,218 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// The leader's account of runs, one case at a time.
+
+#include "Courseloom/src/Scheduling/RunLedger.h"
+
+#include "Courseloom/src/Scheduling/TargetHealth.h"
+#include "test/main.h"
+
+using namespace courseloom;
+
+namespace {
+
+/** \class LedgerTable
+ * \brief A table with one workflow, its ledger and a clock.
+ */
+class LedgerTable {
+ public:
+  explicit LedgerTable(unsigned count = 1, bool gang = false) {
+    schema::Workflow workflow;
+    workflow.set_id("w");
+    workflow.set_max_attempts(3);
+    schema::StepSpec* step = workflow.mutable_spec()->add_steps();
+    step->set_count(count);
+    step->set_gang(gang);
+    table.submit(workflow, 1);
+    ledger.lead(table, now);
+  }
+
+  void start(std::uint32_t index, std::uint32_t run, const std::string& target = "life-1") {
+    schema::RecordRuns runs;
+    schema::RunStart* row = runs.add_starts();
+    *row->mutable_task() = makeTaskId("w", {0, 0, index});
+    row->mutable_run()->set_number(run);
+    row->mutable_run()->set_target(target);
+    row->mutable_run()->set_agent("agent");
+    commit(runs);
+  }
+  void commit(const schema::RecordRuns& runs) {
+    table.record(runs, 2);
+    ledger.apply(table.takeRunChanges(), now);
+  }
+  void commitEnds(std::vector<schema::RunEnd> ends) {
+    schema::RecordRuns runs;
+    for (schema::RunEnd& end : ends) *runs.add_ends() = std::move(end);
+    commit(runs);
+  }
+  schema::AttendRequest report(const std::string& life = "life-1") const {
+    schema::AttendRequest request;
+    request.set_agent("agent");
+    request.set_incarnation(incarnation);
+    request.mutable_target()->set_id(life);
+    request.mutable_target()->set_reachable(true);
+    return request;
+  }
+  std::vector<schema::RunOrder> attend(const schema::AttendRequest& request) {
+    commitEnds(ledger.takeReport(request, table, now));
+    std::vector<schema::RunOrder> orders = ledger.takeOrders("agent", table, now);
+    ledger.granted("agent", now);
+    return orders;
+  }
+  void pass(std::int64_t ms) { now += milliseconds(ms); }
+
+  WorkflowTable table;
+  RunLedger ledger;
+  Time now = Time(milliseconds(1000000));
+  std::uint64_t incarnation = 1;
+};
+
+schema::AttendRequest withRunning(schema::AttendRequest request, std::uint32_t index, std::uint32_t run,
+                                  std::uint32_t percent = 1) {
+  schema::RunReport* row = request.add_running();
+  *row->mutable_task() = makeTaskId("w", {0, 0, index});
+  row->set_run(run);
+  row->set_percent(percent);
+  row->set_checkpoint("saved");
+  return request;
+}
+
+schema::AttendRequest withEnd(schema::AttendRequest request, std::uint32_t index, std::uint32_t run,
+                              schema::RunEndKind kind) {
+  schema::EndReport* row = request.add_ends();
+  row->set_number(5);
+  *row->mutable_task() = makeTaskId("w", {0, 0, index});
+  row->set_run(run);
+  row->set_kind(kind);
+  return request;
+}
+
+}  // namespace
+
+Test(run_ledger, a_start_is_ordered_once_and_again_after_a_while) {
+  LedgerTable test;
+  cr_assert(test.attend(test.report()).empty());
+  test.start(0, 1);
+  const std::vector<schema::RunOrder> orders = test.attend(test.report());
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind(), schema::OrderStart);
+  cr_assert(orders[0].target() == "life-1");
+  cr_assert(test.attend(test.report()).empty());
+  test.pass(2000);
+  cr_assert_eq(test.attend(test.report()).size(), 1, "its answer may have been lost");
+  cr_assert(test.attend(withRunning(test.report(), 0, 1)).empty());
+  test.pass(2000);
+  cr_assert(test.attend(test.report()).empty(), "it is known to run");
+}
+
+Test(run_ledger, a_restarted_agent_is_told_again) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1));
+  test.incarnation = 2;
+  cr_assert_eq(test.attend(test.report()).size(), 1);
+  test.incarnation = 3;
+  cr_assert(test.attend(withRunning(test.report(), 0, 1)).empty());
+}
+
+Test(run_ledger, another_life_of_the_target_ends_its_runs) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1));
+  test.attend(test.report("life-2"));
+  cr_assert(test.ledger.runs().empty());
+  cr_assert(test.table.find("w")->checkpointOf({0, 0, 0}) == "saved", "what was saved is not lost with the target");
+}
+
+Test(run_ledger, a_report_without_target_ends_nothing_at_once) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1));
+  test.attend(test.report(""));
+  cr_assert_eq(test.ledger.runs().size(), 1);
+  for (int i = 0; i < 70; ++i) {
+    test.pass(100);
+    test.attend(test.report(""));
+  }
+  cr_assert_eq(test.ledger.expire(test.now).size(), 1, "nobody can have held it for so long");
+}
+
+Test(run_ledger, a_silent_agents_runs_lapse_only_after_its_grant) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(test.report());
+  test.pass(5500);
+  cr_assert(test.ledger.expire(test.now).empty());
+  test.pass(400);
+  cr_assert_eq(test.ledger.expire(test.now).size(), 1);
+}
+
+Test(run_ledger, a_new_leader_counts_on_the_grants_of_the_former_one) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.pass(60000);
+  test.ledger.lead(test.table, test.now);
+  cr_assert(test.ledger.expire(test.now).empty());
+  test.pass(5400);
+  cr_assert(test.ledger.expire(test.now).empty());
+  test.pass(500);
+  cr_assert_eq(test.ledger.expire(test.now).size(), 1);
+}
+
+Test(run_ledger, what_nobody_knows_is_stopped) {
+  LedgerTable test;
+  const std::vector<schema::RunOrder> orders = test.attend(withRunning(test.report(), 0, 9));
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind(), schema::OrderStop);
+  cr_assert_eq(orders[0].run(), 9);
+}
+
+Test(run_ledger, runs_of_a_cancelled_workflow_are_stopped) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1));
+  test.table.cancel("w", 5);
+  cr_assert(test.ledger.hasOrders("agent", test.table, test.now));
+  const std::vector<schema::RunOrder> orders = test.attend(withRunning(test.report(), 0, 1));
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind(), schema::OrderStop);
+  test.attend(withEnd(test.report(), 0, 1, schema::RunStopped));
+  cr_assert(test.table.open().empty());
+}
+
+Test(run_ledger, an_end_counts_only_from_the_target_that_was_meant) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(withEnd(test.report(""), 0, 1, schema::RunDone));
+  cr_assert_eq(test.ledger.runs().size(), 1);
+  test.attend(withEnd(test.report(), 0, 1, schema::RunDone));
+  cr_assert_eq(test.table.find("w")->record.phase(), schema::WorkflowCompleted);
+  cr_assert(test.attend(withEnd(test.report(), 0, 1, schema::RunDone)).empty(), "the same end may come twice");
+}
+
+Test(run_ledger, other_members_of_a_gang_that_is_done_get_time_to_end) {
+  LedgerTable test(2, true);
+  test.start(0, 1);
+  test.start(1, 1);
+  test.attend(withRunning(withRunning(test.report(), 0, 1), 1, 1));
+  cr_assert(test.attend(withEnd(test.report(), 0, 1, schema::RunDone)).empty());
+  test.pass(800);
+  cr_assert_eq(test.attend(test.report()).size(), 1, "what is still there is stopped");
+}
+
+Test(run_ledger, targets_that_fail_several_workflows_are_suspect) {
+  TargetHealth health;
+  const Time now = Time(milliseconds(1000));
+  health.ended("t", "w1", schema::RunFailed, now);
+  health.ended("t", "w1", schema::RunFailed, now);
+  cr_assert_not(health.suspect("t", now), "one workflow may be at fault itself");
+  health.ended("t", "w2", schema::RunFailed, now);
+  cr_assert(health.suspect("t", now));
+  cr_assert_not(health.suspect("t", now + milliseconds(5000)));
+  health.stalled("t", now);
+  health.ended("t", "w3", schema::RunDone, now);
+  cr_assert_not(health.suspect("t", now), "what is done there speaks for it");
+  health.ended("t", "w4", schema::RunVoided, now);
+  cr_assert(health.paused("t", now));
+}
--- /dev/null
+++ b/test/run_ledger_seeded.cpp
@@ -0,0 +1,435 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// Seeded runs of the ledger and the table with agents and targets that lose answers, carry orders out late, fall
+// silent, restart and lapse, and with leaders that change. The checker sees the targets only: never two runs of a task
+// at once, no start after a noted end `done`, and everything ends once the faults do. Each mechanism is then switched
+// off, and the checker must find a violation.
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "Courseloom/src/Scheduling/RunLedger.h"
+#include "test/main.h"
+
+using namespace courseloom;
+using namespace courseloom::test;
+
+namespace {
+
+constexpr Duration Step = milliseconds(20);
+constexpr Duration Grant = milliseconds(2000);
+constexpr unsigned Targets = 4;
+constexpr unsigned Workflows = 30;
+constexpr std::size_t RoomOfTarget = 3;
+
+/** Mechanisms of the agent that a proof can switch off. */
+struct AgentMechanisms {
+  bool stopDoubts = true;         ///< a start without answer is stopped before it counts as never begun
+  bool deadlines = true;          ///< an order that is carried out after its deadline does nothing
+  bool readEndsAfterStop = true;  ///< what the target lists after the stop decides
+};
+
+/** \class ModelTarget
+ * \brief One life after another of a target: runs, ends, a hold that lapses.
+ */
+struct ModelTarget {
+  std::string id;
+  std::map<RunKey, Time> running;             ///< with the time at which it will be done
+  std::map<std::string, std::uint32_t> over;  ///< highest run that ended or was stopped, by task
+  std::vector<schema::EndReport> ends;
+  std::uint64_t nextEnd = 1;
+  Time heldUntil{};
+  Time lapsedAt{};  ///< when its hold last ran out
+  bool silent = false;
+};
+
+std::string taskText(const RunKey& key) { return key.workflow + "." + std::to_string(key.task.index); }
+
+/** \class LedgerRun
+ * \brief One seed.
+ */
+class LedgerRun {
+ public:
+  LedgerRun(std::uint64_t seed, RunLedgerOptions options, AgentMechanisms mechanisms)
+      : m_random(seed), m_options(options), m_mechanisms(mechanisms) {
+    m_options.grant = Grant;
+    m_options.slack = milliseconds(100);
+    m_options.redeliverAfter = milliseconds(300);
+    m_agents.resize(Targets);
+    for (std::size_t i = 0; i < Targets; ++i) newLife(i);
+    for (unsigned i = 0; i < Workflows; ++i) {
+      schema::Workflow workflow;
+      workflow.set_id("w" + std::to_string(i));
+      workflow.set_max_attempts(1000);
+      workflow.mutable_spec()->add_steps()->set_count(1 + i % 3);
+      m_table.submit(workflow, 1);
+    }
+    newLeader();
+  }
+
+  /** Runs with faults, then without. \returns what went wrong, or an empty string */
+  std::string run(unsigned steps) {
+    for (unsigned i = 0; i < steps && m_violation.empty(); ++i) advance(true);
+    for (unsigned i = 0; i < 1500 && m_violation.empty() && !m_table.open().empty(); ++i) advance(false);
+    if (m_violation.empty() && !m_table.open().empty()) m_violation = "not everything ended";
+    return m_violation;
+  }
+
+ private:
+  struct Agent {
+    ModelTarget target;
+    std::uint64_t incarnation = 1;
+    std::uint64_t endsTaken = 0;
+    Time grantUntil{};
+    Time heldUntil{};
+    bool cut = false;
+    std::vector<schema::EndReport> seenEnds;  ///< as of its last look
+    std::map<RunKey, bool> inDoubt;           ///< with whether its stop was answered
+    std::map<RunKey, bool> known;
+    std::map<RunKey, schema::RunEndKind> fates;
+  };
+  struct Late {
+    Time at;
+    std::size_t agent = 0;
+    std::string life;
+    std::function<void(ModelTarget&)> apply;
+  };
+
+  bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
+  Duration upTo(std::int64_t ms) { return milliseconds(std::uniform_int_distribution<std::int64_t>(1, ms)(m_random)); }
+
+  void advance(bool faults) {
+    m_now += Step;
+    m_faults = faults;
+    for (Agent& agent : m_agents) {
+      if (faults && chance(0.004)) agent.cut = true;
+      if (!faults || chance(0.02)) agent.cut = false;
+      if (faults && chance(0.004)) agent.target.silent = true;
+      if (!faults || chance(0.008)) agent.target.silent = false;
+      letTimePass(agent.target);
+    }
+    for (std::size_t i = 0; i < m_agents.size(); ++i) {
+      if (faults && chance(0.002)) newLife(i);
+      if (faults && chance(0.003)) restartAgent(m_agents[i]);
+    }
+    if (faults && chance(0.005)) newLeader();
+    applyLate();
+    for (std::size_t i = 0; i < m_agents.size(); ++i) {
+      workOff(i);
+      if (!m_agents[i].cut && chance(0.5)) attend(i);
+    }
+    commit(m_ledger->expire(m_now), {});
+    plan();
+  }
+
+  void newLife(std::size_t i) {
+    Agent& agent = m_agents[i];
+    agent.target = ModelTarget();
+    agent.target.id = "life-" + std::to_string(++m_lives);
+    agent.seenEnds.clear();
+    agent.endsTaken = 0;
+    agent.heldUntil = Time{};
+    agent.inDoubt.clear();
+    agent.known.clear();
+    agent.fates.clear();
+  }
+
+  void restartAgent(Agent& agent) {
+    ++agent.incarnation;
+    agent.grantUntil = Time{};
+    agent.seenEnds.clear();
+    agent.inDoubt.clear();
+    agent.known.clear();
+    agent.fates.clear();
+    // It does not know what its former life sent, and takes the longest hold there may be.
+    agent.heldUntil = m_now + Grant;
+  }
+
+  void newLeader() {
+    m_ledger = std::make_unique<RunLedger>(m_options);
+    m_table.takeRunChanges();
+    m_ledger->lead(m_table, m_now);
+  }
+
+  // ---- the target
+
+  void finish(ModelTarget& target, const RunKey& key, schema::RunEndKind kind) {
+    target.running.erase(key);
+    std::uint32_t& over = target.over[taskText(key)];
+    over = std::max(over, key.run);
+    schema::EndReport end;
+    end.set_number(target.nextEnd++);
+    *end.mutable_task() = makeTaskId(key.workflow, key.task);
+    end.set_run(key.run);
+    end.set_kind(kind);
+    if (kind == schema::RunDone) m_doneAt[key] = m_now;
+    target.ends.push_back(end);
+  }
+
+  void letTimePass(ModelTarget& target) {
+    if (m_now >= target.heldUntil) {
+      target.lapsedAt = m_now;
+      while (!target.running.empty()) finish(target, target.running.begin()->first, schema::RunLapsed);
+    }
+    std::vector<RunKey> done;
+    for (const auto& [key, at] : target.running) {
+      if (m_now >= at) done.push_back(key);
+    }
+    for (const RunKey& key : done) finish(target, key, chance(0.1) ? schema::RunFailed : schema::RunDone);
+  }
+
+  void startOn(ModelTarget& target, const RunKey& key, Time deadline) {
+    if (m_mechanisms.deadlines && m_now >= deadline) return;
+    const auto over = target.over.find(taskText(key));
+    if (target.running.count(key) > 0 || (over != target.over.end() && over->second >= key.run)) return;
+    checkStart(key);
+    target.heldUntil = std::max(target.heldUntil, deadline);
+    if (!m_mechanisms.deadlines) target.heldUntil = std::max(target.heldUntil, m_now + Grant);
+    target.running[key] = m_now + upTo(1500);
+  }
+
+  void stopOn(ModelTarget& target, const RunKey& key) {
+    if (target.running.count(key) > 0) return finish(target, key, schema::RunStopped);
+    std::uint32_t& over = target.over[taskText(key)];
+    over = std::max(over, key.run);
+  }
+
+  void checkStart(const RunKey& key) {
+    for (const Agent& agent : m_agents) {
+      for (const auto& [other, until] : agent.target.running) {
+        if (taskText(other) == taskText(key)) m_violation = "two runs at once of " + taskText(key);
+      }
+    }
+    m_lastStart[taskText(key)] = m_now;
+    if (m_doneNoted.count(taskText(key)) > 0) m_violation = "a start after a noted end of " + taskText(key);
+  }
+
+  /** Calls a target. \returns whether the call was answered; without an answer it may be carried out later */
+  bool call(std::size_t i, std::function<void(ModelTarget&)> apply) {
+    ModelTarget& target = m_agents[i].target;
+    const bool lost = target.silent || (m_faults && chance(0.1));
+    if (!lost) {
+      apply(target);
+      return true;
+    }
+    if (chance(0.5)) m_late.push_back({m_now + upTo(4000), i, target.id, std::move(apply)});
+    return false;
+  }
+
+  void applyLate() {
+    for (std::size_t i = 0; i < m_late.size();) {
+      if (m_now < m_late[i].at) {
+        ++i;
+        continue;
+      }
+      const Late late = m_late[i];
+      m_late.erase(m_late.begin() + static_cast<std::ptrdiff_t>(i));
+      ModelTarget& target = m_agents[late.agent].target;
+      if (target.id == late.life) late.apply(target);
+    }
+  }
+
+  // ---- the agent
+
+  void workOff(std::size_t i) {
+    Agent& agent = m_agents[i];
+    const bool granted = m_now < agent.grantUntil;
+    if (granted && !agent.target.silent) {
+      agent.heldUntil = std::max(agent.heldUntil, agent.grantUntil);
+      agent.target.heldUntil = std::max(agent.target.heldUntil, agent.grantUntil);
+    }
+    if (!agent.target.silent && chance(0.3)) agent.seenEnds = agent.target.ends;
+    if (agent.target.silent && m_now > agent.heldUntil + milliseconds(50)) {
+      for (const auto& [key, known] : agent.known) agent.fates[key] = schema::RunLapsed;
+      for (const auto& [key, answered] : agent.inDoubt) agent.fates[key] = schema::RunLapsed;
+      agent.known.clear();
+      agent.inDoubt.clear();
+    }
+    std::vector<RunKey> settled;
+    for (auto& [key, answered] : agent.inDoubt) {
+      if (!m_mechanisms.stopDoubts) {
+        agent.fates[key] = schema::RunVoided;
+        settled.push_back(key);
+        continue;
+      }
+      if (!answered && chance(0.1)) answered = call(i, [this, key = key](ModelTarget& target) { stopOn(target, key); });
+      if (!answered || agent.target.silent) continue;
+      if (m_mechanisms.readEndsAfterStop) agent.seenEnds = agent.target.ends;
+      const bool listed = std::any_of(agent.seenEnds.begin(), agent.seenEnds.end(),
+                                      [&key = key](const auto& end) { return runKeyOf(end.task(), end.run()) == key; });
+      if (!listed) agent.fates[key] = schema::RunVoided;
+      settled.push_back(key);
+    }
+    for (const RunKey& key : settled) agent.inDoubt.erase(key);
+  }
+
+  void attend(std::size_t i) {
+    Agent& agent = m_agents[i];
+    schema::AttendRequest request;
+    request.set_agent("agent-" + std::to_string(i));
+    request.set_incarnation(agent.incarnation);
+    request.mutable_target()->set_id(agent.target.id);
+    request.mutable_target()->set_reachable(!agent.target.silent);
+    if (!agent.target.silent) {
+      for (const auto& [key, until] : agent.target.running) {
+        schema::RunReport* row = request.add_running();
+        *row->mutable_task() = makeTaskId(key.workflow, key.task);
+        row->set_run(key.run);
+      }
+      for (const schema::EndReport& end : agent.seenEnds) *request.add_ends() = end;
+    }
+    for (const auto& [key, kind] : agent.fates) {
+      schema::EndReport* row = request.add_ends();
+      *row->mutable_task() = makeTaskId(key.workflow, key.task);
+      row->set_run(key.run);
+      row->set_kind(kind);
+    }
+    commit(m_ledger->takeReport(request, m_table, m_now), {});
+    const std::vector<schema::RunOrder> orders = m_ledger->takeOrders(request.agent(), m_table, m_now);
+    m_ledger->granted(request.agent(), m_now);
+    if (m_faults && chance(0.1)) return;  // the reply is lost
+    agent.grantUntil = m_now + Grant;
+    agent.fates.clear();
+    for (const schema::EndReport& end : request.ends()) noteEnd(agent, end);
+    for (const schema::RunOrder& order : orders) takeOrder(i, order);
+  }
+
+  void noteEnd(Agent& agent, const schema::EndReport& end) {
+    if (end.number() == 0) return;
+    const RunKey key = runKeyOf(end.task(), end.run());
+    if (end.kind() == schema::RunDone && m_table.find(key.workflow)->task(key.task)->done) {
+      m_doneNoted.insert(taskText(key));
+    }
+    if (end.kind() == schema::RunDone) checkNoted(agent.target, key);
+    agent.known.erase(key);
+    auto& ends = agent.target.ends;
+    ends.erase(std::remove_if(ends.begin(), ends.end(), [&](const auto& row) { return row.number() <= end.number(); }),
+               ends.end());
+  }
+
+  /** An end `done` that is noted must not have a successor that began after it, unless the hold ran out in between. */
+  void checkNoted(const ModelTarget& target, const RunKey& key) {
+    const Time doneAt = m_doneAt[key];
+    if (m_lastStart[taskText(key)] > doneAt && target.lapsedAt < doneAt) {
+      m_violation = "an end was noted after its successor began: " + taskText(key);
+    }
+  }
+
+  void takeOrder(std::size_t i, const schema::RunOrder& order) {
+    Agent& agent = m_agents[i];
+    if (order.target() != agent.target.id) return;
+    const RunKey key = runKeyOf(order.task(), order.run());
+    if (agent.inDoubt.count(key) > 0) return;
+    const bool listed = agent.target.running.count(key) > 0;
+    if (order.kind() == schema::OrderStop || (agent.known.count(key) > 0 && !listed)) {
+      agent.inDoubt[key] = false;
+      return;
+    }
+    agent.known[key] = true;
+    const Time deadline = agent.grantUntil;
+    agent.heldUntil = std::max(agent.heldUntil, deadline);
+    if (!call(i, [this, key, deadline](ModelTarget& target) { startOn(target, key, deadline); })) {
+      agent.inDoubt[key] = false;
+    }
+  }
+
+  // ---- the leader
+
+  void commit(std::vector<schema::RunEnd> ends, std::vector<schema::RunStart> starts) {
+    if (ends.empty() && starts.empty()) return;
+    schema::RecordRuns runs;
+    for (schema::RunEnd& end : ends) *runs.add_ends() = std::move(end);
+    for (schema::RunStart& start : starts) *runs.add_starts() = std::move(start);
+    m_table.record(runs, 1);
+    m_ledger->apply(m_table.takeRunChanges(), m_now);
+  }
+
+  void plan() {
+    std::vector<schema::RunStart> starts;
+    std::map<std::string, std::size_t> load;
+    for (const auto& [key, track] : m_ledger->runs()) ++load[track.agent];
+    for (const std::string& id : m_table.open()) {
+      const WorkflowState& workflow = *m_table.find(id);
+      for (std::uint32_t index = 0; index < workflow.step(0).count(); ++index) {
+        const TaskKey key{0, 0, index};
+        const TaskState* task = workflow.task(key);
+        if (task != nullptr && (task->done || !task->active.empty())) continue;
+        const std::size_t i = m_random() % Targets;
+        const std::string agent = "agent-" + std::to_string(i);
+        if (!m_ledger->open(agent, m_now) || load[agent] >= RoomOfTarget) continue;
+        ++load[agent];
+        schema::RunStart& start = starts.emplace_back();
+        *start.mutable_task() = makeTaskId(id, key);
+        start.mutable_run()->set_number(workflow.nextRun(key));
+        start.mutable_run()->set_agent(agent);
+        start.mutable_run()->set_target(m_ledger->targets().at(agent).report.id());
+      }
+    }
+    commit({}, std::move(starts));
+  }
+
+  std::mt19937_64 m_random;
+  RunLedgerOptions m_options;
+  AgentMechanisms m_mechanisms;
+  WorkflowTable m_table{1ULL << 40U};
+  std::unique_ptr<RunLedger> m_ledger;
+  std::vector<Agent> m_agents;
+  std::vector<Late> m_late;
+  std::set<std::string> m_doneNoted;
+  std::map<RunKey, Time> m_doneAt;
+  std::map<std::string, Time> m_lastStart;
+  std::uint64_t m_lives = 0;
+  Time m_now = Time(milliseconds(1000000));
+  bool m_faults = true;
+  std::string m_violation;
+};
+
+/** \returns the first violation with its seed, or an empty string. */
+std::string firstViolation(std::uint64_t seeds, RunLedgerOptions options = {}, AgentMechanisms mechanisms = {}) {
+  for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seeds; ++seed) {
+    const std::string violation = LedgerRun(seed, options, mechanisms).run(1500);
+    if (!violation.empty()) return "seed " + std::to_string(seed) + ": " + violation;
+  }
+  return {};
+}
+
+}  // namespace
+
+Test(run_ledger_seeded, every_rule_holds) {
+  const std::string violation = firstViolation(seedCount(200));
+  cr_assert(violation.empty(), "%s", violation.c_str());
+}
+
+Test(run_ledger_seeded, fails_if_a_silent_agents_grant_is_not_waited_for) {
+  RunLedgerOptions options;
+  options.waitForGrants = false;
+  cr_assert_not(firstViolation(100, options).empty());
+}
+
+Test(run_ledger_seeded, fails_if_a_new_leader_forgets_former_grants) {
+  RunLedgerOptions options;
+  options.inheritGrants = false;
+  cr_assert_not(firstViolation(400, options).empty());
+}
+
+Test(run_ledger_seeded, fails_if_doubts_are_not_stopped) {
+  AgentMechanisms mechanisms;
+  mechanisms.stopDoubts = false;
+  cr_assert_not(firstViolation(100, {}, mechanisms).empty());
+}
+
+Test(run_ledger_seeded, fails_if_ends_are_not_read_after_the_stop) {
+  AgentMechanisms mechanisms;
+  mechanisms.readEndsAfterStop = false;
+  cr_assert_not(firstViolation(400, {}, mechanisms).empty());
+}
+
+Test(run_ledger_seeded, fails_without_the_deadline_of_an_order) {
+  AgentMechanisms mechanisms;
+  mechanisms.deadlines = false;
+  cr_assert_not(firstViolation(400, {}, mechanisms).empty());
+}
--- /dev/null
+++ b/test/run_planner.cpp
@@ -0,0 +1,247 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// Where runs of workflows go, and what makes room for whom.
+
+#include "Courseloom/src/Scheduling/RunPlanner.h"
+
+#include <deque>
+
+#include "test/main.h"
+
+using namespace courseloom;
+
+namespace {
+
+constexpr double NowMs = 1000000.0;
+
+/** \class PlannerTable
+ * \brief Targets, runs and steps of one test; two racks of two targets, 8 accelerators each.
+ */
+class PlannerTable {
+ public:
+  explicit PlannerTable(std::size_t targets = 4) {
+    for (std::size_t i = 0; i < targets; ++i) {
+      PlannedTarget& target = m_targets.emplace_back();
+      target.id = "t" + std::to_string(i);
+      target.agent = "a" + std::to_string(i);
+      target.service = "s";
+      target.rack = "r" + std::to_string(i / 2);
+      target.labels = {"kind", target.rack};
+      target.capacity = {64000, 64000, 8};
+      target.open = true;
+    }
+  }
+
+  PlannedTarget& target(std::size_t i) { return m_targets[i]; }
+
+  /** A step of its own workflow that waits with all its tasks. */
+  PlannedStep& waits(unsigned count, unsigned accelerators, Rank rank, bool gang = false) {
+    WorkflowState& workflow = m_workflows.emplace_back();
+    workflow.record.set_id("w" + std::to_string(m_workflows.size()));
+    workflow.record.set_service("s");
+    schema::StepSpec* spec = workflow.record.mutable_spec()->add_steps();
+    spec->set_count(count);
+    spec->set_gang(gang);
+    spec->mutable_need()->set_accelerators(accelerators);
+    spec->mutable_need()->set_cpu_milli(1000);
+    spec->mutable_need()->set_memory_mb(100);
+    PlannedStep& step = m_steps.emplace_back();
+    step.workflow = &workflow;
+    step.rank = rank;
+    step.estimateMs = 2000.0;
+    step.objectiveMs = NowMs + 4000.0;
+    for (std::uint32_t i = 0; i < count; ++i) step.tasks.push_back(i);
+    return step;
+  }
+  schema::StepSpec& specOf(PlannedStep& step) {
+    return *m_workflows.back().record.mutable_spec()->mutable_steps(static_cast<int>(step.key.step));
+  }
+
+  /** A run on a target. */
+  PlannedRun& runs(std::size_t target, unsigned accelerators, Rank rank, double remainingMs = 9000.0) {
+    PlannedRun& run = m_runs.emplace_back();
+    run.key = {"running" + std::to_string(m_runs.size()), {0, 0, 0}, 1};
+    run.target = target;
+    run.need = {1000, 100, static_cast<std::int64_t>(accelerators)};
+    run.rank = rank;
+    run.remainingMs = remainingMs;
+    run.lostWork = 10.0;
+    return run;
+  }
+
+  RunPlan plan(unsigned keepWhole = 0, RunPlannerOptions options = {}) {
+    RunPlanner planner(options);
+    return planner.plan(m_targets, m_runs, m_steps, keepWhole, NowMs);
+  }
+
+ private:
+  std::vector<PlannedTarget> m_targets;
+  std::deque<WorkflowState> m_workflows;
+  std::vector<PlannedRun> m_runs;
+  std::vector<PlannedStep> m_steps;
+};
+
+std::set<std::size_t> targetsOf(const RunPlan& plan) {
+  std::set<std::size_t> targets;
+  for (const RunPlan::Start& start : plan.starts) targets.insert(start.target);
+  return targets;
+}
+
+constexpr Rank LowRank = 3;
+
+}  // namespace
+
+Test(run_planner, a_gang_is_placed_whole_or_not_at_all) {
+  PlannerTable table;
+  table.waits(5, 8, LowRank, true);
+  cr_assert(table.plan().starts.empty());
+  PlannerTable fitting;
+  fitting.waits(4, 8, LowRank, true);
+  cr_assert_eq(fitting.plan().starts.size(), 4);
+}
+
+Test(run_planner, tasks_of_their_own_start_as_far_as_there_is_room) {
+  PlannerTable table;
+  table.waits(5, 8, LowRank);
+  cr_assert_eq(table.plan().starts.size(), 4);
+}
+
+Test(run_planner, tasks_are_packed_so_that_whole_targets_stay_free) {
+  PlannerTable table;
+  table.runs(2, 4, LowRank);
+  table.waits(4, 1, LowRank);
+  const RunPlan plan = table.plan();
+  cr_assert_eq(plan.starts.size(), 4);
+  cr_assert(targetsOf(plan) == std::set<std::size_t>{2});
+}
+
+Test(run_planner, a_gang_of_one_rack_stays_in_it) {
+  PlannerTable table;
+  table.runs(0, 8, LowRank);
+  PlannedStep& step = table.waits(2, 8, UrgentRank, true);
+  table.specOf(step).set_same_rack(true);
+  cr_assert((targetsOf(table.plan()) == std::set<std::size_t>{2, 3}));
+}
+
+Test(run_planner, label_limit_and_closed_targets_are_obeyed) {
+  PlannerTable table;
+  table.target(0).open = false;
+  table.target(1).service = "other";
+  table.target(3).labels.insert("fast");
+  PlannedStep& step = table.waits(3, 1, LowRank);
+  table.specOf(step).set_required_label("fast");
+  table.specOf(step).set_max_per_target(2);
+  const RunPlan plan = table.plan();
+  cr_assert_eq(plan.starts.size(), 2);
+  cr_assert(targetsOf(plan) == std::set<std::size_t>{3});
+}
+
+Test(run_planner, without_a_ticket_nothing_starts) {
+  PlannerTable table;
+  PlannedStep& step = table.waits(2, 1, LowRank);
+  step.tickets.emplace();
+  cr_assert(table.plan().starts.empty());
+  step.tickets->emplace("t1", "ticket");
+  cr_assert((targetsOf(table.plan()) == std::set<std::size_t>{1}));
+}
+
+Test(run_planner, work_near_its_data_waits_for_it_before_it_goes_far) {
+  PlannerTable table;
+  table.runs(2, 8, LowRank);
+  table.runs(3, 8, LowRank);
+  PlannedStep& step = table.waits(1, 1, LowRank);
+  table.specOf(step).set_preferred_rack("r1");
+  cr_assert(table.plan().starts.empty());
+  step.waitedMs = 3000.0;
+  cr_assert_eq(table.plan().starts.size(), 1);
+}
+
+Test(run_planner, a_filler_takes_no_processor_time) {
+  PlannerTable table(1);
+  PlannedStep& step = table.waits(1, 0, LowRank);
+  table.specOf(step).mutable_need()->set_cpu_milli(100000);
+  cr_assert(table.plan().starts.empty());
+  table.specOf(step).set_filler(true);
+  cr_assert_eq(table.plan().starts.size(), 1);
+}
+
+// Found by own days one-ack-wipe and one-race on Lima: RECLAIM.
+Test(run_planner, guaranteed_work_stops_other_urgent_work) {
+  PlannerTable table;
+  for (std::size_t i = 0; i < 4; ++i) table.runs(i, 8, UrgentRank);
+  PlannedStep& step = table.waits(2, 8, GuaranteedRank, true);
+  cr_assert_eq(table.plan().stops.size(), 2);
+  step.rank = UrgentRank;
+  cr_assert(table.plan().stops.empty(), "urgent work must not stop its like");
+}
+
+Test(run_planner, guaranteed_work_is_never_stopped) {
+  PlannerTable table(1);
+  table.runs(0, 8, GuaranteedRank);
+  table.waits(1, 8, GuaranteedRank);
+  cr_assert(table.plan().stops.empty());
+}
+
+Test(run_planner, the_cheapest_victims_are_chosen_and_gangs_as_a_whole) {
+  PlannerTable table(2);
+  PlannedRun& dear = table.runs(0, 8, LowRank);
+  dear.lostWork = 500.0;
+  PlannedRun& member = table.runs(1, 8, LowRank);
+  member.lostWork = 20.0;
+  table.waits(1, 8, UrgentRank);
+  const RunPlan plan = table.plan();
+  cr_assert_eq(plan.stops.size(), 1);
+  cr_assert(plan.stops.front().workflow == "running2");
+  PlannerTable gang(2);
+  for (std::size_t i = 0; i < 2; ++i) gang.runs(i, 8, LowRank).gang = "g";
+  gang.waits(1, 8, UrgentRank);
+  cr_assert_eq(gang.plan().stops.size(), 2, "a part of a gang must not go on without the rest");
+}
+
+Test(run_planner, what_is_being_stopped_is_enough_and_is_kept_for_whom_it_was_stopped) {
+  PlannerTable table(1);
+  table.runs(0, 8, LowRank).stopping = true;
+  table.waits(1, 8, UrgentRank);
+  table.waits(1, 1, LowRank);
+  const RunPlan plan = table.plan();
+  cr_assert(plan.stops.empty());
+  cr_assert(plan.starts.empty());
+}
+
+Test(run_planner, urgent_work_waits_for_runs_that_end_in_time) {
+  PlannerTable table(1);
+  table.runs(0, 8, LowRank, 500.0);
+  PlannedStep& step = table.waits(1, 8, UrgentRank);
+  cr_assert(table.plan().stops.empty());
+  step.waitedMs = 1200.0;
+  cr_assert_eq(table.plan().stops.size(), 1, "its patience has a limit");
+  step.waitedMs = 0.0;
+  RunPlannerOptions impatient;
+  impatient.patience = false;
+  cr_assert_eq(table.plan(0, impatient).stops.size(), 1);
+}
+
+Test(run_planner, whole_targets_are_kept_for_urgent_work_for_a_while) {
+  PlannerTable table(2);
+  PlannedStep& step = table.waits(2, 8, LowRank);
+  cr_assert_eq(table.plan(1).starts.size(), 1);
+  step.waitedMs = 5000.0;
+  cr_assert_eq(table.plan(1).starts.size(), 2);
+  step.waitedMs = 0.0;
+  step.rank = UrgentRank;
+  cr_assert_eq(table.plan(1).starts.size(), 2);
+}
+
+Test(run_planner, a_gang_that_waits_is_not_overtaken_by_longer_work) {
+  PlannerTable table(2);
+  table.runs(0, 8, LowRank, 1000.0);
+  PlannedStep& gang = table.waits(2, 8, LowRank, true);
+  gang.waitedMs = 2000.0;
+  gang.objectiveMs = NowMs;
+  PlannedStep& later = table.waits(1, 8, LowRank);
+  later.estimateMs = 5000.0;
+  cr_assert(table.plan().starts.empty());
+  later.estimateMs = 500.0;
+  cr_assert_eq(table.plan().starts.size(), 1, "what ends before the gang could start fills the gap");
+}
--- /dev/null
+++ b/test/workflow_table.cpp
@@ -0,0 +1,190 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// What the log knows of workflows, their tasks and their runs.
+
+#include "Courseloom/src/State/WorkflowTable.h"
+
+#include "test/main.h"
+
+using namespace courseloom;
+
+namespace {
+
+schema::Workflow makeWorkflow(const std::string& id, unsigned count, bool gang = false) {
+  schema::Workflow workflow;
+  workflow.set_id(id);
+  workflow.set_max_attempts(2);
+  schema::StepSpec* step = workflow.mutable_spec()->add_steps();
+  step->set_count(count);
+  step->set_gang(gang);
+  return workflow;
+}
+
+void start(WorkflowTable& table, const std::string& id, const TaskKey& key, std::uint32_t run) {
+  schema::RecordRuns runs;
+  schema::RunStart* row = runs.add_starts();
+  *row->mutable_task() = makeTaskId(id, key);
+  row->mutable_run()->set_number(run);
+  row->mutable_run()->set_target("t");
+  row->mutable_run()->set_agent("a");
+  table.record(runs, 20);
+}
+
+void end(WorkflowTable& table, const std::string& id, const TaskKey& key, std::uint32_t run, schema::RunEndKind kind,
+         const std::string& checkpoint = "") {
+  schema::RecordRuns runs;
+  schema::RunEnd* row = runs.add_ends();
+  *row->mutable_task() = makeTaskId(id, key);
+  row->set_run(run);
+  row->set_kind(kind);
+  row->set_checkpoint(checkpoint);
+  table.record(runs, 30);
+}
+
+schema::WorkflowPhase phaseOf(const WorkflowTable& table, const std::string& id) {
+  return table.find(id)->record.phase();
+}
+
+}  // namespace
+
+Test(workflow_table, the_highest_version_holds) {
+  WorkflowTable table;
+  schema::QueueConfiguration configuration;
+  configuration.set_version(7);
+  configuration.set_source("seven");
+  table.putConfiguration(configuration);
+  configuration.set_source("seven again");
+  table.putConfiguration(configuration);
+  configuration.set_version(3);
+  table.putConfiguration(configuration);
+  cr_assert_eq(table.configuration().version(), 7);
+  cr_assert(table.configuration().source() == "seven");
+}
+
+Test(workflow_table, the_same_id_is_the_same_workflow) {
+  WorkflowTable table;
+  cr_assert(table.submit(makeWorkflow("w", 1), 10));
+  cr_assert_not(table.submit(makeWorkflow("w", 5), 11));
+  cr_assert_eq(table.find("w")->step(0).count(), 1);
+}
+
+Test(workflow_table, a_task_has_one_run_at_a_time_and_numbers_rise) {
+  WorkflowTable table;
+  table.submit(makeWorkflow("w", 2), 10);
+  start(table, "w", {0, 0, 0}, 1);
+  start(table, "w", {0, 0, 0}, 2);
+  cr_assert_eq(table.find("w")->activeRuns, 1, "the second start must be passed over");
+  end(table, "w", {0, 0, 0}, 1, schema::RunLapsed, "half");
+  start(table, "w", {0, 0, 0}, 1);
+  cr_assert_eq(table.find("w")->activeRuns, 0, "a number is used once");
+  cr_assert_eq(table.find("w")->nextRun({0, 0, 0}), 2);
+  cr_assert(table.find("w")->checkpointOf({0, 0, 0}) == "half");
+  start(table, "w", {0, 0, 0}, 2);
+  end(table, "w", {0, 0, 0}, 2, schema::RunDone);
+  start(table, "w", {0, 0, 0}, 3);
+  cr_assert_eq(table.find("w")->activeRuns, 0, "what is done never starts again");
+}
+
+Test(workflow_table, completed_only_when_every_task_of_every_occurrence_is_done) {
+  WorkflowTable table;
+  schema::Workflow workflow = makeWorkflow("w", 1);
+  workflow.mutable_spec()->add_steps()->set_count(1);
+  workflow.mutable_spec()->mutable_steps(1)->add_after(0);
+  workflow.mutable_spec()->set_occurrences(2);
+  workflow.mutable_spec()->set_first_due_ms(500);
+  workflow.mutable_spec()->set_interval_ms(100);
+  table.submit(workflow, 10);
+  cr_assert_eq(table.find("w")->dueMs(1), 600);
+  cr_assert_not(table.find("w")->stepReady({0, 1}));
+  for (std::uint32_t occurrence = 0; occurrence < 2; ++occurrence) {
+    for (std::uint32_t step = 0; step < 2; ++step) {
+      cr_assert_neq(phaseOf(table, "w"), schema::WorkflowCompleted);
+      cr_assert(table.find("w")->stepReady({occurrence, step}));
+      start(table, "w", {occurrence, step, 0}, 1);
+      end(table, "w", {occurrence, step, 0}, 1, schema::RunDone);
+    }
+  }
+  cr_assert_eq(phaseOf(table, "w"), schema::WorkflowCompleted);
+}
+
+Test(workflow_table, one_member_done_counts_for_its_gang) {
+  WorkflowTable table;
+  table.submit(makeWorkflow("w", 3, true), 10);
+  for (std::uint32_t i = 0; i < 3; ++i) start(table, "w", {0, 0, i}, 1);
+  end(table, "w", {0, 0, 1}, 1, schema::RunDone);
+  cr_assert_eq(phaseOf(table, "w"), schema::WorkflowCompleted);
+  cr_assert_eq(table.open().count("w"), 1, "its other members have not ended yet");
+  end(table, "w", {0, 0, 0}, 1, schema::RunDone);
+  end(table, "w", {0, 0, 2}, 1, schema::RunLapsed);
+  cr_assert_eq(table.open().count("w"), 0);
+}
+
+Test(workflow_table, attempts_count_failures_only_and_one_run_of_a_gang_once) {
+  WorkflowTable table;
+  table.submit(makeWorkflow("w", 2, true), 10);
+  for (std::uint32_t run = 1; run <= 4; ++run) {
+    for (std::uint32_t i = 0; i < 2; ++i) start(table, "w", {0, 0, i}, run);
+    const bool fails = run == 2 || run == 4;
+    end(table, "w", {0, 0, 0}, run, fails ? schema::RunFailed : schema::RunLapsed);
+    end(table, "w", {0, 0, 1}, run, fails ? schema::RunFailed : schema::RunVoided);
+    cr_assert_eq(phaseOf(table, "w"), run == 4 ? schema::WorkflowFailed : schema::WorkflowRunning, "run %u", run);
+  }
+}
+
+Test(workflow_table, what_lasts_is_neither_done_nor_failed) {
+  WorkflowTable table;
+  schema::Workflow workflow = makeWorkflow("w", 1);
+  workflow.mutable_spec()->mutable_steps(0)->set_long_running(true);
+  table.submit(workflow, 10);
+  for (std::uint32_t run = 1; run <= 5; ++run) {
+    start(table, "w", {0, 0, 0}, run);
+    end(table, "w", {0, 0, 0}, run, run % 2 == 0 ? schema::RunDone : schema::RunFailed);
+  }
+  cr_assert_eq(phaseOf(table, "w"), schema::WorkflowRunning);
+  cr_assert(table.cancel("w", 40));
+  cr_assert_eq(phaseOf(table, "w"), schema::WorkflowCancelled);
+  start(table, "w", {0, 0, 0}, 6);
+  cr_assert_eq(table.find("w")->activeRuns, 0);
+}
+
+Test(workflow_table, starts_beyond_a_workflow_are_passed_over) {
+  WorkflowTable table;
+  table.submit(makeWorkflow("w", 1), 10);
+  start(table, "w", {0, 0, 1}, 1);
+  start(table, "w", {0, 1, 0}, 1);
+  start(table, "w", {1, 0, 0}, 1);
+  start(table, "other", {0, 0, 0}, 1);
+  cr_assert_eq(table.find("w")->activeRuns, 0);
+  cr_assert_not(table.cancel("other", 20));
+}
+
+Test(workflow_table, a_snapshot_brings_everything_back) {
+  WorkflowTable table;
+  table.submit(makeWorkflow("w", 2), 10);
+  start(table, "w", {0, 0, 0}, 1);
+  end(table, "w", {0, 0, 0}, 1, schema::RunFailed, "saved");
+  start(table, "w", {0, 0, 0}, 2);
+  start(table, "w", {0, 0, 1}, 1);
+  end(table, "w", {0, 0, 1}, 1, schema::RunDone);
+  schema::StateSnapshot snapshot;
+  table.save(snapshot);
+  WorkflowTable loaded;
+  loaded.load(snapshot);
+  schema::StateSnapshot again;
+  loaded.save(again);
+  cr_assert(snapshot.SerializeAsString() == again.SerializeAsString());
+  cr_assert_eq(loaded.find("w")->activeRuns, 1);
+  end(loaded, "w", {0, 0, 0}, 2, schema::RunFailed);
+  cr_assert_eq(phaseOf(loaded, "w"), schema::WorkflowFailed, "failures before the snapshot count");
+}
+
+Test(workflow_table, ended_ones_are_forgotten_after_their_time) {
+  WorkflowTable table(1000);
+  table.submit(makeWorkflow("w", 1), 10);
+  table.cancel("w", 50);
+  table.expire(1000);
+  cr_assert_neq(table.find("w"), nullptr);
+  table.expire(1051);
+  cr_assert_eq(table.find("w"), nullptr);
+}
