--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -38,8 +38,6 @@
 constexpr double FirstUrgentPeak = 16.0;
 constexpr double UrgentPeakFadeMs = 20000.0;
 constexpr double AcceleratorsPerTarget = 8.0;
-/** Cost of a suspect target: used only where nothing else holds the task. */
-constexpr double SuspectPenalty = 500.0;
 
 RunLedgerOptions ledger_options(const schema::Settings& settings) {
   RunLedgerOptions options;
@@ -335,7 +333,7 @@
     target.capacity.memoryMb = static_cast<std::int64_t>(report.capacity().memory_mb());
     target.capacity.accelerators = report.capacity().accelerators();
     target.open = m_ledger.open(agent, now) && !m_health.paused(report.id(), now);
-    if (m_health.suspect(report.id(), now)) target.penalty = internal::SuspectPenalty;
+    target.penalty = m_health.penalty(report.id(), now);
   }
   return targets;
 }
@@ -400,6 +398,7 @@
       const bool partOfGang = spec.gang() && step.tasks.size() < spec.count();
       if (step.tasks.empty() || partOfGang) continue;
       step.rank = rankOfWorkflow(workflow);
+      step.penalties = m_health.penaltiesOf(record.id());
       step.estimateMs = static_cast<double>(spec.estimate_ms());
       step.objectiveMs =
           static_cast<double>(due) + record.stretch() * longestChainMs(record.spec()) + record.latency_target_ms();
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -98,6 +98,11 @@
   }
 }
 
+double RunPlanner::penaltyOf(const PlannedStep& step, const PlannedTarget& target) const {
+  const auto found = step.penalties.find(target.id);
+  return target.penalty + (found == step.penalties.end() ? 0.0 : found->second);
+}
+
 bool RunPlanner::allowed(const PlannedStep& step, const PlannedTarget& target) const {
   if (!target.open || target.service != step.workflow->record.service()) return false;
   const std::string& label = step.workflow->step(step.key.step).required_label();
@@ -128,7 +133,7 @@
     const double cost = static_cast<double>(rooms[i].accelerators - need.accelerators) +
                         internal::CpuWeight * static_cast<double>(rooms[i].cpuMilli - need.cpuMilli) / 1000.0 +
                         internal::OrderWeight * static_cast<double>(step.isUrgent() ? m_targets->size() - i : i) +
-                        (away ? internal::AwayFromData : 0.0) + target.penalty;
+                        (away ? internal::AwayFromData : 0.0) + penaltyOf(step, target);
     if (cost >= least) continue;
     // Far from its data a task takes several times as long, so it first waits about as long as it would run.
     if (away && step.waitedMs < step.estimateMs) continue;
@@ -213,7 +218,7 @@
     choice.targets.push_back(*target);
     rooms[*target].subtract(need);
     ++placed[(*m_targets)[*target].id];
-    choice.cost += (*m_targets)[*target].penalty;
+    choice.cost += penaltyOf(step, (*m_targets)[*target]);
   }
   for (const std::size_t i : among)
     choice.cost += static_cast<double>(std::max<std::int64_t>(0, rooms[i].accelerators));
@@ -330,7 +335,7 @@
       std::sort(candidates.begin(), candidates.end(),
                 [&](std::size_t a, std::size_t b) { return priceOf(a) < priceOf(b); });
       Room room = rooms[i];
-      double price = target.penalty;
+      double price = penaltyOf(step, target);
       std::vector<std::size_t> taken;
       for (const std::size_t r : candidates) {
         if (room.holds(need)) break;
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -80,6 +80,7 @@
   double estimateMs = 0.0;   ///< expected run time of one task
   double waitedMs = 0.0;     ///< time since the step became ready
   bool isUrgent() const { return rank <= UrgentRank; }
+  std::map<std::string, double> penalties;   ///< further cost by target id: where it has failed before
   std::map<std::string, unsigned> placedOn;  ///< tasks of this step by target id, for the limit on one target
   /** Targets that may run it, with their tickets; nothing where no permission is needed. */
   std::optional<std::map<std::string, std::string>> tickets;
@@ -141,6 +142,7 @@
   bool fillGang(const PlannedStep& step, const std::vector<std::size_t>& among, Rooms rooms, Choice& choice) const;
   std::optional<std::size_t> best(const PlannedStep& step, const std::vector<std::size_t>& among, const Rooms& rooms,
                                   const std::map<std::string, unsigned>& placed) const;
+  double penaltyOf(const PlannedStep& step, const PlannedTarget& target) const;
   bool allowed(const PlannedStep& step, const PlannedTarget& target) const;
   bool preempt(std::size_t index);
   bool makeRoom(const PlannedStep& step, const std::vector<std::size_t>& among, Choice& choice,
--- a/Courseloom/src/Transport/RpcClient.cpp
+++ b/Courseloom/src/Transport/RpcClient.cpp
@@ -42,22 +42,28 @@
   co_return co_await held->call(std::move(method), std::move(body), deadline);
 }
 
+/** Waits until the attempt under way has ended, but no longer than the call's own time. */
+Awaitable<void> RpcClient::waitForAttempt(Time deadline) {
+  asio::steady_timer timer(m_strand);
+  timer.expires_after(std::max(deadline - BootClock::now(), Duration(0)));
+  m_waiting.insert(&timer);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  m_waiting.erase(&timer);
+}
+
 Awaitable<Result<RpcClient::ConnectionPointer>> RpcClient::connect(const std::string& step, Time deadline) {
-  while (m_connecting) {
-    const auto waiting = m_connecting;
-    co_await waiting->async_wait(asio::as_tuple(asio::use_awaitable));
-  }
+  while (m_connecting && BootClock::now() < deadline) co_await waitForAttempt(deadline);
   if (m_connection && m_connection->usable()) co_return m_connection;
   const Failure unreachable{FailureCode::PeerUnreachable, Ran::No, step, m_peer, "cannot connect", 0};
   const Duration left = std::min(deadline - BootClock::now(), internal::ConnectLimit);
-  if (left <= Duration(0)) co_return fail(unreachable);
-  m_connecting = std::make_shared<asio::steady_timer>(m_strand, std::chrono::hours(1));
+  if (m_connecting || left <= Duration(0)) co_return fail(unreachable);
+  m_connecting = true;
   boost::beast::tcp_stream stream(m_strand);
   stream.expires_after(left);
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_address), static_cast<std::uint16_t>(m_port));
   const auto [error] = co_await stream.async_connect(endpoint, asio::as_tuple(asio::use_awaitable));
-  m_connecting->cancel();
-  m_connecting.reset();
+  m_connecting = false;
+  for (asio::steady_timer* waiting : m_waiting) waiting->cancel();
   if (error) {
     Failure failure = unreachable;
     failure.detail = "cannot connect: " + error.message();
--- a/Courseloom/src/Transport/RpcClient.h
+++ b/Courseloom/src/Transport/RpcClient.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "Courseloom/src/Transport/Http2Connection.h"
@@ -53,6 +54,7 @@
   }
 
   Awaitable<Result<std::string>> callOnStrand(std::string method, std::string body, Time deadline);
+  Awaitable<void> waitForAttempt(Time deadline);
   Awaitable<Result<ConnectionPointer>> connect(const std::string& step, Time deadline);
 
   boost::asio::io_context& m_io;
@@ -61,7 +63,8 @@
   unsigned m_port;
   std::string m_peer;
   ConnectionPointer m_connection;
-  std::shared_ptr<boost::asio::steady_timer> m_connecting;  ///< cancelled when an attempt to connect has ended
+  bool m_connecting = false;
+  std::set<boost::asio::steady_timer*> m_waiting;  ///< calls that wait for the attempt to connect
 };
 
 }  // namespace courseloom
