Planner: urgent work outside guarantees stops only what it is worth

Ruled out: the choice among victims; patience (it waits at most 1.4 s). Change: the work lost for a task of rank 'urgent' may be twice its own; guaranteed work stops what it must. Pieces of a step get room one by one. The log says for whom a run was stopped.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -28,6 +28,8 @@
 constexpr double WholePercent = 100.0;
 /** Share of a task from which its pace so far tells its whole time. */
 constexpr double TellingShare = 0.1;
+/** Work of a task that is lost at a stop although it saves its progress, ms. */
+constexpr double CheckpointLossMs = 300.0;
 /** Time that stopping a run may take before its target is gone, ms. */
 constexpr double LeaveMarginMs = 300.0;
 /** A run whose percent has not moved for this long, or for this share of its estimate, stands still. */
@@ -50,6 +52,12 @@
          std::to_string(key.run);
 }
 
+/** \returns the cores that a task of a step takes, its accelerators counted in. */
+double cores_of(const schema::StepSpec& step) {
+  return static_cast<double>(step.need().cpu_milli()) / MillisecondsPerSecond +
+         AcceleratorCores * step.need().accelerators();
+}
+
 /** \returns "ID.OCCURRENCE.STEP.INDEX", as logs name a task. */
 std::string task_text(const schema::TaskId& id) {
   return id.workflow() + "." + std::to_string(id.occurrence()) + "." + std::to_string(id.step()) + "." +
@@ -245,11 +253,14 @@
   const std::vector<PlannedRun> active = planRuns(targets);
   const unsigned keepWhole = wholeTargetsToKeep(active, steps);
   const RunPlan plan = m_planner.plan(targets, active, steps, keepWhole, static_cast<double>(wallClockMs()));
-  for (const RunKey& key : plan.stops) {
-    const std::string agent = m_ledger.wantStop(key);
-    logEvent(schema::RunPreempted,
-             {{"task", internal::task_text(makeTaskId(key.workflow, key.task))}, {"run", std::uint64_t{key.run}}});
-    notifyAgent(agent);
+  for (const RunPlan::Stop& stop : plan.stops) {
+    notifyAgent(m_ledger.wantStop(stop.run));
+    const PlannedStep& step = steps[stop.forStep];
+    logEvent(schema::RunPreempted, {{"task", internal::task_text(makeTaskId(stop.run.workflow, stop.run.task))},
+                                    {"run", std::uint64_t{stop.run.run}},
+                                    {"forWorkflow", step.workflow->record.id()},
+                                    {"rank", std::uint64_t{step.rank}},
+                                    {"waitedMs", static_cast<std::uint64_t>(step.waitedMs)}});
   }
   for (const RunPlan::Start& start : plan.starts) {
     const PlannedStep& step = steps[start.step];
@@ -357,9 +368,8 @@
     run.movable = !step.long_running();
     if (step.gang()) run.gang = internal::gang_name(key);
     const double ranMs = toMilliseconds(now - track.startedAt);
-    const double cores = static_cast<double>(step.need().cpu_milli()) / internal::MillisecondsPerSecond +
-                         internal::AcceleratorCores * step.need().accelerators();
-    run.lostWork = step.checkpointable() ? 0.0 : cores * ranMs / internal::MillisecondsPerSecond;
+    const double lostMs = step.checkpointable() ? std::min(ranMs, internal::CheckpointLossMs) : ranMs;
+    run.lostWork = internal::cores_of(step) * lostMs / internal::MillisecondsPerSecond;
     run.remainingMs = remainingMs(step, track);
   }
   return runs;
@@ -400,6 +410,7 @@
       step.rank = rankOfWorkflow(workflow);
       step.penalties = m_health.penaltiesOf(record.id());
       step.estimateMs = static_cast<double>(spec.estimate_ms());
+      step.taskWork = internal::cores_of(spec) * step.estimateMs / internal::MillisecondsPerSecond;
       step.objectiveMs =
           static_cast<double>(due) + record.stretch() * longestChainMs(record.spec()) + record.latency_target_ms();
       const StepName name{record.id(), key};
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -251,7 +251,8 @@
   const PlannedStep& step = m_steps[index];
   Choice choice;
   std::vector<std::size_t> victims;
-  const bool soon = tryGang(step, m_later, choice);
+  const bool gang = step.workflow->step(step.key.step).gang();
+  const bool soon = gang && tryGang(step, m_later, choice);
   if (!soon) {
     double least = std::numeric_limits<double>::max();
     for (const std::vector<std::size_t>& group : gangGroups(step)) {
@@ -267,7 +268,7 @@
   }
   for (const std::size_t run : victims) {
     m_stopped[run] = true;
-    m_plan.stops.push_back((*m_runs)[run].key);
+    m_plan.stops.push_back({(*m_runs)[run].key, index});
     m_later[(*m_runs)[run].target].add((*m_runs)[run].need);
   }
   setAside(step, choice);
@@ -351,7 +352,13 @@
       chosen = i;
       chosenVictims = std::move(taken);
     }
-    if (!chosen) return false;
+    // Tasks of their own take what is worth it; a gang needs room for all.
+    const double worth =
+        step.rank == GuaranteedRank ? std::numeric_limits<double>::max() : m_options.lossRatio * step.taskWork;
+    if (!chosen || least > worth) {
+      if (spec.gang()) return false;
+      break;
+    }
     for (const std::size_t r : chosenVictims) {
       gone[r] = true;
       victims.push_back(r);
@@ -362,7 +369,7 @@
     choice.targets.push_back(*chosen);
     cost += least;
   }
-  return true;
+  return !choice.targets.empty();
 }
 
 // ---- a place in time for a gang that waits
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -77,6 +77,7 @@
   std::vector<std::uint32_t> tasks;  ///< indexes that wait; for a gang all of them
   Rank rank = UrgentRank;
   double objectiveMs = 0.0;  ///< wall clock by which the workflow should be done
+  double taskWork = 0.0;     ///< core-seconds of one task, as estimated
   double estimateMs = 0.0;   ///< expected run time of one task
   double waitedMs = 0.0;     ///< time since the step became ready
   bool isUrgent() const { return rank <= UrgentRank; }
@@ -95,8 +96,12 @@
     std::uint32_t task = 0;
     std::size_t target = 0;
   };
+  struct Stop {
+    RunKey run;
+    std::size_t forStep = 0;  ///< index among the given steps: what the room is for
+  };
   std::vector<Start> starts;
-  std::vector<RunKey> stops;
+  std::vector<Stop> stops;
 };
 
 /** \class RunPlannerOptions
@@ -109,8 +114,10 @@
   bool patience = true;        ///< priority 0 waits for runs that end by themselves in time, rather than stop others
   double patienceShare = 0.5;  ///< share of the time to its objective that it may wait so
   double patienceLimitMs = 1400.0;  ///< longest wait after which others are stopped for it
-  bool headroom = true;             ///< whole targets are kept free for priority 0
-  double headroomWaitMs = 4000.0;   ///< wait after which other work may take them all the same
+  /** Work that may be lost for each unit of urgent work outside guarantees; within them any may be. */
+  double lossRatio = 2.0;
+  bool headroom = true;            ///< whole targets are kept free for priority 0
+  double headroomWaitMs = 4000.0;  ///< wait after which other work may take them all the same
 };
 
 /** \class RunPlanner
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -50,6 +50,7 @@
     step.workflow = &workflow;
     step.rank = rank;
     step.estimateMs = 2000.0;
+    step.taskWork = 100.0;
     step.objectiveMs = NowMs + 4000.0;
     for (std::uint32_t i = 0; i < count; ++i) step.tasks.push_back(i);
     return step;
@@ -192,13 +193,22 @@
   table.waits(1, 8, UrgentRank);
   const RunPlan plan = table.plan();
   cr_assert_eq(plan.stops.size(), 1);
-  cr_assert(plan.stops.front().workflow == "running2");
+  cr_assert(plan.stops.front().run.workflow == "running2");
   PlannerTable gang(2);
   for (std::size_t i = 0; i < 2; ++i) gang.runs(i, 8, LowRank).gang = "g";
   gang.waits(1, 8, UrgentRank);
   cr_assert_eq(gang.plan().stops.size(), 2, "a part of a gang must not go on without the rest");
 }
 
+Test(run_planner, urgent_work_outside_guarantees_stops_only_what_it_is_worth) {
+  PlannerTable table(1);
+  table.runs(0, 8, LowRank).lostWork = 5000.0;
+  PlannedStep& step = table.waits(1, 8, UrgentRank);
+  cr_assert(table.plan().stops.empty());
+  step.rank = GuaranteedRank;
+  cr_assert_eq(table.plan().stops.size(), 1);
+}
+
 Test(run_planner, what_is_being_stopped_is_enough_and_is_kept_for_whom_it_was_stopped) {
   PlannerTable table(1);
   table.runs(0, 8, LowRank).stopping = true;
