Planner: targets that are being freed stay with the step they are freed for

Change: targets set aside for a step are the last choice of other steps in the next plan; urgent work outside guarantees waits up to 0.8 of its slack for runs that end, and stops at most 0.8 of its own work.

--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -17,6 +17,8 @@
 constexpr double CpuWeight = 0.0001;
 /** Urgent work begins at one end of the targets and other work at the other, so that whole racks stay free between. */
 constexpr double OrderWeight = 0.01;
+/** Cost of a target that is being freed for another step. */
+constexpr double NominatedPenalty = 20.0;
 
 }  // namespace
 }  // namespace internal
@@ -78,7 +80,9 @@
     if (left.rank != right.rank) return left.rank < right.rank;
     return left.objectiveMs < right.objectiveMs;
   });
+  m_nominating.clear();
   for (const std::size_t index : order) serve(index);
+  m_nominated = std::move(m_nominating);
   return std::move(m_plan);
 }
 
@@ -98,9 +102,18 @@
   }
 }
 
+bool RunPlanner::nominatedForOther(const PlannedStep& step, const std::string& target) const {
+  const StepName own = nameOf(step);
+  for (const auto& [name, targets] : m_nominated) {
+    if (name != own && targets.count(target) > 0) return true;
+  }
+  return false;
+}
+
 double RunPlanner::penaltyOf(const PlannedStep& step, const PlannedTarget& target) const {
   const auto found = step.penalties.find(target.id);
-  return target.penalty + (found == step.penalties.end() ? 0.0 : found->second);
+  const double nominated = nominatedForOther(step, target.id) ? internal::NominatedPenalty : 0.0;
+  return target.penalty + nominated + (found == step.penalties.end() ? 0.0 : found->second);
 }
 
 bool RunPlanner::allowed(const PlannedStep& step, const PlannedTarget& target) const {
@@ -281,6 +294,7 @@
   for (const std::size_t target : choice.targets) {
     m_free[target].subtract(need);
     m_later[target].subtract(need);
+    m_nominating[nameOf(step)].insert((*m_targets)[target].id);
   }
 }
 
@@ -288,7 +302,9 @@
 bool RunPlanner::waitsInPeace(const PlannedStep& step) {
   if (!m_options.patience) return false;
   const double slackMs = step.objectiveMs - m_nowMs - step.estimateMs;
-  const double budgetMs = std::min(m_options.patienceShare * slackMs, m_options.patienceLimitMs - step.waitedMs);
+  const bool bound = step.rank == GuaranteedRank;
+  const double budgetMs = bound ? std::min(m_options.patienceShare * slackMs, m_options.patienceLimitMs - step.waitedMs)
+                                : m_options.urgentPatienceShare * slackMs;
   Choice choice;
   const std::optional<double> wait = naturalWait(step, choice);
   if (!wait || *wait > budgetMs) return false;
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -113,9 +113,10 @@
   double reserveAfterMs = 1000.0;  ///< wait after which a gang gets a reservation
   bool patience = true;        ///< priority 0 waits for runs that end by themselves in time, rather than stop others
   double patienceShare = 0.5;  ///< share of the time to its objective that it may wait so
-  double patienceLimitMs = 1400.0;  ///< longest wait after which others are stopped for it
+  double urgentPatienceShare = 0.8;  ///< the same outside guarantees, which no promise bounds
+  double patienceLimitMs = 1400.0;   ///< longest wait after which others are stopped for it
   /** Work that may be lost for each unit of urgent work outside guarantees; within them any may be. */
-  double lossRatio = 2.0;
+  double lossRatio = 0.8;
   bool headroom = true;            ///< whole targets are kept free for priority 0
   double headroomWaitMs = 4000.0;  ///< wait after which other work may take them all the same
 };
@@ -137,6 +138,7 @@
 
  private:
   using Rooms = std::vector<Room>;
+  using StepName = std::pair<std::string, StepKey>;
   struct Choice {
     std::vector<std::size_t> targets;  ///< one for each task
     double cost = 0.0;
@@ -158,6 +160,8 @@
   std::optional<double> naturalWait(const PlannedStep& step, Choice& choice) const;
   bool waitsInPeace(const PlannedStep& step);
   bool keptForUrgent(const PlannedStep& step, std::size_t target, const Rooms& rooms) const;
+  static StepName nameOf(const PlannedStep& step) { return {step.workflow->record.id(), step.key}; }
+  bool nominatedForOther(const PlannedStep& step, const std::string& target) const;
   void setAside(const PlannedStep& step, const Choice& choice);
   void take(std::size_t index, const std::vector<std::size_t>& chosen);
   std::vector<std::vector<std::size_t>> gangGroups(const PlannedStep& step) const;
@@ -174,7 +178,9 @@
   bool m_hasReservation = false;
   unsigned m_keepWhole = 0;
   double m_nowMs = 0.0;
-  std::vector<bool> m_stopped;  ///< by run: chosen as victim now
+  std::map<StepName, std::set<std::string>> m_nominated;   ///< targets being freed for a step, as of the last plan
+  std::map<StepName, std::set<std::string>> m_nominating;  ///< the same, as of this plan
+  std::vector<bool> m_stopped;                             ///< by run: chosen as victim now
   RunPlan m_plan;
 };
 
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -73,8 +73,13 @@
 
   RunPlan plan(unsigned keepWhole = 0, RunPlannerOptions options = {}) {
     RunPlanner planner(options);
+    return planWith(planner, keepWhole);
+  }
+  /** Plans with a planner that has planned before. */
+  RunPlan planWith(RunPlanner& planner, unsigned keepWhole = 0) {
     return planner.plan(m_targets, m_runs, m_steps, keepWhole, NowMs);
   }
+  void endRuns() { m_runs.clear(); }
 
  private:
   std::vector<PlannedTarget> m_targets;
@@ -184,6 +189,21 @@
   cr_assert(table.plan().stops.empty());
 }
 
+Test(run_planner, a_target_that_is_being_freed_for_one_step_is_the_last_choice_of_others) {
+  PlannerTable table(2);
+  RunPlanner planner;
+  table.runs(0, 8, LowRank);
+  table.runs(1, 8, LowRank).lostWork = 20.0;
+  table.waits(1, 8, UrgentRank);
+  cr_assert(table.planWith(planner).stops.size() == 1);
+  table.endRuns();
+  PlannedStep& other = table.waits(1, 1, GuaranteedRank);
+  other.objectiveMs = NowMs;
+  const RunPlan plan = table.planWith(planner);
+  cr_assert_eq(plan.starts.size(), 2);
+  cr_assert_eq(plan.starts.front().target, 1, "the first target was freed for the urgent step");
+}
+
 Test(run_planner, the_cheapest_victims_are_chosen_and_gangs_as_a_whole) {
   PlannerTable table(2);
   PlannedRun& dear = table.runs(0, 8, LowRank);
@@ -224,8 +244,10 @@
   table.runs(0, 8, LowRank, 500.0);
   PlannedStep& step = table.waits(1, 8, UrgentRank);
   cr_assert(table.plan().stops.empty());
+  step.rank = GuaranteedRank;
   step.waitedMs = 1200.0;
   cr_assert_eq(table.plan().stops.size(), 1, "its patience has a limit");
+  step.rank = UrgentRank;
   step.waitedMs = 0.0;
   RunPlannerOptions impatient;
   impatient.patience = false;
