--- a/Courseloom/src/Control/ReplicaDriver.cpp
+++ b/Courseloom/src/Control/ReplicaDriver.cpp
@@ -207,6 +207,7 @@
   logEvent(schema::DiskRetired, {{"disk", m_store.identity().disk_id()}});
   Result<void> erased = m_store.erase();
   if (!erased) logFailure(schema::StorageFailed, takeFailure(erased));
+  flushLog();
   std::_Exit(ExitStorage);
 }
 
@@ -270,6 +271,7 @@
 void ReplicaDriver::endOnStorageFailure(const Failure& failure) {
   // After a failed write or sync nobody knows what the disk holds; only a fresh start can tell.
   logFailure(schema::StorageFailed, failure);
+  flushLog();
   std::cerr << "courseloom-control: " << failure.text() << "\n";
   std::_Exit(ExitStorage);
 }
--- a/Courseloom/src/Core/Log.cpp
+++ b/Courseloom/src/Core/Log.cpp
@@ -3,6 +3,7 @@
 
 #include "Courseloom/src/Core/Log.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -11,8 +12,12 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/mdc.h>
 
+#include <array>
+#include <mutex>
 #include <sstream>
 
+#include "Courseloom/src/Core/Clock.h"
+
 namespace courseloom {
 namespace internal {
 namespace {
@@ -27,6 +32,49 @@
   return name;
 }
 
+constexpr int QueueLines = 2048;
+/** Lines that one event may write in a second; further ones are counted. Refusals and losses get more. */
+constexpr unsigned LinesEachSecond = 100;
+constexpr unsigned WarningsEachSecond = 200;
+constexpr std::size_t EventNumbers = 1000;
+
+/** \class EventBudget
+ * \brief Bounds what one event may write, and counts what was left out.
+ */
+class EventBudget {
+ public:
+  /** \param omitted set to the lines left out in the last busy second, once it is over. \returns whether to write */
+  bool take(schema::Event event, unsigned allowed, std::uint64_t& omitted) {
+    const auto second = BootClock::now().time_since_epoch().count() / 1000000;
+    const std::lock_guard lock(m_mutex);
+    Window& window = m_windows[static_cast<std::size_t>(event) % EventNumbers];
+    if (window.second != second) {
+      omitted = window.omitted;
+      window = Window{second, 0, 0};
+    }
+    if (window.lines < allowed) {
+      ++window.lines;
+      return true;
+    }
+    ++window.omitted;
+    return false;
+  }
+
+ private:
+  struct Window {
+    std::int64_t second = 0;
+    unsigned lines = 0;
+    std::uint64_t omitted = 0;
+  };
+  std::mutex m_mutex;
+  std::array<Window, EventNumbers> m_windows;
+};
+
+EventBudget& event_budget() {
+  static EventBudget budget;
+  return budget;
+}
+
 const schema::EventRule& event_rule(schema::Event event) {
   return schema::Event_descriptor()->FindValueByNumber(event)->options().GetExtension(schema::event);
 }
@@ -39,25 +87,49 @@
   auto layout = std::make_shared<log4cxx::JSONLayout>();
   log4cxx::AppenderPtr appender;
   if (file.empty()) {
-    appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
   } else {
     appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
   }
-  log4cxx::BasicConfigurator::configure(appender);
+  // Whoever logs never waits for whoever reads: a full queue drops lines, and the appender says how many.
+  auto queue = std::make_shared<log4cxx::AsyncAppender>();
+  queue->setBufferSize(internal::QueueLines);
+  queue->setBlocking(false);
+  queue->addAppender(appender);
+  log4cxx::BasicConfigurator::configure(queue);
   internal::process_logger()->setLevel(log4cxx::Level::toLevel(level));
 }
 
-void logEvent(schema::Event event, std::initializer_list<LogField> fields) {
-  const log4cxx::LoggerPtr& logger = internal::process_logger();
-  const log4cxx::LevelPtr level = log4cxx::Level::toLevel(internal::event_rule(event).level());
-  if (!logger->isEnabledFor(level)) return;
+namespace internal {
+namespace {
+
+void write_line(schema::Event event, const log4cxx::LevelPtr& level, std::initializer_list<LogField> fields) {
   log4cxx::MDC::put("event", std::to_string(event));
-  log4cxx::MDC::put("process", internal::process_name());
+  log4cxx::MDC::put("process", process_name());
   for (const LogField& field : fields) log4cxx::MDC::put(field.name, field.value);
-  logger->forcedLog(level, schema::Event_Name(event), log4cxx::spi::LocationInfo::getLocationUnavailable());
+  process_logger()->forcedLog(level, schema::Event_Name(event), log4cxx::spi::LocationInfo::getLocationUnavailable());
   log4cxx::MDC::clear();
 }
 
+}  // namespace
+}  // namespace internal
+
+void logEvent(schema::Event event, std::initializer_list<LogField> fields) {
+  const log4cxx::LevelPtr level = log4cxx::Level::toLevel(internal::event_rule(event).level());
+  if (!internal::process_logger()->isEnabledFor(level)) return;
+  const bool serious = level->isGreaterOrEqual(log4cxx::Level::getWarn());
+  std::uint64_t omitted = 0;
+  const bool write =
+      internal::event_budget().take(event, serious ? internal::WarningsEachSecond : internal::LinesEachSecond, omitted);
+  if (omitted > 0) {
+    internal::write_line(schema::LinesOmitted, log4cxx::Level::getWarn(),
+                         {{"of", schema::Event_Name(event)}, {"count", omitted}});
+  }
+  if (write) internal::write_line(event, level, fields);
+}
+
+void flushLog() { log4cxx::LogManager::shutdown(); }
+
 void logFailure(schema::Event event, const Failure& failure) {
   logEvent(event, {{"code", codeName(failure.code)},
                    {"ran", ranName(failure.ran)},
--- a/Courseloom/src/Core/Log.h
+++ b/Courseloom/src/Core/Log.h
@@ -25,14 +25,17 @@
 /** Sets up log4cxx with its JSON layout.
  * \param process name of this process, a field of each line
  * \param level TRACE, DEBUG, INFO, WARN or ERROR
- * \param file path of the log; empty is standard error
+ * \param file path of the log; empty is standard output
  */
 void setUpLog(const std::string& process, const std::string& level, const std::string& file);
 
-/** Writes one numbered event at the level that schema/events.proto gives it. Safe from any thread. */
+/** Writes one numbered event at the level that schema/events.proto gives it. Safe from any thread; never waits for the
+ * reader. Each event has a budget of lines a second; what is left out is counted by an event LinesOmitted. */
 void logEvent(schema::Event event, std::initializer_list<LogField> fields = {});
 /** Writes one numbered event with a failure's code, ran, step, peer and detail. */
 void logFailure(schema::Event event, const Failure& failure);
+/** Writes out what is queued; nothing is logged afterwards. */
+void flushLog();
 /** \returns the catalogue of events as a Markdown page. */
 std::string describeEvents();
 
--- a/Courseloom/src/Runtime/Daemon.cpp
+++ b/Courseloom/src/Runtime/Daemon.cpp
@@ -128,6 +128,7 @@
   for (std::uint32_t i = 1; i < node.threads(); ++i) threads.emplace_back([&io] { io.run(); });
   io.run();
   for (std::thread& thread : threads) thread.join();
+  flushLog();
   return ExitSuccess;
 }
 
--- /dev/null
+++ b/test/standins/runner.cpp
@@ -0,0 +1,246 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// Stand-in for a back end of the users' platform: runs tasks under leases, lists ends, registers with its agent.
+//
+//   standin-runner --address 127.0.0.1 --port 9001 --agent 127.0.0.1:9101 --name m1 --service s
+//
+// A task runs for as many milliseconds as its `spec` says (`200`), fails with `fail`, and never ends with `forever`.
+// GET /starts tells how often each task was started, and `done` ends; POST /crash begins a new life; POST /drain makes
+// it announce that it leaves; POST /mute?ms=N answers no order for a while.
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <iostream>
+#include <map>
+
+#include "Courseloom/src/Runtime/OneShot.h"
+#include "Courseloom/src/Transport/HttpClient.h"
+#include "Courseloom/src/Transport/HttpServer.h"
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using namespace courseloom;
+
+namespace {
+
+constexpr Duration HeartbeatInterval = milliseconds(150);
+constexpr Duration Look = milliseconds(10);
+constexpr std::int64_t StopMs = 50;
+
+struct RunnerOptions {
+  std::string address = "127.0.0.1";
+  unsigned port = 0;
+  std::string agent;
+  std::string name = "m";
+  std::string service = "s";
+};
+
+class StandInRunner {
+ public:
+  StandInRunner(asio::io_context& io, RunnerOptions options)
+      : m_io(io),
+        m_options(std::move(options)),
+        m_agent(io, m_options.agent.substr(0, m_options.agent.find(':')),
+                static_cast<unsigned>(std::stoul(m_options.agent.substr(m_options.agent.find(':') + 1))), 1),
+        m_server(io, HttpLimits(), [this](HttpRequest request, std::string) { return answer(std::move(request)); }) {}
+
+  unsigned start() {
+    Result<unsigned> bound = m_server.start(m_options.address, m_options.port);
+    asio::co_spawn(m_io, heartbeatLoop(), asio::detached);
+    asio::co_spawn(m_io, timeLoop(), asio::detached);
+    return bound ? *bound : 0;
+  }
+
+ private:
+  struct Task {
+    std::int64_t run = 0;
+    std::int64_t doneAt = 0;  ///< 0 is never
+    std::int64_t startedAt = 0;
+    std::int64_t stopAt = 0;
+    bool fails = false;
+  };
+
+  static std::int64_t clockMs() { return BootClock::now().time_since_epoch().count() / 1000; }
+  std::string id() const { return "i-" + m_options.name + "-" + std::to_string(m_life); }
+
+  Awaitable<void> heartbeatLoop() {
+    while (true) {
+      HttpRequest request(http::verb::post, "/-/Instances.Heartbeat/" + id(), 11);
+      request.set(http::field::content_type, "application/json");
+      const json::object body{{"service", m_options.service},
+                              {"address", m_options.address},
+                              {"zone", "hall-1"},
+                              {"state", m_draining ? "draining" : "ready"},
+                              {"remaining_ms", 400},
+                              {"capacity", {{"cpu", 64000}, {"mem_mb", 64000}, {"gpu", 8}}},
+                              {"labels", {"a", "r1"}},
+                              {"clock_ms", clockMs()},
+                              {"seq", ++m_sequence}};
+      request.body() = json::serialize(body);
+      co_await m_agent.exchange("heartbeat", std::move(request), milliseconds(1000), 4096);
+      co_await sleepFor(HeartbeatInterval);
+    }
+  }
+
+  void end(const std::string& name, const char* how) {
+    const Task task = m_running.at(name);
+    m_running.erase(name);
+    m_over[name] = std::max(m_over[name], task.run);
+    if (std::string(how) == "done") ++m_done[name];
+    m_ends.push_back(json::array{++m_lastEnd, name, task.run, how, "saved"});
+  }
+
+  Awaitable<void> timeLoop() {
+    while (true) {
+      const std::int64_t now = clockMs();
+      const std::map<std::string, Task> running = m_running;
+      for (const auto& [name, task] : running) {
+        if (now >= m_heldUntil) {
+          end(name, "lapsed");
+        } else if (task.stopAt != 0 && now >= task.stopAt) {
+          end(name, "stopped");
+        } else if (task.doneAt != 0 && now >= task.doneAt) {
+          end(name, task.fails ? "failed" : "done");
+        }
+      }
+      co_await sleepFor(Look);
+    }
+  }
+
+  Awaitable<HttpResponse> answer(HttpRequest request) {
+    const std::string path(request.target());
+    if (path == "/starts") co_return jsonResponse(200, counts());
+    if (path == "/crash") {
+      ++m_life;
+      m_running.clear();
+      m_over.clear();
+      m_ends.clear();
+      m_lastEnd = 0;
+      m_term = 0;
+      m_draining = false;
+      co_return jsonResponse(200, "{}");
+    }
+    if (path == "/drain") {
+      m_draining = true;
+      co_return jsonResponse(200, "{}");
+    }
+    if (path.rfind("/mute", 0) == 0) {
+      m_muteUntil = clockMs() + std::atoi(path.substr(path.find('=') + 1).c_str());
+      co_return jsonResponse(200, "{}");
+    }
+    while (clockMs() < m_muteUntil) co_await sleepFor(Look);
+    if (headerValue(request, "X-Courseloom-Target-Instance") != id()) co_return jsonResponse(421, "{}");
+    co_return co_await order(path, json::parse(request.body()).as_object());
+  }
+
+  Awaitable<HttpResponse> order(std::string path, json::object body) {
+    const auto number = [&body](const char* name) -> std::int64_t {
+      return body.contains(name) ? body[name].to_number<std::int64_t>() : 0;
+    };
+    if (number("fencing_token") < m_term) co_return refuse("fence");
+    m_term = number("fencing_token");
+    m_heldUntil = std::max(m_heldUntil, std::min(number("deadline_ms"), clockMs() + 6000));
+    if (path == "/-/run-start") co_return startTask(body, number("run"), number("deadline_ms"));
+    if (path == "/-/run-stop") {
+      const std::string name(body["task"].as_string());
+      const auto found = m_running.find(name);
+      if (found != m_running.end() && found->second.run == number("run")) {
+        found->second.stopAt = clockMs() + StopMs;
+      } else {
+        m_over[name] = std::max(m_over[name], number("run"));
+      }
+      co_return plain();
+    }
+    const std::int64_t seen = number("last_seen");
+    while (!m_ends.empty() && m_ends.front().at(0).as_int64() <= seen) m_ends.erase(m_ends.begin());
+    const std::int64_t until = clockMs() + number("wait_ms");
+    while (m_ends.empty() && clockMs() < until) co_await sleepFor(Look);
+    json::array running;
+    for (const auto& [name, task] : m_running) {
+      const std::int64_t whole = std::max<std::int64_t>(1, task.doneAt - task.startedAt);
+      const std::int64_t percent =
+          task.doneAt == 0 ? (clockMs() / 100) % 100 : (clockMs() - task.startedAt) * 100 / whole;
+      running.push_back(json::array{name, task.run, "saved", percent});
+    }
+    json::array finished;
+    for (const json::array& row : m_ends) finished.push_back(row);
+    co_return jsonResponse(
+        200, json::serialize(json::object{{"clock_ms", clockMs()}, {"running", running}, {"finished", finished}}));
+  }
+
+  HttpResponse startTask(json::object& body, std::int64_t run, std::int64_t deadline) {
+    const std::string name(body["task"].as_string());
+    const auto found = m_running.find(name);
+    if (found != m_running.end() && found->second.run == run) return plain();
+    if (clockMs() >= deadline) return refuse("late");
+    if (m_over[name] >= run) return refuse("old");
+    if (found != m_running.end() || m_running.size() >= 8) return refuse("room");
+    const std::string spec(body["spec"].as_string());
+    Task task;
+    task.run = run;
+    task.startedAt = clockMs();
+    task.fails = spec.find("fail") != std::string::npos;
+    task.doneAt = spec == "forever" ? 0 : clockMs() + std::max(20, std::atoi(spec.c_str()));
+    m_running[name] = task;
+    ++m_starts[name];
+    return plain();
+  }
+
+  static HttpResponse plain() { return jsonResponse(200, json::serialize(json::object{{"clock_ms", clockMs()}})); }
+  static HttpResponse refuse(const char* reason) {
+    return jsonResponse(409, json::serialize(json::object{{"clock_ms", clockMs()}, {"reason", reason}}));
+  }
+
+  std::string counts() const {
+    json::object starts;
+    for (const auto& [name, count] : m_starts) starts[name] = count;
+    json::object done;
+    for (const auto& [name, count] : m_done) done[name] = count;
+    return json::serialize(json::object{{"starts", starts}, {"done", done}, {"running", m_running.size()}});
+  }
+
+  asio::io_context& m_io;
+  RunnerOptions m_options;
+  HttpClient m_agent;
+  HttpServer m_server;
+  unsigned m_life = 1;
+  bool m_draining = false;
+  std::int64_t m_sequence = 0;
+  std::int64_t m_term = 0;
+  std::int64_t m_heldUntil = 0;
+  std::int64_t m_muteUntil = 0;
+  std::int64_t m_lastEnd = 0;
+  std::map<std::string, Task> m_running;
+  std::map<std::string, std::int64_t> m_over;
+  std::map<std::string, std::int64_t> m_starts;
+  std::map<std::string, std::int64_t> m_done;
+  std::vector<json::array> m_ends;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Stand-in for a back end that runs tasks");
+  RunnerOptions options;
+  app.add_option("--address", options.address, "IP number");
+  app.add_option("--port", options.port, "Port")->required();
+  app.add_option("--agent", options.agent, "Where it registers")->required();
+  app.add_option("--name", options.name, "Name, part of its identities");
+  app.add_option("--service", options.service, "Its service");
+  CLI11_PARSE(app, argc, argv);
+  asio::io_context io;
+  StandInRunner runner(io, options);
+  const unsigned bound = runner.start();
+  if (bound == 0) return 1;
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&io](auto, auto) { io.stop(); });
+  std::cout << "ready name=" << options.name << " http=" << options.address << ":" << bound << std::endl;
+  io.run();
+  return 0;
+}
