--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -8,6 +8,7 @@
 #include <random>
 
 #include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Transport/Listen.h"
 
 namespace courseloom {
 
@@ -36,17 +37,6 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-std::string run_text(const schema::TaskId& id) {
-  return id.workflow() + "." + std::to_string(id.occurrence()) + "." + std::to_string(id.step()) + "." +
-         std::to_string(id.index());
-}
-
-/** \returns address and port of an endpoint that the settings' check has passed. */
-std::pair<std::string, unsigned> split_endpoint(const std::string& endpoint) {
-  const std::size_t colon = endpoint.rfind(':');
-  return {endpoint.substr(0, colon), static_cast<unsigned>(std::stoul(endpoint.substr(colon + 1)))};
-}
-
 }  // namespace
 }  // namespace internal
 
@@ -69,9 +59,9 @@
 
 Result<Listening> RunAgentService::start() {
   const schema::NodeSettings& node = m_context.settings.node();
-  const auto [address, port] = internal::split_endpoint(m_context.settings.edge().control_endpoint());
+  const Endpoint edge = splitEndpoint(m_context.settings.edge().control_endpoint());
   Listening listening;
-  BOOST_LEAF_CHECK(m_registration.start(address, port));
+  BOOST_LEAF_CHECK(m_registration.start(edge.address, edge.port));
   BOOST_LEAF_ASSIGN(listening.httpPort, m_http.start(node.address(), node.http_port()));
   asio::co_spawn(m_strand, attendLoop(), asio::detached);
   asio::co_spawn(m_strand, newsLoop(), asio::detached);
@@ -371,7 +361,7 @@
 
 Awaitable<void> RunAgentService::startRun(schema::RunOrder order) {
   const std::string life = order.target();
-  const std::string name = internal::run_text(order.task());
+  const std::string name = taskText(order.task());
   if (m_life->report.draining() || m_life->left) {
     settle(order.task(), order.run(), schema::RunVoided, "draining");
     co_return;
--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -10,6 +10,7 @@
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Membership/ControlClient.h"
 #include "Courseloom/src/Schema/YamlReader.h"
+#include "Courseloom/src/Transport/Listen.h"
 
 namespace courseloom {
 
@@ -34,6 +35,7 @@
       m_driver(context, m_strand),
       m_jobs(context, m_strand, m_driver),
       m_workflows(context, m_strand, m_driver, m_edges.makeAdvice ? m_edges.makeAdvice(context) : nullptr),
+      m_queues(context, m_driver),
       m_nodes(2 * milliseconds(context.settings.cluster().freshness_lease_ms())),
       m_rpc(context.io),
       m_http(context.io, HttpLimits(),
@@ -71,18 +73,17 @@
 }
 
 Result<void> ControlService::startEdge() {
-  const std::string& endpoint = m_context.settings.edge().control_endpoint();
-  if (endpoint.empty() || !m_edges.answerOperator) return {};
-  const std::size_t colon = endpoint.rfind(':');
-  BOOST_LEAF_ASSIGN(m_edgePort, m_operators.start(endpoint.substr(0, colon),
-                                                  static_cast<unsigned>(std::stoul(endpoint.substr(colon + 1)))));
+  const std::string& text = m_context.settings.edge().control_endpoint();
+  if (text.empty() || !m_edges.answerOperator) return {};
+  const Endpoint endpoint = splitEndpoint(text);
+  BOOST_LEAF_ASSIGN(m_edgePort, m_operators.start(endpoint.address, endpoint.port));
   return {};
 }
 
 void ControlService::registerWorkflowHandlers() {
   m_workflows.setMembersSource([this] { return m_driver.memberIds(); });
   m_rpc.handle<schema::QueueCall>("queue", [this](schema::QueueCall call, std::string) {
-    return asio::co_spawn(m_strand, m_workflows.call(std::move(call)), asio::use_awaitable);
+    return asio::co_spawn(m_strand, m_queues.call(std::move(call)), asio::use_awaitable);
   });
   m_rpc.handle<schema::AttendRequest>("attend", [this](schema::AttendRequest request, std::string) {
     return asio::co_spawn(m_strand, m_workflows.attend(std::move(request)), asio::use_awaitable);
@@ -97,13 +98,12 @@
 // ---- the operator's protocol
 
 Awaitable<Result<void>> ControlService::put(schema::QueueConfiguration configuration) {
-  co_return co_await asio::co_spawn(m_strand, m_workflows.putConfiguration(std::move(configuration)),
-                                    asio::use_awaitable);
+  co_return co_await asio::co_spawn(m_strand, m_queues.putConfiguration(std::move(configuration)), asio::use_awaitable);
 }
 
 Awaitable<Result<std::string>> ControlService::read() {
   Result<schema::QueueConfiguration> configuration =
-      co_await asio::co_spawn(m_strand, m_workflows.readConfiguration(), asio::use_awaitable);
+      co_await asio::co_spawn(m_strand, m_queues.readConfiguration(), asio::use_awaitable);
   if (!configuration) co_return fail(takeFailure(configuration));
   co_return configuration->source();
 }
--- a/Courseloom/src/Control/ControlService.h
+++ b/Courseloom/src/Control/ControlService.h
@@ -5,6 +5,7 @@
 
 #include "Courseloom/src/Control/ConfigurationGateway.h"
 #include "Courseloom/src/Control/JobRunner.h"
+#include "Courseloom/src/Control/QueueHandler.h"
 #include "Courseloom/src/Control/WorkflowRunner.h"
 #include "Courseloom/src/Membership/NodeTable.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
@@ -63,6 +64,7 @@
   ReplicaDriver m_driver;
   JobRunner m_jobs;
   WorkflowRunner m_workflows;
+  QueueHandler m_queues;
   NodeTable m_nodes;
   ChangeSignal m_changed;
   RpcServer m_rpc;
--- /dev/null
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -0,0 +1,157 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Control/QueueHandler.h"
+
+#include "Courseloom/src/Core/Log.h"
+
+namespace courseloom {
+
+namespace internal {
+namespace {
+constexpr Duration CommitLimit = milliseconds(3000);
+}  // namespace
+}  // namespace internal
+
+// ---- callers
+
+const schema::Queue* QueueHandler::findQueue(const schema::QueueCall& call, std::string& id) const {
+  const schema::Queue* found = nullptr;
+  for (const schema::Queue& queue : table().configuration().queues()) {
+    if (queue.host() != call.host() || call.path().rfind(queue.path_prefix(), 0) != 0) continue;
+    if (found == nullptr || queue.path_prefix().size() > found->path_prefix().size()) found = &queue;
+  }
+  if (found != nullptr) id = call.path().substr(found->path_prefix().size());
+  return found;
+}
+
+Result<std::string> QueueHandler::tenantOf(const schema::Queue& queue, const schema::QueueCall& call) const {
+  for (const schema::Tenant& tenant : table().configuration().tenants()) {
+    for (const std::string& key : tenant.keys()) {
+      if (!call.key().empty() && key == call.key()) return tenant.name();
+    }
+  }
+  if (queue.public_access()) return std::string();
+  return fail(Failure{FailureCode::UnknownWorkspace, Ran::No, "authorise", "", "the key belongs to no tenant", 0});
+}
+
+Awaitable<Result<schema::QueueAnswer>> QueueHandler::call(schema::QueueCall call) {
+  if (!leads()) co_return fail(m_driver.noLeader("queue"));
+  schema::QueueAnswer answer;
+  if (!table().configured()) {
+    answer.set_outcome(schema::QueueUnconfigured);
+    co_return answer;
+  }
+  std::string id;
+  const schema::Queue* queue = findQueue(call, id);
+  if (queue == nullptr) {
+    answer.set_outcome(schema::QueueUnknown);
+    co_return answer;
+  }
+  Result<std::string> tenant = tenantOf(*queue, call);
+  if (!tenant) {
+    answer.set_outcome(schema::QueueUnauthorised);
+    co_return answer;
+  }
+  if (call.kind() == schema::QueueSubmit) co_return co_await submit(call, *queue, *tenant, id);
+  if (call.kind() == schema::QueueCancel) co_return co_await cancel(*tenant, id);
+  if (!id.empty()) co_return stateOf(*tenant, id);
+  answer.set_outcome(schema::QueueAnswered);
+  answer.set_counted(true);
+  answer.set_pending(pendingOf(queue->name()));
+  co_return answer;
+}
+
+Awaitable<Result<schema::QueueAnswer>> QueueHandler::submit(const schema::QueueCall& call, const schema::Queue& queue,
+                                                            std::string tenant, std::string id) {
+  schema::QueueAnswer answer;
+  if (!call.unreadable().empty() || id.empty()) {
+    answer.set_outcome(schema::QueueInvalid);
+    answer.set_detail(id.empty() ? "the path names no workflow" : call.unreadable());
+    co_return answer;
+  }
+  answer.set_outcome(schema::QueueAccepted);
+  if (table().find(id) != nullptr) co_return answer;
+  schema::Command command;
+  schema::Workflow& workflow = *command.mutable_submit_workflow()->mutable_workflow();
+  workflow.set_id(id);
+  *workflow.mutable_spec() = call.spec();
+  workflow.set_queue(queue.name());
+  workflow.set_tenant(tenant);
+  workflow.set_service(queue.service());
+  workflow.set_priority(queue.priority());
+  workflow.set_max_attempts(std::max(1U, queue.max_attempts()));
+  workflow.set_stretch(queue.stretch());
+  workflow.set_latency_target_ms(queue.latency_target_ms());
+  const std::string queueName = queue.name();
+  const Time before = BootClock::now();
+  Result<schema::CommandReply> reply =
+      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
+  if (!reply) co_return fail(takeFailure(reply));
+  const double tookMs = toMilliseconds(BootClock::now() - before);
+  m_context.metrics.record("workflow_accept_ms", tenant, queueName, tookMs);
+  logEvent(schema::WorkflowAccepted, {{"workflow", id},
+                                      {"queue", queueName},
+                                      {"tenant", tenant},
+                                      {"configuration", table().configuration().version()},
+                                      {"tookMs", static_cast<std::uint64_t>(tookMs)}});
+  co_return answer;
+}
+
+Awaitable<Result<schema::QueueAnswer>> QueueHandler::cancel(const std::string& tenant, std::string id) {
+  schema::QueueAnswer answer = stateOf(tenant, id);
+  if (answer.outcome() == schema::WorkflowUnknown || isEnded(answer.phase())) co_return answer;
+  schema::Command command;
+  command.mutable_cancel_workflow()->set_id(id);
+  Result<schema::CommandReply> reply =
+      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
+  if (!reply) co_return fail(takeFailure(reply));
+  logEvent(schema::WorkflowCancelledByCaller, {{"workflow", id}});
+  answer.set_phase(schema::WorkflowCancelled);
+  co_return answer;
+}
+
+schema::QueueAnswer QueueHandler::stateOf(const std::string& tenant, const std::string& id) const {
+  schema::QueueAnswer answer;
+  const WorkflowState* workflow = table().find(id);
+  const bool visible = workflow != nullptr &&
+                       (tenant.empty() || workflow->record.tenant().empty() || workflow->record.tenant() == tenant);
+  if (!visible) {
+    answer.set_outcome(schema::WorkflowUnknown);
+    return answer;
+  }
+  answer.set_outcome(schema::QueueAnswered);
+  answer.set_phase(workflow->record.phase());
+  return answer;
+}
+
+std::uint32_t QueueHandler::pendingOf(const std::string& queue) const {
+  std::uint32_t pending = 0;
+  for (const std::string& id : table().open()) {
+    const schema::Workflow& record = table().find(id)->record;
+    if (record.queue() == queue && record.phase() == schema::WorkflowQueued) ++pending;
+  }
+  return pending;
+}
+
+// ---- configuration
+
+Awaitable<Result<void>> QueueHandler::putConfiguration(schema::QueueConfiguration configuration) {
+  if (!leads()) co_return fail(m_driver.noLeader("put configuration"));
+  if (configuration.version() <= table().configuration().version()) co_return Result<void>();
+  const std::uint64_t version = configuration.version();
+  schema::Command command;
+  *command.mutable_put_configuration()->mutable_configuration() = std::move(configuration);
+  Result<schema::CommandReply> reply =
+      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
+  if (!reply) co_return fail(takeFailure(reply));
+  logEvent(schema::ConfigurationAccepted, {{"version", version}});
+  co_return Result<void>();
+}
+
+Awaitable<Result<schema::QueueConfiguration>> QueueHandler::readConfiguration() {
+  if (!leads()) co_return fail(m_driver.noLeader("read configuration"));
+  co_return table().configuration();
+}
+
+}  // namespace courseloom
--- a/Courseloom/src/Control/ReplicaDriver.h
+++ b/Courseloom/src/Control/ReplicaDriver.h
@@ -57,7 +57,7 @@
   const ClusterState& state() const { return m_state; }
   std::set<std::string> takeChangedJobs() { return m_state.takeChangedJobs(); }
   std::vector<RunChange> takeRunChanges() { return m_state.workflows().takeRunChanges(); }
-  std::vector<std::string> takeEndedWithRuns() { return m_state.workflows().takeEndedWithRuns(); }
+  std::vector<std::string> takeEndedWorkflows() { return m_state.workflows().takeEnded(); }
   bool canRead() const { return m_replica->canRead(BootClock::now()); }
   /** \returns the failure of whoever asks this replica for what only the leader can do; it names the leader. */
   Failure noLeader(const std::string& step) const;
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -18,10 +18,6 @@
 
 constexpr Duration TickInterval = milliseconds(100);
 constexpr Duration CommitLimit = milliseconds(3000);
-constexpr Duration AdviceMargin = milliseconds(300);
-constexpr Duration AdviceLimit = milliseconds(5000);
-constexpr Duration AdvicePause = milliseconds(200);
-constexpr std::size_t MaxAdvisedTargets = 100;
 constexpr double AcceleratorCores = 8.0;
 constexpr double MillisecondsPerSecond = 1000.0;
 /** An unfinished task whose percent stands at this is taken to be about to end. */
@@ -58,12 +54,6 @@
          AcceleratorCores * step.need().accelerators();
 }
 
-/** \returns "ID.OCCURRENCE.STEP.INDEX", as logs name a task. */
-std::string task_text(const schema::TaskId& id) {
-  return id.workflow() + "." + std::to_string(id.occurrence()) + "." + std::to_string(id.step()) + "." +
-         std::to_string(id.index());
-}
-
 }  // namespace
 }  // namespace internal
 
@@ -84,7 +74,7 @@
     : m_context(context),
       m_strand(std::move(strand)),
       m_driver(driver),
-      m_advice(std::move(advice)),
+      m_advice(m_strand, std::move(advice), [this] { wake(); }),
       m_ledger(internal::ledger_options(context.settings)) {}
 
 void WorkflowRunner::start() {
@@ -94,7 +84,7 @@
 
 void WorkflowRunner::lead(bool leads) {
   m_leads = leads;
-  m_permissions.clear();
+  m_advice.clear();
   m_readySince.clear();
   m_health.clear();
   if (leads) m_ledger.lead(table(), BootClock::now());
@@ -119,16 +109,20 @@
 
 void WorkflowRunner::onApplied() {
   const std::vector<RunChange> changes = m_driver.takeRunChanges();
-  const std::vector<std::string> ended = m_driver.takeEndedWithRuns();
+  const std::vector<std::string> ended = m_driver.takeEndedWorkflows();
   if (!m_leads) return;
   m_ledger.apply(changes, BootClock::now());
   for (const RunChange& change : changes) {
+    if (change.started) noteStarted(change);
+    if (!change.started) m_context.metrics.count("run_ends", schema::RunEndKind_Name(change.kind));
     if (!change.started) m_health.ended(change.run.target(), change.task.workflow(), change.kind, BootClock::now());
     if (change.started) notifyAgent(change.run.agent());
   }
   for (const std::string& id : ended) {
     const WorkflowState* workflow = table().find(id);
     if (workflow == nullptr) continue;
+    noteEnded(*workflow);
+    m_health.forget(id);
     for (const auto& [key, task] : workflow->tasks) {
       for (const schema::ActiveRun& run : task.active) notifyAgent(run.agent());
     }
@@ -136,9 +130,42 @@
   wake();
 }
 
+void WorkflowRunner::noteEnded(const WorkflowState& workflow) {
+  const schema::Workflow& record = workflow.record;
+  const std::uint64_t tookMs = record.ended_ms() - std::min(record.ended_ms(), record.submitted_ms());
+  m_context.metrics.record("workflow_completion_ms", record.tenant(), record.queue(), static_cast<double>(tookMs));
+  m_context.metrics.count("workflow_ends", schema::WorkflowPhase_Name(record.phase()));
+  logEvent(schema::WorkflowEnded, {{"workflow", record.id()},
+                                   {"phase", schema::WorkflowPhase_Name(record.phase())},
+                                   {"reason", record.reason()},
+                                   {"tookMs", tookMs}});
+}
+
+void WorkflowRunner::noteStarted(const RunChange& change) {
+  const WorkflowState* workflow = table().find(change.task.workflow());
+  if (workflow == nullptr || change.run.number() != 1) return;
+  const schema::Workflow& record = workflow->record;
+  const std::uint64_t due = workflow->dueMs(change.task.occurrence());
+  const std::uint64_t waited = change.run.started_ms() - std::min(change.run.started_ms(), due);
+  m_context.metrics.record("first_start_ms", record.tenant(), record.queue(), static_cast<double>(waited));
+}
+
+void WorkflowRunner::showGauges() {
+  std::size_t openTargets = 0;
+  for (const auto& [agent, track] : m_ledger.targets()) openTargets += m_ledger.open(agent, BootClock::now()) ? 1 : 0;
+  m_context.metrics.set("leader", m_leads ? 1.0 : 0.0);
+  m_context.metrics.set("term", static_cast<double>(m_driver.replica().term()));
+  m_context.metrics.set("configuration_version", static_cast<double>(table().configuration().version()));
+  m_context.metrics.set("workflows_open", static_cast<double>(table().open().size()));
+  m_context.metrics.set("runs_active", static_cast<double>(m_ledger.runs().size()));
+  m_context.metrics.set("targets_known", static_cast<double>(m_ledger.targets().size()));
+  m_context.metrics.set("targets_open", static_cast<double>(openTargets));
+}
+
 Awaitable<void> WorkflowRunner::tickLoop() {
   while (true) {
     co_await sleepFor(internal::TickInterval);
+    showGauges();
     if (!leads()) continue;
     co_await expireRuns();
     reviewRuns();
@@ -151,7 +178,7 @@
   for (schema::RunEnd& end : m_ledger.expire(BootClock::now())) *runs.add_ends() = std::move(end);
   if (runs.ends_size() == 0) co_return;
   for (const schema::RunEnd& end : runs.ends()) {
-    logEvent(schema::RunExpired, {{"task", internal::task_text(end.task())}, {"run", std::uint64_t{end.run()}}});
+    logEvent(schema::RunExpired, {{"task", taskText(end.task())}, {"run", std::uint64_t{end.run()}}});
   }
   co_await commitRuns(std::move(runs));
 }
@@ -177,9 +204,9 @@
     const RunKey member{key.workflow, {key.task.occurrence, key.task.step, index}, key.run};
     notifyAgent(m_ledger.wantStop(member));
   }
-  logEvent(schema::RunMoved, {{"task", internal::task_text(makeTaskId(key.workflow, key.task))},
-                              {"run", std::uint64_t{key.run}},
-                              {"reason", reason}});
+  logEvent(
+      schema::RunMoved,
+      {{"task", taskText(makeTaskId(key.workflow, key.task))}, {"run", std::uint64_t{key.run}}, {"reason", reason}});
 }
 
 /** \returns whether a run's target goes before the run would end. */
@@ -256,7 +283,7 @@
   for (const RunPlan::Stop& stop : plan.stops) {
     notifyAgent(m_ledger.wantStop(stop.run));
     const PlannedStep& step = steps[stop.forStep];
-    logEvent(schema::RunPreempted, {{"task", internal::task_text(makeTaskId(stop.run.workflow, stop.run.task))},
+    logEvent(schema::RunPreempted, {{"task", taskText(makeTaskId(stop.run.workflow, stop.run.task))},
                                     {"run", std::uint64_t{stop.run.run}},
                                     {"forWorkflow", step.workflow->record.id()},
                                     {"rank", std::uint64_t{step.rank}},
@@ -273,7 +300,7 @@
     row->mutable_run()->set_agent(target.agent);
     row->mutable_run()->set_checkpoint(step.workflow->checkpointOf(key));
     if (step.tickets) row->mutable_run()->set_ticket(step.tickets->at(target.id));
-    logEvent(schema::RunPlaced, {{"task", internal::task_text(row->task())},
+    logEvent(schema::RunPlaced, {{"task", taskText(row->task())},
                                  {"run", std::uint64_t{row->run().number()}},
                                  {"target", target.id},
                                  {"waitedMs", static_cast<std::uint64_t>(step.waitedMs)}});
@@ -418,63 +445,27 @@
       step.waitedMs = toMilliseconds(now - m_readySince.try_emplace(name, now).first->second);
       // A former leader's waiting counts too, as far as the log tells of it.
       if (spec.after().empty()) step.waitedMs = std::max(step.waitedMs, static_cast<double>(nowMs - due));
-      if (permit(step, queue)) steps.push_back(std::move(step));
+      if (m_advice.needed(queue))
+        step.tickets = m_advice.ticketsFor(name, queue->advice(), openTargets(record.service()));
+      steps.push_back(std::move(step));
     }
   }
 }
 
-const schema::Queue* WorkflowRunner::queueNamed(const std::string& name) const {
-  for (const schema::Queue& queue : table().configuration().queues()) {
-    if (queue.name() == name) return &queue;
-  }
-  return nullptr;
-}
-
-// ---- advice
-
-/** \returns whether a step may be planned now: no permission is needed, or some is held. */
-bool WorkflowRunner::permit(PlannedStep& step, const schema::Queue* queue) {
-  if (queue == nullptr || !queue->has_advice() || !m_advice) return true;
-  const StepName name{step.workflow->record.id(), step.key};
-  Permission& permission = m_permissions[name];
-  const Time now = BootClock::now();
-  if (now >= permission.until) {
-    permission.tickets.clear();
-    permission.asked.clear();
-  }
-  std::vector<std::string> unasked;
+std::vector<std::string> WorkflowRunner::openTargets(const std::string& service) const {
+  std::vector<std::string> open;
   for (const auto& [agent, track] : m_ledger.targets()) {
-    const bool wanted = m_ledger.open(agent, now) && track.report.service() == step.workflow->record.service();
-    if (wanted && permission.asked.count(track.report.id()) == 0) unasked.push_back(track.report.id());
+    const bool fits = m_ledger.open(agent, BootClock::now()) && track.report.service() == service;
+    if (fits) open.push_back(track.report.id());
   }
-  if (!unasked.empty() && !permission.asking) {
-    permission.asking = true;
-    if (unasked.size() > internal::MaxAdvisedTargets) unasked.resize(internal::MaxAdvisedTargets);
-    asio::co_spawn(m_strand, askAdvice(name, std::move(unasked), milliseconds(queue->advice().validity_ms())),
-                   asio::detached);
-  }
-  step.tickets = permission.tickets;
-  return !permission.tickets.empty();
+  return open;
 }
 
-Awaitable<void> WorkflowRunner::askAdvice(StepName name, std::vector<std::string> targets, Duration validity) {
-  const Time askedAt = BootClock::now();
-  const schema::TaskId step = makeTaskId(name.first, {name.second.occurrence, name.second.step, 0});
-  Result<std::vector<Ticket>> tickets = co_await m_advice->advise(step, targets, internal::AdviceLimit);
-  if (!tickets) {
-    logFailure(schema::AdviceFailed, takeFailure(tickets));
-    co_await sleepFor(internal::AdvicePause);
-  }
-  const auto found = m_permissions.find(name);
-  if (found == m_permissions.end()) co_return;
-  Permission& permission = found->second;
-  permission.asking = false;
-  if (tickets) {
-    if (permission.asked.empty()) permission.until = askedAt + validity - internal::AdviceMargin;
-    permission.asked.insert(targets.begin(), targets.end());
-    for (Ticket& ticket : *tickets) permission.tickets[ticket.target] = std::move(ticket.text);
+const schema::Queue* WorkflowRunner::queueNamed(const std::string& name) const {
+  for (const schema::Queue& queue : table().configuration().queues()) {
+    if (queue.name() == name) return &queue;
   }
-  wake();
+  return nullptr;
 }
 
 // ---- agents
@@ -484,7 +475,7 @@
   if (!leads()) co_return fail(m_driver.noLeader("attend"));
   schema::RecordRuns runs;
   for (schema::RunEnd& end : m_ledger.takeReport(request, table(), received)) {
-    logEvent(schema::RunEnded, {{"task", internal::task_text(end.task())},
+    logEvent(schema::RunEnded, {{"task", taskText(end.task())},
                                 {"run", std::uint64_t{end.run()}},
                                 {"kind", schema::RunEndKind_Name(end.kind())},
                                 {"target", request.target().id()}});
@@ -518,145 +509,4 @@
   co_return reply;
 }
 
-// ---- callers
-
-const schema::Queue* WorkflowRunner::findQueue(const schema::QueueCall& call, std::string& id) const {
-  const schema::Queue* found = nullptr;
-  for (const schema::Queue& queue : table().configuration().queues()) {
-    if (queue.host() != call.host() || call.path().rfind(queue.path_prefix(), 0) != 0) continue;
-    if (found == nullptr || queue.path_prefix().size() > found->path_prefix().size()) found = &queue;
-  }
-  if (found != nullptr) id = call.path().substr(found->path_prefix().size());
-  return found;
-}
-
-Result<std::string> WorkflowRunner::tenantOf(const schema::Queue& queue, const schema::QueueCall& call) const {
-  for (const schema::Tenant& tenant : table().configuration().tenants()) {
-    for (const std::string& key : tenant.keys()) {
-      if (!call.key().empty() && key == call.key()) return tenant.name();
-    }
-  }
-  if (queue.public_access()) return std::string();
-  return fail(Failure{FailureCode::UnknownWorkspace, Ran::No, "authorise", "", "the key belongs to no tenant", 0});
-}
-
-Awaitable<Result<schema::QueueAnswer>> WorkflowRunner::call(schema::QueueCall call) {
-  if (!leads()) co_return fail(m_driver.noLeader("queue"));
-  schema::QueueAnswer answer;
-  if (!table().configured()) {
-    answer.set_outcome(schema::QueueUnconfigured);
-    co_return answer;
-  }
-  std::string id;
-  const schema::Queue* queue = findQueue(call, id);
-  if (queue == nullptr) {
-    answer.set_outcome(schema::QueueUnknown);
-    co_return answer;
-  }
-  Result<std::string> tenant = tenantOf(*queue, call);
-  if (!tenant) {
-    answer.set_outcome(schema::QueueUnauthorised);
-    co_return answer;
-  }
-  if (call.kind() == schema::QueueSubmit) co_return co_await submit(call, *queue, *tenant, id);
-  if (call.kind() == schema::QueueCancel) co_return co_await cancel(*tenant, id);
-  if (!id.empty()) co_return stateOf(*tenant, id);
-  answer.set_outcome(schema::QueueAnswered);
-  answer.set_counted(true);
-  answer.set_pending(pendingOf(queue->name()));
-  co_return answer;
-}
-
-Awaitable<Result<schema::QueueAnswer>> WorkflowRunner::submit(const schema::QueueCall& call, const schema::Queue& queue,
-                                                              std::string tenant, std::string id) {
-  schema::QueueAnswer answer;
-  if (!call.unreadable().empty() || id.empty()) {
-    answer.set_outcome(schema::QueueInvalid);
-    answer.set_detail(id.empty() ? "the path names no workflow" : call.unreadable());
-    co_return answer;
-  }
-  answer.set_outcome(schema::QueueAccepted);
-  if (table().find(id) != nullptr) co_return answer;
-  schema::Command command;
-  schema::Workflow& workflow = *command.mutable_submit_workflow()->mutable_workflow();
-  workflow.set_id(id);
-  *workflow.mutable_spec() = call.spec();
-  workflow.set_queue(queue.name());
-  workflow.set_tenant(tenant);
-  workflow.set_service(queue.service());
-  workflow.set_priority(queue.priority());
-  workflow.set_max_attempts(std::max(1U, queue.max_attempts()));
-  workflow.set_stretch(queue.stretch());
-  workflow.set_latency_target_ms(queue.latency_target_ms());
-  const std::string queueName = queue.name();
-  const Time before = BootClock::now();
-  Result<schema::CommandReply> reply =
-      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
-  if (!reply) co_return fail(takeFailure(reply));
-  const double tookMs = toMilliseconds(BootClock::now() - before);
-  m_context.metrics.record("workflow_accept_ms", tenant, queueName, tookMs);
-  logEvent(schema::WorkflowAccepted, {{"workflow", id},
-                                      {"queue", queueName},
-                                      {"tenant", tenant},
-                                      {"configuration", table().configuration().version()},
-                                      {"tookMs", static_cast<std::uint64_t>(tookMs)}});
-  co_return answer;
-}
-
-Awaitable<Result<schema::QueueAnswer>> WorkflowRunner::cancel(const std::string& tenant, std::string id) {
-  schema::QueueAnswer answer = stateOf(tenant, id);
-  if (answer.outcome() == schema::WorkflowUnknown || isEnded(answer.phase())) co_return answer;
-  schema::Command command;
-  command.mutable_cancel_workflow()->set_id(id);
-  Result<schema::CommandReply> reply =
-      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
-  if (!reply) co_return fail(takeFailure(reply));
-  logEvent(schema::WorkflowCancelledByCaller, {{"workflow", id}});
-  answer.set_phase(schema::WorkflowCancelled);
-  co_return answer;
-}
-
-schema::QueueAnswer WorkflowRunner::stateOf(const std::string& tenant, const std::string& id) const {
-  schema::QueueAnswer answer;
-  const WorkflowState* workflow = table().find(id);
-  const bool visible = workflow != nullptr &&
-                       (tenant.empty() || workflow->record.tenant().empty() || workflow->record.tenant() == tenant);
-  if (!visible) {
-    answer.set_outcome(schema::WorkflowUnknown);
-    return answer;
-  }
-  answer.set_outcome(schema::QueueAnswered);
-  answer.set_phase(workflow->record.phase());
-  return answer;
-}
-
-std::uint32_t WorkflowRunner::pendingOf(const std::string& queue) const {
-  std::uint32_t pending = 0;
-  for (const std::string& id : table().open()) {
-    const schema::Workflow& record = table().find(id)->record;
-    if (record.queue() == queue && record.phase() == schema::WorkflowQueued) ++pending;
-  }
-  return pending;
-}
-
-// ---- configuration
-
-Awaitable<Result<void>> WorkflowRunner::putConfiguration(schema::QueueConfiguration configuration) {
-  if (!leads()) co_return fail(m_driver.noLeader("put configuration"));
-  if (configuration.version() <= table().configuration().version()) co_return Result<void>();
-  const std::uint64_t version = configuration.version();
-  schema::Command command;
-  *command.mutable_put_configuration()->mutable_configuration() = std::move(configuration);
-  Result<schema::CommandReply> reply =
-      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
-  if (!reply) co_return fail(takeFailure(reply));
-  logEvent(schema::ConfigurationAccepted, {{"version", version}});
-  co_return Result<void>();
-}
-
-Awaitable<Result<schema::QueueConfiguration>> WorkflowRunner::readConfiguration() {
-  if (!leads()) co_return fail(m_driver.noLeader("read configuration"));
-  co_return table().configuration();
-}
-
 }  // namespace courseloom
--- a/Courseloom/src/Entry/EntryService.cpp
+++ b/Courseloom/src/Entry/EntryService.cpp
@@ -5,6 +5,7 @@
 
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Runtime/OneShot.h"
+#include "Courseloom/src/Transport/Listen.h"
 
 namespace courseloom {
 
@@ -54,9 +55,9 @@
 }
 
 Result<void> EntryService::startEdge() {
-  const auto listen = [](HttpServer& server, const std::string& endpoint) {
-    const std::size_t colon = endpoint.rfind(':');
-    return server.start(endpoint.substr(0, colon), static_cast<unsigned>(std::stoul(endpoint.substr(colon + 1))));
+  const auto listen = [](HttpServer& server, const std::string& text) {
+    const Endpoint endpoint = splitEndpoint(text);
+    return server.start(endpoint.address, endpoint.port);
   };
   const schema::EdgeSettings& edge = m_context.settings.edge();
   if (m_edges.answerCaller && !edge.client_endpoint().empty()) {
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -31,6 +31,11 @@
 
 TaskKey keyOf(const schema::TaskId& id) { return {id.occurrence(), id.step(), id.index()}; }
 
+std::string taskText(const schema::TaskId& id) {
+  return id.workflow() + "." + std::to_string(id.occurrence()) + "." + std::to_string(id.step()) + "." +
+         std::to_string(id.index());
+}
+
 schema::TaskId makeTaskId(const std::string& workflow, const TaskKey& key) {
   schema::TaskId id;
   id.set_workflow(workflow);
@@ -205,13 +210,13 @@
   workflow.record.set_ended_ms(timeMs);
   m_ended.emplace_back(timeMs, workflow.record.id());
   ++m_version;
-  if (workflow.activeRuns > 0) m_endedWithRuns.push_back(workflow.record.id());
+  m_justEnded.push_back(workflow.record.id());
   review(workflow);
 }
 
 std::vector<RunChange> WorkflowTable::takeRunChanges() { return std::exchange(m_runChanges, {}); }
 
-std::vector<std::string> WorkflowTable::takeEndedWithRuns() { return std::exchange(m_endedWithRuns, {}); }
+std::vector<std::string> WorkflowTable::takeEnded() { return std::exchange(m_justEnded, {}); }
 
 void WorkflowTable::review(const WorkflowState& workflow) {
   if (workflow.ended() && workflow.activeRuns == 0) m_open.erase(workflow.record.id());
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -86,6 +86,8 @@
 /** \returns whether a workflow has come to its end. */
 bool isEnded(schema::WorkflowPhase phase);
 TaskKey keyOf(const schema::TaskId& id);
+/** \returns "ID.OCCURRENCE.STEP.INDEX", as logs name a task. */
+std::string taskText(const schema::TaskId& id);
 schema::TaskId makeTaskId(const std::string& workflow, const TaskKey& key);
 
 /** \class WorkflowTable
@@ -116,8 +118,8 @@
   std::size_t size() const { return m_workflows.size(); }
   /** \returns runs that started or ended since the last call, in order. */
   std::vector<RunChange> takeRunChanges();
-  /** \returns workflows that ended with runs still active since the last call. */
-  std::vector<std::string> takeEndedWithRuns();
+  /** \returns workflows that ended since the last call; some may still have active runs. */
+  std::vector<std::string> takeEnded();
   /** \returns a number that grows with each change. */
   std::uint64_t version() const { return m_version; }
 
@@ -140,7 +142,7 @@
   std::map<std::string, WorkflowState> m_workflows;
   std::set<std::string> m_open;
   std::vector<RunChange> m_runChanges;
-  std::vector<std::string> m_endedWithRuns;
+  std::vector<std::string> m_justEnded;
   std::deque<std::pair<std::uint64_t, std::string>> m_ended;  ///< time and id, oldest first
 };
 
--- a/Courseloom/src/Transport/Listen.cpp
+++ b/Courseloom/src/Transport/Listen.cpp
@@ -15,6 +15,11 @@
 
 namespace asio = boost::asio;
 
+Endpoint splitEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  return {text.substr(0, colon), static_cast<unsigned>(std::stoul(text.substr(colon + 1)))};
+}
+
 Result<unsigned> listenOn(asio::ip::tcp::acceptor& acceptor, const std::string& address, unsigned port) {
   const std::string peer = address + ":" + std::to_string(port);
   boost::system::error_code error;
--- a/Courseloom/src/Transport/Listen.h
+++ b/Courseloom/src/Transport/Listen.h
@@ -12,6 +12,16 @@
 
 namespace courseloom {
 
+/** \class Endpoint
+ * \brief An IP number and a port.
+ */
+struct Endpoint {
+  std::string address;
+  unsigned port = 0;
+};
+
+/** Takes an endpoint apart that the settings' check has passed. \param text IP number, colon, port */
+Endpoint splitEndpoint(const std::string& text);
 /** Opens, binds and listens. \returns the port in use, which the system picks where `port` is 0 */
 Result<unsigned> listenOn(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address, unsigned port);
 /** Makes a connection end when what it sent stays unanswered for a while, so that a silent cut does not hold it. */
