Planner: a gang of one rack spreads only where no rack could hold it, or after twice its run time

Change: the test counts what the targets have; closed ones are waited for. The log names tasks and accelerators of a submission. Test fails without the change.

--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -10,6 +10,22 @@
 namespace internal {
 namespace {
 constexpr Duration CommitLimit = milliseconds(3000);
+
+/** \returns tasks of one occurrence. */
+std::uint64_t tasks_of(const schema::WorkflowSpec& spec) {
+  std::uint64_t tasks = 0;
+  for (const schema::StepSpec& step : spec.steps()) tasks += step.count();
+  return tasks;
+}
+
+/** \returns accelerators that the widest step takes at once. */
+std::uint64_t widest_accelerators(const schema::WorkflowSpec& spec) {
+  std::uint64_t widest = 0;
+  for (const schema::StepSpec& step : spec.steps()) {
+    widest = std::max(widest, std::uint64_t{step.count()} * step.need().accelerators());
+  }
+  return widest;
+}
 }  // namespace
 }  // namespace internal
 
@@ -93,6 +109,8 @@
   logEvent(schema::WorkflowAccepted, {{"workflow", id},
                                       {"queue", queueName},
                                       {"tenant", tenant},
+                                      {"tasks", internal::tasks_of(call.spec())},
+                                      {"accelerators", internal::widest_accelerators(call.spec())},
                                       {"configuration", table().configuration().version()},
                                       {"tookMs", static_cast<std::uint64_t>(tookMs)}});
   co_return answer;
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -116,13 +116,34 @@
   return target.penalty + nominated + (found == step.penalties.end() ? 0.0 : found->second);
 }
 
-bool RunPlanner::allowed(const PlannedStep& step, const PlannedTarget& target) const {
-  if (!target.open || target.service != step.workflow->record.service()) return false;
+bool RunPlanner::wouldServe(const PlannedStep& step, const PlannedTarget& target) const {
+  if (target.service != step.workflow->record.service()) return false;
   const std::string& label = step.workflow->step(step.key.step).required_label();
   if (!label.empty() && target.labels.count(label) == 0) return false;
   return !step.tickets || step.tickets->count(target.id) > 0;
 }
 
+bool RunPlanner::allowed(const PlannedStep& step, const PlannedTarget& target) const {
+  return target.open && wouldServe(step, target);
+}
+
+/** \returns whether targets could hold a whole gang if nothing else ran there, open to new runs now or not. */
+bool RunPlanner::couldHold(const PlannedStep& step, const std::vector<std::size_t>& among) const {
+  const schema::StepSpec& spec = step.workflow->step(step.key.step);
+  const Room need = roomOf(spec);
+  std::size_t held = 0;
+  for (const std::size_t i : among) {
+    const PlannedTarget& target = (*m_targets)[i];
+    if (!wouldServe(step, target)) continue;
+    Room room = target.capacity;
+    for (unsigned tasks = 0; room.holds(need) && held < step.tasks.size(); ++tasks, ++held) {
+      if (spec.max_per_target() > 0 && tasks >= spec.max_per_target()) break;
+      room.subtract(need);
+    }
+  }
+  return held >= step.tasks.size();
+}
+
 std::optional<std::size_t> RunPlanner::best(const PlannedStep& step, const std::vector<std::size_t>& among,
                                             const Rooms& rooms, const std::map<std::string, unsigned>& placed) const {
   const schema::StepSpec& spec = step.workflow->step(step.key.step);
@@ -208,15 +229,13 @@
   if (!spec.gang() || !spec.same_rack()) return {all()};
   std::map<std::string, std::vector<std::size_t>> racks;
   for (std::size_t i = 0; i < m_targets->size(); ++i) racks[(*m_targets)[i].rack].push_back(i);
-  Rooms empty;
-  for (const PlannedTarget& target : *m_targets) empty.push_back(target.capacity);
   std::vector<std::vector<std::size_t>> groups;
   for (auto& [rack, members] : racks) {
-    Choice choice;
-    if (fillGang(step, members, empty, choice)) groups.push_back(std::move(members));
+    if (couldHold(step, members)) groups.push_back(std::move(members));
   }
-  // No rack could ever hold it: better spread, and slower, than never.
-  if (groups.empty()) groups.push_back(all());
+  // No rack could ever hold it, or none did for long: better spread, and slower, than never.
+  const bool waitedLong = step.waitedMs > m_options.spreadAfterEstimates * step.estimateMs;
+  if (groups.empty() || (waitedLong && !step.isUrgent())) groups.push_back(all());
   return groups;
 }
 
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -108,9 +108,10 @@
  * \brief Switches with which proofs and benches turn one mechanism off; all on in production.
  */
 struct RunPlannerOptions {
-  bool preemption = true;          ///< priority 0 makes room for itself
-  bool reservation = true;         ///< the first gang that waits keeps its place against later work
-  double reserveAfterMs = 1000.0;  ///< wait after which a gang gets a reservation
+  bool preemption = true;             ///< priority 0 makes room for itself
+  bool reservation = true;            ///< the first gang that waits keeps its place against later work
+  double spreadAfterEstimates = 2.0;  ///< a gang of one rack waits this many run times before it spreads, and is slower
+  double reserveAfterMs = 1000.0;     ///< wait after which a gang gets a reservation
   bool patience = true;        ///< priority 0 waits for runs that end by themselves in time, rather than stop others
   double patienceShare = 0.5;  ///< share of the time to its objective that it may wait so
   double urgentPatienceShare = 0.8;  ///< the same outside guarantees, which no promise bounds
@@ -164,6 +165,8 @@
   bool nominatedForOther(const PlannedStep& step, const std::string& target) const;
   void setAside(const PlannedStep& step, const Choice& choice);
   void take(std::size_t index, const std::vector<std::size_t>& chosen);
+  bool couldHold(const PlannedStep& step, const std::vector<std::size_t>& among) const;
+  bool wouldServe(const PlannedStep& step, const PlannedTarget& target) const;
   std::vector<std::vector<std::size_t>> gangGroups(const PlannedStep& step) const;
   std::vector<std::size_t> all() const;
 
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -130,6 +130,26 @@
   cr_assert((targetsOf(table.plan()) == std::set<std::size_t>{2, 3}));
 }
 
+// Found on Lima scale-1: a gang spread over racks, and took 42 s for 8 s of work, since a target was paused for a
+// moment.
+Test(run_planner, a_gang_of_one_rack_waits_for_a_target_that_is_closed_for_a_moment) {
+  PlannerTable table;
+  table.runs(0, 8, LowRank);
+  table.target(3).open = false;
+  PlannedStep& step = table.waits(2, 8, LowRank, true);
+  table.specOf(step).set_same_rack(true);
+  cr_assert(table.plan().starts.empty());
+  step.waitedMs = 5000.0;
+  cr_assert_eq(table.plan().starts.size(), 2, "after twice its run time, slower is better than later");
+}
+
+Test(run_planner, a_gang_that_no_rack_could_ever_hold_spreads_at_once) {
+  PlannerTable table;
+  PlannedStep& step = table.waits(3, 8, LowRank, true);
+  table.specOf(step).set_same_rack(true);
+  cr_assert_eq(table.plan().starts.size(), 3);
+}
+
 Test(run_planner, label_limit_and_closed_targets_are_obeyed) {
   PlannerTable table;
   table.target(0).open = false;
