--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -29,6 +29,8 @@
 constexpr Duration AttendPause = milliseconds(50);
 constexpr Duration ReplyLimit = milliseconds(1500);
 constexpr Duration StopLimit = milliseconds(700);
+/** Longest wait of a look while fillers share the target with what serves, ms. */
+constexpr std::uint32_t SharingLookMs = 400;
 /** Looks without answer after which a target gets nothing new. */
 constexpr unsigned FailuresUnreachable = 2;
 
@@ -105,6 +107,7 @@
     // What ran in the former life ended with it; the leader concludes that from the new identity.
     m_life = Life();
     m_runs.clear();
+    m_traits.clear();
     m_fates.clear();
     m_started.clear();
     m_heldUntil = Time{};
@@ -151,6 +154,12 @@
   if (!m_life) return request;
   *request.mutable_target() = m_life->report;
   for (const schema::RunReport& row : m_life->running) *request.add_running() = row;
+  for (const schema::RunReport& row : m_life->running) {
+    if (m_traits.count(runKeyOf(row.task(), row.run())) > 0) continue;
+    schema::StartReport* unknown = request.add_unknown();
+    *unknown->mutable_task() = row.task();
+    unknown->set_run(row.run());
+  }
   for (const auto& [number, row] : m_life->ends) *request.add_ends() = row;
   for (const auto& [key, row] : m_fates) *request.add_ends() = row;
   for (const auto& [key, row] : m_started) *request.add_started() = row;
@@ -229,6 +238,7 @@
     asio::co_spawn(m_strand, stopRun(order), asio::detached);
     return;
   }
+  m_traits[key] = RunTraits{order.filler(), order.latency_target_ms()};
   if (!granted()) return;
   if (found != m_runs.end()) {
     // Given again: either the leader has not heard of it yet, or nobody knows where it went.
@@ -303,8 +313,27 @@
     if (end.number() <= m_life->endsTaken) continue;
     const bool added = m_life->ends.emplace(end.number(), end).second;
     m_runs.erase(runKeyOf(end.task(), end.run()));
+    m_traits.erase(runKeyOf(end.task(), end.run()));
     if (added) news();
   }
+  paceFillers();
+}
+
+// ---- sharing the target
+
+void RunAgentService::paceFillers() {
+  for (PaceChange& change : m_pacer.decide(m_life->running, m_traits, BootClock::now())) {
+    asio::co_spawn(m_strand, paceRun(std::move(change)), asio::detached);
+  }
+}
+
+Awaitable<void> RunAgentService::paceRun(PaceChange change) {
+  const schema::TaskId task = makeTaskId(change.run.workflow, change.run.task);
+  logEvent(schema::RunPaced, {{"task", taskText(task)}, {"percent", std::uint64_t{change.percent}}});
+  Result<TargetAnswer> answer = co_await m_port->pace(m_life->report.id(), task, change.run.run, change.percent, m_term,
+                                                      milliseconds(m_context.settings.runner().order_limit_ms()));
+  // A pace that did not arrive shows in the next tails, and is changed again then.
+  if (!answer) logFailure(schema::PeerFailed, takeFailure(answer));
 }
 
 void RunAgentService::takeSilence() {
@@ -324,7 +353,9 @@
       continue;
     }
     const bool uncommitted = !m_life->ends.empty();
-    const std::uint32_t waitMs = uncommitted || m_life->failures > 0 ? 0 : m_context.settings.runner().look_ms();
+    const bool sharing = FillerPacer::watches(m_life->running, m_traits);
+    const std::uint32_t longest = sharing ? internal::SharingLookMs : m_context.settings.runner().look_ms();
+    const std::uint32_t waitMs = uncommitted || m_life->failures > 0 ? 0 : longest;
     const bool answered = co_await look(waitMs);
     if (!answered) {
       co_await sleepFor(internal::FailedPause);
@@ -397,7 +428,7 @@
 
 /** Stops a run until the target answers that; then its lists tell what became of it. */
 Awaitable<void> RunAgentService::stopRun(schema::RunOrder order) {
-  const std::string life = order.target();
+  const std::string& life = order.target();
   const RunKey key = runKeyOf(order.task(), order.run());
   m_runs[key].phase = Phase::InDoubt;
   m_runs[key].busy = true;
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 
+#include "Courseloom/src/Agent/FillerPacer.h"
 #include "Courseloom/src/Agent/TargetPort.h"
 #include "Courseloom/src/Membership/ControlClient.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
@@ -85,6 +86,8 @@
   std::uint64_t deadlineOnTarget(Time until) const;
   std::optional<std::uint64_t> holdDeadline();
 
+  void paceFillers();
+  Awaitable<void> paceRun(PaceChange change);
   Awaitable<void> startRun(schema::RunOrder order);
   Awaitable<void> stopRun(schema::RunOrder order);
   void settle(const schema::TaskId& task, std::uint32_t run, schema::RunEndKind kind, const std::string& reason);
@@ -101,6 +104,8 @@
   std::uint64_t m_incarnation;
   std::optional<Life> m_life;
   std::map<RunKey, LocalRun> m_runs;
+  std::map<RunKey, RunTraits> m_traits;  ///< of runs whose order this agent has seen
+  FillerPacer m_pacer;
   std::map<RunKey, schema::EndReport> m_fates;      ///< made sure of here, not reported yet
   std::map<RunKey, schema::StartReport> m_started;  ///< not reported yet
   std::uint64_t m_term = 0;
--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -99,12 +99,13 @@
   workflow.set_max_attempts(std::max(1U, queue.max_attempts()));
   workflow.set_stretch(queue.stretch());
   workflow.set_latency_target_ms(queue.latency_target_ms());
-  const std::string queueName = queue.name();
   const Time before = BootClock::now();
   Result<schema::CommandReply> reply =
       co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
   if (!reply) co_return fail(takeFailure(reply));
   const double tookMs = toMilliseconds(BootClock::now() - before);
+  // The configuration may have changed meanwhile; what was committed tells the queue.
+  const std::string& queueName = table().find(id)->record.queue();
   m_context.metrics.record("workflow_accept_ms", tenant, queueName, tookMs);
   logEvent(schema::WorkflowAccepted, {{"workflow", id},
                                       {"queue", queueName},
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -125,6 +125,10 @@
     const auto found = m_runs.find(runKeyOf(row.task(), row.run()));
     if (found != m_runs.end()) found->second.confirmed = true;
   }
+  for (const schema::StartReport& row : report.unknown()) {
+    const auto found = m_runs.find(runKeyOf(row.task(), row.run()));
+    if (found != m_runs.end()) found->second.confirmed = false;
+  }
 }
 
 // ---- leases
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -70,7 +70,7 @@
   m_later = m_free;
   for (const PlannedRun& run : runs) {
     m_free[run.target].subtract(run.need);
-    if (!run.stopping) m_later[run.target].subtract(run.need);
+    if (!run.stopping && !endsSoon(run)) m_later[run.target].subtract(run.need);
   }
   std::vector<std::size_t> order(m_steps.size());
   std::iota(order.begin(), order.end(), 0U);
@@ -342,7 +342,7 @@
   std::map<std::size_t, std::vector<std::size_t>> byTarget;
   for (std::size_t r = 0; r < m_runs->size(); ++r) {
     const PlannedRun& run = (*m_runs)[r];
-    if (run.stopping || !run.movable || run.rank <= step.rank) continue;
+    if (run.stopping || endsSoon(run) || !run.movable || run.rank <= step.rank) continue;
     byTarget[run.target].push_back(r);
     if (!run.gang.empty()) gangs[run.gang].push_back(r);
   }
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -113,6 +113,7 @@
   double spreadAfterEstimates = 2.0;  ///< a gang of one rack waits this many run times before it spreads, and is slower
   double reserveAfterMs = 1000.0;     ///< wait after which a gang gets a reservation
   bool patience = true;        ///< priority 0 waits for runs that end by themselves in time, rather than stop others
+  double endsSoonMs = 500.0;   ///< a run that ends within this time is not worth stopping
   double patienceShare = 0.5;  ///< share of the time to its objective that it may wait so
   double urgentPatienceShare = 0.8;  ///< the same outside guarantees, which no promise bounds
   double patienceLimitMs = 1400.0;   ///< longest wait after which others are stopped for it
@@ -165,6 +166,7 @@
   bool nominatedForOther(const PlannedStep& step, const std::string& target) const;
   void setAside(const PlannedStep& step, const Choice& choice);
   void take(std::size_t index, const std::vector<std::size_t>& chosen);
+  bool endsSoon(const PlannedRun& run) const { return run.movable && run.remainingMs <= m_options.endsSoonMs; }
   bool couldHold(const PlannedStep& step, const std::vector<std::size_t>& among) const;
   bool wouldServe(const PlannedStep& step, const PlannedTarget& target) const;
   std::vector<std::vector<std::size_t>> gangGroups(const PlannedStep& step) const;
