--- a/test/settings.cpp
+++ b/test/settings.cpp
@@ -51,6 +51,13 @@
   ASSERT_NAMES("node: [1, 2\n", "file.yaml"s);
 }
 
+Test(settings, a_section_without_its_address_is_an_error) {
+  ASSERT_NAMES(Node + Cluster + "platform: {port: 5}\n", "platform.address"s, "missing"s);
+  ASSERT_NAMES(Node + Cluster + "platform: {address: '', port: 5}\n", "file.yaml:5"s, "platform.address"s);
+  ASSERT_NAMES(Node + Cluster + "runner: {service: s}\n", "runner.targetEndpoint"s, "missing"s);
+  ASSERT_NAMES(Node + Cluster + "edge:\n  controlEndpoint: 10.0.0.1\n", "file.yaml:6"s, "edge.controlEndpoint"s);
+}
+
 Test(settings, a_later_file_is_laid_over_an_earlier_one) {
   schema::Settings settings;
   cr_assert(bool(readYaml(Node + Cluster, "a", settings)));
