Read once more: state of the agent that nobody read is gone

Cause: RunAgentService kept a phase for each run and a count of looks; both were written and never read. Change: they are gone; behaviour, tests and bounds are unchanged.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -299,15 +299,13 @@
   }
   m_life->failures = 0;
   m_life->report.set_reachable(true);
-  ++m_life->looks;
   if (answer.clockMs > 0) {
     m_life->clockMs = answer.clockMs;
     m_life->clockAt = receivedAt;
   }
   m_life->running = answer.running;
   for (const schema::RunReport& row : answer.running) {
-    const auto [run, added] = m_runs.try_emplace(runKeyOf(row.task(), row.run()));
-    if (!run->second.busy) run->second.phase = Phase::Running;
+    m_runs.try_emplace(runKeyOf(row.task(), row.run()));
   }
   for (const schema::EndReport& end : answer.ends) {
     if (end.number() <= m_life->endsTaken) continue;
@@ -408,7 +406,6 @@
     const auto found = m_runs.find(key);
     if (found == m_runs.end()) co_return;  // it has ended already
     found->second.busy = false;
-    found->second.phase = Phase::Running;
     schema::StartReport& started = m_started[key];
     *started.mutable_task() = order.task();
     started.set_run(order.run());
@@ -430,7 +427,6 @@
 Awaitable<void> RunAgentService::stopRun(schema::RunOrder order) {
   const std::string& life = order.target();
   const RunKey key = runKeyOf(order.task(), order.run());
-  m_runs[key].phase = Phase::InDoubt;
   m_runs[key].busy = true;
   const Duration limit = milliseconds(m_context.settings.runner().order_limit_ms());
   while (true) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -43,10 +43,8 @@
 
  private:
   using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
-  enum class Phase : std::uint8_t { Starting, Running, InDoubt };
 
   struct LocalRun {
-    Phase phase = Phase::Starting;
     bool busy = false;  ///< a call for it is under way
   };
   /** The target's present life. */
@@ -60,7 +58,6 @@
     std::uint64_t endsTaken = 0;
     std::map<std::uint64_t, schema::EndReport> ends;  ///< not committed yet, by number
     std::vector<schema::RunReport> running;
-    std::uint64_t looks = 0;  ///< looks answered
   };
 
   Awaitable<void> announce(TargetAnnouncement announcement) override;
