--- a/Courseloom/src/Control/ReplicaDriver.cpp
+++ b/Courseloom/src/Control/ReplicaDriver.cpp
@@ -126,8 +126,8 @@
   if (!usesSeeds()) options.peers = internal::member_ids(settings);
   if (usesSeeds()) {
     options.replaceAfter = milliseconds(settings.control().replace_after_ms());
-    const std::uint32_t wanted = settings.control().wanted_voters();
-    options.wantedVoters = wanted > 0 ? wanted : static_cast<std::size_t>(cluster.seeds_size());
+    const std::size_t losses = settings.control().tolerated_losses();
+    options.wantedVoters = losses > 0 ? 2 * losses + 1 : static_cast<std::size_t>(cluster.seeds_size());
     for (const ReplicaId seed : internal::member_ids(settings)) m_joinAt.insert(seed);
   }
   options.heartbeat = milliseconds(cluster.heartbeat_ms());
--- a/Courseloom/src/Replication/Replica.cpp
+++ b/Courseloom/src/Replication/Replica.cpp
@@ -74,7 +74,8 @@
     checkQuorum(now);
     if (!isLeader()) return;
     continueHandOver(now);
-    dropSurplusVoter(now);
+    demoteSurplusVoter(now);
+    forgetSilentLearner(now);
     if (now >= m_heartbeatDue) replicateToAll(now, true);
     return;
   }
@@ -225,7 +226,6 @@
   m_leader = m_options.id;
   m_leaderSince = now;
   m_peers.clear();
-  m_joiners.clear();
   for (const ReplicaId id : knownPeers()) addPeer(id, now);
   m_formerDisks.clear();
   m_handOverSent = false;
--- a/Courseloom/src/Replication/Replica.h
+++ b/Courseloom/src/Replication/Replica.h
@@ -114,9 +114,11 @@
   void promoteLearner(ReplicaId id);
   bool acceptDisk(const schema::ReplicaMessage& message, Peer& peer, Time now);
   bool memberChangeAllowed() const;
+  bool hearsQuorumOf(const schema::Members& next) const;
   const schema::Member* silentVoter(Time now) const;
-  bool dropSilentVoter(Time now);
-  void dropSurplusVoter(Time now);
+  bool demoteSilentVoter(Time now);
+  void demoteSurplusVoter(Time now);
+  void forgetSilentLearner(Time now);
   std::set<ReplicaId> knownPeers() const;
   void changeMembers(schema::Members members);
   void continueHandOver(Time now);
@@ -132,7 +134,6 @@
   ReplicaId m_leader = 0;
   std::map<ReplicaId, Peer> m_peers;
   std::set<ReplicaId> m_votes;
-  std::set<ReplicaId> m_joiners;        ///< replicas that asked this leader to join
   std::set<std::string> m_formerDisks;  ///< disks that this leader has seen replaced
   LogIndex m_termStart = 0;             ///< first index of the leader's own term
   Time m_electionDue{};
--- a/Courseloom/src/Replication/ReplicaMembers.cpp
+++ b/Courseloom/src/Replication/ReplicaMembers.cpp
@@ -9,6 +9,13 @@
 
 namespace courseloom {
 
+namespace internal {
+namespace {
+/** A learner is forgotten after this many times the silence after which a voter loses its vote. */
+constexpr int ForgetAfterReplacements = 10;
+}  // namespace
+}  // namespace internal
+
 // ---- members
 
 bool Replica::memberChangeAllowed() const {
@@ -37,6 +44,22 @@
   peer.heard = now;
 }
 
+/** \returns whether enough voters of a configuration are within reach to commit it: one that is in the log counts at
+ * once, and could not be taken back without them. */
+bool Replica::hearsQuorumOf(const schema::Members& next) const {
+  std::size_t voters = 0;
+  std::size_t heard = 0;
+  for (const schema::Member& member : next.members()) {
+    if (!member.voter()) continue;
+    ++voters;
+    const auto peer = m_peers.find(member.id());
+    const bool lately = peer != m_peers.end() && peer->second.diskId == member.disk_id() &&
+                        m_now < peer->second.heard + m_options.electionTimeout;
+    heard += member.id() == m_options.id || lately ? 1 : 0;
+  }
+  return heard >= voters / 2 + 1;
+}
+
 /** \returns a voter other than this leader that has been silent for too long, or nothing. */
 const schema::Member* Replica::silentVoter(Time now) const {
   if (m_options.replaceAfter == Duration(0)) return nullptr;
@@ -48,22 +71,41 @@
   return nullptr;
 }
 
-/** Takes a silent voter out, so that the voters that are left can lose another one. */
-bool Replica::dropSilentVoter(Time now) {
+/** Takes the vote of a silent replica, so that the voters that are left can lose another one. Should it come back, it
+ * follows with the log that it has, like any other learner. */
+bool Replica::demoteSilentVoter(Time now) {
   const schema::Member* silent = silentVoter(now);
   if (silent == nullptr || !memberChangeAllowed()) return false;
-  schema::Members next;
-  *next.mutable_retired_disks() = members().retired_disks();
-  next.add_retired_disks(silent->disk_id());
-  for (const schema::Member& member : members().members()) {
-    if (member.id() != silent->id()) *next.add_members() = member;
+  const ReplicaId id = silent->id();
+  schema::Members next = members();
+  for (schema::Member& member : *next.mutable_members()) {
+    if (member.id() == id) member.set_voter(false);
   }
+  if (!hearsQuorumOf(next)) return false;
   changeMembers(std::move(next));
   return true;
 }
 
-void Replica::dropSurplusVoter(Time now) {
-  if (m_options.wantedVoters > 0 && voters() > m_options.wantedVoters) dropSilentVoter(now);
+void Replica::demoteSurplusVoter(Time now) {
+  if (m_options.wantedVoters > 0 && voters() > m_options.wantedVoters) demoteSilentVoter(now);
+}
+
+/** Forgets a learner that has been silent for long, as one does whose instance is gone for good. */
+void Replica::forgetSilentLearner(Time now) {
+  if (m_options.replaceAfter == Duration(0) || !memberChangeAllowed()) return;
+  const Duration patience = m_options.replaceAfter * internal::ForgetAfterReplacements;
+  for (const schema::Member& silent : members().members()) {
+    const auto peer = m_peers.find(silent.id());
+    if (silent.voter() || peer == m_peers.end()) continue;
+    if (now <= std::max(peer->second.heard, m_leaderSince) + patience) continue;
+    schema::Members next;
+    *next.mutable_retired_disks() = members().retired_disks();
+    for (const schema::Member& member : members().members()) {
+      if (member.id() != silent.id()) *next.add_members() = member;
+    }
+    m_peers.erase(peer);
+    return changeMembers(std::move(next));
+  }
 }
 
 /** A known replica with a new disk: its old disk is lost and leaves, the new one joins without a vote. */
@@ -93,13 +135,16 @@
 
 void Replica::promoteLearner(ReplicaId id) {
   if (!memberChangeAllowed()) return;
-  // One that is gone leaves first: with it among the voters, the loss of one more would cost the quorum.
-  if (m_peers.at(id).match >= m_commit && dropSilentVoter(m_now)) return;
+  // The successor votes before the silent one loses its vote: with fewer voters meanwhile, the loss of one more disk
+  // could leave a quorum that never comes back.
+  const std::size_t wanted = m_options.wantedVoters + (silentVoter(m_now) == nullptr ? 0 : 1);
+  if (m_options.wantedVoters > 0 && voters() >= wanted) return;
   schema::Members next = members();
   for (schema::Member& member : *next.mutable_members()) {
     const bool learner = member.id() == id && !member.voter() && member.disk_id() == m_peers.at(id).diskId;
     if (!learner || m_peers.at(id).match < m_commit) continue;
     member.set_voter(true);
+    if (!hearsQuorumOf(next)) return;
     return changeMembers(std::move(next));
   }
 }
--- a/Courseloom/src/Replication/ReplicaTypes.h
+++ b/Courseloom/src/Replication/ReplicaTypes.h
@@ -36,9 +36,11 @@
   std::vector<ReplicaId> peers;  ///< replicas that the settings list; a wiped one is found by its answers
   Duration heartbeat = milliseconds(100);
   Duration electionTimeout = milliseconds(600);  ///< randomised up to twice this
-  /** A voter that was silent for this long is replaced by a replica that has joined and caught up; zero is never. */
+  /** A voter that was silent for this long loses its vote to a replica that has joined and caught up; zero is never. */
   Duration replaceAfter{};
-  std::size_t wantedVoters = 0;  ///< a silent voter beyond this number is dropped; zero is none
+  /** Voters that there should be: no learner is promoted beyond this number, and a silent voter beyond it loses its vote;
+   * zero is no limit. */
+  std::size_t wantedVoters = 0;
   std::uint64_t seed = 1;
   ReplicaMechanisms mechanisms;
 };
--- a/test/replica_proofs.cpp
+++ b/test/replica_proofs.cpp
@@ -92,3 +92,33 @@
   cr_assert_not(cluster.replica(old)->isLeader());
   cr_assert(cluster.leader() >= 0 && static_cast<std::size_t>(cluster.leader()) != old);
 }
+
+Test(replica_proofs, a_standby_takes_the_place_of_a_silent_voter_which_follows_when_it_returns) {
+  ReplicaCluster cluster(4, 5, {0, 0, false, false, false, false, false}, {}, {1, milliseconds(400), 3});
+  cluster.advance(milliseconds(2000));
+  commitSome(cluster, 10);
+  cr_assert_not(cluster.replica(3)->isVoter(), "a standby was promoted beyond the wanted voters");
+  cr_assert_eq(cluster.missingOnDisk(3), 0, "the standby does not follow");
+  const auto leader = static_cast<std::size_t>(cluster.leader());
+  const std::size_t silent = (leader + 1) % 3;
+  cluster.cut(silent, true);
+  cluster.advance(milliseconds(1000));
+  commitSome(cluster, 10);
+  cr_assert(cluster.replica(3)->isVoter(), "the standby did not take the place");
+  cluster.cut(silent, false);
+  cluster.advance(milliseconds(1000));
+  cr_assert_not(cluster.replica(silent)->isVoter());
+  cr_assert_eq(cluster.missingOnDisk(silent), 0, "the former voter does not follow");
+  cr_assert_eq(cluster.replica(silent)->members().retired_disks_size(), 0, "a sound disk was retired");
+}
+
+Test(replica_proofs, a_replica_gone_for_good_is_forgotten_and_may_return) {
+  ReplicaCluster cluster(4, 5, {0, 0, false, false, false, false, false}, {}, {1, milliseconds(200), 3});
+  cluster.advance(milliseconds(2000));
+  const auto leader = static_cast<std::size_t>(cluster.leader());
+  const std::size_t gone = (leader + 1) % 3;
+  cluster.cut(gone, true);
+  cluster.advance(milliseconds(4000));
+  commitSome(cluster, 5);
+  cr_assert_eq(cluster.replica(leader)->members().members_size(), 3);
+}
