Fault soak: real programs under random faults from outside, promises checked from what callers and back ends see

Change: test/soak: a loopback proxy that delays, resets, silences one way or both by caller and server; signals in series that stop, pause, kill, hang up; lost and torn disks; back ends that crash, fall silent, leave, with clocks up to 2% slow. Checked while it runs: two runs at once, a start after a noted end, refused work that ran, part of a gang, false states, answers cut or held, configurations that go back, revoked keys, ends of its own, planned stops. RunHistory (the checker) has tests of its own.

--- /dev/null
+++ b/test/run_history.cpp
@@ -0,0 +1,113 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// The fault soak's checker: each kind of broken promise is found, and sound histories pass.
+
+#include "test/soak/RunHistory.h"
+
+#include "test/main.h"
+
+using namespace courseloom;
+using namespace courseloom::test;
+
+namespace {
+
+struct Case {
+  RunHistory history;
+  std::map<std::string, ExpectedJob> jobs;
+  Time now = Time(milliseconds(100000));
+
+  ExpectedJob& job(unsigned tasks = 1) {
+    ExpectedJob& expected = jobs["aa"];
+    expected.id = "aa";
+    expected.tasks = tasks;
+    expected.accepted = true;
+    return expected;
+  }
+  void event(const std::string& line) { history.add(parseRunEvent(line).value()); }
+  std::string found(bool calm = false) const {
+    std::string text;
+    for (const std::string& line : history.check(jobs, now, calm)) text += line + "\n";
+    return text;
+  }
+  bool finds(const std::string& text, bool calm = false) const { return found(calm).find(text) != std::string::npos; }
+};
+
+}  // namespace
+
+Test(run_history, a_sound_history_passes) {
+  Case test;
+  test.job().fate = JobFate::Completed;
+  test.event("1000 started i-1 aa.0.0.0 1 -");
+  test.event("2000 ended i-1 aa.0.0.0 1 stopped");
+  test.event("2500 started i-2 aa.0.0.0 2 -");
+  test.event("3000 ended i-2 aa.0.0.0 2 done");
+  test.event("3500 noted i-2 aa.0.0.0 2 done");
+  cr_assert_str_eq(test.found(true).c_str(), "");
+}
+
+Test(run_history, two_runs_at_once_are_found) {
+  Case test;
+  test.job();
+  test.event("1000 started i-1 aa.0.0.0 1 -");
+  test.event("1500 started i-2 aa.0.0.0 2 -");
+  test.event("2000 ended i-1 aa.0.0.0 1 lapsed");
+  cr_assert(test.finds("two at once"));
+}
+
+Test(run_history, what_ran_in_a_life_ends_with_it) {
+  Case test;
+  test.job();
+  test.event("1000 started i-1 aa.0.0.0 1 -");
+  test.event("1400 over i-1");
+  test.event("1500 started i-2 aa.0.0.0 2 -");
+  cr_assert_not(test.finds("two at once"));
+}
+
+Test(run_history, a_start_after_a_noted_end_is_found) {
+  Case test;
+  test.job();
+  test.event("1000 started i-1 aa.0.0.0 1 -");
+  test.event("1500 ended i-1 aa.0.0.0 1 done");
+  test.event("2000 started i-2 aa.0.0.0 2 -");
+  cr_assert_not(test.finds("started after done"), "an end that nobody could know of");
+  test.event("2100 noted i-1 aa.0.0.0 1 done");
+  cr_assert(test.finds("started after done"));
+}
+
+Test(run_history, refused_work_that_ran_and_work_that_nobody_sent_are_found) {
+  Case test;
+  test.job().accepted = false;
+  test.event("1000 started i-1 aa.0.0.0 1 -");
+  test.event("1000 started i-1 bb.0.0.0 1 -");
+  cr_assert(test.finds("ran although refused: aa"));
+  cr_assert(test.finds("nobody asked for it: bb"));
+  test.job().inDoubt = true;
+  cr_assert_not(test.finds("ran although refused"));
+}
+
+Test(run_history, part_of_a_gang_for_long_is_found) {
+  Case test;
+  test.job(2).gang = true;
+  test.event("1000 started i-1 aa.0.0.0 1 -");
+  cr_assert(test.finds("part of a gang"));
+  test.event("5000000 ended i-1 aa.0.0.0 1 stopped");
+  cr_assert_not(test.finds("part of a gang"));
+}
+
+Test(run_history, false_states_are_found) {
+  Case test;
+  test.job(2).fate = JobFate::Completed;
+  test.event("1000 started i-1 aa.0.0.0 1 -");
+  test.event("1500 ended i-1 aa.0.0.0 1 done");
+  cr_assert(test.finds("shown as completed, 1 of 2"));
+  test.job().gang = true;
+  cr_assert_not(test.finds("shown as completed"), "one member's end counts for its gang");
+  test.job().gang = false;
+  test.job().fate = JobFate::Failed;
+  cr_assert(test.finds("failed without cause"));
+  test.job().fate = JobFate::Cancelled;
+  cr_assert(test.finds("cancelled by nobody"));
+  test.job().fate = JobFate::Open;
+  cr_assert(test.finds("accepted and never ended", true));
+}
--- /dev/null
+++ b/test/soak/FaultProxy.cpp
@@ -0,0 +1,164 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "test/soak/FaultProxy.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace courseloom::test {
+
+namespace asio = boost::asio;
+
+namespace {
+constexpr Duration SilencePoll = milliseconds(10);
+constexpr std::size_t ChunkBytes = 16384;
+/** Column of /proc/net/tcp that holds the socket's inode. */
+constexpr unsigned InodeColumn = 9;
+}  // namespace
+
+LinkRule LinkRules::get(const std::string& from, const std::string& to) const {
+  const std::lock_guard lock(m_mutex);
+  LinkRule all;
+  for (const auto& key : {std::pair(from, to), std::pair(std::string("*"), to), std::pair(from, std::string("*"))}) {
+    const auto found = m_rules.find(key);
+    if (found == m_rules.end()) continue;
+    all.delay = std::max(all.delay, found->second.delay);
+    all.silentToServer |= found->second.silentToServer;
+    all.silentToCaller |= found->second.silentToCaller;
+    all.resets += found->second.resets;
+  }
+  return all;
+}
+
+void LinkRules::change(const std::string& from, const std::string& to, const std::function<void(LinkRule&)>& apply) {
+  const std::lock_guard lock(m_mutex);
+  apply(m_rules[{from, to}]);
+}
+
+void LinkRules::heal() {
+  const std::lock_guard lock(m_mutex);
+  for (auto& [link, rule] : m_rules) rule = LinkRule{Duration(0), false, false, rule.resets};
+}
+
+struct FaultProxy::Connection {
+  Connection(asio::io_context& io, Tcp::socket accepted) : caller(std::move(accepted)), server(io) {}
+  Tcp::socket caller;
+  Tcp::socket server;
+  std::string from;
+  std::string to;
+  std::uint64_t resets = 0;
+
+  void reset() {
+    boost::system::error_code ignored;
+    for (Tcp::socket* socket : {&caller, &server}) {
+      if (!socket->is_open()) continue;
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+};
+
+void FaultProxy::forward(const std::string& server, const std::string& address, unsigned listenPort,
+                         unsigned serverPort) {
+  const auto ip = asio::ip::make_address(address);
+  const Tcp::endpoint listen(ip, static_cast<std::uint16_t>(listenPort));
+  const Tcp::endpoint target(ip, static_cast<std::uint16_t>(serverPort));
+  asio::co_spawn(m_io, acceptLoop(server, listen, target), asio::detached);
+}
+
+Awaitable<void> FaultProxy::acceptLoop(std::string server, Tcp::endpoint listen, Tcp::endpoint target) {
+  Tcp::acceptor acceptor(m_io, listen);
+  while (true) {
+    auto [error, socket] = co_await acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+    if (error) continue;
+    auto connection = std::make_shared<Connection>(m_io, std::move(socket));
+    boost::system::error_code gone;
+    const Tcp::endpoint peer = connection->caller.remote_endpoint(gone);
+    connection->from = gone ? std::string() : m_callerOf(peer.port());
+    connection->to = server;
+    connection->resets = m_rules.get(connection->from, server).resets;
+    asio::co_spawn(m_io, serve(connection, target), asio::detached);
+  }
+}
+
+Awaitable<void> FaultProxy::serve(std::shared_ptr<Connection> connection, Tcp::endpoint target) {
+  const auto [error] = co_await connection->server.async_connect(target, asio::as_tuple(asio::use_awaitable));
+  if (error) {
+    connection->reset();
+    co_return;
+  }
+  boost::system::error_code ignored;
+  connection->caller.set_option(Tcp::no_delay(true), ignored);
+  connection->server.set_option(Tcp::no_delay(true), ignored);
+  asio::co_spawn(m_io, pump(connection, true), asio::detached);
+  asio::co_spawn(m_io, pump(connection, false), asio::detached);
+}
+
+Awaitable<void> FaultProxy::pump(std::shared_ptr<Connection> connection, bool toServer) {
+  Tcp::socket& source = toServer ? connection->caller : connection->server;
+  Tcp::socket& sink = toServer ? connection->server : connection->caller;
+  std::array<char, ChunkBytes> chunk{};
+  const auto ruled = [&] { return m_rules.get(connection->from, connection->to); };
+  while (true) {
+    const auto [readError, length] =
+        co_await source.async_read_some(asio::buffer(chunk), asio::as_tuple(asio::use_awaitable));
+    LinkRule rule = ruled();
+    while (toServer ? rule.silentToServer : rule.silentToCaller) {
+      co_await sleepFor(SilencePoll);
+      rule = ruled();
+      if (rule.resets != connection->resets) break;
+    }
+    if (rule.resets != connection->resets || (readError && readError != asio::error::eof)) {
+      connection->reset();
+      co_return;
+    }
+    if (readError) {
+      boost::system::error_code ignored;
+      if (sink.is_open()) sink.shutdown(Tcp::socket::shutdown_send, ignored);
+      co_return;
+    }
+    if (rule.delay > Duration(0)) co_await sleepFor(rule.delay);
+    const auto [writeError, written] =
+        co_await asio::async_write(sink, asio::buffer(chunk.data(), length), asio::as_tuple(asio::use_awaitable));
+    if (!writeError) continue;
+    connection->reset();
+    co_return;
+  }
+}
+
+int ownerOfPort(unsigned port, const std::vector<int>& pids) {
+  std::ostringstream wanted;
+  wanted << ":" << std::uppercase << std::hex;
+  wanted.width(4);
+  wanted.fill('0');
+  wanted << port;
+  std::string socketName;
+  std::ifstream table("/proc/net/tcp");
+  for (std::string line; std::getline(table, line);) {
+    std::istringstream words(line);
+    std::vector<std::string> columns;
+    for (std::string word; words >> word;) columns.push_back(word);
+    if (columns.size() <= InodeColumn || columns[1].substr(8) != wanted.str() || columns[1].substr(0, 8) != "0100007F")
+      continue;
+    socketName = "socket:[" + columns[InodeColumn] + "]";
+  }
+  if (socketName.empty()) return 0;
+  for (const int pid : pids) {
+    std::error_code error;
+    const std::string folder = "/proc/" + std::to_string(pid) + "/fd";
+    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
+      if (std::filesystem::read_symlink(entry.path(), error) == socketName) return pid;
+    }
+  }
+  return 0;
+}
+
+}  // namespace courseloom::test
--- /dev/null
+++ b/test/soak/RunHistory.cpp
@@ -0,0 +1,142 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "test/soak/RunHistory.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace courseloom::test {
+
+namespace {
+
+/** Members of a gang may run apart for this long: orders on their way, faults, leases that have to lapse. */
+constexpr Duration GangPatience = milliseconds(20000);
+
+std::string numbered(const std::string& task, std::uint64_t run) { return task + " run " + std::to_string(run); }
+
+}  // namespace
+
+std::optional<RunEvent> parseRunEvent(const std::string& line) {
+  std::istringstream words(line);
+  std::int64_t at = 0;
+  std::string kind;
+  RunEvent event;
+  if (!(words >> at >> kind >> event.life)) return std::nullopt;
+  event.at = Time(Duration(at));
+  if (kind == "over") {
+    event.kind = RunEventKind::LifeOver;
+    return event;
+  }
+  if (!(words >> event.task >> event.run >> event.how)) return std::nullopt;
+  if (kind == "started") event.kind = RunEventKind::Started;
+  if (kind == "ended") event.kind = RunEventKind::Ended;
+  if (kind == "noted") event.kind = RunEventKind::Noted;
+  return event;
+}
+
+void RunHistory::add(const RunEvent& event) {
+  if (event.kind == RunEventKind::LifeOver) {
+    for (auto& [task, runs] : m_runs) {
+      for (Run& run : runs) {
+        if (run.life == event.life && run.ended == Time::max()) run.ended = event.at;
+      }
+    }
+    return;
+  }
+  std::vector<Run>& runs = m_runs[event.task];
+  if (event.kind == RunEventKind::Started) {
+    ++m_starts;
+    m_tasks[jobOf(event.task)].insert(event.task);
+    runs.push_back({event.life, event.run, event.at, Time::max(), "", false});
+    return;
+  }
+  for (Run& run : runs) {
+    if (run.life != event.life || run.number != event.run) continue;
+    if (event.kind == RunEventKind::Noted) run.noted = true;
+    if (event.kind == RunEventKind::Ended) {
+      run.ended = event.at;
+      run.how = event.how;
+    }
+  }
+}
+
+unsigned RunHistory::doneTasks(const std::string& job) const {
+  const auto tasks = m_tasks.find(job);
+  if (tasks == m_tasks.end()) return 0;
+  return static_cast<unsigned>(std::count_if(tasks->second.begin(), tasks->second.end(), [this](const auto& task) {
+    const std::vector<Run>& runs = m_runs.at(task);
+    return std::any_of(runs.begin(), runs.end(), [](const Run& run) { return run.how == "done"; });
+  }));
+}
+
+void RunHistory::checkTask(const std::string& task, const std::vector<Run>& runs,
+                           std::vector<std::string>& found) const {
+  for (const Run& one : runs) {
+    for (const Run& other : runs) {
+      if (&one == &other || other.began < one.began) continue;
+      if (&other < &one && other.began == one.began) continue;
+      if (other.began < one.ended) {
+        found.push_back("two at once: " + numbered(task, one.number) + " on " + one.life + " and run " +
+                        std::to_string(other.number) + " on " + other.life);
+      }
+      if (one.how == "done" && one.noted && other.began >= one.ended) {
+        found.push_back("started after done: " + numbered(task, other.number) + " on " + other.life);
+      }
+    }
+  }
+}
+
+/** A run of a gang that some members began and others did not has to end. */
+void RunHistory::checkGang(const ExpectedJob& job, Time now, std::vector<std::string>& found) const {
+  struct Members {
+    unsigned began = 0;
+    Time first = Time::max();
+    Time last{};  ///< end of the last member that runs
+  };
+  std::map<std::uint64_t, Members> byRun;
+  for (const std::string& task : m_tasks.at(job.id)) {
+    for (const Run& run : m_runs.at(task)) {
+      Members& members = byRun[run.number];
+      ++members.began;
+      members.first = std::min(members.first, run.began);
+      members.last = std::max(members.last, std::min(run.ended, now));
+    }
+  }
+  for (const auto& [number, members] : byRun) {
+    if (members.began >= job.tasks || members.last - members.first < GangPatience) continue;
+    found.push_back("part of a gang: " + numbered(job.id, number) + " has " + std::to_string(members.began) + " of " +
+                    std::to_string(job.tasks) + " members");
+  }
+}
+
+void RunHistory::checkJob(const ExpectedJob& job, bool calm, std::vector<std::string>& found) const {
+  const bool ran = m_tasks.count(job.id) > 0;
+  if (ran && !job.accepted && !job.inDoubt) found.push_back("ran although refused: " + job.id);
+  // One member's end counts for its whole gang.
+  const unsigned enough = job.gang ? 1 : job.tasks;
+  if (job.fate == JobFate::Completed && doneTasks(job.id) < enough) {
+    found.push_back("shown as completed, " + std::to_string(doneTasks(job.id)) + " of " + std::to_string(job.tasks) +
+                    " tasks done: " + job.id);
+  }
+  if (job.fate == JobFate::Failed && !job.mayFail) found.push_back("shown as failed without cause: " + job.id);
+  if (job.fate == JobFate::Cancelled && job.cancelSent == Time{}) found.push_back("cancelled by nobody: " + job.id);
+  if (calm && job.accepted && job.fate == JobFate::Open) found.push_back("accepted and never ended: " + job.id);
+}
+
+std::vector<std::string> RunHistory::check(const std::map<std::string, ExpectedJob>& jobs, Time now, bool calm) const {
+  std::vector<std::string> found;
+  for (const auto& [task, runs] : m_runs) {
+    checkTask(task, runs, found);
+    if (jobs.count(jobOf(task)) == 0) found.push_back("nobody asked for it: " + task);
+    const bool runsOn = std::any_of(runs.begin(), runs.end(), [](const Run& run) { return run.ended == Time::max(); });
+    if (calm && runsOn) found.push_back("runs on after all has ended: " + task);
+  }
+  for (const auto& [id, job] : jobs) {
+    checkJob(job, calm, found);
+    if (job.gang && m_tasks.count(id) > 0) checkGang(job, now, found);
+  }
+  return found;
+}
+
+}  // namespace courseloom::test
--- /dev/null
+++ b/test/soak/SoakClients.h
@@ -0,0 +1,103 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Courseloom/src/Transport/HttpClient.h"
+#include "test/soak/RunHistory.h"
+#include "test/soak/SoakCluster.h"
+
+namespace courseloom::test {
+
+/** \class Disturbances
+ * \brief When each process was last stopped, paused or started by the run; safe from any thread.
+ */
+class Disturbances {
+ public:
+  void note(const std::string& process);
+  /** \returns whether a process was disturbed at or after a time. */
+  bool since(const std::string& process, Time time) const;
+
+ private:
+  mutable std::mutex m_mutex;
+  std::map<std::string, Time> m_last;
+};
+
+/** \class SoakClients
+ * \brief Callers and operators of a run, on a thread of their own; they check each answer against what was promised.
+ *
+ * Callers keep their connections open for as long as the process at the other end keeps them. Checked at once: no call
+ * is left without its whole answer by a process that nobody killed or paused; an accepted job is never unknown; its end
+ * never changes; a configuration read is never older than what was acknowledged, and is what was sent; a key that was
+ * taken away stops working, and one that stands is never refused.
+ */
+class SoakClients {
+ public:
+  SoakClients(SoakCluster& cluster, const Disturbances& disturbances, std::uint64_t seed, unsigned callers);
+  ~SoakClients();
+  SoakClients(const SoakClients&) = delete;
+  SoakClients& operator=(const SoakClients&) = delete;
+
+  /** Puts the first configuration and begins. */
+  void start();
+  /** No new jobs from now on; what was accepted is still followed. */
+  void finish();
+  /** \returns whether every accepted job has been seen to end. */
+  bool allEnded() const;
+  std::map<std::string, ExpectedJob> jobs() const;
+  /** \returns what broke so far. */
+  std::vector<std::string> violations() const;
+  std::string summary() const;
+
+ private:
+  struct Caller;
+  struct SentVersion {
+    std::string body;
+    bool acknowledged = false;
+    Time replacedAt{};  ///< when a higher version was acknowledged
+  };
+  struct Answer {
+    unsigned status = 0;  ///< 0 is no answer
+    std::string body;
+  };
+
+  Awaitable<void> callerLoop(std::shared_ptr<Caller> caller);
+  Awaitable<void> runJob(std::shared_ptr<Caller> caller);
+  Awaitable<bool> submit(std::shared_ptr<Caller> caller, const std::string& path, const std::string& body,
+                         std::string id);
+  Awaitable<void> cancel(std::shared_ptr<Caller> caller, std::string path, std::string id);
+  Awaitable<void> follow(std::shared_ptr<Caller> caller, std::string path, std::string id);
+  Awaitable<Answer> call(std::shared_ptr<Caller> caller, std::string method, std::string path, std::string body,
+                         std::string key);
+  Awaitable<void> operatorLoop(std::uint64_t seed);
+  Awaitable<void> readerLoop(std::uint64_t seed);
+  Awaitable<void> revokedKeyLoop(std::uint64_t seed);
+  Awaitable<Answer> ask(unsigned control, std::string method, std::string path, std::string body);
+  std::string configuration(unsigned version) const;
+  void acknowledged(unsigned version);
+  void takeState(const std::string& id, const Answer& answer, Time sentAt);
+  void violation(const std::string& text);
+
+  SoakCluster& m_cluster;
+  const Disturbances& m_disturbances;
+  std::mt19937_64 m_random;
+  unsigned m_callers;
+  boost::asio::io_context m_io;
+  std::thread m_thread;
+  mutable std::mutex m_mutex;  ///< guards all that follows
+  std::map<std::string, ExpectedJob> m_jobs;
+  std::map<unsigned, SentVersion> m_versions;
+  unsigned m_highestAcknowledged = 0;
+  std::vector<std::string> m_violations;
+  std::map<unsigned, unsigned> m_answers;  ///< by status
+  bool m_finishing = false;
+};
+
+}  // namespace courseloom::test
--- /dev/null
+++ b/test/soak/SoakCluster.h
@@ -0,0 +1,99 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "test/Processes.h"
+#include "test/soak/FaultProxy.h"
+
+namespace courseloom::test {
+
+/** \class SoakSize
+ * \brief How many processes a run has.
+ */
+struct SoakSize {
+  unsigned control = 3;
+  unsigned entries = 2;
+  unsigned targets = 4;
+};
+
+/** \class SoakCluster
+ * \brief A whole courseloom on loopback whose connections pass a FaultProxy; processes by name: `control-1`, `entry-1`,
+ * `agent-1`, `runner-1`.
+ *
+ * Each instance has an address of its own. What others connect to is the proxy; the process listens on another port.
+ */
+class SoakCluster {
+ public:
+  SoakCluster(SoakSize size, std::uint64_t seed);
+  ~SoakCluster();
+  SoakCluster(const SoakCluster&) = delete;
+  SoakCluster& operator=(const SoakCluster&) = delete;
+
+  void start(const std::string& name);
+  /** SIGKILL, and waits for the end. */
+  void kill(const std::string& name);
+  bool alive(const std::string& name) const;
+  Process& process(const std::string& name) { return *m_processes.at(name); }
+  /** \returns processes that ended although nobody stopped them, with their exit codes, since the last call. */
+  std::vector<std::string> ownEnds();
+  /** Says that an end of a process is wanted. */
+  void expectEnd(const std::string& name) { m_expected[name] = true; }
+  /** Removes a replica's disk; its process must be dead. */
+  void wipe(const std::string& name);
+  /** Adds bytes that no writer finished to the newest file of a replica's disk; its process must be dead. */
+  void tearTail(const std::string& name, std::uint64_t seed);
+
+  LinkRules& links() { return m_rules; }
+  const SoakSize& size() const { return m_size; }
+  std::string clientAddress(unsigned entry) const { return at(EntryHost + entry, ClientPort); }
+  std::string operatorAddress(unsigned control) const { return at(control, ControlPort); }
+  std::string runnerAddress(unsigned target) const { return at(AgentHost + target, RunnerPort); }
+  std::string eventFile(unsigned target) const { return m_folder + "/events-" + std::to_string(target); }
+  const std::string& folder() const { return m_folder; }
+  /** Keeps the folder with logs and settings when the run is over. */
+  void keep() { m_keep = true; }
+
+ private:
+  // Ports of each instance, counted from the base.
+  static constexpr unsigned RpcProxyPort = 0;
+  static constexpr unsigned RpcPort = 1;
+  static constexpr unsigned ControlPort = 2;
+  static constexpr unsigned ClientPort = 3;
+  static constexpr unsigned ReadinessPort = 4;
+  static constexpr unsigned RunnerPort = 5;
+  static constexpr unsigned RunnerProxyPort = 6;
+  static constexpr unsigned HttpPort = 7;
+  // Last part of the addresses.
+  static constexpr unsigned AgentHost = 20;
+  static constexpr unsigned EntryHost = 10;
+
+  std::string address(unsigned host) const;
+  std::string at(unsigned host, unsigned port) const { return address(host) + ":" + std::to_string(m_base + port); }
+  void addDaemon(const std::string& name, unsigned host, const std::string& extra);
+  void addRunner(unsigned target, unsigned clockPercent);
+  std::string callerOf(unsigned port);
+
+  SoakSize m_size;
+  unsigned m_base = 0;
+  unsigned m_net = 0;
+  std::string m_folder;
+  bool m_keep = false;
+  boost::asio::io_context m_io;
+  LinkRules m_rules;
+  FaultProxy m_proxy;
+  std::thread m_proxyThread;
+  mutable std::mutex m_mutex;  ///< guards m_pids, which the proxy's thread reads
+  std::map<std::string, int> m_pids;
+  std::map<std::string, std::vector<std::string>> m_commands;
+  std::map<std::string, std::unique_ptr<Process>> m_processes;
+  std::map<std::string, bool> m_expected;
+};
+
+}  // namespace courseloom::test
--- /dev/null
+++ b/test/soak/SoakFaults.cpp
@@ -0,0 +1,258 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "test/soak/SoakFaults.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <numeric>
+
+namespace courseloom::test {
+
+namespace {
+
+/** Time after the last harm to the replicas until another disk may be lost: joining, catching up, promotion. */
+constexpr Duration DiskCalm = milliseconds(6000);
+/** A planned stop ends within this. */
+constexpr Duration StopLimit = milliseconds(10000);
+constexpr Duration StopPoll = milliseconds(50);
+
+}  // namespace
+
+SoakFaults::SoakFaults(SoakCluster& cluster, Disturbances& disturbances, std::uint64_t seed)
+    : m_cluster(cluster), m_disturbances(disturbances), m_random(seed), m_next(m_began + milliseconds(1500)) {}
+
+void SoakFaults::note(const std::string& text) {
+  const auto ms = (BootClock::now() - m_began).count() / 1000;
+  m_log.push_back(std::to_string(ms) + " ms: " + text);
+}
+
+void SoakFaults::later(Duration after, std::function<void()> action) {
+  m_later.emplace(BootClock::now() + after, std::move(action));
+}
+
+void SoakFaults::step() {
+  while (!m_later.empty() && m_later.begin()->first <= BootClock::now()) {
+    const std::function<void()> action = std::move(m_later.begin()->second);
+    m_later.erase(m_later.begin());
+    action();
+  }
+  if (m_healing || BootClock::now() < m_next) return;
+  m_next = BootClock::now() + pickMs(20, 900);
+  begin();
+}
+
+void SoakFaults::begin() {
+  static const std::vector<Kind> kinds{
+      {6, &SoakFaults::killOne},    {1, &SoakFaults::killAllControl}, {5, &SoakFaults::stopOne},
+      {1, &SoakFaults::stopInTurn}, {4, &SoakFaults::pauseOne},       {2, &SoakFaults::hangUpSeries},
+      {2, &SoakFaults::loseDisk},   {2, &SoakFaults::tearDisk},       {6, &SoakFaults::harmLink},
+      {2, &SoakFaults::resetLinks}, {4, &SoakFaults::harmTarget},     {2, &SoakFaults::leaveTarget}};
+  const unsigned all =
+      std::accumulate(kinds.begin(), kinds.end(), 0U, [](unsigned sum, const Kind& kind) { return sum + kind.weight; });
+  unsigned drawn = pick(1, all);
+  for (const Kind& kind : kinds) {
+    if (drawn <= kind.weight) return (this->*kind.begin)();
+    drawn -= kind.weight;
+  }
+}
+
+void SoakFaults::heal() {
+  m_healing = true;
+  note("healing");
+  m_cluster.links().heal();
+}
+
+// ---- processes
+
+unsigned SoakFaults::countOf(const std::string& kind) const {
+  if (kind == "control") return m_cluster.size().control;
+  return kind == "entry" ? m_cluster.size().entries : m_cluster.size().targets;
+}
+
+std::string SoakFaults::anyOf(const std::string& kind) { return kind + "-" + std::to_string(pick(1, countOf(kind))); }
+
+std::string SoakFaults::anyDaemon() {
+  static const std::vector<std::string> kinds{"control", "control", "entry", "agent", "agent"};
+  return anyOf(kinds[pick(0, static_cast<unsigned>(kinds.size()) - 1)]);
+}
+
+void SoakFaults::restart(const std::string& name) {
+  m_cluster.start(name);
+  m_states[name] = State::Running;
+  m_disturbances.note(name);
+}
+
+void SoakFaults::kill(const std::string& name, Duration downFor, const std::function<void()>& whileDown) {
+  if (m_states[name] == State::Down) return;
+  if (name.rfind("control", 0) == 0) m_controlHarmed = BootClock::now() + downFor;
+  m_disturbances.note(name);
+  m_states[name] = State::Down;
+  m_cluster.kill(name);
+  if (whileDown) whileDown();
+  later(downFor, [this, name] { restart(name); });
+}
+
+void SoakFaults::killOne() {
+  const std::string name = anyDaemon();
+  const Duration down = pickMs(0, 4000);
+  note("kill " + name + " for " + std::to_string(down.count() / 1000) + " ms");
+  kill(name, down);
+}
+
+void SoakFaults::killAllControl() {
+  note("kill all control replicas");
+  for (unsigned i = 1; i <= m_cluster.size().control; ++i) kill("control-" + std::to_string(i), pickMs(100, 900));
+}
+
+void SoakFaults::stop(const std::string& name) {
+  if (m_states[name] != State::Running) return;
+  note("stop " + name);
+  m_states[name] = State::Stopping;
+  if (name.rfind("control", 0) == 0) m_controlHarmed = BootClock::now();
+  m_cluster.expectEnd(name);
+  m_cluster.process(name).signal(SIGTERM);
+  // Some are killed on their way out.
+  if (pick(1, 5) == 1) {
+    return later(pickMs(50, 800), [this, name] {
+      if (m_states[name] == State::Stopping) kill(name, milliseconds(200));
+    });
+  }
+  awaitStop(name, BootClock::now());
+}
+
+void SoakFaults::awaitStop(const std::string& name, Time begun) {
+  if (m_states[name] != State::Stopping) return;
+  const int code = m_cluster.alive(name) ? m_cluster.process(name).wait(milliseconds(1)) : 0;
+  if (code < 0) {
+    if (BootClock::now() < begun + StopLimit) return later(StopPoll, [this, name, begun] { awaitStop(name, begun); });
+    m_violations.push_back(name + " does not end after SIGTERM");
+    return kill(name, milliseconds(100));
+  }
+  if (code != 0) m_violations.push_back(name + " ended a planned stop with code " + std::to_string(code));
+  m_states[name] = State::Down;
+  later(pickMs(0, 2000), [this, name] { restart(name); });
+}
+
+void SoakFaults::stopOne() { stop(anyDaemon()); }
+
+void SoakFaults::stopInTurn() {
+  static const std::vector<std::string> kinds{"control", "entry", "agent"};
+  const std::string kind = kinds[pick(0, 2)];
+  note("stop all of " + kind + " in turn");
+  const Duration gap = pickMs(100, 1500);
+  for (unsigned i = 1; i <= countOf(kind); ++i) {
+    later(gap * i, [this, name = kind + "-" + std::to_string(i)] {
+      if (!m_healing) stop(name);
+    });
+  }
+}
+
+void SoakFaults::pauseOne() {
+  const std::string name = anyDaemon();
+  if (m_states[name] != State::Running) return;
+  const Duration length = pickMs(100, 6000);
+  note("pause " + name + " for " + std::to_string(length.count() / 1000) + " ms");
+  m_states[name] = State::Paused;
+  m_disturbances.note(name);
+  if (name.rfind("control", 0) == 0) m_controlHarmed = BootClock::now() + length;
+  m_cluster.process(name).signal(SIGSTOP);
+  later(length, [this, name] {
+    if (m_states[name] != State::Paused) return;
+    m_cluster.process(name).signal(SIGCONT);
+    m_states[name] = State::Running;
+    m_disturbances.note(name);
+  });
+}
+
+void SoakFaults::hangUpSeries() {
+  const std::string name = anyDaemon();
+  if (m_states[name] != State::Running) return;
+  note("hang up " + name);
+  for (unsigned i = 0; i < pick(1, 5); ++i) {
+    later(milliseconds(30) * i, [this, name] {
+      if (m_states[name] == State::Running) m_cluster.process(name).signal(SIGHUP);
+    });
+  }
+}
+
+// ---- disks
+
+bool SoakFaults::mayLoseDisk() const {
+  if (BootClock::now() < m_controlHarmed + DiskCalm) return false;
+  for (unsigned i = 1; i <= m_cluster.size().control; ++i) {
+    const auto state = m_states.find("control-" + std::to_string(i));
+    if (state != m_states.end() && state->second != State::Running) return false;
+  }
+  return true;
+}
+
+void SoakFaults::loseDisk() {
+  if (!mayLoseDisk()) return;
+  const std::string name = anyOf("control");
+  note("lose the disk of " + name);
+  kill(name, pickMs(0, 1500), [this, name] { m_cluster.wipe(name); });
+}
+
+void SoakFaults::tearDisk() {
+  const std::string name = anyOf("control");
+  if (m_states[name] == State::Down) return;
+  note("kill " + name + " with a torn record at its disk's end");
+  kill(name, pickMs(0, 1500), [this, name] { m_cluster.tearTail(name, m_random()); });
+}
+
+// ---- links
+
+void SoakFaults::harmLink() {
+  const bool toTarget = pick(1, 3) == 1;
+  const std::string to = toTarget ? anyOf("runner") : anyOf("control");
+  const std::string from = toTarget || pick(1, 3) == 1 ? "*" : anyDaemon();
+  const Duration length = pickMs(200, 7000);
+  if (!toTarget) m_controlHarmed = std::max(m_controlHarmed, BootClock::now() + length);
+  const unsigned how = pick(1, 4);
+  note("link from " + from + " to " + to + " harmed, way " + std::to_string(how));
+  const Duration delay = pickMs(5, 300);
+  m_cluster.links().change(from, to, [how, delay](LinkRule& rule) {
+    if (how == 1) rule.delay = delay;
+    if (how == 2 || how == 4) rule.silentToServer = true;
+    if (how == 3 || how == 4) rule.silentToCaller = true;
+  });
+  later(length, [this, from, to] {
+    m_cluster.links().change(from, to, [](LinkRule& rule) { rule = LinkRule{Duration(0), false, false, rule.resets}; });
+  });
+}
+
+void SoakFaults::resetLinks() {
+  const std::string to = pick(1, 2) == 1 ? anyOf("control") : anyOf("runner");
+  note("reset all connections to " + to);
+  m_cluster.links().change("*", to, [](LinkRule& rule) { ++rule.resets; });
+}
+
+// ---- targets
+
+void SoakFaults::tellTarget(unsigned target, const std::string& path) {
+  send({m_cluster.runnerAddress(target), "POST", path, "", {}, milliseconds(500)});
+}
+
+void SoakFaults::harmTarget() {
+  const unsigned target = pick(1, m_cluster.size().targets);
+  if (m_states["runner-" + std::to_string(target)] != State::Running) return;
+  if (pick(1, 2) == 1) {
+    note("target " + std::to_string(target) + " crashes");
+    return tellTarget(target, "/crash");
+  }
+  const unsigned length = pick(100, 4000);
+  note("target " + std::to_string(target) + " is silent for " + std::to_string(length) + " ms");
+  tellTarget(target, "/mute?ms=" + std::to_string(length));
+}
+
+void SoakFaults::leaveTarget() {
+  const unsigned target = pick(1, m_cluster.size().targets);
+  if (m_states["runner-" + std::to_string(target)] != State::Running) return;
+  note("target " + std::to_string(target) + " leaves and comes back");
+  tellTarget(target, "/drain");
+  later(pickMs(500, 3000), [this, target] { tellTarget(target, "/crash"); });
+}
+
+}  // namespace courseloom::test
--- /dev/null
+++ b/test/soak/soak.cpp
@@ -0,0 +1,150 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// Fault soak: real programs as separate processes on loopback, faults from outside drawn from a seed, promises checked
+// while it runs from what callers and back ends see.
+//
+//   soak --seed 7 --seconds 20            one run
+//   soak --seed 1 --runs 50 --seconds 15  fifty seeds, one line each
+//   soak --large                          as many processes as the machine bears
+//
+// Ends with 0 if every promise held. The folder of a run that failed is kept and named.
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+#include "test/soak/SoakFaults.h"
+
+using namespace courseloom;
+using namespace courseloom::test;
+
+namespace {
+
+constexpr Duration StepPause = milliseconds(10);
+constexpr Duration CheckInterval = milliseconds(500);
+/** After the last fault every accepted job ends within this: leases lapse, replicas elect, back ends register. */
+constexpr Duration HealLimit = milliseconds(60000);
+/** What still runs for a job that has ended is stopped within this. */
+constexpr Duration SettleTime = milliseconds(4000);
+
+struct SoakOptions {
+  std::uint64_t seed = 1;
+  unsigned runs = 1;
+  unsigned seconds = 20;
+  bool large = false;
+  bool verbose = false;
+};
+
+/** Reads what is new in the event files of all back ends. */
+class EventReader {
+ public:
+  EventReader(const SoakCluster& cluster, RunHistory& history) : m_cluster(cluster), m_history(history) {}
+  void read() {
+    for (unsigned target = 1; target <= m_cluster.size().targets; ++target) {
+      std::ifstream file(m_cluster.eventFile(target));
+      file.seekg(m_offsets[target]);
+      for (std::string line; std::getline(file, line) && !file.eof();) {
+        m_offsets[target] += static_cast<std::streamoff>(line.size()) + 1;
+        const std::optional<RunEvent> event = parseRunEvent(line);
+        if (event) m_history.add(*event);
+      }
+    }
+  }
+
+ private:
+  const SoakCluster& m_cluster;
+  RunHistory& m_history;
+  std::map<unsigned, std::streamoff> m_offsets;
+};
+
+/** \class SoakRun
+ * \brief One run of one seed.
+ */
+class SoakRun {
+ public:
+  SoakRun(std::uint64_t seed, SoakSize size, unsigned callers)
+      : m_cluster(size, seed),
+        m_clients(m_cluster, m_disturbances, seed * 3 + 1, callers),
+        m_faults(m_cluster, m_disturbances, seed * 3 + 2),
+        m_events(m_cluster, m_history) {}
+
+  bool play(Duration length) {
+    m_clients.start();
+    const Time end = BootClock::now() + length;
+    while (BootClock::now() < end && m_found.empty()) advance(false);
+    m_faults.heal();
+    m_clients.finish();
+    const Time limit = BootClock::now() + HealLimit;
+    const auto settled = [this] { return m_faults.quiet() && m_clients.allEnded(); };
+    while (BootClock::now() < limit && m_found.empty() && !settled()) advance(false);
+    const Time checked = BootClock::now() + SettleTime;
+    while (BootClock::now() < checked && m_found.empty()) advance(false);
+    if (m_found.empty()) check(true);
+    if (!m_found.empty()) m_cluster.keep();
+    return m_found.empty();
+  }
+
+  void print(std::ostream& out, bool verbose) const {
+    out << m_clients.summary() << "; " << m_history.starts() << " starts, " << m_faults.log().size() << " faults\n";
+    for (const std::string& line : m_found) out << "  BROKEN " << line << "\n";
+    if (m_found.empty() && !verbose) return;
+    out << "  folder " << m_cluster.folder() << "\n";
+    for (const std::string& line : m_faults.log()) out << "  " << line << "\n";
+  }
+
+ private:
+  void advance(bool calm) {
+    m_faults.step();
+    for (const std::string& end : m_cluster.ownEnds()) m_found.insert(end);
+    if (BootClock::now() >= m_nextCheck) {
+      m_nextCheck = BootClock::now() + CheckInterval;
+      check(calm);
+    }
+    std::this_thread::sleep_for(StepPause);
+  }
+
+  void check(bool calm) {
+    // Events first: a job that is shown as completed after they were read may not be in them yet.
+    const std::map<std::string, ExpectedJob> jobs = m_clients.jobs();
+    m_events.read();
+    for (const std::string& line : m_history.check(jobs, BootClock::now(), calm)) m_found.insert(line);
+    for (const std::string& line : m_clients.violations()) m_found.insert(line);
+    for (const std::string& line : m_faults.violations()) m_found.insert(line);
+  }
+
+  SoakCluster m_cluster;
+  Disturbances m_disturbances;
+  SoakClients m_clients;
+  SoakFaults m_faults;
+  RunHistory m_history;
+  EventReader m_events;
+  Time m_nextCheck{};
+  std::set<std::string> m_found;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Fault soak: real processes, faults from outside, promises checked while it runs");
+  SoakOptions options;
+  app.add_option("--seed", options.seed, "First seed");
+  app.add_option("--runs", options.runs, "Seeds to play, one after the other");
+  app.add_option("--seconds", options.seconds, "Length of each run's faults, s");
+  app.add_flag("--large", options.large, "Many processes: 3 control replicas, 4 entries, 12 targets with agents");
+  app.add_flag("--verbose", options.verbose, "Print the faults of runs that held as well");
+  CLI11_PARSE(app, argc, argv);
+  unsigned failed = 0;
+  for (std::uint64_t seed = options.seed; seed < options.seed + options.runs; ++seed) {
+    const SoakSize size = options.large ? SoakSize{3, 4, 12} : SoakSize{};
+    SoakRun run(seed, size, options.large ? 24 : 8);
+    const bool held = run.play(milliseconds(1000) * options.seconds);
+    if (!held) ++failed;
+    std::cout << "seed " << seed << (held ? " held: " : " FAILED: ");
+    run.print(std::cout, options.verbose);
+    std::cout.flush();
+  }
+  std::cout << options.runs - failed << " held, " << failed << " failed" << std::endl;
+  return failed == 0 ? 0 : 1;
+}
--- a/test/standins/runner.cpp
+++ b/test/standins/runner.cpp
@@ -7,7 +7,8 @@
 //
 // A task runs for as many milliseconds as its `spec` says (`200`), fails with `fail`, and never ends with `forever`.
 // GET /starts tells how often each task was started, and `done` ends; POST /crash begins a new life; POST /drain makes
-// it announce that it leaves; POST /mute?ms=N answers no order for a while.
+// it announce that it leaves; POST /mute?ms=N answers no order for a while. With --events each start, end, forgotten
+// end and new life is a line of a file: `MICROSECONDS started|ended|noted|over LIFE TASK RUN HOW`.
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +16,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <fstream>
 #include <iostream>
 #include <map>
 
@@ -39,6 +41,8 @@
   std::string agent;
   std::string name = "m";
   std::string service = "s";
+  std::string events;           ///< file for events; empty is none
+  unsigned clockPercent = 100;  ///< speed of its clock
 };
 
 class StandInRunner {
@@ -51,6 +55,8 @@
         m_server(io, HttpLimits(), [this](HttpRequest request, std::string) { return answer(std::move(request)); }) {}
 
   unsigned start() {
+    m_lifePrefix = "i-" + m_options.name + "-" + std::to_string(m_born.time_since_epoch().count());
+    if (!m_options.events.empty()) m_events.open(m_options.events, std::ios::app);
     Result<unsigned> bound = m_server.start(m_options.address, m_options.port);
     asio::co_spawn(m_io, heartbeatLoop(), asio::detached);
     asio::co_spawn(m_io, timeLoop(), asio::detached);
@@ -66,8 +72,19 @@
     bool fails = false;
   };
 
-  static std::int64_t clockMs() { return BootClock::now().time_since_epoch().count() / 1000; }
-  std::string id() const { return "i-" + m_options.name + "-" + std::to_string(m_life); }
+  std::int64_t clockMs() const {
+    constexpr std::int64_t Percent = 100;
+    constexpr std::int64_t MicrosecondsPerMillisecond = 1000;
+    const std::int64_t elapsed = (BootClock::now() - m_born).count();
+    return elapsed * m_options.clockPercent / Percent / MicrosecondsPerMillisecond + m_clockBegins;
+  }
+  std::string id() const { return m_lifePrefix + "-" + std::to_string(m_life); }
+
+  void tell(const char* kind, const std::string& task, std::int64_t run, const std::string& how) {
+    if (!m_events.is_open()) return;
+    m_events << BootClock::now().time_since_epoch().count() << " " << kind << " " << id() << " " << task << " " << run
+             << " " << how << std::endl;
+  }
 
   Awaitable<void> heartbeatLoop() {
     while (true) {
@@ -93,6 +110,7 @@
     m_running.erase(name);
     m_over[name] = std::max(m_over[name], task.run);
     if (std::string(how) == "done") ++m_done[name];
+    tell("ended", name, task.run, how);
     m_ends.push_back(json::array{++m_lastEnd, name, task.run, how, "saved"});
   }
 
@@ -117,6 +135,7 @@
     const std::string path(request.target());
     if (path == "/starts") co_return jsonResponse(200, counts());
     if (path == "/crash") {
+      tell("over", "-", 0, "crash");
       ++m_life;
       m_running.clear();
       m_over.clear();
@@ -157,8 +176,7 @@
       }
       co_return plain();
     }
-    const std::int64_t seen = number("last_seen");
-    while (!m_ends.empty() && m_ends.front().at(0).as_int64() <= seen) m_ends.erase(m_ends.begin());
+    forgetEnds(number("last_seen"));
     const std::int64_t until = clockMs() + number("wait_ms");
     while (m_ends.empty() && clockMs() < until) co_await sleepFor(Look);
     json::array running;
@@ -174,6 +192,14 @@
         200, json::serialize(json::object{{"clock_ms", clockMs()}, {"running", running}, {"finished", finished}}));
   }
 
+  void forgetEnds(std::int64_t seen) {
+    while (!m_ends.empty() && m_ends.front().at(0).as_int64() <= seen) {
+      const json::array& row = m_ends.front();
+      tell("noted", std::string(row.at(1).as_string()), row.at(2).as_int64(), std::string(row.at(3).as_string()));
+      m_ends.erase(m_ends.begin());
+    }
+  }
+
   HttpResponse startTask(json::object& body, std::int64_t run, std::int64_t deadline) {
     const std::string name(body["task"].as_string());
     const auto found = m_running.find(name);
@@ -189,11 +215,12 @@
     task.doneAt = spec == "forever" ? 0 : clockMs() + std::max(20, std::atoi(spec.c_str()));
     m_running[name] = task;
     ++m_starts[name];
+    tell("started", name, run, "-");
     return plain();
   }
 
-  static HttpResponse plain() { return jsonResponse(200, json::serialize(json::object{{"clock_ms", clockMs()}})); }
-  static HttpResponse refuse(const char* reason) {
+  HttpResponse plain() const { return jsonResponse(200, json::serialize(json::object{{"clock_ms", clockMs()}})); }
+  HttpResponse refuse(const char* reason) const {
     return jsonResponse(409, json::serialize(json::object{{"clock_ms", clockMs()}, {"reason", reason}}));
   }
 
@@ -209,6 +236,11 @@
   RunnerOptions m_options;
   HttpClient m_agent;
   HttpServer m_server;
+  /** What its clock shows at its birth, ms. */
+  static constexpr std::int64_t m_clockBegins = 1000000;
+  const Time m_born = BootClock::now();
+  std::ofstream m_events;
+  std::string m_lifePrefix;
   unsigned m_life = 1;
   bool m_draining = false;
   std::int64_t m_sequence = 0;
@@ -233,6 +265,8 @@
   app.add_option("--agent", options.agent, "Where it registers")->required();
   app.add_option("--name", options.name, "Name, part of its identities");
   app.add_option("--service", options.service, "Its service");
+  app.add_option("--events", options.events, "File for events");
+  app.add_option("--clock-percent", options.clockPercent, "Speed of its clock, percent");
   CLI11_PARSE(app, argc, argv);
   asio::io_context io;
   StandInRunner runner(io, options);
