Agent: a refused start is stopped before it counts as void, and an order is carried out only within its own grant

An agent that had been paused for 4.4 s read the same order twice; the first copy was refused as late and reported as void, the second began the run under the new grant, while the leader had begun the next one elsewhere. Reading the same path for others of its kind showed a second hole: an order that was on its way for longer than its own grant could begin under a later one, after the leader had counted that run as lapsed. Ruled out: the leader's count of grants (the run's end was committed before the next start), the target's fencing (one term). Change: after a refusal the run is stopped and the ends are read, as after no answer; an order begins nothing after the end of the grant that came with it. spec/run.pml models copies of orders and refusals; -DREFUSAL_ENDS and -DSTALE_ORDER fail. Tests: run_agent (both failed before). Also: settings for two levers of the planner, with the values that they had.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -225,10 +225,12 @@
     m_lookSignal.notify();
   }
   if (m_stopping) return;
-  for (const schema::RunOrder& order : reply.orders()) takeOrder(order);
+  for (const schema::RunOrder& order : reply.orders()) takeOrder(order, until);
 }
 
-void RunAgentService::takeOrder(const schema::RunOrder& order) {
+/** \param until end of the grant that came with the order. One that was on its way for longer must not begin a run, even
+ * under a later grant: the leader may have counted that run as lapsed and begun the next. */
+void RunAgentService::takeOrder(const schema::RunOrder& order, Time until) {
   if (!isLife(order.target())) return;
   const RunKey key = runKeyOf(order.task(), order.run());
   const auto found = m_runs.find(key);
@@ -239,7 +241,7 @@
     return;
   }
   m_traits[key] = RunTraits{order.filler(), order.latency_target_ms()};
-  if (!granted()) return;
+  if (BootClock::now() >= until) return;
   if (found != m_runs.end()) {
     // Given again: either the leader has not heard of it yet, or nobody knows where it went.
     if (listed(key)) return news();
@@ -416,10 +418,10 @@
   const bool neverBegan = (answer && answer->verdict == TargetVerdict::Refused && answer->reason != "old");
   if (neverBegan) {
     logEvent(schema::RunRefused, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"reason", answer->reason}});
-    settle(order.task(), order.run(), schema::RunVoided, answer->reason);
-    co_return;
+  } else {
+    logEvent(schema::RunInDoubt, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"target", life}});
   }
-  logEvent(schema::RunInDoubt, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"target", life}});
+  // After a refusal too: another copy of the order may be on its way to this agent, and must find the run stopped.
   co_await stopRun(std::move(order));
 }
 
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -71,7 +71,7 @@
   Awaitable<bool> exchange(std::uint32_t waitMs);
   schema::AttendRequest makeReport() const;
   void takeReply(const schema::AttendRequest& request, const schema::AttendReply& reply, Time sentAt);
-  void takeOrder(const schema::RunOrder& order);
+  void takeOrder(const schema::RunOrder& order, Time until);
   void news();
 
   Awaitable<void> lookLoop();
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -43,6 +43,13 @@
   return options;
 }
 
+RunPlannerOptions planner_options(const schema::Settings& settings) {
+  RunPlannerOptions options;
+  options.lossRatio = settings.control().urgent_loss_ratio();
+  options.urgentPatienceShare = settings.control().urgent_patience();
+  return options;
+}
+
 std::string gang_name(const RunKey& key) {
   return key.workflow + "." + std::to_string(key.task.occurrence) + "." + std::to_string(key.task.step) + "." +
          std::to_string(key.run);
@@ -75,7 +82,8 @@
       m_strand(std::move(strand)),
       m_driver(driver),
       m_advice(m_strand, std::move(advice), [this] { wake(); }),
-      m_ledger(internal::ledger_options(context.settings)) {}
+      m_ledger(internal::ledger_options(context.settings)),
+      m_planner(internal::planner_options(context.settings)) {}
 
 void WorkflowRunner::start() {
   asio::co_spawn(m_strand, tickLoop(), asio::detached);
--- a/spec/run.pml
+++ b/spec/run.pml
@@ -9,7 +9,9 @@
  * Broken variants, each of which must fail: -DNO_COMMIT (the order leaves before the start is committed), -DNO_STOP (a
  * start without answer counts as never begun), -DNO_READ (after the stop was answered the ends are not read), -DNO_WAIT
  * (a silent agent's run counts as over before its grant has run out), -DNO_DEADLINE (an order has no deadline),
- * -DNOTE_FIRST (an end is noted before it is committed), -DFORMER_RENEWS (a former leader goes on renewing grants).
+ * -DNOTE_FIRST (an end is noted before it is committed), -DFORMER_RENEWS (a former leader goes on renewing grants),
+ * -DREFUSAL_ENDS (a refused start counts as never begun, although a copy of its order may still reach the agent),
+ * -DSTALE_ORDER (an agent carries out an order after the grant that came with it, under a later grant).
  */
 #define TARGETS 2
 #define MAXRUN 4
@@ -28,6 +30,8 @@
 byte ended[TARGETS];   /* run whose end `done` is listed */
 byte late[TARGETS];    /* a start that is still on its way */
 bool lateAlive[TARGETS]; /* its deadline is still to come */
+byte copy[TARGETS];    /* an order, given again, that is still on its way to the agent */
+bool copyAlive[TARGETS]; /* the grant that came with it has not run out */
 bool grant[TARGETS];   /* the target is held */
 bool fresh[TARGETS];   /* its hold has not run out since the end that it lists */
 bool overtaken[TARGETS]; /* another run began after that end */
@@ -63,6 +67,13 @@
   :: begin(target, number)                                   /* answered */
   :: late[target] == 0 ->                                    /* lost, or carried out later */
      late[target] = number; lateAlive[target] = true; doubt[target] = true; stopAnswered[target] = false
+  :: copy[target] == 0 ->                                    /* refused, as for want of room */
+     copy[target] = number; copyAlive[target] = true;
+#ifdef REFUSAL_ENDS
+     logRun = 0
+#else
+     doubt[target] = true; stopAnswered[target] = false
+#endif
   fi
 }
 
@@ -99,11 +110,20 @@
        begin(t, late[t]);
 #endif
        late[t] = 0 }
+  /* A copy of an order reaches the agent, which does not know the run, or knows no longer. */
+  :: atomic { copy[0] != 0 || copy[1] != 0 ->
+       if :: copy[0] != 0 -> t = 0 :: copy[1] != 0 -> t = 1 fi;
+#ifndef STALE_ORDER
+       if :: grant[t] && copyAlive[t] -> begin(t, copy[t]) :: else -> skip fi;
+#else
+       if :: grant[t] -> begin(t, copy[t]) :: else -> skip fi;
+#endif
+       copy[t] = 0 }
   /* The task ends, and the target lists that. */
   :: atomic { running[0] != 0 -> ended[0] = running[0]; fresh[0] = true; overtaken[0] = false; finish(0) }
   :: atomic { running[1] != 0 -> ended[1] = running[1]; fresh[1] = true; overtaken[1] = false; finish(1) }
   /* A grant runs out: the target ends what runs, orders given under it are past their deadline. */
-  :: atomic { if :: grant[0] -> t = 0 :: grant[1] -> t = 1 fi; grant[t] = false; lateAlive[t] = false; fresh[t] = false; overtaken[t] = false;
+  :: atomic { if :: grant[0] -> t = 0 :: grant[1] -> t = 1 fi; grant[t] = false; lateAlive[t] = false; copyAlive[t] = false; fresh[t] = false; overtaken[t] = false;
        if :: running[t] != 0 -> finish(t) :: else -> skip fi;
        known[t] = false }
   :: atomic { if :: !grant[0] -> t = 0 :: !grant[1] -> t = 1 fi; grant[t] = true; known[t] = true }
@@ -157,10 +177,10 @@
 #endif
   /* An agent restarts blank: its doubts are gone, and the order is given again. */
   :: atomic { crashes < MAXCRASHES -> crashes++; if :: t = 0 :: t = 1 fi;
-       doubt[t] = false; stopAnswered[t] = false; delivered = false }
+       doubt[t] = false; stopAnswered[t] = false; copy[t] = 0; delivered = false }
   /* A target crashes; its next life has another identity, and the agent tells of it. */
   :: atomic { crashes < MAXCRASHES -> crashes++; if :: t = 0 :: t = 1 fi;
-       running[t] = 0; over[t] = 0; ended[t] = 0; overtaken[t] = false; late[t] = 0; doubt[t] = false;
+       running[t] = 0; over[t] = 0; ended[t] = 0; overtaken[t] = false; late[t] = 0; copy[t] = 0; doubt[t] = false;
        if :: logRun != 0 && logTarget == t -> logRun = 0 :: else -> skip fi }
   :: atomic { done && logRun == 0 -> break }
   :: atomic { lastRun == MAXRUN && logRun == 0 && !done -> break }  /* the bound of this model */
--- a/test/soak/SoakCluster.cpp
+++ b/test/soak/SoakCluster.cpp
@@ -147,7 +147,8 @@
 
 void SoakCluster::tearTail(const std::string& name, std::uint64_t seed) {
   std::filesystem::path newest;
-  for (const auto& entry : std::filesystem::directory_iterator(m_folder + "/" + name)) {
+  std::error_code none;  // a disk that was lost may not be there again yet
+  for (const auto& entry : std::filesystem::directory_iterator(m_folder + "/" + name, none)) {
     const bool isLog = entry.is_regular_file() && entry.path().filename().string().find("log") != std::string::npos;
     if (isLog && (newest.empty() || entry.path() > newest)) newest = entry.path();
   }
