RunLedger: no start is ordered for a run whose end is on its way into the log

Ruled out: the agent's grant (the second order came with a fresh one), the planner (it saw the end committed), clocks. Change: a run whose end was given to be committed gets no start any more. Tests: run_ledger (failed before); run_ledger_seeded commits ends of silent agents later than it proposes them, and fails without the mechanism.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -482,7 +482,7 @@
   const Time received = BootClock::now();
   if (!leads()) co_return fail(m_driver.noLeader("attend"));
   schema::RecordRuns runs;
-  for (schema::RunEnd& end : m_ledger.takeReport(request, table(), received)) {
+  for (schema::RunEnd& end : m_ledger.takeReport(request, received)) {
     logEvent(schema::RunEnded, {{"task", taskText(end.task())},
                                 {"run", std::uint64_t{end.run()}},
                                 {"kind", schema::RunEndKind_Name(end.kind())},
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -58,7 +58,8 @@
   }
 }
 
-schema::RunEnd RunLedger::makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint) const {
+schema::RunEnd RunLedger::makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint) {
+  m_runs.at(key).ending = true;
   schema::RunEnd end;
   *end.mutable_task() = makeTaskId(key.workflow, key.task);
   end.set_run(key.run);
@@ -69,8 +70,7 @@
 
 // ---- reports
 
-std::vector<schema::RunEnd> RunLedger::takeReport(const schema::AttendRequest& report, const WorkflowTable& table,
-                                                  Time now) {
+std::vector<schema::RunEnd> RunLedger::takeReport(const schema::AttendRequest& report, Time now) {
   TargetTrack& target = m_targets[report.agent()];
   const std::set<RunKey>& keys = m_byAgent[report.agent()];
   const bool newAgent = target.incarnation != report.incarnation();
@@ -143,7 +143,7 @@
   return found == m_targets.end() ? inherited : std::max(inherited, found->second.grantUntil);
 }
 
-std::vector<schema::RunEnd> RunLedger::expire(Time now) const {
+std::vector<schema::RunEnd> RunLedger::expire(Time now) {
   std::vector<schema::RunEnd> ends;
   for (const auto& [agent, keys] : m_byAgent) {
     if (keys.empty()) continue;
@@ -170,6 +170,8 @@
 
 bool RunLedger::startDue(const RunTrack& track, Time now) const {
   if (track.confirmed || track.stopWanted) return false;
+  // The next run may begin as soon as this one's end is committed; it must not begin in between.
+  if (track.ending && m_options.withholdEnding) return false;
   return track.startDelivered == Time{} || now >= track.startDelivered + m_options.redeliverAfter;
 }
 
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -31,8 +31,9 @@
   Duration slack = milliseconds(300);            ///< added before runs of a silent agent count as lapsed
   Duration redeliverAfter = milliseconds(1500);  ///< an order without result is given again after this
   // Switches with which proofs turn one mechanism off; all on in production.
-  bool waitForGrants = true;  ///< runs of a silent agent are over only when its grant has run out
-  bool inheritGrants = true;  ///< a new leader counts on grants that a former one gave until it began
+  bool waitForGrants = true;   ///< runs of a silent agent are over only when its grant has run out
+  bool inheritGrants = true;   ///< a new leader counts on grants that a former one gave until it began
+  bool withholdEnding = true;  ///< no start is ordered for a run whose end is on its way into the log
 };
 
 /** \class RunTrack
@@ -43,6 +44,7 @@
   std::string target;
   bool confirmed = false;  ///< its start is known to have been carried out
   bool stopWanted = false;
+  bool ending = false;  ///< its end was given to be committed
   Time startDelivered{};
   Time stopDelivered{};
   Time startedAt{};
@@ -81,9 +83,9 @@
   /** Takes committed changes in. */
   void apply(const std::vector<RunChange>& changes, Time now);
   /** Takes an agent's report in. \returns ends to commit; those of the target may be forgotten only afterwards */
-  std::vector<schema::RunEnd> takeReport(const schema::AttendRequest& report, const WorkflowTable& table, Time now);
+  std::vector<schema::RunEnd> takeReport(const schema::AttendRequest& report, Time now);
   /** \returns ends of runs that nothing can hold any longer. */
-  std::vector<schema::RunEnd> expire(Time now) const;
+  std::vector<schema::RunEnd> expire(Time now);
   /** Says that an agent is being told that it may hold its runs for a grant from now. */
   void granted(const std::string& agent, Time now);
   /** \returns orders that are due for an agent, and counts them as delivered. */
@@ -100,7 +102,7 @@
   const RunLedgerOptions& options() const { return m_options; }
 
  private:
-  schema::RunEnd makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint) const;
+  schema::RunEnd makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint);
   void takeRows(const schema::AttendRequest& report, Time now);
   bool startDue(const RunTrack& track, Time now) const;
   bool stopDue(const RunKey& key, const RunTrack& track, const WorkflowTable& table, Time now) const;
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -55,7 +55,7 @@
     return request;
   }
   std::vector<schema::RunOrder> attend(const schema::AttendRequest& request) {
-    commitEnds(ledger.takeReport(request, table, now));
+    commitEnds(ledger.takeReport(request, now));
     std::vector<schema::RunOrder> orders = ledger.takeOrders("agent", table, now);
     ledger.granted("agent", now);
     return orders;
@@ -216,3 +216,13 @@
   health.ended("t", "w4", schema::RunVoided, now);
   cr_assert(health.paused("t", now));
 }
+
+Test(run_ledger, no_start_is_ordered_while_its_end_is_on_its_way_into_the_log) {
+  LedgerTable test;
+  test.attend(test.report());
+  test.start(0, 1);
+  test.pass(6000);
+  cr_assert_eq(test.ledger.expire(test.now).size(), 1);
+  // The agent is heard again before the end is committed: the next run may begin elsewhere at any moment.
+  cr_assert(test.attend(test.report()).empty());
+}
--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <utility>
 
 #include "Courseloom/src/Scheduling/RunLedger.h"
 #include "test/main.h"
@@ -122,10 +123,20 @@
       workOff(i);
       if (!m_agents[i].cut && chance(0.5)) attend(i);
     }
-    commit(m_ledger->expire(m_now), {});
+    expire();
     plan();
   }
 
+  /** The ends of silent agents' runs are committed a little later; agents may be heard again meanwhile. */
+  void expire() {
+    if (m_expiring.empty()) {
+      m_expiring = m_ledger->expire(m_now);
+      m_expiredAt = m_now + upTo(200);
+    }
+    if (m_expiring.empty() || m_now < m_expiredAt) return;
+    commit(std::exchange(m_expiring, {}), {});
+  }
+
   void newLife(std::size_t i) {
     Agent& agent = m_agents[i];
     agent.target = ModelTarget();
@@ -150,6 +161,9 @@
   }
 
   void newLeader() {
+    // What the former leader was about to commit is in the next one's log, or is lost with it.
+    if (m_ledger && chance(0.5)) commit(m_expiring, {});
+    m_expiring.clear();
     m_ledger = std::make_unique<RunLedger>(m_options);
     m_table.takeRunChanges();
     m_ledger->lead(m_table, m_now);
@@ -288,7 +302,7 @@
       row->set_run(key.run);
       row->set_kind(kind);
     }
-    commit(m_ledger->takeReport(request, m_table, m_now), {});
+    commit(m_ledger->takeReport(request, m_now), {});
     const std::vector<schema::RunOrder> orders = m_ledger->takeOrders(request.agent(), m_table, m_now);
     m_ledger->granted(request.agent(), m_now);
     if (m_faults && chance(0.1)) return;  // the reply is lost
@@ -379,6 +393,8 @@
   std::unique_ptr<RunLedger> m_ledger;
   std::vector<Agent> m_agents;
   std::vector<Late> m_late;
+  std::vector<schema::RunEnd> m_expiring;  ///< ends on their way into the log ...
+  Time m_expiredAt{};                      ///< ... until this time
   std::set<std::string> m_doneNoted;
   std::map<RunKey, Time> m_doneAt;
   std::map<std::string, Time> m_lastStart;
@@ -416,6 +432,12 @@
   cr_assert_not(firstViolation(400, options).empty());
 }
 
+Test(run_ledger_seeded, fails_if_a_start_is_ordered_while_its_end_is_being_committed) {
+  RunLedgerOptions options;
+  options.withholdEnding = false;
+  cr_assert_not(firstViolation(400, options).empty());
+}
+
 Test(run_ledger_seeded, fails_if_doubts_are_not_stopped) {
   AgentMechanisms mechanisms;
   mechanisms.stopDoubts = false;
