Fault soak: the lapse of a hold is told and counted; the ready line is one write

A log line of another thread tore the ready line, so the harness waited 20 s for a replica that was ready. And the checker took a start after a noted end for broken although the back end's hold had run out between end and note, which the users' rules except. Test: run_history.

--- a/Courseloom/src/Runtime/Daemon.cpp
+++ b/Courseloom/src/Runtime/Daemon.cpp
@@ -3,7 +3,9 @@
 
 #include "Courseloom/src/Runtime/Daemon.h"
 
+#include <unistd.h>
 #include <CLI/CLI.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -51,10 +53,14 @@
   return {};
 }
 
+/** In one write: the log's own thread writes to the same file. */
 void print_ready(const schema::NodeSettings& node, const Listening& listening) {
-  std::cout << "ready name=" << node.name();
-  if (listening.rpcPort != 0) std::cout << " rpc=" << node.address() << ":" << listening.rpcPort;
-  std::cout << " http=" << node.address() << ":" << listening.httpPort << std::endl;
+  std::ostringstream line;
+  line << "ready name=" << node.name();
+  if (listening.rpcPort != 0) line << " rpc=" << node.address() << ":" << listening.rpcPort;
+  line << " http=" << node.address() << ":" << listening.httpPort << "\n";
+  const std::string text = line.str();
+  if (::write(STDOUT_FILENO, text.data(), text.size()) < 0) std::cerr << "cannot write to standard output\n";
 }
 
 Awaitable<void> stop_on_signal(asio::io_context& io, asio::signal_set& signals, Service& service) {
--- a/test/run_history.cpp
+++ b/test/run_history.cpp
@@ -75,6 +75,17 @@
   cr_assert(test.finds("started after done"));
 }
 
+Test(run_history, an_end_that_is_noted_after_the_hold_ran_out_binds_nobody) {
+  Case test;
+  test.job();
+  test.event("1000 started i-1 aa.0.0.0 1 -");
+  test.event("1500 ended i-1 aa.0.0.0 1 done");
+  test.event("1800 lapsed i-1");
+  test.event("2000 started i-2 aa.0.0.0 2 -");
+  test.event("2100 noted i-1 aa.0.0.0 1 done");
+  cr_assert_not(test.finds("started after done"));
+}
+
 Test(run_history, refused_work_that_ran_and_work_that_nobody_sent_are_found) {
   Case test;
   test.job().accepted = false;
--- a/test/standins/runner.cpp
+++ b/test/standins/runner.cpp
@@ -8,7 +8,7 @@
 // A task runs for as many milliseconds as its `spec` says (`200`), fails with `fail`, and never ends with `forever`.
 // GET /starts tells how often each task was started, and `done` ends; POST /crash begins a new life; POST /drain makes
 // it announce that it leaves; POST /mute?ms=N answers no order for a while. With --events each start, end, forgotten
-// end and new life is a line of a file: `MICROSECONDS started|ended|noted|over LIFE TASK RUN HOW`.
+// end and new life is a line of a file: `MICROSECONDS started|ended|noted|lapsed|over LIFE TASK RUN HOW`.
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -117,6 +117,10 @@
   Awaitable<void> timeLoop() {
     while (true) {
       const std::int64_t now = clockMs();
+      if (now >= m_heldUntil && m_lapseTold != m_heldUntil) {
+        m_lapseTold = m_heldUntil;
+        tell("lapsed", "-", 0, "-");
+      }
       const std::map<std::string, Task> running = m_running;
       for (const auto& [name, task] : running) {
         if (now >= m_heldUntil) {
@@ -246,6 +250,7 @@
   std::int64_t m_sequence = 0;
   std::int64_t m_term = 0;
   std::int64_t m_heldUntil = 0;
+  std::int64_t m_lapseTold = 0;  ///< end of the hold whose lapse was told last
   std::int64_t m_muteUntil = 0;
   std::int64_t m_lastEnd = 0;
   std::map<std::string, Task> m_running;
