Planner: what can be in time goes first; gangs keep their place and stop cheap work below them; failing targets get nothing

Four targets failed 133 runs, one workflow twelve times on one target within 0.3 s. Change: (1) a workflow avoids targets on which it failed while others could hold it; suspect targets get nothing, then one run at a time; what a poisonous workflow said against targets is taken back. (2) eight reservations that keep their targets; backfill only with twice the estimate to spare; a stopped gang counts 2 s of its work more. (3) a gang that has waited 1 s stops lower work at 0.06 of its own. Tests: run_planner, run_ledger.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -26,6 +26,11 @@
 constexpr double TellingShare = 0.1;
 /** Work of a task that is lost at a stop although it saves its progress, ms. */
 constexpr double CheckpointLossMs = 300.0;
+/** Work that a stopped gang is taken to lose beside what it had done, since it has to wait for a whole place again, ms.
+ */
+/** A workflow that takes this many times its objective is worth nothing to its caller. */
+constexpr double WorthlessAfter = 3.0;
+constexpr double GangRestartMs = 2000.0;
 /** Time that stopping a run may take before its target is gone, ms. */
 constexpr double LeaveMarginMs = 300.0;
 /** A run whose percent has not moved for this long, or for this share of its estimate, stands still. */
@@ -366,6 +371,9 @@
 
 std::vector<PlannedTarget> WorkflowRunner::planTargets() const {
   const Time now = BootClock::now();
+  std::vector<std::string> lives;
+  for (const auto& [agent, track] : m_ledger.targets()) lives.push_back(track.report.id());
+  const bool trusted = !m_health.tooManySuspect(lives, now);
   std::vector<PlannedTarget> targets;
   for (const auto& [agent, track] : m_ledger.targets()) {
     const schema::TargetReport& report = track.report;
@@ -378,7 +386,9 @@
     target.capacity.cpuMilli = static_cast<std::int64_t>(report.capacity().cpu_milli());
     target.capacity.memoryMb = static_cast<std::int64_t>(report.capacity().memory_mb());
     target.capacity.accelerators = report.capacity().accelerators();
-    target.open = m_ledger.open(agent, now) && !m_health.paused(report.id(), now);
+    const bool closed = m_health.paused(report.id(), now) || (trusted && m_health.suspect(report.id(), now));
+    target.open = m_ledger.open(agent, now) && !closed;
+    target.single = trusted && m_health.onProbation(report.id(), now);
     target.penalty = m_health.penalty(report.id(), now);
   }
   return targets;
@@ -404,7 +414,8 @@
     if (step.gang()) run.gang = internal::gang_name(key);
     const double ranMs = toMilliseconds(now - track.startedAt);
     const double lostMs = step.checkpointable() ? std::min(ranMs, internal::CheckpointLossMs) : ranMs;
-    run.lostWork = internal::cores_of(step) * lostMs / internal::MillisecondsPerSecond;
+    const double restartMs = step.gang() ? internal::GangRestartMs : 0.0;
+    run.lostWork = internal::cores_of(step) * (lostMs + restartMs) / internal::MillisecondsPerSecond;
     run.remainingMs = remainingMs(step, track);
   }
   return runs;
@@ -443,11 +454,13 @@
       const bool partOfGang = spec.gang() && step.tasks.size() < spec.count();
       if (step.tasks.empty() || partOfGang) continue;
       step.rank = rankOfWorkflow(workflow);
-      step.penalties = m_health.penaltiesOf(record.id());
+      step.avoided = m_health.failedOn(record.id());
       step.estimateMs = static_cast<double>(spec.estimate_ms());
       step.taskWork = internal::cores_of(spec) * step.estimateMs / internal::MillisecondsPerSecond;
       step.objectiveMs =
           static_cast<double>(due) + record.stretch() * longestChainMs(record.spec()) + record.latency_target_ms();
+      step.worthlessMs =
+          static_cast<double>(due) + internal::WorthlessAfter * (step.objectiveMs - static_cast<double>(due));
       const StepName name{record.id(), key};
       const Time now = BootClock::now();
       step.waitedMs = toMilliseconds(now - m_readySince.try_emplace(name, now).first->second);
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -46,6 +46,12 @@
   return UrgentRank + priority;
 }
 
+Prospect prospectOf(const PlannedStep& step, double nowMs) {
+  const double endMs = nowMs + step.estimateMs;
+  if (endMs <= step.objectiveMs) return Prospect::InTime;
+  return step.worthlessMs == 0.0 || endMs <= step.worthlessMs ? Prospect::Late : Prospect::Worthless;
+}
+
 Room roomOf(const schema::StepSpec& step) {
   Room room;
   room.cpuMilli = step.filler() ? 0 : static_cast<std::int64_t>(step.need().cpu_milli());
@@ -62,14 +68,14 @@
   m_runs = &runs;
   m_steps = std::move(steps);
   m_plan = RunPlan();
-  m_hasReservation = false;
-  m_reserved.assign(targets.size(), Room());
+  m_reservations.clear();
+  m_gangStops = 0;
   m_stopped.assign(runs.size(), false);
   m_free.clear();
   for (const PlannedTarget& target : targets) m_free.push_back(target.capacity);
   m_later = m_free;
   for (const PlannedRun& run : runs) {
-    m_free[run.target].subtract(run.need);
+    occupy(m_free, run.target, run.need);
     if (!run.stopping && !endsSoon(run)) m_later[run.target].subtract(run.need);
   }
   std::vector<std::size_t> order(m_steps.size());
@@ -78,11 +84,18 @@
     const PlannedStep& left = m_steps[a];
     const PlannedStep& right = m_steps[b];
     if (left.rank != right.rank) return left.rank < right.rank;
+    // Guaranteed work begins within its bound, whatever it can still earn.
+    const bool weighs = m_options.prospects && left.rank != GuaranteedRank;
+    const Prospect leftProspect = prospectOf(left, m_nowMs);
+    const Prospect rightProspect = prospectOf(right, m_nowMs);
+    if (weighs && leftProspect != rightProspect) return leftProspect < rightProspect;
     return left.objectiveMs < right.objectiveMs;
   });
   m_nominating.clear();
+  m_waitingFor.clear();
   for (const std::size_t index : order) serve(index);
   m_nominated = std::move(m_nominating);
+  m_waitedFor = std::move(m_waitingFor);
   return std::move(m_plan);
 }
 
@@ -93,8 +106,9 @@
 }
 
 void RunPlanner::serve(std::size_t index) {
-  const PlannedStep& step = m_steps[index];
+  PlannedStep& step = m_steps[index];
   if (step.tickets && step.tickets->empty()) return;
+  if (!step.avoided.empty() && !hasOthers(step)) step.avoided.clear();
   if (step.workflow->step(step.key.step).gang()) {
     serveGang(index);
   } else {
@@ -111,13 +125,12 @@
 }
 
 double RunPlanner::penaltyOf(const PlannedStep& step, const PlannedTarget& target) const {
-  const auto found = step.penalties.find(target.id);
   const double nominated = nominatedForOther(step, target.id) ? internal::NominatedPenalty : 0.0;
-  return target.penalty + nominated + (found == step.penalties.end() ? 0.0 : found->second);
+  return target.penalty + nominated;
 }
 
 bool RunPlanner::wouldServe(const PlannedStep& step, const PlannedTarget& target) const {
-  if (target.service != step.workflow->record.service()) return false;
+  if (target.service != step.workflow->record.service() || step.avoided.count(target.id) > 0) return false;
   const std::string& label = step.workflow->step(step.key.step).required_label();
   if (!label.empty() && target.labels.count(label) == 0) return false;
   return !step.tickets || step.tickets->count(target.id) > 0;
@@ -127,6 +140,24 @@
   return target.open && wouldServe(step, target);
 }
 
+/** \returns whether targets on which the step has not failed could hold it, or a task of it. */
+bool RunPlanner::hasOthers(const PlannedStep& step) const {
+  const schema::StepSpec& spec = step.workflow->step(step.key.step);
+  if (spec.gang()) return couldHold(step, all());
+  const Room need = roomOf(spec);
+  return std::any_of(m_targets->begin(), m_targets->end(),
+                     [&](const PlannedTarget& target) { return allowed(step, target) && target.capacity.holds(need); });
+}
+
+/** Takes room of a target; all of it where one run at a time is the limit. */
+void RunPlanner::occupy(Rooms& rooms, std::size_t target, const Room& need) const {
+  if ((*m_targets)[target].single) {
+    rooms[target] = Room();
+  } else {
+    rooms[target].subtract(need);
+  }
+}
+
 /** \returns whether targets could hold a whole gang if nothing else ran there, open to new runs now or not. */
 bool RunPlanner::couldHold(const PlannedStep& step, const std::vector<std::size_t>& among) const {
   const schema::StepSpec& spec = step.workflow->step(step.key.step);
@@ -148,17 +179,12 @@
                                             const Rooms& rooms, const std::map<std::string, unsigned>& placed) const {
   const schema::StepSpec& spec = step.workflow->step(step.key.step);
   const Room need = roomOf(spec);
-  const bool backfills = !m_hasReservation || step.estimateMs <= m_reservedUntilMs;
   std::optional<std::size_t> chosen;
   double least = std::numeric_limits<double>::max();
   for (const std::size_t i : among) {
     const PlannedTarget& target = (*m_targets)[i];
     if (!allowed(step, target) || !rooms[i].holds(need) || keptForUrgent(step, i, rooms)) continue;
-    if (!backfills) {
-      Room spare = rooms[i];
-      spare.subtract(m_reserved[i]);
-      if (!spare.holds(need)) continue;
-    }
+    if (keptByReservations(step, i, rooms[i], need)) continue;
     if (spec.max_per_target() > 0) {
       const auto count = placed.find(target.id);
       if (count != placed.end() && count->second >= spec.max_per_target()) continue;
@@ -194,7 +220,7 @@
   const Room need = roomOf(step.workflow->step(step.key.step));
   for (std::size_t i = 0; i < chosen.size(); ++i) {
     m_plan.starts.push_back({index, step.tasks[i], chosen[i]});
-    m_free[chosen[i]].subtract(need);
+    occupy(m_free, chosen[i], need);
     m_later[chosen[i]].subtract(need);
     ++step.placedOn[(*m_targets)[chosen[i]].id];
   }
@@ -212,7 +238,7 @@
       const std::optional<std::size_t> target = best(step, among, rooms, placed);
       if (!target) break;
       chosen.push_back(*target);
-      rooms[*target].subtract(need);
+      occupy(rooms, *target, need);
       ++placed[(*m_targets)[*target].id];
     }
   }
@@ -248,7 +274,7 @@
     const std::optional<std::size_t> target = best(step, among, rooms, placed);
     if (!target) return false;
     choice.targets.push_back(*target);
-    rooms[*target].subtract(need);
+    occupy(rooms, *target, need);
     ++placed[(*m_targets)[*target].id];
     choice.cost += penaltyOf(step, (*m_targets)[*target]);
   }
@@ -273,11 +299,30 @@
   Choice choice;
   if (tryGang(step, m_free, choice)) return take(index, choice.targets);
   if (step.isUrgent() && m_options.preemption && (waitsInPeace(step) || preempt(index))) return;
-  if (m_options.reservation && !m_hasReservation && step.waitedMs >= m_options.reserveAfterMs) reserve(step);
+  if (preemptForGang(index)) return;
+  const bool mayReserve = m_reservations.size() < m_options.reservations;
+  if (mayReserve && step.waitedMs >= m_options.reserveAfterMs) reserve(step);
 }
 
 // ---- making room for priority 0
 
+/** A gang finds no place among single tasks, which take each accelerator that becomes free; it may stop those of lower
+ * priority where little is lost. */
+bool RunPlanner::preemptForGang(std::size_t index) {
+  const PlannedStep& step = m_steps[index];
+  const bool mayStop = m_options.preemption && m_options.gangLossRatio > 0.0 && !step.isUrgent();
+  if (!mayStop || step.waitedMs < m_options.gangStopsAfterMs) return false;
+  if (m_gangStops >= m_options.gangStopsAtOnce) return false;
+  ++m_gangStops;
+  return preempt(index);
+}
+
+/** \returns the work of others, core-seconds, that may be lost for one task of a step. */
+double RunPlanner::worthStopping(const PlannedStep& step) const {
+  if (step.rank == GuaranteedRank) return std::numeric_limits<double>::max();
+  return (step.isUrgent() ? m_options.lossRatio : m_options.gangLossRatio) * step.taskWork;
+}
+
 /** Sets room aside for what waits; if what is being stopped is not enough, chooses more to stop. */
 bool RunPlanner::preempt(std::size_t index) {
   const PlannedStep& step = m_steps[index];
@@ -388,9 +433,7 @@
       chosenVictims = std::move(taken);
     }
     // Tasks of their own take what is worth it; a gang needs room for all.
-    const double worth =
-        step.rank == GuaranteedRank ? std::numeric_limits<double>::max() : m_options.lossRatio * step.taskWork;
-    if (!chosen || least > worth) {
+    if (!chosen || least > worthStopping(step)) {
       if (spec.gang()) return false;
       break;
     }
@@ -410,7 +453,8 @@
 // ---- a place in time for a gang that waits
 
 /** \returns the time after which enough runs will have ended by themselves, ms, and the places that are free then. */
-std::optional<double> RunPlanner::naturalWait(const PlannedStep& step, Choice& choice) const {
+std::optional<double> RunPlanner::naturalWait(const PlannedStep& step, Choice& choice,
+                                              const std::vector<std::size_t>* among) const {
   std::vector<std::size_t> order(m_runs->size());
   std::iota(order.begin(), order.end(), 0U);
   std::sort(order.begin(), order.end(),
@@ -419,20 +463,52 @@
   for (const std::size_t r : order) {
     const PlannedRun& run = (*m_runs)[r];
     rooms[run.target].add(run.need);
-    if (tryGang(step, rooms, choice)) return run.remainingMs;
+    const bool fits = among == nullptr ? tryGang(step, rooms, choice) : fillGang(step, *among, rooms, choice);
+    if (fits) return run.remainingMs;
   }
   return std::nullopt;
 }
 
+/** \returns the targets that a gang waited for at the last plan. */
+std::vector<std::size_t> RunPlanner::waitedFor(const PlannedStep& step) const {
+  std::vector<std::size_t> among;
+  const auto found = m_waitedFor.find(nameOf(step));
+  if (found == m_waitedFor.end() || !m_options.stickyReservations) return among;
+  for (std::size_t i = 0; i < m_targets->size(); ++i) {
+    if (found->second.count((*m_targets)[i].id) > 0) among.push_back(i);
+  }
+  return among;
+}
+
 /** Keeps the place that will be free first from later work that would take longer. */
 void RunPlanner::reserve(const PlannedStep& step) {
   Choice choice;
-  const std::optional<double> wait = naturalWait(step, choice);
+  std::optional<double> wait;
+  // What it has waited for so far comes first: a place that moves with each plan never becomes free.
+  const std::vector<std::size_t> before = waitedFor(step);
+  if (!before.empty()) wait = naturalWait(step, choice, &before);
+  if (!wait) wait = naturalWait(step, choice);
   if (!wait) return;
+  for (const std::size_t target : choice.targets) m_waitingFor[nameOf(step)].insert((*m_targets)[target].id);
   const Room need = roomOf(step.workflow->step(step.key.step));
-  for (const std::size_t target : choice.targets) m_reserved[target].add(need);
-  m_reservedUntilMs = *wait;
-  m_hasReservation = true;
+  Reservation reservation{Rooms(m_targets->size()), *wait};
+  for (const std::size_t target : choice.targets) reservation.rooms[target].add(need);
+  m_reservations.push_back(std::move(reservation));
+}
+
+/** \returns whether a target's room is kept for gangs that would be held up by the step. */
+bool RunPlanner::keptByReservations(const PlannedStep& step, std::size_t target, const Room& room,
+                                    const Room& need) const {
+  Room spare = room;
+  bool kept = false;
+  for (const Reservation& reservation : m_reservations) {
+    const Room& set = reservation.rooms[target];
+    const bool here = set.cpuMilli > 0 || set.memoryMb > 0 || set.accelerators > 0;
+    if (!here || m_options.backfillMargin * step.estimateMs <= reservation.untilMs) continue;
+    spare.subtract(set);
+    kept = true;
+  }
+  return kept && !spare.holds(need);
 }
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -50,6 +50,7 @@
   std::set<std::string> labels;
   Room capacity;
   bool open = false;     ///< may be given new runs
+  bool single = false;   ///< may have one run at a time: it has yet to show that it works
   double penalty = 0.0;  ///< added to its cost: slow or failing targets come last
 };
 
@@ -77,16 +78,22 @@
   std::vector<std::uint32_t> tasks;  ///< indexes that wait; for a gang all of them
   Rank rank = UrgentRank;
   double objectiveMs = 0.0;  ///< wall clock by which the workflow should be done
+  double worthlessMs = 0.0;  ///< wall clock from which its end is worth nothing; 0 is never
   double taskWork = 0.0;     ///< core-seconds of one task, as estimated
   double estimateMs = 0.0;   ///< expected run time of one task
   double waitedMs = 0.0;     ///< time since the step became ready
   bool isUrgent() const { return rank <= UrgentRank; }
-  std::map<std::string, double> penalties;   ///< further cost by target id: where it has failed before
+  std::set<std::string> avoided;             ///< targets on which it has failed: used only if no other could hold it
   std::map<std::string, unsigned> placedOn;  ///< tasks of this step by target id, for the limit on one target
   /** Targets that may run it, with their tickets; nothing where no permission is needed. */
   std::optional<std::map<std::string, std::string>> tickets;
 };
 
+/** What a step's workflow can still earn; within a rank, lower goes first. */
+enum class Prospect : std::uint8_t { InTime, Late, Worthless };
+/** \returns the prospect of a step that starts now. \param nowMs wall clock, ms since 1970 */
+Prospect prospectOf(const PlannedStep& step, double nowMs);
+
 /** \class RunPlan
  * \brief What to start and what to stop.
  */
@@ -109,9 +116,12 @@
  */
 struct RunPlannerOptions {
   bool preemption = true;             ///< priority 0 makes room for itself
-  bool reservation = true;            ///< the first gang that waits keeps its place against later work
+  bool prospects = true;              ///< what can still be in time goes before what is late already
+  unsigned reservations = 8;          ///< gangs that wait and keep their places against later work
   double spreadAfterEstimates = 2.0;  ///< a gang of one rack waits this many run times before it spreads, and is slower
   double reserveAfterMs = 1000.0;     ///< wait after which a gang gets a reservation
+  double backfillMargin = 2.0;        ///< later work may use reserved room if this many estimates of it end in time
+  bool stickyReservations = true;     ///< a gang keeps the targets that it once chose to wait for
   bool patience = true;        ///< priority 0 waits for runs that end by themselves in time, rather than stop others
   double endsSoonMs = 500.0;   ///< a run that ends within this time is not worth stopping
   double patienceShare = 0.5;  ///< share of the time to its objective that it may wait so
@@ -119,8 +129,12 @@
   double patienceLimitMs = 1400.0;   ///< longest wait after which others are stopped for it
   /** Work that may be lost for each unit of urgent work outside guarantees; within them any may be. */
   double lossRatio = 0.8;
-  bool headroom = true;            ///< whole targets are kept free for priority 0
-  double headroomWaitMs = 4000.0;  ///< wait after which other work may take them all the same
+  /** The same for a gang of any other priority that has waited, at the cost of lower ones; 0 is never. */
+  double gangLossRatio = 0.06;
+  double gangStopsAfterMs = 1000.0;  ///< wait after which such a gang stops others
+  unsigned gangStopsAtOnce = 4;      ///< such gangs that make room for themselves in one plan
+  bool headroom = true;              ///< whole targets are kept free for priority 0
+  double headroomWaitMs = 4000.0;    ///< wait after which other work may take them all the same
 };
 
 /** \class RunPlanner
@@ -146,6 +160,12 @@
     double cost = 0.0;
   };
 
+  /** Room that will be free for a gang that waits. */
+  struct Reservation {
+    Rooms rooms;           ///< by target
+    double untilMs = 0.0;  ///< time until then; what ends before may use it
+  };
+
   void serve(std::size_t index);
   void servePieces(std::size_t index);
   void serveGang(std::size_t index);
@@ -156,10 +176,15 @@
   double penaltyOf(const PlannedStep& step, const PlannedTarget& target) const;
   bool allowed(const PlannedStep& step, const PlannedTarget& target) const;
   bool preempt(std::size_t index);
+  bool preemptForGang(std::size_t index);
+  double worthStopping(const PlannedStep& step) const;
   bool makeRoom(const PlannedStep& step, const std::vector<std::size_t>& among, Choice& choice,
                 std::vector<std::size_t>& victims, double& cost) const;
   void reserve(const PlannedStep& step);
-  std::optional<double> naturalWait(const PlannedStep& step, Choice& choice) const;
+  bool keptByReservations(const PlannedStep& step, std::size_t target, const Room& room, const Room& need) const;
+  std::optional<double> naturalWait(const PlannedStep& step, Choice& choice,
+                                    const std::vector<std::size_t>* among = nullptr) const;
+  std::vector<std::size_t> waitedFor(const PlannedStep& step) const;
   bool waitsInPeace(const PlannedStep& step);
   bool keptForUrgent(const PlannedStep& step, std::size_t target, const Rooms& rooms) const;
   static StepName nameOf(const PlannedStep& step) { return {step.workflow->record.id(), step.key}; }
@@ -167,6 +192,8 @@
   void setAside(const PlannedStep& step, const Choice& choice);
   void take(std::size_t index, const std::vector<std::size_t>& chosen);
   bool endsSoon(const PlannedRun& run) const { return run.movable && run.remainingMs <= m_options.endsSoonMs; }
+  bool hasOthers(const PlannedStep& step) const;
+  void occupy(Rooms& rooms, std::size_t target, const Room& need) const;
   bool couldHold(const PlannedStep& step, const std::vector<std::size_t>& among) const;
   bool wouldServe(const PlannedStep& step, const PlannedTarget& target) const;
   std::vector<std::vector<std::size_t>> gangGroups(const PlannedStep& step) const;
@@ -176,15 +203,16 @@
   const std::vector<PlannedTarget>* m_targets = nullptr;
   const std::vector<PlannedRun>* m_runs = nullptr;
   std::vector<PlannedStep> m_steps;
-  Rooms m_free;      ///< now
-  Rooms m_later;     ///< once what is being stopped has ended
-  Rooms m_reserved;  ///< set aside for a gang that waits, until m_reservedFor
-  double m_reservedUntilMs = 0.0;
-  bool m_hasReservation = false;
+  Rooms m_free;   ///< now
+  Rooms m_later;  ///< once what is being stopped has ended
+  std::vector<Reservation> m_reservations;
   unsigned m_keepWhole = 0;
+  unsigned m_gangStops = 0;  ///< gangs outside priority 0 that made room in this plan
   double m_nowMs = 0.0;
   std::map<StepName, std::set<std::string>> m_nominated;   ///< targets being freed for a step, as of the last plan
   std::map<StepName, std::set<std::string>> m_nominating;  ///< the same, as of this plan
+  std::map<StepName, std::set<std::string>> m_waitedFor;   ///< targets that a gang waits for, as of the last plan
+  std::map<StepName, std::set<std::string>> m_waitingFor;  ///< the same, as of this plan
   std::vector<bool> m_stopped;                             ///< by run: chosen as victim now
   RunPlan m_plan;
 };
--- a/Courseloom/src/Scheduling/TargetHealth.cpp
+++ b/Courseloom/src/Scheduling/TargetHealth.cpp
@@ -19,8 +19,8 @@
   return now < found->second.cautionUntil ? m_options.cautionPenalty : 0.0;
 }
 
-const std::map<std::string, double>& TargetHealth::penaltiesOf(const std::string& workflow) const {
-  static const std::map<std::string, double> none;
+const std::set<std::string>& TargetHealth::failedOn(const std::string& workflow) const {
+  static const std::set<std::string> none;
   const auto found = m_failedOn.find(workflow);
   return found == m_failedOn.end() ? none : found->second;
 }
@@ -29,7 +29,17 @@
   score.suspicion = score.suspicion == Duration(0) ? m_options.firstSuspicion : score.suspicion * 2;
   score.suspicion = std::min(score.suspicion, m_options.longestSuspicion);
   score.suspectUntil = now + score.suspicion;
-  score.failed.clear();
+}
+
+/** What a workflow at fault said against targets no longer counts. */
+void TargetHealth::takeBack(const std::string& workflow) {
+  for (const std::string& target : m_failedOn[workflow]) {
+    Score& score = m_targets[target];
+    score.failed.erase(workflow);
+    if (score.stalled || score.failed.size() >= m_options.failuresSuspect) continue;
+    score.suspicion = Duration(0);
+    score.suspectUntil = Time{};
+  }
 }
 
 void TargetHealth::ended(const std::string& target, const std::string& workflow, schema::RunEndKind kind, Time now) {
@@ -37,6 +47,7 @@
     const auto found = m_targets.find(target);
     if (found == m_targets.end()) return;
     found->second.failed.clear();
+    found->second.stalled = false;
     found->second.suspicion = Duration(0);
     found->second.suspectUntil = Time{};
     found->second.cautionUntil = Time{};
@@ -44,17 +55,21 @@
   }
   if (kind == schema::RunVoided) return refused(target, now);
   if (kind != schema::RunFailed) return;
-  std::map<std::string, double>& failedOn = m_failedOn[workflow];
-  failedOn[target] = m_options.failedTherePenalty;
-  // What fails on one target after another is at fault itself.
-  if (failedOn.size() > m_options.failuresSuspect) return;
+  std::set<std::string>& failedOn = m_failedOn[workflow];
+  failedOn.insert(target);
+  if (failedOn.size() > m_options.failuresSuspect) return takeBack(workflow);
   Score& score = m_targets[target];
   score.cautionUntil = now + m_options.failureCaution;
   score.failed.insert(workflow);
-  if (score.failed.size() >= m_options.failuresSuspect) suspectNow(score, now);
+  // Several runs that began together fail together; only what began after the suspicion deepens it.
+  const bool deepens = score.failed.size() >= m_options.failuresSuspect && now >= score.suspectUntil;
+  if (deepens) suspectNow(score, now);
 }
 
-void TargetHealth::stalled(const std::string& target, Time now) { suspectNow(m_targets[target], now); }
+void TargetHealth::stalled(const std::string& target, Time now) {
+  m_targets[target].stalled = true;
+  suspectNow(m_targets[target], now);
+}
 
 void TargetHealth::refused(const std::string& target, Time now) {
   m_targets[target].pausedUntil = now + m_options.refusalPause;
@@ -65,6 +80,17 @@
   return found != m_targets.end() && now < found->second.suspectUntil;
 }
 
+bool TargetHealth::onProbation(const std::string& target, Time now) const {
+  const auto found = m_targets.find(target);
+  return found != m_targets.end() && found->second.suspicion > Duration(0) && now >= found->second.suspectUntil;
+}
+
+bool TargetHealth::tooManySuspect(const std::vector<std::string>& targets, Time now) const {
+  const auto suspects =
+      std::count_if(targets.begin(), targets.end(), [&](const std::string& target) { return suspect(target, now); });
+  return static_cast<double>(suspects) > m_options.mostSuspects * static_cast<double>(targets.size());
+}
+
 bool TargetHealth::paused(const std::string& target, Time now) const {
   const auto found = m_targets.find(target);
   return found != m_targets.end() && now < found->second.pausedUntil;
--- a/Courseloom/src/Scheduling/TargetHealth.h
+++ b/Courseloom/src/Scheduling/TargetHealth.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Courseloom/src/Core/Clock.h"
 #include "Courseloom/src/State/WorkflowTable.h"
@@ -20,17 +21,18 @@
   Duration firstSuspicion = milliseconds(4000);  ///< doubles with each further one
   Duration longestSuspicion = milliseconds(32000);
   Duration failureCaution = milliseconds(3000);  ///< after one failure others are preferred for this long
-  double suspectPenalty = 500.0;              ///< cost of a suspect target: used only where nothing else holds the task
-  double failedTherePenalty = 300.0;          ///< of a target on which the same workflow has failed
-  double cautionPenalty = 50.0;               ///< of a target on which anything has failed lately
-  Duration refusalPause = milliseconds(400);  ///< no new runs after the target refused one
+  double suspectPenalty = 500.0;                 ///< cost of a suspect target where suspicion does not close it
+  double cautionPenalty = 50.0;                  ///< of a target on which anything has failed lately
+  double mostSuspects = 0.5;                     ///< share of the targets beyond which suspicion closes none
+  Duration refusalPause = milliseconds(400);     ///< no new runs after the target refused one
 };
 
 /** \class TargetHealth
  * \brief Tells failing, hanging and slow targets from tasks that fail by their own fault.
  *
- * A target is suspect when runs of several workflows failed or stalled on it with none done in between. A workflow that
- * fails on several targets counts once for each, so a task that can never be done casts suspicion on no single one.
+ * A target is suspect when runs of several workflows failed or stalled on it with none done in between. It gets nothing
+ * for a while, then one run at a time until one is done. A workflow that fails on one target after another is at fault
+ * itself, and what it said against targets is taken back.
  * \sa RunPlanner
  */
 class TargetHealth {
@@ -47,28 +49,34 @@
   /** The target refused a run, or never began it. */
   void refused(const std::string& target, Time now);
 
-  /** \returns whether new runs should go elsewhere if they can. */
+  /** \returns whether the target gets nothing new, unless too many are suspect. */
   bool suspect(const std::string& target, Time now) const;
+  /** \returns whether the target, suspect before, has yet to show that it works: one run at a time. */
+  bool onProbation(const std::string& target, Time now) const;
+  /** \returns whether so many of the targets are suspect that the fault must lie elsewhere. */
+  bool tooManySuspect(const std::vector<std::string>& targets, Time now) const;
   /** \returns the cost of placing anything on a target now. */
   double penalty(const std::string& target, Time now) const;
-  /** \returns the further cost of placing a workflow on the targets on which it has failed. */
-  const std::map<std::string, double>& penaltiesOf(const std::string& workflow) const;
+  /** \returns the targets on which a workflow has failed. */
+  const std::set<std::string>& failedOn(const std::string& workflow) const;
   /** \returns whether the target should get nothing for a moment. */
   bool paused(const std::string& target, Time now) const;
 
  private:
   struct Score {
     std::set<std::string> failed;  ///< workflows that failed there since the last success
+    bool stalled = false;          ///< a run stood still there since the last success
     Time suspectUntil{};
     Duration suspicion{};
     Time cautionUntil{};
     Time pausedUntil{};
   };
   void suspectNow(Score& score, Time now);
+  void takeBack(const std::string& workflow);
 
   TargetHealthOptions m_options;
   std::map<std::string, Score> m_targets;
-  std::map<std::string, std::map<std::string, double>> m_failedOn;  ///< by workflow: targets with their cost
+  std::map<std::string, std::set<std::string>> m_failedOn;  ///< targets by workflow
 };
 
 }  // namespace courseloom
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -210,9 +210,11 @@
   health.ended("t", "w2", schema::RunFailed, now);
   cr_assert(health.suspect("t", now));
   cr_assert_not(health.suspect("t", now + milliseconds(5000)));
+  cr_assert(health.onProbation("t", now + milliseconds(5000)), "it has not shown yet that it works");
   health.stalled("t", now);
   health.ended("t", "w3", schema::RunDone, now);
   cr_assert_not(health.suspect("t", now), "what is done there speaks for it");
+  cr_assert_not(health.onProbation("t", now));
   health.ended("t", "w4", schema::RunVoided, now);
   cr_assert(health.paused("t", now));
 }
@@ -226,3 +228,16 @@
   // The agent is heard again before the end is committed: the next run may begin elsewhere at any moment.
   cr_assert(test.attend(test.report()).empty());
 }
+
+Test(run_ledger, work_that_fails_everywhere_casts_no_suspicion_on_targets) {
+  TargetHealth health;
+  const Time now = Time(milliseconds(1000));
+  for (const char* poison : {"p1", "p2"}) {
+    for (const char* target : {"t1", "t2"}) health.ended(target, poison, schema::RunFailed, now);
+  }
+  cr_assert(health.suspect("t1", now));
+  cr_assert(health.tooManySuspect({"t1", "t2", "t3"}, now), "most targets cannot be at fault at once");
+  for (const char* poison : {"p1", "p2"}) health.ended("t3", poison, schema::RunFailed, now);
+  cr_assert_not(health.suspect("t1", now), "what failed on three targets is at fault itself");
+  cr_assert_not(health.onProbation("t1", now));
+}
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -305,3 +305,56 @@
   later.estimateMs = 500.0;
   cr_assert_eq(table.plan().starts.size(), 1, "what ends before the gang could start fills the gap");
 }
+
+Test(run_planner, a_workflow_does_not_return_to_where_it_failed_while_others_could_hold_it) {
+  PlannerTable test(2);
+  test.runs(1, 8, 3);
+  PlannedStep& step = test.waits(1, 4, 3);
+  step.avoided = {"t0"};
+  cr_assert(test.plan().starts.empty(), "it went where it had failed, although the other target will have room");
+  test.target(1).open = false;
+  cr_assert_eq(test.plan().starts.size(), 1, "no other target could hold it");
+}
+
+Test(run_planner, a_target_that_has_yet_to_show_that_it_works_gets_one_run_at_a_time) {
+  PlannerTable test(1);
+  test.target(0).single = true;
+  test.waits(4, 1, 3);
+  test.waits(2, 1, 3);
+  cr_assert_eq(test.plan().starts.size(), 1);
+  test.runs(0, 1, 3);
+  cr_assert(test.plan().starts.empty());
+}
+
+Test(run_planner, what_can_still_be_in_time_goes_before_what_is_late) {
+  PlannerTable test(1);
+  PlannedStep& worthless = test.waits(1, 8, 3);
+  worthless.objectiveMs = NowMs - 9000.0;
+  worthless.worthlessMs = NowMs - 1000.0;
+  PlannedStep& late = test.waits(1, 8, 3);
+  late.objectiveMs = NowMs + 500.0;
+  late.worthlessMs = NowMs + 9000.0;
+  PlannedStep& inTime = test.waits(1, 8, 3);
+  inTime.objectiveMs = NowMs + 4000.0;
+  const RunPlan plan = test.plan();
+  cr_assert_eq(plan.starts.size(), 1);
+  cr_assert_eq(plan.starts[0].step, 2);
+  RunPlannerOptions options;
+  options.prospects = false;
+  cr_assert_eq(test.plan(0, options).starts[0].step, 0, "the earliest objective first");
+}
+
+Test(run_planner, a_gang_that_has_waited_stops_cheap_work_of_lower_priority) {
+  PlannerTable test(2);
+  test.runs(0, 8, 4).lostWork = 2.0;
+  test.runs(1, 8, 4).lostWork = 2.0;
+  PlannedStep& gang = test.waits(2, 8, 3, true);
+  gang.taskWork = 100.0;
+  gang.waitedMs = 500.0;
+  cr_assert(test.plan().stops.empty(), "it has hardly waited");
+  gang.waitedMs = 1500.0;
+  cr_assert_eq(test.plan().stops.size(), 2);
+  RunPlannerOptions options;
+  options.gangLossRatio = 0.0;
+  cr_assert(test.plan(0, options).stops.empty());
+}
