--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -7,6 +7,7 @@
 //   soak --seed 7 --seconds 20            one run
 //   soak --seed 1 --runs 50 --seconds 15  fifty seeds, one line each
 //   soak --large                          as many processes as the machine bears
+//   soak --cases test/soak/cases.txt      every seed that ever failed
 //
 // Ends with 0 if every promise held. The folder of a run that failed is kept and named.
 
@@ -14,6 +15,7 @@
 #include <fstream>
 #include <iostream>
 #include <set>
+#include <sstream>
 
 #include "test/soak/SoakFaults.h"
 
@@ -26,6 +28,8 @@
 constexpr Duration CheckInterval = milliseconds(500);
 /** After the last fault every accepted job ends within this: leases lapse, replicas elect, back ends register. */
 constexpr Duration HealLimit = milliseconds(60000);
+constexpr unsigned Callers = 8;
+constexpr unsigned LargeCallers = 24;
 /** What still runs for a job that has ended is stopped within this. */
 constexpr Duration SettleTime = milliseconds(4000);
 
@@ -35,8 +39,40 @@
   unsigned seconds = 20;
   bool large = false;
   bool verbose = false;
+  std::string cases;  ///< file of seeds that have failed once
 };
 
+/** One run to play. */
+struct SoakCase {
+  std::uint64_t seed = 1;
+  unsigned seconds = 20;
+  bool large = false;
+};
+
+/** Reads lines `SEED SECONDS normal|large CAUSE`; those that begin with # are notes. */
+std::vector<SoakCase> readCases(const std::string& name) {
+  std::vector<SoakCase> cases;
+  std::ifstream file(name);
+  if (!file) throw CLI::ValidationError("--cases", "cannot read " + name);
+  for (std::string line; std::getline(file, line);) {
+    std::istringstream words(line);
+    SoakCase one;
+    std::string size;
+    if (line.empty() || line[0] == '#') continue;
+    if (!(words >> one.seed >> one.seconds >> size)) throw CLI::ValidationError("--cases", "unreadable: " + line);
+    one.large = size == "large";
+    cases.push_back(one);
+  }
+  return cases;
+}
+
+std::vector<SoakCase> casesOf(const SoakOptions& options) {
+  if (!options.cases.empty()) return readCases(options.cases);
+  std::vector<SoakCase> cases;
+  for (unsigned i = 0; i < options.runs; ++i) cases.push_back({options.seed + i, options.seconds, options.large});
+  return cases;
+}
+
 /** Reads what is new in the event files of all back ends. */
 class EventReader {
  public:
@@ -133,18 +169,26 @@
   app.add_option("--runs", options.runs, "Seeds to play, one after the other");
   app.add_option("--seconds", options.seconds, "Length of each run's faults, s");
   app.add_flag("--large", options.large, "Many processes: 3 control replicas, 4 entries, 12 targets with agents");
+  app.add_option("--cases", options.cases, "File of runs to play instead: SEED SECONDS normal|large CAUSE")
+      ->check(CLI::ExistingFile);
   app.add_flag("--verbose", options.verbose, "Print the faults of runs that held as well");
   CLI11_PARSE(app, argc, argv);
+  std::vector<SoakCase> cases;
+  try {
+    cases = casesOf(options);
+  } catch (const CLI::Error& error) {
+    return app.exit(error);
+  }
   unsigned failed = 0;
-  for (std::uint64_t seed = options.seed; seed < options.seed + options.runs; ++seed) {
-    const SoakSize size = options.large ? SoakSize{3, 4, 12} : SoakSize{};
-    SoakRun run(seed, size, options.large ? 24 : 8);
-    const bool held = run.play(milliseconds(1000) * options.seconds);
+  for (const SoakCase& one : cases) {
+    const SoakSize size = one.large ? SoakSize{3, 4, 12} : SoakSize{};
+    SoakRun run(one.seed, size, one.large ? LargeCallers : Callers);
+    const bool held = run.play(milliseconds(1000) * one.seconds);
     if (!held) ++failed;
-    std::cout << "seed " << seed << (held ? " held: " : " FAILED: ");
+    std::cout << "seed " << one.seed << (held ? " held: " : " FAILED: ");
     run.print(std::cout, options.verbose);
     std::cout.flush();
   }
-  std::cout << options.runs - failed << " held, " << failed << " failed" << std::endl;
+  std::cout << cases.size() - failed << " held, " << failed << " failed" << std::endl;
   return failed == 0 ? 0 : 1;
 }
