Planner: a gang ends with its slowest member, and what should have ended is not counted on for ever

The planner took two members of a backfill gang for about to end, since their own share was done; the gang ended with its slowest member 3.1 s later. Each plan counted on them anew and stopped nothing. Ruled out: targets on probation (none was; their room is now counted alike in both views all the same), reservations, labels. Change: what is left of a gang is what is left of its slowest member; a run that has been expected to end soon for 1 s is no longer counted on and may be stopped.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -394,6 +394,19 @@
   return targets;
 }
 
+/** A gang ends with its slowest member, however far the others are. */
+void WorkflowRunner::endGangsTogether(std::vector<PlannedRun>& runs) {
+  std::map<std::string, double> remaining;
+  for (const PlannedRun& run : runs) {
+    if (run.gang.empty()) continue;
+    double& longest = remaining[run.gang];
+    longest = std::max(longest, run.remainingMs);
+  }
+  for (PlannedRun& run : runs) {
+    if (!run.gang.empty()) run.remainingMs = remaining.at(run.gang);
+  }
+}
+
 std::vector<PlannedRun> WorkflowRunner::planRuns(const std::vector<PlannedTarget>& targets) const {
   std::map<std::string, std::size_t> byAgent;
   for (std::size_t i = 0; i < targets.size(); ++i) byAgent[targets[i].agent] = i;
@@ -418,6 +431,7 @@
     run.lostWork = internal::cores_of(step) * (lostMs + restartMs) / internal::MillisecondsPerSecond;
     run.remainingMs = remainingMs(step, track);
   }
+  endGangsTogether(runs);
   return runs;
 }
 
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -63,6 +63,7 @@
   static double remainingMs(const schema::StepSpec& step, const RunTrack& track);
   void stopWhole(const RunKey& key, const char* reason);
   std::vector<PlannedTarget> planTargets() const;
+  static void endGangsTogether(std::vector<PlannedRun>& runs);
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
   std::vector<PlannedStep> planSteps();
   void addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -74,9 +74,10 @@
   m_free.clear();
   for (const PlannedTarget& target : targets) m_free.push_back(target.capacity);
   m_later = m_free;
-  for (const PlannedRun& run : runs) {
-    occupy(m_free, run.target, run.need);
-    if (!run.stopping && !endsSoon(run)) m_later[run.target].subtract(run.need);
+  findEndsSoon();
+  for (std::size_t r = 0; r < runs.size(); ++r) {
+    occupy(m_free, runs[r].target, runs[r].need);
+    if (!runs[r].stopping && !m_endsSoon[r]) occupy(m_later, runs[r].target, runs[r].need);
   }
   std::vector<std::size_t> order(m_steps.size());
   std::iota(order.begin(), order.end(), 0U);
@@ -99,6 +100,20 @@
   return std::move(m_plan);
 }
 
+/** Expectations may be wrong: a run that should have ended a while ago is not counted on any more. */
+void RunPlanner::findEndsSoon() {
+  std::map<RunKey, double> since;
+  m_endsSoon.assign(m_runs->size(), false);
+  for (std::size_t r = 0; r < m_runs->size(); ++r) {
+    const PlannedRun& run = (*m_runs)[r];
+    if (!run.movable || run.remainingMs > m_options.endsSoonMs) continue;
+    const auto before = m_soonSince.find(run.key);
+    since[run.key] = before == m_soonSince.end() ? m_nowMs : before->second;
+    m_endsSoon[r] = m_nowMs - since[run.key] <= m_options.endsSoonTrustMs;
+  }
+  m_soonSince = std::move(since);
+}
+
 std::vector<std::size_t> RunPlanner::all() const {
   std::vector<std::size_t> among(m_targets->size());
   std::iota(among.begin(), among.end(), 0U);
@@ -221,7 +236,7 @@
   for (std::size_t i = 0; i < chosen.size(); ++i) {
     m_plan.starts.push_back({index, step.tasks[i], chosen[i]});
     occupy(m_free, chosen[i], need);
-    m_later[chosen[i]].subtract(need);
+    occupy(m_later, chosen[i], need);
     ++step.placedOn[(*m_targets)[chosen[i]].id];
   }
 }
@@ -356,8 +371,8 @@
 void RunPlanner::setAside(const PlannedStep& step, const Choice& choice) {
   const Room need = roomOf(step.workflow->step(step.key.step));
   for (const std::size_t target : choice.targets) {
-    m_free[target].subtract(need);
-    m_later[target].subtract(need);
+    occupy(m_free, target, need);
+    occupy(m_later, target, need);
     m_nominating[nameOf(step)].insert((*m_targets)[target].id);
   }
 }
@@ -387,7 +402,7 @@
   std::map<std::size_t, std::vector<std::size_t>> byTarget;
   for (std::size_t r = 0; r < m_runs->size(); ++r) {
     const PlannedRun& run = (*m_runs)[r];
-    if (run.stopping || endsSoon(run) || !run.movable || run.rank <= step.rank) continue;
+    if (run.stopping || m_endsSoon[r] || !run.movable || run.rank <= step.rank) continue;
     byTarget[run.target].push_back(r);
     if (!run.gang.empty()) gangs[run.gang].push_back(r);
   }
@@ -442,7 +457,7 @@
       victims.push_back(r);
       rooms[(*m_runs)[r].target].add((*m_runs)[r].need);
     }
-    rooms[*chosen].subtract(need);
+    occupy(rooms, *chosen, need);
     ++placed[(*m_targets)[*chosen].id];
     choice.targets.push_back(*chosen);
     cost += least;
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -122,9 +122,10 @@
   double reserveAfterMs = 1000.0;     ///< wait after which a gang gets a reservation
   double backfillMargin = 2.0;        ///< later work may use reserved room if this many estimates of it end in time
   bool stickyReservations = true;     ///< a gang keeps the targets that it once chose to wait for
-  bool patience = true;        ///< priority 0 waits for runs that end by themselves in time, rather than stop others
-  double endsSoonMs = 500.0;   ///< a run that ends within this time is not worth stopping
-  double patienceShare = 0.5;  ///< share of the time to its objective that it may wait so
+  bool patience = true;       ///< priority 0 waits for runs that end by themselves in time, rather than stop others
+  double endsSoonMs = 500.0;  ///< a run that ends within this time is not worth stopping
+  double endsSoonTrustMs = 1000.0;   ///< a run that should have ended for this long is no longer counted on
+  double patienceShare = 0.5;        ///< share of the time to its objective that it may wait so
   double urgentPatienceShare = 0.8;  ///< the same outside guarantees, which no promise bounds
   double patienceLimitMs = 1400.0;   ///< longest wait after which others are stopped for it
   /** Work that may be lost for each unit of urgent work outside guarantees; within them any may be. */
@@ -191,7 +192,7 @@
   bool nominatedForOther(const PlannedStep& step, const std::string& target) const;
   void setAside(const PlannedStep& step, const Choice& choice);
   void take(std::size_t index, const std::vector<std::size_t>& chosen);
-  bool endsSoon(const PlannedRun& run) const { return run.movable && run.remainingMs <= m_options.endsSoonMs; }
+  void findEndsSoon();
   bool hasOthers(const PlannedStep& step) const;
   void occupy(Rooms& rooms, std::size_t target, const Room& need) const;
   bool couldHold(const PlannedStep& step, const std::vector<std::size_t>& among) const;
@@ -213,6 +214,8 @@
   std::map<StepName, std::set<std::string>> m_nominating;  ///< the same, as of this plan
   std::map<StepName, std::set<std::string>> m_waitedFor;   ///< targets that a gang waits for, as of the last plan
   std::map<StepName, std::set<std::string>> m_waitingFor;  ///< the same, as of this plan
+  std::map<RunKey, double> m_soonSince;                    ///< wall clock from which a run is expected to end soon
+  std::vector<bool> m_endsSoon;                            ///< by run: expected to end soon, and not for too long
   std::vector<bool> m_stopped;                             ///< by run: chosen as victim now
   RunPlan m_plan;
 };
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -34,6 +34,7 @@
   }
 
   PlannedTarget& target(std::size_t i) { return m_targets[i]; }
+  double nowMs = NowMs;
 
   /** A step of its own workflow that waits with all its tasks. */
   PlannedStep& waits(unsigned count, unsigned accelerators, Rank rank, bool gang = false) {
@@ -77,7 +78,7 @@
   }
   /** Plans with a planner that has planned before. */
   RunPlan planWith(RunPlanner& planner, unsigned keepWhole = 0) {
-    return planner.plan(m_targets, m_runs, m_steps, keepWhole, NowMs);
+    return planner.plan(m_targets, m_runs, m_steps, keepWhole, nowMs);
   }
   void endRuns() { m_runs.clear(); }
 
@@ -358,3 +359,14 @@
   options.gangLossRatio = 0.0;
   cr_assert(test.plan(0, options).stops.empty());
 }
+
+Test(run_planner, a_run_that_should_have_ended_long_ago_is_stopped_for_guaranteed_work) {
+  PlannerTable test(1);
+  test.runs(0, 8, 3, 100.0);
+  PlannedStep& gang = test.waits(1, 8, GuaranteedRank, true);
+  gang.waitedMs = 1500.0;
+  RunPlanner planner;
+  cr_assert(test.planWith(planner).stops.empty(), "it ends by itself");
+  test.nowMs += 1500.0;
+  cr_assert_eq(test.planWith(planner).stops.size(), 1, "it has not ended, and the bound comes nearer");
+}
