RunPlanner and WorkflowRunner in parts: preemption, reservations, planning; makeRoom in short functions

Change: RunPlannerPreemption.cpp, RunPlannerReservations.cpp, WorkflowPlanning.cpp; makeRoom chooses among Clearings. One difference in what it decides: two members of a gang on one target are priced once, not twice. Tests: run_planner, run_ledger, run_ledger_seeded pass.

--- /dev/null
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -0,0 +1,264 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// The part of WorkflowRunner that tells RunPlanner of targets, runs and waiting steps, and turns its plan into starts.
+
+#include <algorithm>
+#include <cmath>
+
+#include "Courseloom/src/Control/WorkflowRunner.h"
+#include "Courseloom/src/Core/Log.h"
+
+namespace courseloom {
+
+namespace internal {
+namespace {
+
+constexpr double AcceleratorCores = 8.0;
+constexpr double MillisecondsPerSecond = 1000.0;
+/** Work of a task that is lost at a stop although it saves its progress, ms. */
+constexpr double CheckpointLossMs = 300.0;
+/** Work that a stopped gang is taken to lose beside what it had done, ms: it has to wait for a whole place again. */
+constexpr double GangRestartMs = 2000.0;
+/** A workflow that takes this many times its objective is worth nothing to its caller. */
+constexpr double WorthlessAfter = 3.0;
+/** Accelerators that urgent work is taken to need before any was seen. */
+constexpr double FirstUrgentPeak = 16.0;
+/** Time in which a peak of urgent work fades to a third, ms. */
+constexpr double UrgentPeakFadeMs = 20000.0;
+constexpr double AcceleratorsPerTarget = 8.0;
+
+std::string gang_name(const RunKey& key) {
+  return key.workflow + "." + std::to_string(key.task.occurrence) + "." + std::to_string(key.task.step) + "." +
+         std::to_string(key.run);
+}
+
+/** \returns the cores that a task of a step takes, its accelerators counted in. */
+double cores_of(const schema::StepSpec& step) {
+  return static_cast<double>(step.need().cpu_milli()) / MillisecondsPerSecond +
+         AcceleratorCores * step.need().accelerators();
+}
+
+}  // namespace
+}  // namespace internal
+
+schema::RecordRuns WorkflowRunner::makePlan() {
+  schema::RecordRuns runs;
+  markGuaranteed();
+  std::vector<PlannedStep> steps = planSteps();
+  if (steps.empty()) return runs;
+  const std::vector<PlannedTarget> targets = planTargets();
+  const std::vector<PlannedRun> active = planRuns(targets);
+  const unsigned keepWhole = wholeTargetsToKeep(active, steps);
+  const RunPlan plan = m_planner.plan(targets, active, steps, keepWhole, static_cast<double>(wallClockMs()));
+  for (const RunPlan::Stop& stop : plan.stops) {
+    notifyAgent(m_ledger.wantStop(stop.run));
+    const PlannedStep& step = steps[stop.forStep];
+    logEvent(schema::RunPreempted, {{"task", taskText(makeTaskId(stop.run.workflow, stop.run.task))},
+                                    {"run", std::uint64_t{stop.run.run}},
+                                    {"forWorkflow", step.workflow->record.id()},
+                                    {"rank", std::uint64_t{step.rank}},
+                                    {"waitedMs", static_cast<std::uint64_t>(step.waitedMs)}});
+  }
+  for (const RunPlan::Start& start : plan.starts) {
+    const PlannedStep& step = steps[start.step];
+    const PlannedTarget& target = targets[start.target];
+    const TaskKey key{step.key.occurrence, step.key.step, start.task};
+    schema::RunStart* row = runs.add_starts();
+    *row->mutable_task() = makeTaskId(step.workflow->record.id(), key);
+    row->mutable_run()->set_number(step.workflow->nextRun(key));
+    row->mutable_run()->set_target(target.id);
+    row->mutable_run()->set_agent(target.agent);
+    row->mutable_run()->set_checkpoint(step.workflow->checkpointOf(key));
+    if (step.tickets) row->mutable_run()->set_ticket(step.tickets->at(target.id));
+    logEvent(schema::RunPlaced, {{"task", taskText(row->task())},
+                                 {"run", std::uint64_t{row->run().number()}},
+                                 {"target", target.id},
+                                 {"waitedMs", static_cast<std::uint64_t>(step.waitedMs)}});
+  }
+  return runs;
+}
+
+/** A tenant's workflows of priority 0 lie within its guarantee, the earliest first, as long as it holds them all. */
+void WorkflowRunner::markGuaranteed() {
+  m_guaranteed.clear();
+  std::map<std::string, std::uint64_t> left;
+  for (const schema::Tenant& tenant : table().configuration().tenants()) {
+    left[tenant.name()] = tenant.guaranteed_accelerators();
+  }
+  std::multimap<std::uint64_t, const WorkflowState*> bySubmission;
+  for (const std::string& id : table().open()) {
+    const WorkflowState* workflow = table().find(id);
+    if (!workflow->ended() && workflow->record.priority() == 0) {
+      bySubmission.emplace(workflow->record.submitted_ms(), workflow);
+    }
+  }
+  for (const auto& [submitted, workflow] : bySubmission) {
+    std::uint64_t need = 0;
+    for (const schema::StepSpec& step : workflow->record.spec().steps()) {
+      need = std::max<std::uint64_t>(need, std::uint64_t{step.count()} * step.need().accelerators());
+    }
+    std::uint64_t& room = left[workflow->record.tenant()];
+    if (need == 0 || need > room) continue;
+    room -= need;
+    m_guaranteed.insert(workflow->record.id());
+  }
+}
+
+Rank WorkflowRunner::rankOfWorkflow(const WorkflowState& workflow) const {
+  return rankOf(workflow.record.priority(), m_guaranteed.count(workflow.record.id()) > 0);
+}
+
+/** As many as urgent work lately needed at its peak, less what it holds now; the peak fades. */
+unsigned WorkflowRunner::wholeTargetsToKeep(const std::vector<PlannedRun>& runs,
+                                            const std::vector<PlannedStep>& steps) {
+  double held = 0.0;
+  for (const PlannedRun& run : runs) held += run.rank <= UrgentRank ? static_cast<double>(run.need.accelerators) : 0.0;
+  double wanted = held;
+  for (const PlannedStep& step : steps) {
+    if (!step.isUrgent()) continue;
+    wanted += static_cast<double>(step.tasks.size()) * step.workflow->step(step.key.step).need().accelerators();
+  }
+  const Time now = BootClock::now();
+  if (m_urgentSeen == Time{}) m_urgentPeak = internal::FirstUrgentPeak;
+  const double elapsedMs = m_urgentSeen == Time{} ? 0.0 : toMilliseconds(now - m_urgentSeen);
+  m_urgentSeen = now;
+  m_urgentPeak = std::max(wanted, m_urgentPeak * std::exp(-elapsedMs / internal::UrgentPeakFadeMs));
+  return static_cast<unsigned>(std::ceil(std::max(0.0, m_urgentPeak - held) / internal::AcceleratorsPerTarget));
+}
+
+std::vector<PlannedTarget> WorkflowRunner::planTargets() const {
+  const Time now = BootClock::now();
+  std::vector<std::string> lives;
+  for (const auto& [agent, track] : m_ledger.targets()) lives.push_back(track.report.id());
+  const bool trusted = !m_health.tooManySuspect(lives, now);
+  std::vector<PlannedTarget> targets;
+  for (const auto& [agent, track] : m_ledger.targets()) {
+    const schema::TargetReport& report = track.report;
+    PlannedTarget& target = targets.emplace_back();
+    target.id = report.id();
+    target.agent = agent;
+    target.service = report.service();
+    target.rack = report.rack();
+    target.labels.insert(report.labels().begin(), report.labels().end());
+    target.capacity.cpuMilli = static_cast<std::int64_t>(report.capacity().cpu_milli());
+    target.capacity.memoryMb = static_cast<std::int64_t>(report.capacity().memory_mb());
+    target.capacity.accelerators = report.capacity().accelerators();
+    const bool closed = m_health.paused(report.id(), now) || (trusted && m_health.suspect(report.id(), now));
+    target.open = m_ledger.open(agent, now) && !closed;
+    target.single = trusted && m_health.onProbation(report.id(), now);
+    target.penalty = m_health.penalty(report.id(), now);
+  }
+  return targets;
+}
+
+/** A gang ends with its slowest member, however far the others are. */
+void WorkflowRunner::endGangsTogether(std::vector<PlannedRun>& runs) {
+  std::map<std::string, double> remaining;
+  for (const PlannedRun& run : runs) {
+    if (run.gang.empty()) continue;
+    double& longest = remaining[run.gang];
+    longest = std::max(longest, run.remainingMs);
+  }
+  for (PlannedRun& run : runs) {
+    if (!run.gang.empty()) run.remainingMs = remaining.at(run.gang);
+  }
+}
+
+std::vector<PlannedRun> WorkflowRunner::planRuns(const std::vector<PlannedTarget>& targets) const {
+  std::map<std::string, std::size_t> byAgent;
+  for (std::size_t i = 0; i < targets.size(); ++i) byAgent[targets[i].agent] = i;
+  const Time now = BootClock::now();
+  std::vector<PlannedRun> runs;
+  for (const auto& [key, track] : m_ledger.runs()) {
+    const auto target = byAgent.find(track.agent);
+    const WorkflowState* workflow = table().find(key.workflow);
+    if (target == byAgent.end() || workflow == nullptr) continue;
+    const schema::StepSpec& step = workflow->step(key.task.step);
+    PlannedRun& run = runs.emplace_back();
+    run.key = key;
+    run.target = target->second;
+    run.need = roomOf(step);
+    run.rank = rankOfWorkflow(*workflow);
+    run.stopping = track.stopWanted || workflow->ended();
+    run.movable = !step.long_running();
+    if (step.gang()) run.gang = internal::gang_name(key);
+    const double ranMs = toMilliseconds(now - track.startedAt);
+    const double lostMs = step.checkpointable() ? std::min(ranMs, internal::CheckpointLossMs) : ranMs;
+    const double restartMs = step.gang() ? internal::GangRestartMs : 0.0;
+    run.lostWork = internal::cores_of(step) * (lostMs + restartMs) / internal::MillisecondsPerSecond;
+    run.remainingMs = remainingMs(step, track);
+  }
+  endGangsTogether(runs);
+  return runs;
+}
+
+std::vector<PlannedStep> WorkflowRunner::planSteps() {
+  const std::uint64_t nowMs = wallClockMs();
+  std::vector<PlannedStep> steps;
+  for (const std::string& id : table().open()) {
+    const WorkflowState* workflow = table().find(id);
+    if (!workflow->ended()) addSteps(*workflow, nowMs, steps);
+  }
+  return steps;
+}
+
+void WorkflowRunner::addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps) {
+  const schema::Workflow& record = workflow.record;
+  const schema::Queue* queue = queueNamed(record.queue());
+  for (std::uint32_t occurrence = 0; occurrence < workflow.occurrences(); ++occurrence) {
+    const std::uint64_t due = workflow.dueMs(occurrence);
+    if (due > nowMs) break;
+    for (int s = 0; s < record.spec().steps_size(); ++s) {
+      const StepKey key{occurrence, static_cast<std::uint32_t>(s)};
+      if (workflow.stepDone(key) || !workflow.stepReady(key)) continue;
+      const schema::StepSpec& spec = record.spec().steps(s);
+      PlannedStep step;
+      step.workflow = &workflow;
+      step.key = key;
+      for (std::uint32_t i = 0; i < spec.count(); ++i) {
+        const TaskState* task = workflow.task({occurrence, key.step, i});
+        const bool waits = task == nullptr || (!task->done && task->active.empty());
+        if (waits) step.tasks.push_back(i);
+        if (task == nullptr) continue;
+        for (const schema::ActiveRun& run : task->active) ++step.placedOn[run.target()];
+      }
+      const bool partOfGang = spec.gang() && step.tasks.size() < spec.count();
+      if (step.tasks.empty() || partOfGang) continue;
+      step.rank = rankOfWorkflow(workflow);
+      step.avoided = m_health.failedOn(record.id());
+      step.estimateMs = static_cast<double>(spec.estimate_ms());
+      step.taskWork = internal::cores_of(spec) * step.estimateMs / internal::MillisecondsPerSecond;
+      step.objectiveMs =
+          static_cast<double>(due) + record.stretch() * longestChainMs(record.spec()) + record.latency_target_ms();
+      step.worthlessMs =
+          static_cast<double>(due) + internal::WorthlessAfter * (step.objectiveMs - static_cast<double>(due));
+      const StepName name{record.id(), key};
+      const Time now = BootClock::now();
+      step.waitedMs = toMilliseconds(now - m_readySince.try_emplace(name, now).first->second);
+      // A former leader's waiting counts too, as far as the log tells of it.
+      if (spec.after().empty()) step.waitedMs = std::max(step.waitedMs, static_cast<double>(nowMs - due));
+      if (m_advice.needed(queue))
+        step.tickets = m_advice.ticketsFor(name, queue->advice(), openTargets(record.service()));
+      steps.push_back(std::move(step));
+    }
+  }
+}
+
+std::vector<std::string> WorkflowRunner::openTargets(const std::string& service) const {
+  std::vector<std::string> open;
+  for (const auto& [agent, track] : m_ledger.targets()) {
+    const bool fits = m_ledger.open(agent, BootClock::now()) && track.report.service() == service;
+    if (fits) open.push_back(track.report.id());
+  }
+  return open;
+}
+
+const schema::Queue* WorkflowRunner::queueNamed(const std::string& name) const {
+  for (const schema::Queue& queue : table().configuration().queues()) {
+    if (queue.name() == name) return &queue;
+  }
+  return nullptr;
+}
+
+}  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -167,6 +167,18 @@
     double untilMs = 0.0;  ///< time until then; what ends before may use it
   };
 
+  /** Runs that may be stopped, by index among the given runs. */
+  struct Stoppable {
+    std::map<std::size_t, std::vector<std::size_t>> byTarget;
+    std::map<std::string, std::vector<std::size_t>> gangs;
+  };
+  /** What is stopped so that a target holds one more task. */
+  struct Clearing {
+    std::size_t target = 0;
+    std::vector<std::size_t> victims;
+    double price = 0.0;  ///< work that is lost, core-seconds, and the target's penalty
+  };
+
   void serve(std::size_t index);
   void servePieces(std::size_t index);
   void serveGang(std::size_t index);
@@ -179,6 +191,11 @@
   bool preempt(std::size_t index);
   bool preemptForGang(std::size_t index);
   double worthStopping(const PlannedStep& step) const;
+  Stoppable stoppableFor(const PlannedStep& step) const;
+  std::vector<std::size_t> wholeOf(const Stoppable& stoppable, std::size_t run) const;
+  double priceOf(const Stoppable& stoppable, std::size_t run) const;
+  std::optional<Clearing> clear(const PlannedStep& step, std::size_t target, const Stoppable& stoppable,
+                                const std::vector<bool>& gone, Room room) const;
   bool makeRoom(const PlannedStep& step, const std::vector<std::size_t>& among, Choice& choice,
                 std::vector<std::size_t>& victims, double& cost) const;
   void reserve(const PlannedStep& step);
