--- a/Courseloom/src/Control/AdviceBook.h
+++ b/Courseloom/src/Control/AdviceBook.h
@@ -46,6 +46,10 @@
       : m_strand(std::move(strand)), m_port(std::move(port)), m_arrived(std::move(arrived)) {}
 
   void clear() { m_permissions.clear(); }
+  /** Forgets the tickets of a workflow that has ended. */
+  void forget(const std::string& workflow) {
+    std::erase_if(m_permissions, [&workflow](const auto& entry) { return entry.first.first == workflow; });
+  }
   bool needed(const schema::Queue* queue) const { return m_port && queue != nullptr && queue->has_advice(); }
   /** \param targets lives of targets that could run the step; those not asked for yet are asked for now
    * \returns the tickets that are held and still good, by target */
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -110,6 +110,8 @@
     if (workflow == nullptr) continue;
     noteEnded(*workflow);
     m_health.forget(id);
+    m_advice.forget(id);
+    std::erase_if(m_readySince, [&id](const auto& entry) { return entry.first.first == id; });
     for (const auto& [key, task] : workflow->tasks) {
       for (const schema::ActiveRun& run : task.active) notifyAgent(run.agent());
     }
