--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -228,8 +228,8 @@
   for (const schema::RunOrder& order : reply.orders()) takeOrder(order, until);
 }
 
-/** \param until end of the grant that came with the order. One that was on its way for longer must not begin a run, even
- * under a later grant: the leader may have counted that run as lapsed and begun the next. */
+/** \param until end of the grant that came with the order. One that was on its way for longer must not begin a run,
+ * even under a later grant: the leader may have counted that run as lapsed and begun the next. */
 void RunAgentService::takeOrder(const schema::RunOrder& order, Time until) {
   if (!isLife(order.target())) return;
   const RunKey key = runKeyOf(order.task(), order.run());
--- a/Courseloom/src/Replication/ReplicaTypes.h
+++ b/Courseloom/src/Replication/ReplicaTypes.h
@@ -38,8 +38,8 @@
   Duration electionTimeout = milliseconds(600);  ///< randomised up to twice this
   /** A voter that was silent for this long loses its vote to a replica that has joined and caught up; zero is never. */
   Duration replaceAfter{};
-  /** Voters that there should be: no learner is promoted beyond this number, and a silent voter beyond it loses its vote;
-   * zero is no limit. */
+  /** Voters that there should be: no learner is promoted beyond this number, and a silent voter beyond it loses its
+   * vote; zero is no limit. */
   std::size_t wantedVoters = 0;
   std::uint64_t seed = 1;
   ReplicaMechanisms mechanisms;
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -139,7 +139,7 @@
 
 void SoakFaults::stopInTurn() {
   static const std::vector<std::string> kinds{"control", "entry", "agent"};
-  const std::string kind = kinds[pick(0, 2)];
+  const std::string& kind = kinds[pick(0, 2)];
   note("stop all of " + kind + " in turn");
   const Duration gap = pickMs(100, 1500);
   for (unsigned i = 1; i <= countOf(kind); ++i) {
