Agent: a run ordered again on a leaving target is stopped and looked for before it counts as void

An agent was killed, its target ended the run meanwhile and began to leave; the next life of the agent got the order again, found the target leaving and reported the run as void; the next run began elsewhere, and then the listed end was noted. Ruled out: the lapse of the hold (it had not run out), the leader (it believed the void). Change: a leaving target's runs are stopped and looked for like those in doubt.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -394,7 +394,9 @@
   const std::string life = order.target();
   const std::string name = taskText(order.task());
   if (m_life->report.draining() || m_life->left) {
-    settle(order.task(), order.run(), schema::RunVoided, "draining");
+    // It may have run there all the same, under a former life of this agent: the target's lists tell.
+    logEvent(schema::RunRefused, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"reason", "draining"}});
+    co_await stopRun(std::move(order));
     co_return;
   }
   const Time until = m_grantUntil - internal::HoldMargin;
--- a/test/run_agent.cpp
+++ b/test/run_agent.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <set>
 
 #include "Courseloom/src/Transport/HttpClient.h"
 #include "Courseloom/src/Transport/RpcServer.h"
@@ -40,6 +41,7 @@
   struct Record {
     unsigned starts = 0;
     unsigned stops = 0;
+    std::vector<schema::EndReport> ends;  ///< what the target lists
   };
   explicit FakeTarget(Record& record) : m_record(record) {}
 
@@ -55,7 +57,9 @@
   }
   Awaitable<Result<TargetAnswer>> hold(std::string, TargetHold hold, Duration) override {
     co_await sleepFor(milliseconds(std::min<std::uint32_t>(hold.waitMs, 20)));
-    co_return taken();
+    TargetAnswer answer = taken();
+    answer.ends = m_record.ends;
+    co_return answer;
   }
   Awaitable<Result<TargetAnswer>> pace(std::string, schema::TaskId, std::uint32_t, std::uint32_t, std::uint64_t,
                                        Duration) override {
@@ -82,9 +86,10 @@
   FakeTarget::Record* target = nullptr;
 };
 
-Awaitable<HttpResponse> answerRegistration(HttpRequest, TargetRegistry& registry) {
+Awaitable<HttpResponse> answerRegistration(HttpRequest request, TargetRegistry& registry) {
   TargetAnnouncement announcement;
   announcement.report.set_id("i-1");
+  announcement.report.set_draining(request.target() == "/draining");
   announcement.sequence = 1;
   announcement.clockMs = 1000;
   co_await registry.announce(announcement);
@@ -96,7 +101,7 @@
  */
 class Stage {
  public:
-  explicit Stage(FakeLeader& leader) : m_server(io) {
+  explicit Stage(FakeLeader& leader, const std::string& registration = "/") : m_server(io) {
     leader.target = &target;
     m_server.handle<schema::AttendRequest>(
         "attend", [&leader](schema::AttendRequest request, std::string) { return leader.attend(std::move(request)); });
@@ -116,7 +121,7 @@
     edges.answerRegistration = answerRegistration;
     m_agent = std::make_unique<RunAgentService>(DaemonContext{io, m_settings, m_metrics}, std::move(edges));
     cr_assert(static_cast<bool>(m_agent->start()), "the agent does not listen");
-    asio::co_spawn(io, registerTarget(port + 1), asio::detached);
+    asio::co_spawn(io, registerTarget(port + 1, registration), asio::detached);
   }
   void run(Duration length) { io.run_for(length); }
 
@@ -124,9 +129,9 @@
   FakeTarget::Record target;
 
  private:
-  Awaitable<void> registerTarget(unsigned port) {
+  Awaitable<void> registerTarget(unsigned port, std::string path) {
     HttpClient client(io, Address, port, 0);
-    co_await client.exchange("register", HttpRequest(boost::beast::http::verb::post, "/", 11), milliseconds(1000),
+    co_await client.exchange("register", HttpRequest(boost::beast::http::verb::post, path, 11), milliseconds(1000),
                              4096);
   }
 
@@ -162,6 +167,19 @@
   bool m_ordered = false;
 };
 
+/** Orders one run, as again after an agent's restart, and notes how the agent says that it ended. */
+class AgainLeader : public FakeLeader {
+ public:
+  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
+    schema::AttendReply answer = reply(LongGrantMs);
+    for (const schema::EndReport& end : request.ends()) kinds.insert(end.kind());
+    if (request.target().id() == "i-1" && kinds.empty()) *answer.add_orders() = startOrder();
+    co_await sleepFor(milliseconds(20));
+    co_return answer;
+  }
+  std::set<schema::RunEndKind> kinds;
+};
+
 /** Orders one run in an answer that is on its way for longer than its grant; what is asked beside it is answered. */
 class DelayedLeader : public FakeLeader {
  public:
@@ -198,3 +216,17 @@
   cr_assert(leader.delayed);
   cr_assert_eq(stage.target.starts, 0, "an order whose grant had run out was carried out");
 }
+
+Test(run_agent, a_run_that_ended_under_a_former_agent_is_not_void_because_its_target_leaves) {
+  AgainLeader leader;
+  Stage stage(leader, "/draining");
+  schema::EndReport& end = stage.target.ends.emplace_back();
+  end.set_number(1);
+  *end.mutable_task() = startOrder().task();
+  end.set_run(1);
+  end.set_kind(schema::RunDone);
+  stage.run(milliseconds(1500));
+  cr_assert_eq(stage.target.starts, 0, "a leaving target gets no new work");
+  cr_assert(leader.kinds.count(schema::RunDone) > 0, "its end was not reported");
+  cr_assert(leader.kinds.count(schema::RunVoided) == 0, "reported as never begun, and its end is listed");
+}
