Agent: a restarted agent counts on the longest hold that its former life may have asked for

A restarted agent's first looks were refused under term 0, which counted as silence; with no hold known it reported runs as lapsed at once, although the target was held and listed their ends. Ruled out: the leader (it took the agent's word), the lapse of the hold (none was told by the target). Change: with a life first seen, holds count as over only after the longest one.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -110,7 +110,8 @@
     m_traits.clear();
     m_fates.clear();
     m_started.clear();
-    m_heldUntil = Time{};
+    // A former life of this agent may have had the target hold its runs for as long as it can.
+    m_heldUntil = now + milliseconds(m_context.settings.runner().max_hold_ms());
   } else if (announcement.sequence <= m_life->sequence) {
     return;
   }
--- a/test/run_agent.cpp
+++ b/test/run_agent.cpp
@@ -42,6 +42,7 @@
     unsigned starts = 0;
     unsigned stops = 0;
     std::vector<schema::EndReport> ends;  ///< what the target lists
+    bool silent = false;                  ///< answers neither stops nor looks
   };
   explicit FakeTarget(Record& record) : m_record(record) {}
 
@@ -53,10 +54,12 @@
   }
   Awaitable<Result<TargetAnswer>> stop(std::string, schema::TaskId, std::uint32_t, std::uint64_t, Duration) override {
     ++m_record.stops;
+    if (m_record.silent) co_return noAnswer();
     co_return taken();
   }
   Awaitable<Result<TargetAnswer>> hold(std::string, TargetHold hold, Duration) override {
     co_await sleepFor(milliseconds(std::min<std::uint32_t>(hold.waitMs, 20)));
+    if (m_record.silent) co_return noAnswer();
     TargetAnswer answer = taken();
     answer.ends = m_record.ends;
     co_return answer;
@@ -67,6 +70,9 @@
   }
 
  private:
+  static Result<TargetAnswer> noAnswer() {
+    return fail(Failure{FailureCode::TargetFailed, Ran::Unknown, "test", "", "no answer", 0});
+  }
   static TargetAnswer taken() {
     TargetAnswer answer;
     answer.verdict = TargetVerdict::Taken;
@@ -173,11 +179,17 @@
   Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
     schema::AttendReply answer = reply(LongGrantMs);
     for (const schema::EndReport& end : request.ends()) kinds.insert(end.kind());
-    if (request.target().id() == "i-1" && kinds.empty()) *answer.add_orders() = startOrder();
-    co_await sleepFor(milliseconds(20));
+    if (request.target().id() == "i-1" && kinds.empty()) {
+      schema::RunOrder* order = answer.add_orders();
+      *order = startOrder();
+      order->set_kind(kind);
+    }
+    co_await sleepFor(answerAfter);
     co_return answer;
   }
   std::set<schema::RunEndKind> kinds;
+  schema::RunOrderKind kind = schema::OrderStart;
+  Duration answerAfter = milliseconds(20);
 };
 
 /** Orders one run in an answer that is on its way for longer than its grant; what is asked beside it is answered. */
@@ -230,3 +242,13 @@
   cr_assert(leader.kinds.count(schema::RunDone) > 0, "its end was not reported");
   cr_assert(leader.kinds.count(schema::RunVoided) == 0, "reported as never begun, and its end is listed");
 }
+
+Test(run_agent, a_restarted_agent_does_not_know_when_a_silent_targets_hold_ends) {
+  AgainLeader leader;
+  leader.kind = schema::OrderStop;
+  leader.answerAfter = milliseconds(400);  // the target has been found silent by then
+  Stage stage(leader);
+  stage.target.silent = true;
+  stage.run(milliseconds(1500));
+  cr_assert(leader.kinds.count(schema::RunLapsed) == 0, "its former life may have had the target hold its runs");
+}
