--- a/Courseloom/src/Replication/Replica.h
+++ b/Courseloom/src/Replication/Replica.h
@@ -115,8 +115,8 @@
   bool acceptDisk(const schema::ReplicaMessage& message, Peer& peer, Time now);
   bool memberChangeAllowed() const;
   bool hearsQuorumOf(const schema::Members& next) const;
+  const schema::Member* silentMember(bool voter, Duration patience, Time now) const;
   const schema::Member* silentVoter(Time now) const;
-  bool demoteSilentVoter(Time now);
   void demoteSurplusVoter(Time now);
   void forgetSilentLearner(Time now);
   std::set<ReplicaId> knownPeers() const;
--- a/Courseloom/src/Replication/ReplicaMembers.cpp
+++ b/Courseloom/src/Replication/ReplicaMembers.cpp
@@ -60,52 +60,46 @@
   return heard >= voters / 2 + 1;
 }
 
-/** \returns a voter other than this leader that has been silent for too long, or nothing. */
-const schema::Member* Replica::silentVoter(Time now) const {
+/** \returns a member other than this leader, with or without a vote, that has been silent for longer than the patience,
+ * or nothing. */
+const schema::Member* Replica::silentMember(bool voter, Duration patience, Time now) const {
   if (m_options.replaceAfter == Duration(0)) return nullptr;
   for (const schema::Member& member : members().members()) {
     const auto found = m_peers.find(member.id());
-    if (!member.voter() || found == m_peers.end()) continue;
-    if (now > std::max(found->second.heard, m_leaderSince) + m_options.replaceAfter) return &member;
+    if (member.voter() != voter || found == m_peers.end()) continue;
+    if (now > std::max(found->second.heard, m_leaderSince) + patience) return &member;
   }
   return nullptr;
 }
 
-/** Takes the vote of a silent replica, so that the voters that are left can lose another one. Should it come back, it
- * follows with the log that it has, like any other learner. */
-bool Replica::demoteSilentVoter(Time now) {
+const schema::Member* Replica::silentVoter(Time now) const { return silentMember(true, m_options.replaceAfter, now); }
+
+/** Takes the vote of a silent replica beyond the wanted ones, so that the voters that are left can lose another one.
+ * Should it come back, it follows with the log that it has, like any other learner. */
+void Replica::demoteSurplusVoter(Time now) {
+  if (m_options.wantedVoters == 0 || voters() <= m_options.wantedVoters) return;
   const schema::Member* silent = silentVoter(now);
-  if (silent == nullptr || !memberChangeAllowed()) return false;
+  if (silent == nullptr || !memberChangeAllowed()) return;
   const ReplicaId id = silent->id();
   schema::Members next = members();
   for (schema::Member& member : *next.mutable_members()) {
     if (member.id() == id) member.set_voter(false);
   }
-  if (!hearsQuorumOf(next)) return false;
-  changeMembers(std::move(next));
-  return true;
-}
-
-void Replica::demoteSurplusVoter(Time now) {
-  if (m_options.wantedVoters > 0 && voters() > m_options.wantedVoters) demoteSilentVoter(now);
+  if (hearsQuorumOf(next)) changeMembers(std::move(next));
 }
 
 /** Forgets a learner that has been silent for long, as one does whose instance is gone for good. */
 void Replica::forgetSilentLearner(Time now) {
-  if (m_options.replaceAfter == Duration(0) || !memberChangeAllowed()) return;
-  const Duration patience = m_options.replaceAfter * internal::ForgetAfterReplacements;
-  for (const schema::Member& silent : members().members()) {
-    const auto peer = m_peers.find(silent.id());
-    if (silent.voter() || peer == m_peers.end()) continue;
-    if (now <= std::max(peer->second.heard, m_leaderSince) + patience) continue;
-    schema::Members next;
-    *next.mutable_retired_disks() = members().retired_disks();
-    for (const schema::Member& member : members().members()) {
-      if (member.id() != silent.id()) *next.add_members() = member;
-    }
-    m_peers.erase(peer);
-    return changeMembers(std::move(next));
+  const schema::Member* silent = silentMember(false, m_options.replaceAfter * internal::ForgetAfterReplacements, now);
+  if (silent == nullptr || !memberChangeAllowed()) return;
+  const ReplicaId id = silent->id();
+  schema::Members next;
+  *next.mutable_retired_disks() = members().retired_disks();
+  for (const schema::Member& member : members().members()) {
+    if (member.id() != id) *next.add_members() = member;
   }
+  m_peers.erase(id);
+  changeMembers(std::move(next));
 }
 
 /** A known replica with a new disk: its old disk is lost and leaves, the new one joins without a vote. */
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -75,6 +75,7 @@
   for (const PlannedTarget& target : targets) m_free.push_back(target.capacity);
   m_later = m_free;
   findEndsSoon();
+  orderByEnd();
   for (std::size_t r = 0; r < runs.size(); ++r) {
     occupy(m_free, runs[r].target, runs[r].need);
     if (!runs[r].stopping && !m_endsSoon[r]) occupy(m_later, runs[r].target, runs[r].need);
@@ -114,6 +115,13 @@
   m_soonSince = std::move(since);
 }
 
+void RunPlanner::orderByEnd() {
+  m_byEnd.resize(m_runs->size());
+  std::iota(m_byEnd.begin(), m_byEnd.end(), 0U);
+  std::sort(m_byEnd.begin(), m_byEnd.end(),
+            [this](std::size_t a, std::size_t b) { return (*m_runs)[a].remainingMs < (*m_runs)[b].remainingMs; });
+}
+
 std::vector<std::size_t> RunPlanner::all() const {
   std::vector<std::size_t> among(m_targets->size());
   std::iota(among.begin(), among.end(), 0U);
@@ -155,6 +163,13 @@
   return target.open && wouldServe(step, target);
 }
 
+/** \returns whether a target has as many tasks of a step as one may have. */
+bool RunPlanner::isFull(const schema::StepSpec& spec, const std::string& target,
+                        const std::map<std::string, unsigned>& placed) {
+  const auto count = placed.find(target);
+  return spec.max_per_target() > 0 && count != placed.end() && count->second >= spec.max_per_target();
+}
+
 /** \returns whether targets on which the step has not failed could hold it, or a task of it. */
 bool RunPlanner::hasOthers(const PlannedStep& step) const {
   const schema::StepSpec& spec = step.workflow->step(step.key.step);
@@ -200,10 +215,7 @@
     const PlannedTarget& target = (*m_targets)[i];
     if (!allowed(step, target) || !rooms[i].holds(need) || keptForUrgent(step, i, rooms)) continue;
     if (keptByReservations(step, i, rooms[i], need)) continue;
-    if (spec.max_per_target() > 0) {
-      const auto count = placed.find(target.id);
-      if (count != placed.end() && count->second >= spec.max_per_target()) continue;
-    }
+    if (isFull(spec, target.id, placed)) continue;
     const bool away = !spec.preferred_rack().empty() && target.rack != spec.preferred_rack();
     const double cost = static_cast<double>(rooms[i].accelerators - need.accelerators) +
                         internal::CpuWeight * static_cast<double>(rooms[i].cpuMilli - need.cpuMilli) / 1000.0 +
@@ -299,8 +311,13 @@
 }
 
 bool RunPlanner::tryGang(const PlannedStep& step, const Rooms& rooms, Choice& choice) const {
+  return tryGroups(step, gangGroups(step), rooms, choice);
+}
+
+bool RunPlanner::tryGroups(const PlannedStep& step, const std::vector<std::vector<std::size_t>>& groups,
+                           const Rooms& rooms, Choice& choice) const {
   bool found = false;
-  for (const std::vector<std::size_t>& group : gangGroups(step)) {
+  for (const std::vector<std::size_t>& group : groups) {
     Choice next;
     if (!fillGang(step, group, rooms, next)) continue;
     if (!found || next.cost < choice.cost) choice = std::move(next);
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -169,8 +169,9 @@
 
   /** Runs that may be stopped, by index among the given runs. */
   struct Stoppable {
-    std::map<std::size_t, std::vector<std::size_t>> byTarget;
+    std::map<std::size_t, std::vector<std::size_t>> byTarget;  ///< the cheapest first
     std::map<std::string, std::vector<std::size_t>> gangs;
+    std::map<std::size_t, double> prices;  ///< work that is lost with a run and all that end with it, core-seconds
   };
   /** What is stopped so that a target holds one more task. */
   struct Clearing {
@@ -183,6 +184,8 @@
   void servePieces(std::size_t index);
   void serveGang(std::size_t index);
   bool tryGang(const PlannedStep& step, const Rooms& rooms, Choice& choice) const;
+  bool tryGroups(const PlannedStep& step, const std::vector<std::vector<std::size_t>>& groups, const Rooms& rooms,
+                 Choice& choice) const;
   bool fillGang(const PlannedStep& step, const std::vector<std::size_t>& among, Rooms rooms, Choice& choice) const;
   std::optional<std::size_t> best(const PlannedStep& step, const std::vector<std::size_t>& among, const Rooms& rooms,
                                   const std::map<std::string, unsigned>& placed) const;
@@ -193,7 +196,6 @@
   double worthStopping(const PlannedStep& step) const;
   Stoppable stoppableFor(const PlannedStep& step) const;
   std::vector<std::size_t> wholeOf(const Stoppable& stoppable, std::size_t run) const;
-  double priceOf(const Stoppable& stoppable, std::size_t run) const;
   std::optional<Clearing> clear(const PlannedStep& step, std::size_t target, const Stoppable& stoppable,
                                 const std::vector<bool>& gone, Room room) const;
   bool makeRoom(const PlannedStep& step, const std::vector<std::size_t>& among, Choice& choice,
@@ -210,6 +212,9 @@
   void setAside(const PlannedStep& step, const Choice& choice);
   void take(std::size_t index, const std::vector<std::size_t>& chosen);
   void findEndsSoon();
+  void orderByEnd();
+  static bool isFull(const schema::StepSpec& spec, const std::string& target,
+                     const std::map<std::string, unsigned>& placed);
   bool hasOthers(const PlannedStep& step) const;
   void occupy(Rooms& rooms, std::size_t target, const Room& need) const;
   bool couldHold(const PlannedStep& step, const std::vector<std::size_t>& among) const;
@@ -233,6 +238,7 @@
   std::map<StepName, std::set<std::string>> m_waitingFor;  ///< the same, as of this plan
   std::map<RunKey, double> m_soonSince;                    ///< wall clock from which a run is expected to end soon
   std::vector<bool> m_endsSoon;                            ///< by run: expected to end soon, and not for too long
+  std::vector<std::size_t> m_byEnd;                        ///< runs, the first to end first
   std::vector<bool> m_stopped;                             ///< by run: chosen as victim now
   RunPlan m_plan;
 };
--- a/Courseloom/src/Scheduling/RunPlannerPreemption.cpp
+++ b/Courseloom/src/Scheduling/RunPlannerPreemption.cpp
@@ -4,7 +4,6 @@
 // The part of RunPlanner that makes room: by waiting for what ends, or by stopping runs of lower rank.
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 
 #include "Courseloom/src/Scheduling/RunPlanner.h"
@@ -90,6 +89,14 @@
     stoppable.byTarget[run.target].push_back(r);
     if (!run.gang.empty()) stoppable.gangs[run.gang].push_back(r);
   }
+  for (auto& [target, runs] : stoppable.byTarget) {
+    for (const std::size_t r : runs) {
+      double& price = stoppable.prices[r];
+      for (const std::size_t member : wholeOf(stoppable, r)) price += (*m_runs)[member].lostWork + 1.0;
+    }
+    std::sort(runs.begin(), runs.end(),
+              [&stoppable](std::size_t a, std::size_t b) { return stoppable.prices.at(a) < stoppable.prices.at(b); });
+  }
   return stoppable;
 }
 
@@ -99,31 +106,19 @@
   return gang.empty() ? std::vector<std::size_t>{run} : stoppable.gangs.at(gang);
 }
 
-double RunPlanner::priceOf(const Stoppable& stoppable, std::size_t run) const {
-  double price = 0.0;
-  for (const std::size_t member : wholeOf(stoppable, run)) price += (*m_runs)[member].lostWork + 1.0;
-  return price;
-}
-
 /** \returns what has to be stopped on one target so that it holds one more task, the cheapest first, or nothing. */
 std::optional<RunPlanner::Clearing> RunPlanner::clear(const PlannedStep& step, std::size_t target,
                                                       const Stoppable& stoppable, const std::vector<bool>& gone,
                                                       Room room) const {
   const Room need = roomOf(step.workflow->step(step.key.step));
-  std::vector<std::size_t> candidates;
-  const auto here = stoppable.byTarget.find(target);
-  if (here != stoppable.byTarget.end()) {
-    std::copy_if(here->second.begin(), here->second.end(), std::back_inserter(candidates),
-                 [&gone](std::size_t r) { return !gone[r]; });
-  }
-  std::sort(candidates.begin(), candidates.end(),
-            [&](std::size_t a, std::size_t b) { return priceOf(stoppable, a) < priceOf(stoppable, b); });
   Clearing clearing{target, {}, penaltyOf(step, (*m_targets)[target])};
-  for (const std::size_t r : candidates) {
+  const auto here = stoppable.byTarget.find(target);
+  const std::vector<std::size_t> none;
+  for (const std::size_t r : here == stoppable.byTarget.end() ? none : here->second) {
     if (room.holds(need)) break;
     const bool taken = std::find(clearing.victims.begin(), clearing.victims.end(), r) != clearing.victims.end();
-    if (taken) continue;  // with another member of its gang
-    clearing.price += priceOf(stoppable, r);
+    if (gone[r] || taken) continue;  // taken with another member of its gang
+    clearing.price += stoppable.prices.at(r);
     for (const std::size_t member : wholeOf(stoppable, r)) {
       clearing.victims.push_back(member);
       if ((*m_runs)[member].target == target) room.add((*m_runs)[member].need);
@@ -146,8 +141,7 @@
     std::optional<Clearing> cheapest;
     for (const std::size_t i : among) {
       const PlannedTarget& target = (*m_targets)[i];
-      const bool full = spec.max_per_target() > 0 && placed[target.id] >= spec.max_per_target();
-      if (full || !allowed(step, target)) continue;
+      if (isFull(spec, target.id, placed) || !allowed(step, target)) continue;
       std::optional<Clearing> next = clear(step, i, stoppable, gone, rooms[i]);
       if (next && (!cheapest || next->price < cheapest->price)) cheapest = std::move(next);
     }
--- a/Courseloom/src/Scheduling/RunPlannerReservations.cpp
+++ b/Courseloom/src/Scheduling/RunPlannerReservations.cpp
@@ -3,9 +3,6 @@
 
 // The part of RunPlanner that keeps a place in time for a gang that waits.
 
-#include <algorithm>
-#include <numeric>
-
 #include "Courseloom/src/Scheduling/RunPlanner.h"
 
 namespace courseloom {
@@ -13,16 +10,13 @@
 /** \returns the time after which enough runs will have ended by themselves, ms, and the places that are free then. */
 std::optional<double> RunPlanner::naturalWait(const PlannedStep& step, Choice& choice,
                                               const std::vector<std::size_t>* among) const {
-  std::vector<std::size_t> order(m_runs->size());
-  std::iota(order.begin(), order.end(), 0U);
-  std::sort(order.begin(), order.end(),
-            [this](std::size_t a, std::size_t b) { return (*m_runs)[a].remainingMs < (*m_runs)[b].remainingMs; });
+  const std::vector<std::vector<std::size_t>> groups =
+      among == nullptr ? gangGroups(step) : std::vector<std::vector<std::size_t>>{*among};
   Rooms rooms = m_free;
-  for (const std::size_t r : order) {
+  for (const std::size_t r : m_byEnd) {
     const PlannedRun& run = (*m_runs)[r];
     rooms[run.target].add(run.need);
-    const bool fits = among == nullptr ? tryGang(step, rooms, choice) : fillGang(step, *among, rooms, choice);
-    if (fits) return run.remainingMs;
+    if (tryGroups(step, groups, rooms, choice)) return run.remainingMs;
   }
   return std::nullopt;
 }
--- a/Courseloom/src/Scheduling/TargetHealth.cpp
+++ b/Courseloom/src/Scheduling/TargetHealth.cpp
@@ -31,14 +31,18 @@
   score.suspectUntil = now + score.suspicion;
 }
 
+void TargetHealth::trust(Score& score) {
+  score.suspicion = Duration(0);
+  score.suspectUntil = Time{};
+}
+
 /** What a workflow at fault said against targets no longer counts. */
 void TargetHealth::takeBack(const std::string& workflow) {
   for (const std::string& target : m_failedOn[workflow]) {
     Score& score = m_targets[target];
     score.failed.erase(workflow);
     if (score.stalled || score.failed.size() >= m_options.failuresSuspect) continue;
-    score.suspicion = Duration(0);
-    score.suspectUntil = Time{};
+    trust(score);
   }
 }
 
@@ -48,8 +52,7 @@
     if (found == m_targets.end()) return;
     found->second.failed.clear();
     found->second.stalled = false;
-    found->second.suspicion = Duration(0);
-    found->second.suspectUntil = Time{};
+    trust(found->second);
     found->second.cautionUntil = Time{};
     return;
   }
--- a/Courseloom/src/Scheduling/TargetHealth.h
+++ b/Courseloom/src/Scheduling/TargetHealth.h
@@ -72,6 +72,7 @@
     Time pausedUntil{};
   };
   void suspectNow(Score& score, Time now);
+  static void trust(Score& score);
   void takeBack(const std::string& workflow);
 
   TargetHealthOptions m_options;
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -45,7 +45,7 @@
 
 void LinkRules::heal() {
   const std::lock_guard lock(m_mutex);
-  for (auto& [link, rule] : m_rules) rule = LinkRule{Duration(0), false, false, rule.resets};
+  for (auto& [link, rule] : m_rules) rule.heal();
 }
 
 struct FaultProxy::Connection {
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -22,6 +22,9 @@
   bool silentToServer = false;  ///< bytes of the caller are held back
   bool silentToCaller = false;  ///< bytes of the server are held back
   std::uint64_t resets = 0;     ///< raised to reset all connections of the link
+
+  /** Ends delay and silence. */
+  void heal() { *this = LinkRule{Duration(0), false, false, resets}; }
 };
 
 /** \class LinkRules
--- a/test/soak/SoakClients.cpp
+++ b/test/soak/SoakClients.cpp
@@ -9,6 +9,8 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "Courseloom/src/Transport/Listen.h"
+
 namespace courseloom::test {
 
 namespace asio = boost::asio;
@@ -63,10 +65,8 @@
   // A call under way keeps what it uses, also when another entry is taken.
   void moveOn(const SoakCluster& cluster) {
     entry = pick(random, 1, cluster.size().entries);
-    const std::string address = cluster.clientAddress(entry);
-    const std::size_t colon = address.find(':');
-    client = std::make_unique<HttpClient>(timerIo, address.substr(0, colon),
-                                          static_cast<unsigned>(std::stoul(address.substr(colon + 1))), 1);
+    const Endpoint endpoint = splitEndpoint(cluster.clientAddress(entry));
+    client = std::make_unique<HttpClient>(timerIo, endpoint.address, endpoint.port, 1);
   }
 };
 
@@ -159,9 +159,8 @@
 
 Awaitable<SoakClients::Answer> SoakClients::ask(unsigned control, std::string method, std::string path,
                                                 std::string body) {
-  const std::string address = m_cluster.operatorAddress(control);
-  const std::size_t colon = address.find(':');
-  HttpClient client(m_io, address.substr(0, colon), static_cast<unsigned>(std::stoul(address.substr(colon + 1))), 0);
+  const Endpoint endpoint = splitEndpoint(m_cluster.operatorAddress(control));
+  HttpClient client(m_io, endpoint.address, endpoint.port, 0);
   HttpRequest request(http::string_to_verb(method), path, 11);
   request.set(http::field::content_type, "application/json");
   request.body() = std::move(body);
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -218,9 +218,7 @@
     if (how == 2 || how == 4) rule.silentToServer = true;
     if (how == 3 || how == 4) rule.silentToCaller = true;
   });
-  later(length, [this, from, to] {
-    m_cluster.links().change(from, to, [](LinkRule& rule) { rule = LinkRule{Duration(0), false, false, rule.resets}; });
-  });
+  later(length, [this, from, to] { m_cluster.links().change(from, to, [](LinkRule& rule) { rule.heal(); }); });
 }
 
 void SoakFaults::resetLinks() {
