Objectives count the waves of a wide step; section policy with its first switch

Cause: a step wider than a quarter of the room is owed the time of several waves, but the planner gave it that of one, took it for late early on, and ordered and waited by a wrong time. Settings get a section `policy`, whose switches turn one mechanism off for a trial; sections may now have defaults when left out.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -8,6 +8,7 @@
 
 #include "Courseloom/src/Control/WorkflowRunner.h"
 #include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Scheduling/Objective.h"
 
 namespace courseloom {
 
@@ -141,9 +142,7 @@
     target.service = report.service();
     target.rack = report.rack();
     target.labels.insert(report.labels().begin(), report.labels().end());
-    target.capacity.cpuMilli = static_cast<std::int64_t>(report.capacity().cpu_milli());
-    target.capacity.memoryMb = static_cast<std::int64_t>(report.capacity().memory_mb());
-    target.capacity.accelerators = report.capacity().accelerators();
+    target.capacity = roomOf(report.capacity());
     const bool closed = m_health.paused(report.id(), now) || (trusted && m_health.suspect(report.id(), now));
     target.open = m_ledger.open(agent, now) && !closed;
     target.single = trusted && m_health.onProbation(report.id(), now);
@@ -230,7 +229,7 @@
       step.estimateMs = static_cast<double>(spec.estimate_ms());
       step.taskWork = internal::cores_of(spec) * step.estimateMs / internal::MillisecondsPerSecond;
       step.objectiveMs =
-          static_cast<double>(due) + record.stretch() * longestChainMs(record.spec()) + record.latency_target_ms();
+          static_cast<double>(due) + record.stretch() * objectiveChainMs(workflow) + record.latency_target_ms();
       step.worthlessMs =
           static_cast<double>(due) + internal::WorthlessAfter * (step.objectiveMs - static_cast<double>(due));
       const StepName name{record.id(), key};
@@ -245,6 +244,22 @@
   }
 }
 
+/** \returns run time of a workflow's longest chain of steps, ms, as its objective counts it. */
+double WorkflowRunner::objectiveChainMs(const WorkflowState& workflow) const {
+  const Room room = m_context.settings.policy().waves() ? roomOfService(workflow.record.service()) : Room();
+  const TaskTime taskMs = [](const schema::StepSpec& step) { return static_cast<double>(step.estimate_ms()); };
+  return longestChainMs(workflow.record.spec(), taskMs, room);
+}
+
+/** \returns all room of a service's targets, whether they are open now or not. */
+Room WorkflowRunner::roomOfService(const std::string& service) const {
+  Room room;
+  for (const auto& [agent, track] : m_ledger.targets()) {
+    if (track.report.service() == service) room.add(roomOf(track.report.capacity()));
+  }
+  return room;
+}
+
 std::vector<std::string> WorkflowRunner::openTargets(const std::string& service) const {
   std::vector<std::string> open;
   for (const auto& [agent, track] : m_ledger.targets()) {
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -43,18 +43,6 @@
 }  // namespace
 }  // namespace internal
 
-double longestChainMs(const schema::WorkflowSpec& spec) {
-  std::vector<double> ends;
-  double longest = 0.0;
-  for (const schema::StepSpec& step : spec.steps()) {
-    double begins = 0.0;
-    for (const std::uint32_t earlier : step.after()) begins = std::max(begins, ends[earlier]);
-    ends.push_back(begins + static_cast<double>(step.estimate_ms()));
-    longest = std::max(longest, ends.back());
-  }
-  return longest;
-}
-
 WorkflowRunner::WorkflowRunner(const DaemonContext& context, ControlStrand strand, ReplicaDriver& driver,
                                std::unique_ptr<AdvicePort> advice)
     : m_context(context),
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -67,6 +67,8 @@
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
   std::vector<PlannedStep> planSteps();
   void addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
+  double objectiveChainMs(const WorkflowState& workflow) const;
+  Room roomOfService(const std::string& service) const;
   std::vector<std::string> openTargets(const std::string& service) const;
   const schema::Queue* queueNamed(const std::string& name) const;
   void notifyAgent(const std::string& agent);
@@ -91,7 +93,4 @@
   bool m_released = false;
 };
 
-/** \returns run time of the longest chain of steps, ms. */
-double longestChainMs(const schema::WorkflowSpec& spec);
-
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -52,11 +52,14 @@
   return step.worthlessMs == 0.0 || endMs <= step.worthlessMs ? Prospect::Late : Prospect::Worthless;
 }
 
+Room roomOf(const schema::Resources& resources) {
+  return {static_cast<std::int64_t>(resources.cpu_milli()), static_cast<std::int64_t>(resources.memory_mb()),
+          static_cast<std::int64_t>(resources.accelerators())};
+}
+
 Room roomOf(const schema::StepSpec& step) {
-  Room room;
-  room.cpuMilli = step.filler() ? 0 : static_cast<std::int64_t>(step.need().cpu_milli());
-  room.memoryMb = static_cast<std::int64_t>(step.need().memory_mb());
-  room.accelerators = step.need().accelerators();
+  Room room = roomOf(step.need());
+  if (step.filler()) room.cpuMilli = 0;
   return room;
 }
 
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -27,6 +27,7 @@
   bool holds(const Room& need) const;
 };
 
+Room roomOf(const schema::Resources& resources);
 /** \returns what one task of a step takes; a filler takes no processor time that others could use. */
 Room roomOf(const schema::StepSpec& step);
 
--- a/Courseloom/src/Schema/YamlReader.cpp
+++ b/Courseloom/src/Schema/YamlReader.cpp
@@ -214,6 +214,10 @@
     reflection->SetUInt64(&message, &field, std::stoull(text));
   } else if (field.cpp_type() == FieldDescriptor::CPPTYPE_DOUBLE) {
     reflection->SetDouble(&message, &field, std::stod(text));
+  } else if (field.cpp_type() == FieldDescriptor::CPPTYPE_BOOL) {
+    reflection->SetBool(&message, &field, text == "true");
+  } else if (field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
+    reflection->MutableMessage(&message, &field);  // a section that is left out has its defaults
   } else {
     reflection->SetString(&message, &field, text);
   }
@@ -231,8 +235,9 @@
   const Reflection* reflection = message.GetReflection();
   if (!is_set(message, field)) {
     if (rule.required()) return "key '" + path + "' is missing";
-    if (!rule.default_value().empty()) set_default(message, field, rule.default_value());
-    return {};
+    if (rule.default_value().empty()) return {};
+    set_default(message, field, rule.default_value());
+    if (field.cpp_type() != FieldDescriptor::CPPTYPE_MESSAGE) return {};
   }
   if (field.is_map()) return {};
   if (field.cpp_type() != FieldDescriptor::CPPTYPE_MESSAGE) {
--- a/test/settings.cpp
+++ b/test/settings.cpp
@@ -58,6 +58,17 @@
   ASSERT_NAMES(Node + Cluster + "edge:\n  controlEndpoint: 10.0.0.1\n", "file.yaml:6"s, "edge.controlEndpoint"s);
 }
 
+Test(settings, a_section_of_switches_that_is_left_out_has_its_defaults_and_a_switch_can_be_off) {
+  schema::Settings settings;
+  cr_assert(bool(readYaml(Node + Cluster, "file.yaml", settings)));
+  cr_assert(bool(checkRequired("file.yaml", settings)));
+  cr_assert(settings.policy().waves());
+  schema::Settings off;
+  cr_assert(bool(readYaml(Node + Cluster + "policy: {waves: false}\n", "file.yaml", off)));
+  cr_assert(bool(checkRequired("file.yaml", off)));
+  cr_assert_not(off.policy().waves());
+}
+
 Test(settings, a_later_file_is_laid_over_an_earlier_one) {
   schema::Settings settings;
   cr_assert(bool(readYaml(Node + Cluster, "a", settings)));
