An agent not heard a moment ago gives a sign of life before a run is started there

Ruled out: an agent that ends unconfirmed runs by itself is not safe when it freezes between the target's answer and its own end. Change: RunLedger::fresh(), ask() and asked(): a planned start whose agent was not heard for 150 ms is withheld, of a gang all of it, and the agent's report is answered at once, so that it reports again within a round trip. An agent that owes that for 150 ms is closed until it is heard. Switch policy.askFirst.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -61,7 +61,7 @@
                                     {"rank", std::uint64_t{step.rank}},
                                     {"waitedMs", static_cast<std::uint64_t>(step.waitedMs)}});
   }
-  for (const RunPlan::Start& start : plan.starts) {
+  for (const RunPlan::Start& start : startsInReach(plan, steps, targets)) {
     const PlannedStep& step = steps[start.step];
     const PlannedTarget& target = targets[start.target];
     const TaskKey key{step.key.occurrence, step.key.step, start.task};
@@ -80,6 +80,22 @@
   return runs;
 }
 
+/** A start for an agent that was just cut off holds its gang up for a whole grant, so agents that were not heard a moment
+ * ago are asked for a sign of life first; the plan is made again when it comes. */
+std::vector<RunPlan::Start> WorkflowRunner::startsInReach(const RunPlan& plan, const std::vector<PlannedStep>& steps,
+                                                          const std::vector<PlannedTarget>& targets) {
+  if (!m_context.settings.policy().ask_first()) return plan.starts;
+  const Time now = BootClock::now();
+  std::set<std::size_t> withheld;
+  const auto inReach = [&](std::size_t target) { return m_ledger.fresh(targets[target].agent, now); };
+  std::vector<RunPlan::Start> starts = courseloom::startsInReach(plan, steps, inReach, withheld);
+  for (const std::size_t target : withheld) {
+    m_ledger.ask(targets[target].agent, now);
+    notifyAgent(targets[target].agent);
+  }
+  return starts;
+}
+
 /** A tenant's workflows of priority 0 lie within its guarantee, the earliest first, as long as it holds them all. */
 void WorkflowRunner::markGuaranteed() {
   m_guaranteed.clear();
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -271,6 +271,7 @@
   const Time end = received + milliseconds(request.wait_ms());
   const bool hasNews = request.ends_size() > 0 || request.started_size() > 0;
   while (leads() && !hasNews && !m_released && BootClock::now() < end) {
+    if (m_ledger.asked(request.agent())) break;
     if (m_ledger.hasOrders(request.agent(), table(), BootClock::now())) break;
     co_await m_agentSignals[request.agent()].wait(end);
   }
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -51,6 +51,8 @@
   const WorkflowTable& table() const { return m_driver.state().workflows(); }
 
   schema::RecordRuns makePlan();
+  std::vector<RunPlan::Start> startsInReach(const RunPlan& plan, const std::vector<PlannedStep>& steps,
+                                            const std::vector<PlannedTarget>& targets);
   void reviewRuns();
   void noteEnded(const WorkflowState& workflow);
   void noteStarted(const RunChange& change);
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -86,6 +86,7 @@
   target.incarnation = report.incarnation();
   target.report = report.target();
   target.heard = now;
+  target.askedAt = Time{};
   if (!report.target().id().empty()) {
     target.withoutTargetSince = Time{};
   } else if (target.withoutTargetSince == Time{}) {
@@ -172,7 +173,23 @@
   if (found == m_targets.end()) return false;
   const schema::TargetReport& report = found->second.report;
   const bool heardLately = now < found->second.heard + m_options.silence;
-  return heardLately && !report.id().empty() && report.reachable() && !report.draining();
+  const bool owes = found->second.askedAt != Time{} && now > found->second.askedAt + m_options.askLimit;
+  return heardLately && !owes && !report.id().empty() && report.reachable() && !report.draining();
+}
+
+bool RunLedger::fresh(const std::string& agent, Time now) const {
+  const auto found = m_targets.find(agent);
+  return found != m_targets.end() && now <= found->second.heard + m_options.fresh;
+}
+
+void RunLedger::ask(const std::string& agent, Time now) {
+  TargetTrack& target = m_targets[agent];
+  if (target.askedAt == Time{}) target.askedAt = now;
+}
+
+bool RunLedger::asked(const std::string& agent) const {
+  const auto found = m_targets.find(agent);
+  return found != m_targets.end() && found->second.askedAt != Time{};
 }
 
 // ---- orders
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -32,6 +32,8 @@
   Duration slack = milliseconds(300);            ///< added before runs of a silent agent count as lapsed
   Duration silence = milliseconds(2500);         ///< an agent not heard for this long gets no new runs
   Duration redeliverAfter = milliseconds(1500);  ///< an order without result is given again after this
+  Duration fresh = milliseconds(150);     ///< an agent heard within this time is sure to be there: many round trips
+  Duration askLimit = milliseconds(150);  ///< an agent that was asked gets nothing new after this without an answer
   // Switches with which proofs turn one mechanism off; all on in production.
   bool waitForGrants = true;   ///< runs of a silent agent are over only when its grant has run out
   bool inheritGrants = true;   ///< a new leader counts on grants that a former one gave until it began
@@ -64,6 +66,7 @@
   std::uint64_t incarnation = 0;
   Time grantUntil{};
   Time heard{};
+  Time askedAt{};              ///< when a sign of life was first asked for since it was heard; zero is not
   Time withoutTargetSince{};   ///< when the agent began to report no target; zero while it has one
   std::vector<RunKey> strays;  ///< reported as running, but not active in the log
 };
@@ -101,6 +104,12 @@
   const std::map<std::string, TargetTrack>& targets() const { return m_targets; }
   /** \returns whether an agent may be given new runs now. */
   bool open(const std::string& agent, Time now) const;
+  /** \returns whether an agent was heard so lately that a start will reach it. */
+  bool fresh(const std::string& agent, Time now) const;
+  /** Wants a sign of life from an agent: its report is not to be held back any longer. */
+  void ask(const std::string& agent, Time now);
+  /** \returns whether an agent owes a sign of life. */
+  bool asked(const std::string& agent) const;
   const RunLedgerOptions& options() const { return m_options; }
 
  private:
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -63,6 +63,23 @@
   return room;
 }
 
+std::vector<RunPlan::Start> startsInReach(const RunPlan& plan, const std::vector<PlannedStep>& steps,
+                                          const std::function<bool(std::size_t target)>& inReach,
+                                          std::set<std::size_t>& withheld) {
+  std::set<std::size_t> heldGangs;  // by index among the steps
+  for (const RunPlan::Start& start : plan.starts) {
+    if (inReach(start.target)) continue;
+    withheld.insert(start.target);
+    const PlannedStep& step = steps[start.step];
+    if (step.workflow->step(step.key.step).gang()) heldGangs.insert(start.step);
+  }
+  std::vector<RunPlan::Start> starts;
+  for (const RunPlan::Start& start : plan.starts) {
+    if (withheld.count(start.target) == 0 && heldGangs.count(start.step) == 0) starts.push_back(start);
+  }
+  return starts;
+}
+
 RunPlan RunPlanner::plan(const std::vector<PlannedTarget>& targets, const std::vector<PlannedRun>& runs,
                          std::vector<PlannedStep> steps, unsigned keepWhole, double nowMs) {
   m_targets = &targets;
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -112,6 +113,12 @@
   std::vector<Stop> stops;
 };
 
+/** \returns the starts whose targets are within reach now; of a gang all or none.
+ * \param withheld takes the targets, by index, on which a start has to wait */
+std::vector<RunPlan::Start> startsInReach(const RunPlan& plan, const std::vector<PlannedStep>& steps,
+                                          const std::function<bool(std::size_t target)>& inReach,
+                                          std::set<std::size_t>& withheld);
+
 /** \class RunPlannerOptions
  * \brief Switches with which proofs and benches turn one mechanism off; all on in production.
  */
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -156,6 +156,27 @@
   cr_assert_not(test.ledger.open("agent", test.now));
 }
 
+// Found on bmm trouble-3 and scale-2: gangs stood still for a whole grant since one member was ordered to an agent that
+// had just been cut off.
+Test(run_ledger, an_agent_that_was_asked_for_a_sign_of_life_gets_nothing_until_it_gives_one) {
+  LedgerTable test;
+  test.attend(test.report());
+  cr_assert(test.ledger.fresh("agent", test.now));
+  test.pass(200);
+  cr_assert_not(test.ledger.fresh("agent", test.now));
+  test.ledger.ask("agent", test.now);
+  cr_assert(test.ledger.asked("agent"));
+  test.pass(100);
+  test.ledger.ask("agent", test.now);
+  cr_assert(test.ledger.open("agent", test.now), "its answer may be on its way");
+  test.pass(100);
+  cr_assert_not(test.ledger.open("agent", test.now), "asking again does not give it more time");
+  test.attend(test.report());
+  cr_assert_not(test.ledger.asked("agent"));
+  cr_assert(test.ledger.open("agent", test.now));
+  cr_assert(test.ledger.fresh("agent", test.now));
+}
+
 Test(run_ledger, a_silent_agents_runs_lapse_only_after_its_grant) {
   LedgerTable test;
   test.start(0, 1);
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -81,6 +81,7 @@
     return planner.plan(m_targets, m_runs, m_steps, keepWhole, nowMs);
   }
   void endRuns() { m_runs.clear(); }
+  const std::vector<PlannedStep>& steps() const { return m_steps; }
 
  private:
   std::vector<PlannedTarget> m_targets;
@@ -203,6 +204,20 @@
   cr_assert(table.plan().stops.empty(), "urgent work must not stop its like");
 }
 
+Test(run_planner, a_start_out_of_reach_waits_and_a_gang_waits_as_a_whole) {
+  PlannerTable table(2);
+  table.waits(2, 8, LowRank);
+  const auto reach = [](std::size_t target) { return target == 0; };
+  std::set<std::size_t> withheld;
+  cr_assert_eq(startsInReach(table.plan(), table.steps(), reach, withheld).size(), 1);
+  cr_assert(withheld == std::set<std::size_t>{1});
+  PlannerTable gang(2);
+  gang.waits(2, 8, LowRank, true);
+  withheld.clear();
+  cr_assert(startsInReach(gang.plan(), gang.steps(), reach, withheld).empty());
+  cr_assert(withheld == std::set<std::size_t>{1});
+}
+
 Test(run_planner, guaranteed_work_is_never_stopped) {
   PlannerTable table(1);
   table.runs(0, 8, GuaranteedRank);
