Run times are learnt from ended runs and from a run's own pace; silence is no standstill

Change: RunTimes fits run times to estimates by queue, each replica from the log, so that a new leader knows them; reports carry the age of what they say; what is left of a run is taken from its own pace once a tenth of it was seen. Tests: objective (run times), run_ledger (a report that was long on its way).

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -155,6 +155,7 @@
   if (!m_life) return request;
   *request.mutable_target() = m_life->report;
   for (const schema::RunReport& row : m_life->running) *request.add_running() = row;
+  request.set_running_age_ms(static_cast<std::uint32_t>(toMilliseconds(BootClock::now() - m_life->lookedAt)));
   for (const schema::RunReport& row : m_life->running) {
     if (m_traits.count(runKeyOf(row.task(), row.run())) > 0) continue;
     schema::StartReport* unknown = request.add_unknown();
@@ -312,6 +313,7 @@
     m_life->clockAt = receivedAt;
   }
   m_life->running = answer.running;
+  m_life->lookedAt = receivedAt;
   for (const schema::RunReport& row : answer.running) {
     m_runs.try_emplace(runKeyOf(row.task(), row.run()));
   }
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -58,6 +58,7 @@
     std::uint64_t endsTaken = 0;
     std::map<std::uint64_t, schema::EndReport> ends;  ///< not committed yet, by number
     std::vector<schema::RunReport> running;
+    Time lookedAt{};  ///< when the target last told what runs
   };
 
   Awaitable<void> announce(TargetAnnouncement announcement) override;
--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -202,7 +202,7 @@
     const double lostMs = step.checkpointable() ? std::min(ranMs, internal::CheckpointLossMs) : ranMs;
     const double restartMs = step.gang() ? internal::GangRestartMs : 0.0;
     run.lostWork = internal::cores_of(step) * (lostMs + restartMs) / internal::MillisecondsPerSecond;
-    run.remainingMs = remainingMs(step, track);
+    run.remainingMs = remainingMs(key, track);
   }
   endGangsTogether(runs);
   return runs;
@@ -242,7 +242,7 @@
       if (step.tasks.empty() || partOfGang) continue;
       step.rank = rankOfWorkflow(workflow);
       step.avoided = m_health.failedOn(record.id());
-      step.estimateMs = static_cast<double>(spec.estimate_ms());
+      step.estimateMs = expectedMs(record.queue(), spec);
       step.taskWork = internal::cores_of(spec) * step.estimateMs / internal::MillisecondsPerSecond;
       step.objectiveMs =
           static_cast<double>(due) + record.stretch() * objectiveChainMs(workflow) + record.latency_target_ms();
@@ -263,7 +263,7 @@
 /** \returns run time of a workflow's longest chain of steps, ms, as its objective counts it. */
 double WorkflowRunner::objectiveChainMs(const WorkflowState& workflow) const {
   const Room room = m_context.settings.policy().waves() ? roomOfService(workflow.record.service()) : Room();
-  const TaskTime taskMs = [](const schema::StepSpec& step) { return static_cast<double>(step.estimate_ms()); };
+  const TaskTime taskMs = [&](const schema::StepSpec& step) { return expectedMs(workflow.record.queue(), step); };
   return longestChainMs(workflow.record.spec(), taskMs, room);
 }
 
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -20,8 +20,6 @@
 constexpr Duration CommitLimit = milliseconds(3000);
 /** An unfinished task whose percent stands at this is taken to be about to end. */
 constexpr double WholePercent = 100.0;
-/** Share of a task from which its pace so far tells its whole time. */
-constexpr double TellingShare = 0.1;
 /** Time that stopping a run may take before its target is gone, ms. */
 constexpr double LeaveMarginMs = 300.0;
 /** A run whose percent has not moved for this long, or for this share of its estimate, stands still. */
@@ -85,6 +83,7 @@
 void WorkflowRunner::onApplied() {
   const std::vector<RunChange> changes = m_driver.takeRunChanges();
   const std::vector<std::string> ended = m_driver.takeEndedWorkflows();
+  for (const RunChange& change : changes) learnFrom(change);
   if (!m_leads) return;
   m_ledger.apply(changes, BootClock::now());
   for (const RunChange& change : changes) {
@@ -196,7 +195,7 @@
   if (step.long_running()) return true;
   const double leftMs =
       static_cast<double>(target.report.remaining_ms()) - toMilliseconds(BootClock::now() - target.heard);
-  return remainingMs(step, track) + internal::LeaveMarginMs > leftMs;
+  return remainingMs(key, track) + internal::LeaveMarginMs > leftMs;
 }
 
 bool WorkflowRunner::standsStill(const RunKey& key, const RunTrack& track) const {
@@ -204,7 +203,8 @@
   if (!track.confirmed || step.long_running() || track.percent >= internal::WholePercent) return false;
   const auto found = m_ledger.targets().find(track.agent);
   if (found == m_ledger.targets().end() || !found->second.report.reachable()) return false;
-  const double stillMs = toMilliseconds(BootClock::now() - track.percentChanged);
+  // Silence of the agent or of the target says nothing about the run.
+  const double stillMs = toMilliseconds(track.seen - track.percentChanged);
   // A sound task moves by a hundredth of its work at a time, and its estimate may be far too short.
   const double patienceMs = std::max(internal::StallMs, internal::StallShare * static_cast<double>(step.estimate_ms()));
   return stillMs > patienceMs;
@@ -226,12 +226,27 @@
   }
 }
 
-double WorkflowRunner::remainingMs(const schema::StepSpec& step, const RunTrack& track) {
-  const double ranMs = toMilliseconds(BootClock::now() - track.startedAt);
-  const double share = track.percent / internal::WholePercent;
-  const double whole =
-      std::max(static_cast<double>(step.estimate_ms()), share > internal::TellingShare ? ranMs / share : 0.0);
-  return std::max(0.0, whole * (1.0 - share));
+/** Each replica learns from the log, so that a new leader knows what the former one knew. */
+void WorkflowRunner::learnFrom(const RunChange& change) {
+  const bool whole = !change.started && change.kind == schema::RunDone && change.run.checkpoint().empty();
+  const WorkflowState* workflow = whole ? table().find(change.task.workflow()) : nullptr;
+  if (workflow == nullptr || change.timeMs <= change.run.started_ms()) return;
+  const schema::StepSpec& step = workflow->step(change.task.step());
+  m_runTimes.ended(workflow->record.queue(), static_cast<double>(step.estimate_ms()),
+                   static_cast<double>(change.timeMs - change.run.started_ms()));
+}
+
+double WorkflowRunner::expectedMs(const std::string& queue, const schema::StepSpec& step) const {
+  const auto estimateMs = static_cast<double>(step.estimate_ms());
+  return learns() ? m_runTimes.expectedMs(queue, estimateMs) : estimateMs;
+}
+
+double WorkflowRunner::remainingMs(const RunKey& key, const RunTrack& track) const {
+  const schema::Workflow& record = table().find(key.workflow)->record;
+  const double wholeMs = expectedMs(record.queue(), record.spec().steps(static_cast<int>(key.task.step)));
+  const double leftMs = wholeMs * (1.0 - track.percent / internal::WholePercent);
+  const std::optional<double> byPace = learns() ? remainingByPaceMs(track, BootClock::now()) : std::nullopt;
+  return byPace ? *byPace : std::max(0.0, leftMs);
 }
 
 // ---- planning
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -12,6 +12,7 @@
 #include "Courseloom/src/Control/ReplicaDriver.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
+#include "Courseloom/src/Scheduling/RunTimes.h"
 #include "Courseloom/src/Scheduling/TargetHealth.h"
 
 namespace courseloom {
@@ -62,7 +63,10 @@
   unsigned wholeTargetsToKeep(const std::vector<PlannedRun>& runs, const std::vector<PlannedStep>& steps);
   bool leavesTooLate(const RunKey& key, const RunTrack& track) const;
   bool standsStill(const RunKey& key, const RunTrack& track) const;
-  static double remainingMs(const schema::StepSpec& step, const RunTrack& track);
+  bool learns() const { return m_context.settings.policy().learn_run_times(); }
+  double expectedMs(const std::string& queue, const schema::StepSpec& step) const;
+  double remainingMs(const RunKey& key, const RunTrack& track) const;
+  void learnFrom(const RunChange& change);
   void stopWhole(const RunKey& key, const char* reason);
   std::vector<PlannedTarget> planTargets() const;
   static void endGangsTogether(std::vector<PlannedRun>& runs);
@@ -82,6 +86,7 @@
   RunLedger m_ledger;
   RunPlanner m_planner;
   TargetHealth m_health;
+  RunTimes m_runTimes;
   ChangeSignal m_planWanted;
   std::map<std::string, ChangeSignal> m_agentSignals;
   std::map<StepName, Time> m_readySince;
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -116,6 +116,7 @@
 
 void RunLedger::takeRows(const schema::AttendRequest& report, Time now) {
   TargetTrack& target = m_targets[report.agent()];
+  const Time seen = now - milliseconds(report.running_age_ms());
   target.strays.clear();
   for (const schema::RunReport& row : report.running()) {
     const RunKey key = runKeyOf(row.task(), row.run());
@@ -127,8 +128,13 @@
     RunTrack& track = found->second;
     track.confirmed = true;
     if (!row.checkpoint().empty()) track.checkpoint = row.checkpoint();
-    if (row.percent() != track.percent) track.percentChanged = now;
+    if (row.percent() != track.percent) track.percentChanged = seen;
     track.percent = row.percent();
+    track.seen = std::max(track.seen, seen);
+    if (track.firstSeen == Time{}) {
+      track.firstSeen = seen;
+      track.firstPercent = row.percent();
+    }
     track.usage = row.usage();
   }
   for (const schema::StartReport& row : report.started()) {
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -54,7 +54,10 @@
   Time startedAt{};
   std::string checkpoint;  ///< newest one reported
   std::uint32_t percent = 0;
-  Time percentChanged{};
+  Time percentChanged{};           ///< when it was first seen at this percent, by the target's own word
+  std::uint32_t firstPercent = 0;  ///< when it was first seen ...
+  Time firstSeen{};                ///< ... at this instant; zero is never
+  Time seen{};                     ///< newest word of the target on it
   std::uint64_t usage = 0;
 };
 
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -140,7 +140,7 @@
   task.active.push_back(start.run());
   task.active.back().set_started_ms(timeMs);
   ++workflow.activeRuns;
-  m_runChanges.push_back({start.task(), task.active.back(), true, schema::RunDone});
+  m_runChanges.push_back({start.task(), task.active.back(), true, schema::RunDone, timeMs});
   if (workflow.record.phase() == schema::WorkflowQueued) {
     workflow.record.set_phase(schema::WorkflowRunning);
     workflow.record.set_started_ms(timeMs);
@@ -157,7 +157,7 @@
   std::vector<schema::ActiveRun>& active = taskFound->second.active;
   const auto run = std::find_if(active.begin(), active.end(), [&](const auto& r) { return r.number() == end.run(); });
   if (run == active.end()) return;
-  m_runChanges.push_back({end.task(), *run, false, end.kind()});
+  m_runChanges.push_back({end.task(), *run, false, end.kind(), timeMs});
   active.erase(run);
   --workflow.activeRuns;
   if (!end.checkpoint().empty()) workflow.tasks[internal::lead_of(workflow, key)].checkpoint = end.checkpoint();
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -81,6 +81,7 @@
   schema::ActiveRun run;
   bool started = false;  ///< otherwise ended
   schema::RunEndKind kind = schema::RunDone;
+  std::uint64_t timeMs = 0;  ///< wall clock of the commit
 };
 
 /** \returns whether a workflow has come to its end. */
--- a/test/objective.cpp
+++ b/test/objective.cpp
@@ -4,6 +4,7 @@
 // When a workflow should be done: chains, waves, and run times that are learnt.
 
 #include "Courseloom/src/Scheduling/Objective.h"
+#include "Courseloom/src/Scheduling/RunTimes.h"
 
 #include "test/main.h"
 
@@ -53,3 +54,43 @@
   step.set_gang(true);
   cr_assert_eq(wavesOf(step, FourTargets), 1);
 }
+
+Test(objective, run_times_are_learnt_where_estimates_say_little) {
+  RunTimes times;
+  cr_assert_eq(times.expectedMs("queue", 1000.0), 1000.0);
+  for (int i = 0; i < 200; ++i) times.ended("queue", i % 2 == 0 ? 1000.0 : 9000.0, 3000.0);
+  cr_assert_float_eq(times.expectedMs("queue", 1000.0), 3000.0, 300.0);
+  cr_assert_float_eq(times.expectedMs("queue", 9000.0), 3000.0, 300.0);
+  cr_assert_eq(times.expectedMs("other", 1000.0), 1000.0);
+}
+
+Test(objective, estimates_that_are_right_are_kept_and_those_that_are_off_by_a_factor_are_corrected) {
+  RunTimes right;
+  RunTimes twice;
+  for (int i = 1; i <= 100; ++i) right.ended("queue", 100.0 * i, 100.0 * i);
+  for (int i = 1; i <= 100; ++i) twice.ended("queue", 100.0 * i, 200.0 * i);
+  cr_assert_float_eq(right.expectedMs("queue", 700.0), 700.0, 1.0);
+  cr_assert_float_eq(twice.expectedMs("queue", 700.0), 1400.0, 150.0);
+}
+
+Test(objective, few_runs_say_little) {
+  RunTimes times;
+  times.ended("queue", 1000.0, 9000.0);
+  cr_assert(times.expectedMs("queue", 1000.0) < 1500.0);
+}
+
+Test(objective, a_runs_own_pace_tells_when_it_ends) {
+  RunTrack track;
+  const Time begin{milliseconds(1000000)};
+  cr_assert_not(remainingByPaceMs(track, begin).has_value());
+  track.firstSeen = begin;
+  track.firstPercent = 20;
+  track.percent = 25;
+  track.percentChanged = begin + milliseconds(100);
+  cr_assert_not(remainingByPaceMs(track, begin + milliseconds(100)).has_value(), "too little was seen");
+  track.percent = 60;
+  track.percentChanged = begin + milliseconds(1000);
+  cr_assert_float_eq(*remainingByPaceMs(track, begin + milliseconds(1000)), 1000.0, 1.0);
+  cr_assert_float_eq(*remainingByPaceMs(track, begin + milliseconds(1400)), 600.0, 1.0, "it goes on while unseen");
+  cr_assert_eq(*remainingByPaceMs(track, begin + milliseconds(9000)), 0.0);
+}
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -177,6 +177,22 @@
   cr_assert(test.ledger.fresh("agent", test.now));
 }
 
+// Found by reading: runs on targets that were only cut off were moved for standing still.
+Test(run_ledger, a_report_that_was_long_on_its_way_tells_of_the_past) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1, 10));
+  const RunKey key{"w", {0, 0, 0}, 1};
+  const Time first = test.now;
+  test.pass(3000);
+  schema::AttendRequest old = withRunning(test.report(), 0, 1, 10);
+  old.set_running_age_ms(2900);
+  test.attend(old);
+  const RunTrack& track = test.ledger.runs().at(key);
+  cr_assert(track.percentChanged == first);
+  cr_assert(track.seen == first + milliseconds(100), "for all that is known, it stood still for 100 ms");
+}
+
 Test(run_ledger, a_silent_agents_runs_lapse_only_after_its_grant) {
   LedgerTable test;
   test.start(0, 1);
