Guaranteed work near its bound counts on no run that is about to end

Change: from 2.3 s of waiting on, a guaranteed step counts on nothing but what is being stopped (m_sure beside m_later). Test: run_planner, guaranteed_work_near_its_bound_counts_on_no_end, failed before.

--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -94,11 +94,14 @@
   m_free.clear();
   for (const PlannedTarget& target : targets) m_free.push_back(target.capacity);
   m_later = m_free;
+  m_sure = m_free;
   findEndsSoon();
   orderByEnd();
   for (std::size_t r = 0; r < runs.size(); ++r) {
     occupy(m_free, runs[r].target, runs[r].need);
-    if (!runs[r].stopping && !m_endsSoon[r]) occupy(m_later, runs[r].target, runs[r].need);
+    if (runs[r].stopping) continue;
+    occupy(m_sure, runs[r].target, runs[r].need);
+    if (!m_endsSoon[r]) occupy(m_later, runs[r].target, runs[r].need);
   }
   std::vector<std::size_t> order(m_steps.size());
   std::iota(order.begin(), order.end(), 0U);
@@ -269,6 +272,7 @@
     m_plan.starts.push_back({index, step.tasks[i], chosen[i]});
     occupy(m_free, chosen[i], need);
     occupy(m_later, chosen[i], need);
+    occupy(m_sure, chosen[i], need);
     ++step.placedOn[(*m_targets)[chosen[i]].id];
   }
 }
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -133,6 +133,8 @@
   bool patience = true;       ///< priority 0 waits for runs that end by themselves in time, rather than stop others
   double endsSoonMs = 500.0;  ///< a run that ends within this time is not worth stopping
   double endsSoonTrustMs = 1000.0;   ///< a run that should have ended for this long is no longer counted on
+  /** Wait after which guaranteed work counts on no end any more and stops what it needs: the promise, less a stop. */
+  double guaranteedTrustMs = 2300.0;
   double patienceShare = 0.5;        ///< share of the time to its objective that it may wait so
   double urgentPatienceShare = 0.8;  ///< the same outside guarantees, which no promise bounds
   double patienceLimitMs = 1400.0;   ///< longest wait after which others are stopped for it
@@ -202,6 +204,8 @@
   bool preempt(std::size_t index);
   bool preemptForGang(std::size_t index);
   double worthStopping(const PlannedStep& step) const;
+  bool trustsEnds(const PlannedStep& step) const;
+  const Rooms& laterFor(const PlannedStep& step) const { return trustsEnds(step) ? m_later : m_sure; }
   Stoppable stoppableFor(const PlannedStep& step) const;
   std::vector<std::size_t> wholeOf(const Stoppable& stoppable, std::size_t run) const;
   std::optional<Clearing> clear(const PlannedStep& step, std::size_t target, const Stoppable& stoppable,
@@ -235,7 +239,8 @@
   const std::vector<PlannedRun>* m_runs = nullptr;
   std::vector<PlannedStep> m_steps;
   Rooms m_free;   ///< now
-  Rooms m_later;  ///< once what is being stopped has ended
+  Rooms m_later;  ///< once what is being stopped, or is about to end, has ended
+  Rooms m_sure;   ///< once what is being stopped has ended
   std::vector<Reservation> m_reservations;
   unsigned m_keepWhole = 0;
   unsigned m_gangStops = 0;  ///< gangs outside priority 0 that made room in this plan
--- a/Courseloom/src/Scheduling/RunPlannerPreemption.cpp
+++ b/Courseloom/src/Scheduling/RunPlannerPreemption.cpp
@@ -27,13 +27,18 @@
   return (step.isUrgent() ? m_options.lossRatio : m_options.gangLossRatio) * step.taskWork;
 }
 
+/** \returns whether a step may count on runs that are about to end; guaranteed work near its bound may not. */
+bool RunPlanner::trustsEnds(const PlannedStep& step) const {
+  return step.rank != GuaranteedRank || step.waitedMs < m_options.guaranteedTrustMs;
+}
+
 /** Sets room aside for what waits; if what is being stopped is not enough, chooses more to stop. */
 bool RunPlanner::preempt(std::size_t index) {
   const PlannedStep& step = m_steps[index];
   Choice choice;
   std::vector<std::size_t> victims;
   const bool gang = step.workflow->step(step.key.step).gang();
-  const bool soon = gang && tryGang(step, m_later, choice);
+  const bool soon = gang && tryGang(step, laterFor(step), choice);
   if (!soon) {
     double least = std::numeric_limits<double>::max();
     for (const std::vector<std::size_t>& group : gangGroups(step)) {
@@ -50,7 +55,8 @@
   for (const std::size_t run : victims) {
     m_stopped[run] = true;
     m_plan.stops.push_back({(*m_runs)[run].key, index});
-    m_later[(*m_runs)[run].target].add((*m_runs)[run].need);
+    m_sure[(*m_runs)[run].target].add((*m_runs)[run].need);
+    if (!m_endsSoon[run]) m_later[(*m_runs)[run].target].add((*m_runs)[run].need);
   }
   setAside(step, choice);
   return true;
@@ -62,6 +68,7 @@
   for (const std::size_t target : choice.targets) {
     occupy(m_free, target, need);
     occupy(m_later, target, need);
+    occupy(m_sure, target, need);
     m_nominating[nameOf(step)].insert((*m_targets)[target].id);
   }
 }
@@ -85,7 +92,8 @@
   Stoppable stoppable;
   for (std::size_t r = 0; r < m_runs->size(); ++r) {
     const PlannedRun& run = (*m_runs)[r];
-    if (run.stopping || m_endsSoon[r] || !run.movable || run.rank <= step.rank) continue;
+    const bool waitsForIt = m_endsSoon[r] && trustsEnds(step);
+    if (run.stopping || waitsForIt || !run.movable || run.rank <= step.rank) continue;
     stoppable.byTarget[run.target].push_back(r);
     if (!run.gang.empty()) stoppable.gangs[run.gang].push_back(r);
   }
@@ -134,7 +142,7 @@
                           std::vector<std::size_t>& victims, double& cost) const {
   const schema::StepSpec& spec = step.workflow->step(step.key.step);
   const Stoppable stoppable = stoppableFor(step);
-  Rooms rooms = m_later;
+  Rooms rooms = laterFor(step);
   std::vector<bool> gone = m_stopped;
   std::map<std::string, unsigned> placed = step.placedOn;
   for (std::size_t task = 0; task < step.tasks.size(); ++task) {
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -265,6 +265,19 @@
   cr_assert_eq(table.plan().stops.size(), 1);
 }
 
+// Guaranteed work has to begin within a bound; runs that are about to end, one after the other, must not use it up.
+Test(run_planner, guaranteed_work_near_its_bound_counts_on_no_end) {
+  PlannerTable table(1);
+  table.runs(0, 8, LowRank, 300.0);
+  PlannedStep& step = table.waits(1, 8, GuaranteedRank);
+  step.waitedMs = 2200.0;
+  cr_assert(table.plan().stops.empty());
+  step.waitedMs = 2400.0;
+  cr_assert_eq(table.plan().stops.size(), 1);
+  step.rank = UrgentRank;
+  cr_assert(table.plan().stops.empty(), "no promise bounds it");
+}
+
 Test(run_planner, a_run_that_is_about_to_end_is_not_stopped) {
   PlannerTable table(1);
   table.runs(0, 8, LowRank, 300.0).lostWork = 0.0;
