Work of low priority that waited long gets its turn; urgent work that is late stops nothing

And stops for urgent work that is late already cost work and bring nothing. Change: RunPlanner::age(): a step that waited twice its run time is served like priority 1. worthStopping() is nothing for a step outside guarantees that cannot be in time. Switches policy.ageing and policy.yields; the older levers get theirs (headroom, patience, prospects, reservations, nominations), so that an ablation is a settings file.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -35,6 +35,14 @@
   RunPlannerOptions options;
   options.lossRatio = settings.control().urgent_loss_ratio();
   options.urgentPatienceShare = settings.control().urgent_patience();
+  const schema::PolicySettings& policy = settings.policy();
+  if (!policy.ageing()) options.ageAfterEstimates = 0.0;
+  if (!policy.reservations()) options.reservations = 0;
+  options.headroom = policy.headroom();
+  options.patience = policy.patience();
+  options.prospects = policy.prospects();
+  options.nominations = policy.nominations();
+  options.yields = policy.yields();
   return options;
 }
 
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -103,6 +103,27 @@
     occupy(m_sure, runs[r].target, runs[r].need);
     if (!m_endsSoon[r]) occupy(m_later, runs[r].target, runs[r].need);
   }
+  age();
+  m_nominating.clear();
+  m_waitingFor.clear();
+  for (const std::size_t index : servingOrder()) serve(index);
+  m_nominated = std::move(m_nominating);
+  m_waitedFor = std::move(m_waitingFor);
+  return std::move(m_plan);
+}
+
+/** Strict ranks under lasting overload would never serve the lowest class. */
+void RunPlanner::age() {
+  if (m_options.ageAfterEstimates == 0.0) return;
+  const Rank oldest = rankOf(1, false);
+  for (PlannedStep& step : m_steps) {
+    const bool old = step.waitedMs > m_options.ageAfterEstimates * step.estimateMs;
+    if (old && step.rank > oldest) step.rank = oldest;
+  }
+}
+
+/** \returns the steps by index, the one to be served first at the front. */
+std::vector<std::size_t> RunPlanner::servingOrder() const {
   std::vector<std::size_t> order(m_steps.size());
   std::iota(order.begin(), order.end(), 0U);
   std::stable_sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) {
@@ -116,12 +137,7 @@
     if (weighs && leftProspect != rightProspect) return leftProspect < rightProspect;
     return left.objectiveMs < right.objectiveMs;
   });
-  m_nominating.clear();
-  m_waitingFor.clear();
-  for (const std::size_t index : order) serve(index);
-  m_nominated = std::move(m_nominating);
-  m_waitedFor = std::move(m_waitingFor);
-  return std::move(m_plan);
+  return order;
 }
 
 /** Expectations may be wrong: a run that should have ended a while ago is not counted on any more. */
@@ -163,6 +179,7 @@
 }
 
 bool RunPlanner::nominatedForOther(const PlannedStep& step, const std::string& target) const {
+  if (!m_options.nominations) return false;
   const StepName own = nameOf(step);
   for (const auto& [name, targets] : m_nominated) {
     if (name != own && targets.count(target) > 0) return true;
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -124,6 +124,9 @@
  */
 struct RunPlannerOptions {
   bool preemption = true;             ///< priority 0 makes room for itself
+  /** Work of any priority above 0 that waited this many of its run times is served like that of priority 1, so that lasting
+   * overload starves no class; 0 is never. */
+  double ageAfterEstimates = 2.0;
   bool prospects = true;              ///< what can still be in time goes before what is late already
   unsigned reservations = 8;          ///< gangs that wait and keep their places against later work
   double spreadAfterEstimates = 2.0;  ///< a gang of one rack waits this many run times before it spreads, and is slower
@@ -144,6 +147,8 @@
   double gangLossRatio = 0.0;
   double gangStopsAfterMs = 1000.0;  ///< wait after which such a gang stops others
   unsigned gangStopsAtOnce = 4;      ///< such gangs that make room for themselves in one plan
+  bool nominations = true;           ///< a target that is being freed for a step is the last choice of others
+  bool yields = true;                ///< urgent work that is late already stops nothing outside its guarantee
   bool headroom = true;              ///< whole targets are kept free for priority 0
   double headroomWaitMs = 4000.0;    ///< wait after which other work may take them all the same
 };
@@ -190,6 +195,8 @@
     double price = 0.0;  ///< work that is lost, core-seconds, and the target's penalty
   };
 
+  void age();
+  std::vector<std::size_t> servingOrder() const;
   void serve(std::size_t index);
   void servePieces(std::size_t index);
   void serveGang(std::size_t index);
--- a/Courseloom/src/Scheduling/RunPlannerPreemption.cpp
+++ b/Courseloom/src/Scheduling/RunPlannerPreemption.cpp
@@ -24,6 +24,7 @@
 /** \returns the work of others, core-seconds, that may be lost for one task of a step. */
 double RunPlanner::worthStopping(const PlannedStep& step) const {
   if (step.rank == GuaranteedRank) return std::numeric_limits<double>::max();
+  if (m_options.yields && prospectOf(step, m_nowMs) != Prospect::InTime) return 0.0;
   return (step.isUrgent() ? m_options.lossRatio : m_options.gangLossRatio) * step.taskWork;
 }
 
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -218,6 +218,21 @@
   cr_assert(withheld == std::set<std::size_t>{1});
 }
 
+// Found on bmm trouble-3, seed 49004: half of the targets had left for good, and nothing of the lowest priority ended.
+Test(run_planner, work_of_low_priority_that_waited_long_gets_its_turn) {
+  PlannerTable table(1);
+  PlannedStep& higher = table.waits(1, 8, rankOf(1, false));
+  higher.objectiveMs = NowMs + 9000.0;
+  PlannedStep& lower = table.waits(1, 8, rankOf(2, false));
+  const auto servedFirst = [&table] { return table.plan().starts.front().step; };
+  cr_assert_eq(servedFirst(), 0);
+  lower.waitedMs = 4100.0;
+  cr_assert_eq(servedFirst(), 1, "its objective is the earlier one");
+  RunPlannerOptions strict;
+  strict.ageAfterEstimates = 0.0;
+  cr_assert_eq(table.plan(0, strict).starts.front().step, 0);
+}
+
 Test(run_planner, guaranteed_work_is_never_stopped) {
   PlannerTable table(1);
   table.runs(0, 8, GuaranteedRank);
