Relays past a cut, hints that are not believed twice, standstills told by agents, gangs that lost a member stopped at once

Ruled out: re-electing faster (the new leader was there after 0.6 s), shorter grants, a probe of all replicas at once. Change: ControlRelay on each agent hands calls on, refuses at once when out of touch itself; ControlClient goes through it after silence, probes the replicas beside it and goes back; reports have a sequence, so that one that was overtaken on another way is refused (it could have ended the runs of a newer life). A replica that has just refused is not gone to on another's word. Agents measure how long a run stands still, and look every 250 ms. Siblings of a voided, lapsed or lost member are stopped.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -28,9 +28,14 @@
 constexpr Duration UncommittedPause = milliseconds(250);
 constexpr Duration AttendPause = milliseconds(50);
 constexpr Duration ReplyLimit = milliseconds(1500);
+/** After this long without an answer of control the agent relays nothing: two reports and their ways. */
+constexpr Duration InTouchFor = milliseconds(800);
 constexpr Duration StopLimit = milliseconds(700);
 /** Longest wait of a look while fillers share the target with what serves, ms. */
 constexpr std::uint32_t SharingLookMs = 400;
+/** A run that has not moved for this long is told of at once. A sound one moves by a hundredth of its work, which is 25
+ * ms for the shortest kinds seen and half a second for the longest ones on a target that is six times too slow. */
+constexpr Duration StillTold = milliseconds(600);
 /** Looks without answer after which a target gets nothing new. */
 constexpr unsigned FailuresUnreachable = 2;
 
@@ -47,6 +52,7 @@
       m_edges(std::move(edges)),
       m_strand(asio::make_strand(context.io)),
       m_control(context.io, context.settings.cluster()),
+      m_relay(context.io, context.settings.cluster(), [this] { return inTouch(); }),
       m_port(m_edges.makePort(context)),
       m_registration(
           context.io, HttpLimits(),
@@ -65,6 +71,7 @@
   Listening listening;
   BOOST_LEAF_CHECK(m_registration.start(edge.address, edge.port));
   BOOST_LEAF_ASSIGN(listening.httpPort, m_http.start(node.address(), node.http_port()));
+  BOOST_LEAF_ASSIGN(listening.rpcPort, m_relay.start(node));
   asio::co_spawn(m_strand, attendLoop(), asio::detached);
   asio::co_spawn(m_strand, newsLoop(), asio::detached);
   asio::co_spawn(m_strand, lookLoop(), asio::detached);
@@ -168,9 +175,16 @@
   return request;
 }
 
+/** \returns whether this agent can relay calls of others. */
+bool RunAgentService::inTouch() const {
+  return BootClock::now() < Time(Duration(m_directAt.load())) + internal::InTouchFor;
+}
+
 Awaitable<bool> RunAgentService::exchange(std::uint32_t waitMs) {
   schema::AttendRequest request = makeReport();
   request.set_wait_ms(waitMs);
+  request.set_sequence(++m_sequence);
+  request.set_relay(m_relay.number());
   const Time sentAt = BootClock::now();
   const Time deadline = sentAt + milliseconds(waitMs) + internal::ReplyLimit;
   Result<schema::AttendReply> reply = co_await m_control.attend(request, deadline);
@@ -183,6 +197,7 @@
     }
     co_return false;
   }
+  if (!m_control.relayed()) m_directAt = BootClock::now().time_since_epoch().count();
   takeReply(request, *reply, sentAt);
   co_return true;
 }
@@ -208,6 +223,8 @@
 
 void RunAgentService::takeReply(const schema::AttendRequest& request, const schema::AttendReply& reply, Time sentAt) {
   m_control.setMembers({reply.members().begin(), reply.members().end()});
+  m_relay.setMembers({reply.members().begin(), reply.members().end()});
+  followRelays(reply);
   if (reply.term() < m_term) return;  // a former leader's word
   if (!m_following || reply.term() != m_term) logEvent(schema::LeaderFound, {{"term", reply.term()}});
   m_following = true;
@@ -230,6 +247,12 @@
   for (const schema::RunOrder& order : reply.orders()) takeOrder(order, until);
 }
 
+void RunAgentService::followRelays(const schema::AttendReply& reply) {
+  std::vector<std::uint32_t> relays(reply.relays().begin(), reply.relays().end());
+  std::erase(relays, m_relay.number());
+  m_control.setRelays(relays);
+}
+
 /** \param until end of the grant that came with the order. One that was on its way for longer must not begin a run,
  * even under a later grant: the leader may have counted that run as lapsed and begun the next. */
 void RunAgentService::takeOrder(const schema::RunOrder& order, Time until) {
@@ -314,6 +337,7 @@
   }
   m_life->running = answer.running;
   m_life->lookedAt = receivedAt;
+  noteProgress(receivedAt);
   for (const schema::RunReport& row : answer.running) {
     m_runs.try_emplace(runKeyOf(row.task(), row.run()));
   }
@@ -327,6 +351,24 @@
   paceFillers();
 }
 
+/** The agent sees each run every look, the leader only as often as reports come: how long a run stands still is
+ * measured here. */
+void RunAgentService::noteProgress(Time receivedAt) {
+  std::map<RunKey, Progress> progress;
+  for (schema::RunReport& row : m_life->running) {
+    const RunKey key = runKeyOf(row.task(), row.run());
+    const auto before = m_life->progress.find(key);
+    const bool moved = before == m_life->progress.end() || before->second.percent != row.percent();
+    Progress& now = progress[key];
+    now = moved ? Progress{row.percent(), receivedAt, false} : before->second;
+    row.set_still_ms(static_cast<std::uint32_t>(toMilliseconds(receivedAt - now.since)));
+    if (now.told || receivedAt < now.since + internal::StillTold) continue;
+    now.told = true;
+    news();
+  }
+  m_life->progress = std::move(progress);
+}
+
 // ---- sharing the target
 
 void RunAgentService::paceFillers() {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -3,13 +3,14 @@
 
 #pragma once
 
+#include <atomic>
 #include <boost/asio/strand.hpp>
 #include <map>
 #include <memory>
 
 #include "Courseloom/src/Agent/FillerPacer.h"
 #include "Courseloom/src/Agent/TargetPort.h"
-#include "Courseloom/src/Membership/ControlClient.h"
+#include "Courseloom/src/Membership/ControlRelay.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
 #include "Courseloom/src/Runtime/Daemon.h"
 #include "Courseloom/src/Runtime/OneShot.h"
@@ -47,6 +48,12 @@
   struct LocalRun {
     bool busy = false;  ///< a call for it is under way
   };
+  /** How far a run was when it was last seen to move. */
+  struct Progress {
+    std::uint32_t percent = 0;
+    Time since{};
+    bool told = false;  ///< the leader was told that it stands still
+  };
   /** The target's present life. */
   struct Life {
     schema::TargetReport report;
@@ -58,7 +65,8 @@
     std::uint64_t endsTaken = 0;
     std::map<std::uint64_t, schema::EndReport> ends;  ///< not committed yet, by number
     std::vector<schema::RunReport> running;
-    Time lookedAt{};  ///< when the target last told what runs
+    Time lookedAt{};                      ///< when the target last told what runs
+    std::map<RunKey, Progress> progress;  ///< of what runs
   };
 
   Awaitable<void> announce(TargetAnnouncement announcement) override;
@@ -72,13 +80,16 @@
   Awaitable<bool> exchange(std::uint32_t waitMs);
   schema::AttendRequest makeReport() const;
   void takeReply(const schema::AttendRequest& request, const schema::AttendReply& reply, Time sentAt);
+  void followRelays(const schema::AttendReply& reply);
   void takeOrder(const schema::RunOrder& order, Time until);
   void news();
 
   Awaitable<void> lookLoop();
   Awaitable<bool> look(std::uint32_t waitMs);
   void takeLook(const std::string& life, const TargetAnswer& answer, Time receivedAt);
+  void noteProgress(Time receivedAt);
   void takeSilence();
+  bool inTouch() const;
   bool granted() const { return BootClock::now() < m_grantUntil; }
   bool isLife(const std::string& id) const { return m_life && m_life->report.id() == id; }
   std::uint64_t deadlineOnTarget(Time until) const;
@@ -97,10 +108,14 @@
   RunAgentEdges m_edges;
   Strand m_strand;
   ControlClient m_control;
+  ControlRelay m_relay;
   std::unique_ptr<TargetPort> m_port;
   HttpServer m_registration;
   HttpServer m_http;
   std::uint64_t m_incarnation;
+  std::uint64_t m_sequence = 0;  ///< of the newest report
+  /** When control last answered without a relay, since the clock's beginning; the relay asks from any thread. */
+  std::atomic<Duration::rep> m_directAt{0};
   std::optional<Life> m_life;
   std::map<RunKey, LocalRun> m_runs;
   std::map<RunKey, RunTraits> m_traits;  ///< of runs whose order this agent has seen
--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -88,6 +88,8 @@
   m_rpc.handle<schema::AttendRequest>("attend", [this](schema::AttendRequest request, std::string) {
     return asio::co_spawn(m_strand, m_workflows.attend(std::move(request)), asio::use_awaitable);
   });
+  m_rpc.handle<schema::Empty>(
+      "ping", [](schema::Empty, std::string) -> Awaitable<Result<schema::Empty>> { co_return schema::Empty(); });
   m_rpc.handle<schema::JoinRequest>("join", [this](schema::JoinRequest request, std::string) {
     return asio::co_spawn(
         m_strand, [this, request]() -> Awaitable<Result<schema::JoinReply>> { co_return m_driver.join(request); },
@@ -399,6 +401,7 @@
     }
   }
   for (const ReplicaId id : m_driver.memberIds()) reply.add_members(id);
+  for (const std::uint32_t id : m_workflows.relays()) reply.add_relays(id);
   if (hasNewTargets(request)) {
     reply.set_has_targets(true);
     reply.set_view(m_nodes.version());
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -18,13 +18,16 @@
 
 constexpr Duration TickInterval = milliseconds(100);
 constexpr Duration CommitLimit = milliseconds(3000);
+/** Relays that nodes are told of: one is enough, and others may be cut off with the node itself. */
+constexpr std::size_t RelaysNamed = 4;
 /** An unfinished task whose percent stands at this is taken to be about to end. */
 constexpr double WholePercent = 100.0;
 /** Time that stopping a run may take before its target is gone, ms. */
 constexpr double LeaveMarginMs = 300.0;
-/** A run whose percent has not moved for this long, or for this share of its estimate, stands still. */
-constexpr double StallMs = 2000.0;
-constexpr double StallShare = 0.3;
+/** A run that has not moved for this long, and for this share of its expected run time, stands still. A sound run moves
+ * every hundredth of its work; the share bears a target that is six times too slow and looks that are 250 ms apart. */
+constexpr double StallMs = 700.0;
+constexpr double StallShare = 0.15;
 RunLedgerOptions ledger_options(const schema::Settings& settings) {
   RunLedgerOptions options;
   options.grant = grantLength(settings.control());
@@ -99,6 +102,7 @@
     if (!change.started) m_context.metrics.count("run_ends", schema::RunEndKind_Name(change.kind));
     if (!change.started) m_health.ended(change.run.target(), change.task.workflow(), change.kind, BootClock::now());
     if (change.started) notifyAgent(change.run.agent());
+    if (!change.started) stopSiblings(change);
   }
   for (const std::string& id : ended) {
     const WorkflowState* workflow = table().find(id);
@@ -114,6 +118,16 @@
   wake();
 }
 
+/** Members of a gang whose run has lost one would wait for it in vain until the target gives them up; the next run can
+ * only begin when all of them are gone. */
+void WorkflowRunner::stopSiblings(const RunChange& change) {
+  const bool lost = change.kind == schema::RunVoided || change.kind == schema::RunLapsed ||
+                    change.kind == schema::RunTargetLost || change.kind == schema::RunAlone;
+  const WorkflowState* workflow = lost ? table().find(change.task.workflow()) : nullptr;
+  if (workflow == nullptr || workflow->ended() || !workflow->step(change.task.step()).gang()) return;
+  stopWhole(runKeyOf(change.task, change.run.number()), "a member of its gang was lost");
+}
+
 void WorkflowRunner::noteEnded(const WorkflowState& workflow) {
   const schema::Workflow& record = workflow.record;
   const std::uint64_t tookMs = record.ended_ms() - std::min(record.ended_ms(), record.submitted_ms());
@@ -206,16 +220,21 @@
   return remainingMs(key, track) + internal::LeaveMarginMs > leftMs;
 }
 
+/** A gang works only while all its members do, so it stands still for as long as the last one of them. Silence of an
+ * agent or of a target says nothing about its runs. */
 bool WorkflowRunner::standsStill(const RunKey& key, const RunTrack& track) const {
-  const schema::StepSpec& step = table().find(key.workflow)->step(key.task.step);
+  const schema::Workflow& record = table().find(key.workflow)->record;
+  const schema::StepSpec& step = record.spec().steps(static_cast<int>(key.task.step));
   if (!track.confirmed || step.long_running() || track.percent >= internal::WholePercent) return false;
-  const auto found = m_ledger.targets().find(track.agent);
-  if (found == m_ledger.targets().end() || !found->second.report.reachable()) return false;
-  // Silence of the agent or of the target says nothing about the run.
-  const double stillMs = toMilliseconds(track.seen - track.percentChanged);
-  // A sound task moves by a hundredth of its work at a time, and its estimate may be far too short.
-  const double patienceMs = std::max(internal::StallMs, internal::StallShare * static_cast<double>(step.estimate_ms()));
-  return stillMs > patienceMs;
+  const double patienceMs = std::max(internal::StallMs, internal::StallShare * expectedMs(record.queue(), step));
+  if (!step.gang()) return track.stillMs > patienceMs;
+  for (std::uint32_t index = 0; index < step.count(); ++index) {
+    const RunKey member{key.workflow, {key.task.occurrence, key.task.step, index}, key.run};
+    const auto found = m_ledger.runs().find(member);
+    const bool still = found != m_ledger.runs().end() && found->second.confirmed && found->second.stillMs > patienceMs;
+    if (!still) return false;
+  }
+  return true;
 }
 
 void WorkflowRunner::reviewRuns() {
@@ -273,9 +292,16 @@
 
 // ---- agents
 
+std::vector<std::uint32_t> WorkflowRunner::relays() const {
+  return m_ledger.relays(internal::RelaysNamed, BootClock::now());
+}
+
 Awaitable<Result<schema::AttendReply>> WorkflowRunner::attend(schema::AttendRequest request) {
   const Time received = BootClock::now();
   if (!leads()) co_return fail(m_driver.noLeader("attend"));
+  if (m_ledger.isOvertaken(request)) {
+    co_return fail(Failure{FailureCode::Fenced, Ran::No, "attend", request.agent(), "a newer report has come", 0});
+  }
   schema::RecordRuns runs;
   for (schema::RunEnd& end : m_ledger.takeReport(request, received)) {
     logEvent(schema::RunEnded, {{"task", taskText(end.task())},
@@ -310,6 +336,7 @@
   if (m_membersSource) {
     for (const ReplicaId id : m_membersSource()) reply.add_members(id);
   }
+  for (const std::uint32_t id : relays()) reply.add_relays(id);
   co_return reply;
 }
 
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -35,6 +35,8 @@
   void onApplied();
 
   Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request);
+  /** \returns nodes that relay calls for those that cannot reach control. */
+  std::vector<std::uint32_t> relays() const;
   /** Lets waiting agents go, so that they look for another leader. */
   void release();
   /** \returns control replicas, for agents that follow them. */
@@ -55,6 +57,7 @@
   std::vector<RunPlan::Start> startsInReach(const RunPlan& plan, const std::vector<PlannedStep>& steps,
                                             const std::vector<PlannedTarget>& targets);
   void reviewRuns();
+  void stopSiblings(const RunChange& change);
   void noteEnded(const WorkflowState& workflow);
   void noteStarted(const RunChange& change);
   void showGauges();
--- a/Courseloom/src/Membership/ControlClient.cpp
+++ b/Courseloom/src/Membership/ControlClient.cpp
@@ -4,6 +4,8 @@
 #include "Courseloom/src/Membership/ControlClient.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <cstdlib>
 
@@ -14,6 +16,12 @@
 namespace internal {
 namespace {
 constexpr Duration RetryPause = milliseconds(40);
+/** A replica that said that it does not lead is not gone to on another's word for this long: about ten tries. Replicas
+ * that were cut off together name each other, and a client that believed them would never try the others. */
+constexpr Duration RefusalHolds = milliseconds(600);
+/** Interval at which a node that uses a relay looks whether the replicas answer again. */
+constexpr Duration ProbeInterval = milliseconds(500);
+constexpr Duration ProbeLimit = milliseconds(300);
 constexpr const char* PeerPrefix = "replica ";
 
 /** \returns whether another replica may do better. */
@@ -21,6 +29,9 @@
   return code == FailureCode::NoLeader || code == FailureCode::PeerUnreachable || code == FailureCode::PeerFailed;
 }
 
+/** \returns whether nothing came back at all, as from behind a cut. */
+bool is_silence(FailureCode code) { return code == FailureCode::PeerUnreachable || code == FailureCode::PeerFailed; }
+
 }  // namespace
 }  // namespace internal
 
@@ -41,19 +52,84 @@
 ControlClient::ControlClient(boost::asio::io_context& io, const schema::ClusterSettings& cluster)
     : m_io(io), m_seedPort(cluster.seed_rpc_port()), m_tryLimit(2 * milliseconds(cluster.election_timeout_ms())) {
   for (const schema::ControlMember& member : cluster.members()) {
-    m_configured.push_back({member.id(), std::make_shared<RpcClient>(io, member.address(), member.rpc_port())});
+    m_configured.push_back({member.id(), std::make_shared<RpcClient>(io, member.address(), member.rpc_port()), Time{}});
   }
   for (const schema::Seed& seed : cluster.seeds()) m_configured.push_back(make(replicaIdOf(seed.endpoint())));
   m_replicas = m_configured;
 }
 
 ControlClient::Replica ControlClient::make(std::uint32_t id) const {
-  return {id, std::make_shared<RpcClient>(m_io, replicaAddressOf(id), m_seedPort)};
+  return {id, std::make_shared<RpcClient>(m_io, replicaAddressOf(id), m_seedPort), Time{}};
+}
+
+ControlClient::Way ControlClient::current() const {
+  const std::lock_guard lock(m_mutex);
+  if (m_viaRelay && !m_relays.empty()) return {m_relays[m_relay % m_relays.size()], true};
+  return {m_replicas[m_current % m_replicas.size()], false};
+}
+
+/** Where a relay is known, silence is not waited for as long: another election timeout, in which a leader is found. */
+Duration ControlClient::limitOf(const Way& way) const {
+  const std::lock_guard lock(m_mutex);
+  return way.relayed || m_relays.empty() ? m_tryLimit : m_tryLimit / 2;
+}
+
+bool ControlClient::relayed() const {
+  const std::lock_guard lock(m_mutex);
+  return m_viaRelay && !m_relays.empty();
+}
+
+void ControlClient::setRelays(const std::vector<std::uint32_t>& ids) {
+  const std::lock_guard lock(m_mutex);
+  const auto isSame = [](const Replica& relay, std::uint32_t id) { return relay.id == id; };
+  if (m_seedPort == 0 || std::equal(m_relays.begin(), m_relays.end(), ids.begin(), ids.end(), isSame)) return;
+  std::vector<Replica> next;
+  for (const std::uint32_t id : ids) {
+    const auto known = std::find_if(m_relays.begin(), m_relays.end(), [id](const Replica& r) { return r.id == id; });
+    next.push_back(known != m_relays.end() ? *known : make(id));
+  }
+  // The one in use stays in use if it is still named.
+  const std::uint32_t now = m_relays.empty() ? 0 : m_relays[m_relay % m_relays.size()].id;
+  const auto same = std::find_if(next.begin(), next.end(), [now](const Replica& r) { return r.id == now; });
+  m_relay = same == next.end() ? 0 : static_cast<std::size_t>(same - next.begin());
+  m_relays = std::move(next);
 }
 
-ControlClient::Replica ControlClient::current() const {
+/** While a relay serves, the replicas are tried beside it. */
+void ControlClient::worked(const Way& way) {
+  if (!way.relayed) return;
   const std::lock_guard lock(m_mutex);
-  return m_replicas[m_current % m_replicas.size()];
+  const Time now = BootClock::now();
+  if (m_probing || now < m_probedAt + internal::ProbeInterval) return;
+  m_probing = true;
+  m_probedAt = now;
+  boost::asio::co_spawn(m_io, probeDirect(m_replicas[m_current % m_replicas.size()]), boost::asio::detached);
+}
+
+Awaitable<void> ControlClient::probeDirect(Replica replica) {
+  Result<schema::Empty> reply =
+      co_await replica.client->call<schema::Empty>("ping", schema::Empty(), BootClock::now() + internal::ProbeLimit);
+  const std::lock_guard lock(m_mutex);
+  m_probing = false;
+  if (reply) {
+    m_viaRelay = false;
+  } else {
+    m_current = (m_current + 1) % m_replicas.size();
+  }
+}
+
+/** Silence makes calls go through a relay; a relay that does not serve makes them go direct again. */
+void ControlClient::failed(const Way& way, const Failure& failure) {
+  if (!internal::is_elsewhere(failure.code)) return;
+  if (!way.relayed) {
+    moveOn(way.peer.id, failure);
+    const std::lock_guard lock(m_mutex);
+    if (internal::is_silence(failure.code)) m_viaRelay = true;
+    return;
+  }
+  const std::lock_guard lock(m_mutex);
+  m_viaRelay = false;
+  ++m_relay;
 }
 
 ControlClient::Replica ControlClient::knownOrNew(std::uint32_t id) const {
@@ -94,36 +170,44 @@
   rebuild(m_members);
 }
 
+/** \returns whether calls go to the named replica now. */
+bool ControlClient::followHint(std::uint32_t leader, Time now) {
+  for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+    if (m_replicas[i].id != leader) continue;
+    if (now < m_replicas[i].refusedAt + internal::RefusalHolds) return false;
+    m_current = i;
+    return true;
+  }
+  if (m_seedPort == 0) return false;
+  m_replicas.push_back(make(leader));
+  m_current = m_replicas.size() - 1;
+  return true;
+}
+
 void ControlClient::moveOn(std::uint32_t from, const Failure& failure) {
   const std::lock_guard lock(m_mutex);
   if (m_replicas[m_current % m_replicas.size()].id != from) return;  // another call has moved on already
+  const Time now = BootClock::now();
+  if (failure.code == FailureCode::NoLeader) m_replicas[m_current % m_replicas.size()].refusedAt = now;
   const std::optional<std::uint32_t> leader = replicaNamedBy(failure);
-  if (leader) {
-    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
-      if (m_replicas[i].id != *leader) continue;
-      m_current = i;
-      return;
-    }
-    if (m_seedPort != 0) {
-      m_replicas.push_back(make(*leader));
-      m_current = m_replicas.size() - 1;
-      return;
-    }
-  }
+  if (leader && followHint(*leader, now)) return;
   m_current = (m_current + 1) % m_replicas.size();
 }
 
 template <class Reply, class Request>
 Awaitable<Result<Reply>> ControlClient::tryOnce(const std::string& method, const Request& request, Time deadline) {
-  const Replica replica = current();
+  const Way way = current();
   // A call that the leader holds back on purpose says how long in its own message; give that on top.
-  Duration limit = m_tryLimit;
+  Duration limit = limitOf(way);
   if constexpr (requires { request.wait_ms(); }) limit += milliseconds(request.wait_ms());
   const Time tryDeadline = std::min(deadline, BootClock::now() + limit);
-  Result<Reply> reply = co_await replica.client->template call<Reply>(method, request, tryDeadline);
-  if (reply) co_return reply;
+  Result<Reply> reply = co_await way.peer.client->template call<Reply>(method, request, tryDeadline);
+  if (reply) {
+    worked(way);
+    co_return reply;
+  }
   Failure failure = takeFailure(reply);
-  if (internal::is_elsewhere(failure.code)) moveOn(replica.id, failure);
+  failed(way, failure);
   co_return fail(std::move(failure));
 }
 
--- a/Courseloom/src/Membership/ControlClient.h
+++ b/Courseloom/src/Membership/ControlClient.h
@@ -18,6 +18,9 @@
  *
  * A call may be sent again after an unknown outcome, so only calls that are safe to repeat go through here: commands
  * carry a command id or an opener, queries and watches change nothing. Safe from any thread.
+ *
+ * A node that is cut off from the replicas may still reach nodes that are not: where the leader has named relays, a
+ * call that met silence goes through one of them, and goes direct again once a replica answers. \sa ControlRelay
  */
 class ControlClient {
  public:
@@ -33,6 +36,10 @@
 
   /** Takes the replicas that the leader names; those of the settings stay as the last resort. */
   void setMembers(const std::vector<std::uint32_t>& ids);
+  /** Takes the nodes that relay calls; without any, all calls go direct. */
+  void setRelays(const std::vector<std::uint32_t>& ids);
+  /** \returns whether calls go through a relay now. */
+  bool relayed() const;
   /** Takes the seeds of changed settings as the new last resort. */
   void setSeeds(const schema::ClusterSettings& cluster);
 
@@ -40,15 +47,27 @@
   struct Replica {
     std::uint32_t id = 0;
     std::shared_ptr<RpcClient> client;
+    Time refusedAt{};  ///< when it last said that it does not lead
   };
 
   template <class Reply, class Request>
   Awaitable<Result<Reply>> callLeader(std::string method, Request request, Time deadline);
   template <class Reply, class Request>
   Awaitable<Result<Reply>> tryOnce(const std::string& method, const Request& request, Time deadline);
-  Replica current() const;
-  /** Moves on after a failure: to the leader that the failure names, or to the next replica. */
+  /** One way to the leader: a replica, or a relay. */
+  struct Way {
+    Replica peer;
+    bool relayed = false;
+  };
+  Way current() const;
+  Duration limitOf(const Way& way) const;
+  void worked(const Way& way);
+  void failed(const Way& way, const Failure& failure);
+  Awaitable<void> probeDirect(Replica replica);
+  /** Moves on after a failure: to the leader that the failure names, unless that one has just refused, or to the next
+   * replica. */
   void moveOn(std::uint32_t from, const Failure& failure);
+  bool followHint(std::uint32_t leader, Time now);
   Replica make(std::uint32_t id) const;
   Replica knownOrNew(std::uint32_t id) const;
   void rebuild(const std::vector<std::uint32_t>& ids);
@@ -60,6 +79,11 @@
   std::vector<Replica> m_configured;     ///< of the settings
   std::vector<std::uint32_t> m_members;  ///< as the leader named them last
   std::size_t m_current = 0;
+  std::vector<Replica> m_relays;
+  std::size_t m_relay = 0;  ///< the relay to be used next
+  bool m_viaRelay = false;  ///< the replicas were silent
+  bool m_probing = false;
+  Time m_probedAt{};  ///< when a replica was last tried beside a relay
   Duration m_tryLimit;
 };
 
--- a/Courseloom/src/Membership/ViewFollower.cpp
+++ b/Courseloom/src/Membership/ViewFollower.cpp
@@ -57,6 +57,7 @@
     Result<schema::WatchReply> reply = co_await m_control.watch(std::move(request), sentAt + 2 * m_freshness);
     if (reply) {
       m_control.setMembers({reply->members().begin(), reply->members().end()});
+      m_control.setRelays({reply->relays().begin(), reply->relays().end()});
       take(*reply, sentAt);
     } else {
       logFailure(schema::PeerFailed, takeFailure(reply));
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -10,8 +10,8 @@
 
 /** Ends of a gang's other members arrive by themselves; only what stays longer is stopped. */
 constexpr Duration DoneGrace = milliseconds(600);
-/** After an outage: replicas back, a leader elected, agents heard; 2.5 to 4 s were measured with every machine off, of which
- * about half had passed when the first replica was back. */
+/** After an outage: replicas back, a leader elected, agents heard; 2.5 to 4 s were measured with every machine off, of
+ * which about half had passed when the first replica was back. */
 constexpr Duration ElectionAllowance = milliseconds(2000);
 
 bool is_over(const WorkflowTable& table, const RunKey& key) {
@@ -79,11 +79,23 @@
 
 // ---- reports
 
+bool RunLedger::isOvertaken(const schema::AttendRequest& report) const {
+  const auto found = m_targets.find(report.agent());
+  if (found == m_targets.end()) return false;
+  const TargetTrack& target = found->second;
+  if (report.incarnation() == target.incarnation) return report.sequence() < target.sequence;
+  return target.formerIncarnations.count(report.incarnation()) > 0;
+}
+
 std::vector<schema::RunEnd> RunLedger::takeReport(const schema::AttendRequest& report, Time now) {
   TargetTrack& target = m_targets[report.agent()];
   const std::set<RunKey>& keys = m_byAgent[report.agent()];
   const bool newAgent = target.incarnation != report.incarnation();
+  if (newAgent && target.incarnation != 0) target.formerIncarnations.insert(target.incarnation);
   target.incarnation = report.incarnation();
+  target.sequence = report.sequence();
+  target.relay = report.relay();
+  target.relayed = report.relayed();
   target.report = report.target();
   target.heard = now;
   target.askedAt = Time{};
@@ -130,6 +142,7 @@
     if (!row.checkpoint().empty()) track.checkpoint = row.checkpoint();
     if (row.percent() != track.percent) track.percentChanged = seen;
     track.percent = row.percent();
+    track.stillMs = row.still_ms();
     track.seen = std::max(track.seen, seen);
     if (track.firstSeen == Time{}) {
       track.firstSeen = seen;
@@ -198,6 +211,21 @@
   return found != m_targets.end() && found->second.askedAt != Time{};
 }
 
+std::vector<std::uint32_t> RunLedger::relays(std::size_t most, Time now) const {
+  std::vector<std::uint32_t> chosen;
+  std::vector<std::uint32_t> others;  // of data halls that have one already
+  std::set<std::string> halls;
+  for (const auto& [agent, target] : m_targets) {
+    const bool direct = target.relay != 0 && !target.relayed && now <= target.heard + m_options.silence;
+    if (!direct) continue;
+    const bool newHall = halls.insert(target.report.data_hall()).second;
+    (newHall ? chosen : others).push_back(target.relay);
+  }
+  chosen.insert(chosen.end(), others.begin(), others.end());
+  if (chosen.size() > most) chosen.resize(most);
+  return chosen;
+}
+
 // ---- orders
 
 bool RunLedger::startDue(const RunTrack& track, Time now) const {
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -54,6 +54,7 @@
   Time startedAt{};
   std::string checkpoint;  ///< newest one reported
   std::uint32_t percent = 0;
+  std::uint32_t stillMs = 0;       ///< time for which it stood still when it was last seen, by its agent's clock
   Time percentChanged{};           ///< when it was first seen at this percent, by the target's own word
   std::uint32_t firstPercent = 0;  ///< when it was first seen ...
   Time firstSeen{};                ///< ... at this instant; zero is never
@@ -67,6 +68,10 @@
 struct TargetTrack {
   schema::TargetReport report;
   std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;                  ///< of the newest report
+  std::set<std::uint64_t> formerIncarnations;  ///< whose late reports count no more
+  std::uint32_t relay = 0;                     ///< number under which the agent relays calls; 0 is not
+  bool relayed = false;                        ///< its newest report came through another node
   Time grantUntil{};
   Time heard{};
   Time askedAt{};              ///< when a sign of life was first asked for since it was heard; zero is not
@@ -90,7 +95,10 @@
   void lead(const WorkflowTable& table, Time now);
   /** Takes committed changes in. */
   void apply(const std::vector<RunChange>& changes, Time now);
-  /** Takes an agent's report in. \returns ends to commit; those of the target may be forgotten only afterwards */
+  /** \returns whether a report was overtaken by a newer one: on another connection, or through another node. */
+  bool isOvertaken(const schema::AttendRequest& report) const;
+  /** Takes an agent's report in; not one that was overtaken. \returns ends to commit; those of the target may be
+   * forgotten only afterwards */
   std::vector<schema::RunEnd> takeReport(const schema::AttendRequest& report, Time now);
   /** \returns ends of runs that nothing can hold any longer. */
   std::vector<schema::RunEnd> expire(Time now);
@@ -113,6 +121,9 @@
   void ask(const std::string& agent, Time now);
   /** \returns whether an agent owes a sign of life. */
   bool asked(const std::string& agent) const;
+  /** \returns agents that relay calls to control and were heard lately without a relay: at most so many, of different
+   * data halls as far as there are. */
+  std::vector<std::uint32_t> relays(std::size_t most, Time now) const;
   const RunLedgerOptions& options() const { return m_options; }
 
  private:
--- /dev/null
+++ b/test/control_relay.cpp
@@ -0,0 +1,180 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// A node that cannot reach control itself: calls go through a relay, and direct again when a replica answers.
+
+#include "Courseloom/src/Membership/ControlRelay.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Courseloom/src/Runtime/OneShot.h"
+#include "test/main.h"
+
+using namespace courseloom;
+
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string CutReplica = "127.0.9.21";
+const std::string Replica = "127.0.9.22";
+const std::string RelayNode = "127.0.9.23";
+
+schema::ClusterSettings cluster(const std::string& seed, unsigned port) {
+  schema::ClusterSettings settings;
+  settings.set_election_timeout_ms(200);
+  settings.set_seed_rpc_port(port);
+  settings.add_seeds()->set_endpoint(seed + ":1");
+  return settings;
+}
+
+/** \class FakeReplica
+ * \brief A leader that counts reports, and may be silent as one behind a cut is.
+ */
+class FakeReplica {
+ public:
+  FakeReplica(asio::io_context& io, const std::string& address, unsigned askedPort) : m_server(io) {
+    m_server.handle<schema::AttendRequest>("attend", [this](schema::AttendRequest request, std::string) {
+      return answer<schema::AttendReply>(request.relayed());
+    });
+    m_server.handle<schema::Empty>("ping", [this](schema::Empty, std::string) { return answer<schema::Empty>(false); });
+    port = m_server.start(address, askedPort).value();
+  }
+  unsigned port = 0;
+  bool silent = false;
+  bool leads = true;
+  std::string named;  ///< the peer that it takes for the leader, where it does not lead
+  unsigned direct = 0;
+  unsigned relayed = 0;
+
+ private:
+  template <class Reply>
+  Awaitable<Result<Reply>> answer(bool throughRelay) {
+    if (silent) co_await sleepFor(milliseconds(60000));
+    if (!leads) co_return fail(Failure{FailureCode::NoLeader, Ran::No, "test", named, "", 0});
+    ++(throughRelay ? relayed : direct);
+    co_return Reply();
+  }
+  RpcServer m_server;
+};
+
+/** \class Stage
+ * \brief A node whose replica is cut off from it, and a relay whose replica is not.
+ */
+class Stage {
+ public:
+  Stage()
+      : cut(io, CutReplica, 0),
+        reached(io, Replica, cut.port),
+        relay(io, cluster(Replica, cut.port), [this] { return inTouch; }),
+        client(io, cluster(CutReplica, cut.port)) {
+    schema::NodeSettings node;
+    node.set_address(RelayNode);
+    node.set_rpc_port(cut.port);
+    cr_assert(static_cast<bool>(relay.start(node)));
+    client.setRelays({relay.number()});
+    asio::co_spawn(io, report(), asio::detached);
+  }
+  void run(Duration length) { io.run_for(length); }
+
+  asio::io_context io;
+  FakeReplica cut;
+  FakeReplica reached;
+  ControlRelay relay;
+  ControlClient client;
+  unsigned answered = 0;
+  bool inTouch = true;  ///< the relay itself reaches control
+
+ private:
+  Awaitable<void> report() {
+    while (true) {
+      Result<schema::AttendReply> reply =
+          co_await client.attend(schema::AttendRequest(), BootClock::now() + milliseconds(1000));
+      answered += reply ? 1 : 0;
+      co_await sleepFor(milliseconds(20));
+    }
+  }
+};
+
+}  // namespace
+
+// Found on bmm: a node that is cut off from the replicas still reaches the nodes that are not.
+Test(control_relay, a_node_behind_a_cut_is_served_through_a_relay) {
+  Stage stage;
+  stage.cut.silent = true;
+  stage.run(milliseconds(800));
+  cr_assert(stage.reached.relayed > 5, "%u reports came through", stage.reached.relayed);
+  cr_assert(stage.client.relayed());
+  cr_assert_eq(stage.reached.direct, 0, "a report through a relay says so");
+}
+
+Test(control_relay, it_goes_direct_again_when_a_replica_answers) {
+  Stage stage;
+  stage.cut.silent = true;
+  stage.run(milliseconds(600));
+  cr_assert(stage.client.relayed());
+  stage.cut.silent = false;
+  stage.run(milliseconds(1200));
+  cr_assert_not(stage.client.relayed());
+  cr_assert(stage.cut.direct > 0);
+}
+
+Test(control_relay, without_a_cut_no_relay_is_used) {
+  Stage stage;
+  stage.run(milliseconds(400));
+  cr_assert(stage.answered > 5);
+  cr_assert_eq(stage.reached.relayed, 0);
+}
+
+Test(control_relay, a_relay_that_finds_no_leader_is_left) {
+  Stage stage;
+  stage.cut.silent = true;
+  stage.reached.leads = false;
+  stage.run(milliseconds(600));
+  cr_assert_eq(stage.answered, 0);
+  stage.cut.silent = false;
+  stage.run(milliseconds(800));
+  cr_assert(stage.answered > 0, "the replicas are tried again");
+}
+
+// Found on bmm scale-1: with all replicas off, calls that surely had not run were answered as doubts, by way of relays.
+Test(control_relay, a_relay_that_is_cut_off_itself_refuses_at_once) {
+  Stage stage;
+  stage.cut.silent = true;
+  stage.inTouch = false;
+  stage.run(milliseconds(600));
+  cr_assert_eq(stage.answered, 0);
+  cr_assert_eq(stage.reached.relayed, 0);
+  stage.inTouch = true;
+  stage.run(milliseconds(800));
+  cr_assert(stage.answered > 0);
+}
+
+// Found on bmm-grown trouble-3, seed 14004: half of the core was cut off, and its replicas named their former leader;
+// no agent found the new one for the six seconds of the cut.
+Test(control_relay, replicas_that_name_one_that_does_not_lead_are_not_believed) {
+  asio::io_context io;
+  FakeReplica former(io, "127.0.9.24", 0);
+  FakeReplica follower(io, "127.0.9.25", former.port);
+  FakeReplica leader(io, "127.0.9.26", former.port);
+  former.leads = false;
+  follower.leads = false;
+  follower.named = replicaPeer(replicaIdOf("127.0.9.24"));
+  schema::ClusterSettings settings = cluster("127.0.9.24", former.port);
+  settings.add_seeds()->set_endpoint("127.0.9.25:1");
+  settings.add_seeds()->set_endpoint("127.0.9.26:1");
+  ControlClient client(io, settings);
+  unsigned answered = 0;
+  const auto report = [&]() -> Awaitable<void> {
+    while (true) {
+      Result<schema::AttendReply> reply =
+          co_await client.attend(schema::AttendRequest(), BootClock::now() + milliseconds(1000));
+      answered += reply ? 1 : 0;
+      co_await sleepFor(milliseconds(20));
+    }
+  };
+  asio::co_spawn(io, report(), asio::detached);
+  io.run_for(milliseconds(500));
+  cr_assert(answered > 0, "the leader was never tried");
+}
--- a/test/run_agent.cpp
+++ b/test/run_agent.cpp
@@ -42,6 +42,7 @@
     unsigned starts = 0;
     unsigned stops = 0;
     std::vector<schema::EndReport> ends;  ///< what the target lists
+    bool standsStill = false;             ///< lists a run that does not move
     bool silent = false;                  ///< answers neither stops nor looks
   };
   explicit FakeTarget(Record& record) : m_record(record) {}
@@ -62,6 +63,12 @@
     if (m_record.silent) co_return noAnswer();
     TargetAnswer answer = taken();
     answer.ends = m_record.ends;
+    if (m_record.standsStill) {
+      schema::RunReport& row = answer.running.emplace_back();
+      *row.mutable_task() = startOrder().task();
+      row.set_run(1);
+      row.set_percent(30);
+    }
     co_return answer;
   }
   Awaitable<Result<TargetAnswer>> pace(std::string, schema::TaskId, std::uint32_t, std::uint32_t, std::uint64_t,
@@ -210,8 +217,28 @@
   bool delayed = false;
 };
 
+/** Takes reports as an idle leader does, and notes when the agent first tells of a run that stands still. */
+class WatchingLeader : public FakeLeader {
+ public:
+  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
+    for (const schema::RunReport& row : request.running()) longestStillMs = std::max(longestStillMs, row.still_ms());
+    if (request.wait_ms() > 0) co_await sleepFor(milliseconds(700));
+    co_return reply(LongGrantMs);
+  }
+  std::uint32_t longestStillMs = 0;
+};
+
 }  // namespace
 
+// Found on bmm scale-2: runs on a hanging target were left there for 2 s, the time of two reports.
+Test(run_agent, a_run_that_stands_still_is_told_of_at_once) {
+  WatchingLeader leader;
+  Stage stage(leader);
+  stage.target.standsStill = true;
+  stage.run(milliseconds(1000));
+  cr_assert(leader.longestStillMs >= 600, "the leader was told of %u ms", leader.longestStillMs);
+}
+
 Test(run_agent, a_refused_start_is_void_at_the_target_before_it_is_reported) {
   RefusedLeader leader;
   Stage stage(leader);
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -143,7 +143,8 @@
   settings.set_run_grant_ms(5500);
   cr_assert(grantLength(settings) == milliseconds(5500));
   settings.set_outage_s(12);
-  cr_assert(grantLength(settings) == milliseconds(14000), "runs go on while nobody leads, and until somebody does again");
+  cr_assert(grantLength(settings) == milliseconds(14000),
+            "runs go on while nobody leads, and until somebody does again");
   settings.set_run_grant_ms(20000);
   cr_assert(grantLength(settings) == milliseconds(20000), "never shorter than asked for");
 }
@@ -193,6 +194,46 @@
   cr_assert(track.seen == first + milliseconds(100), "for all that is known, it stood still for 100 ms");
 }
 
+// Reports of one agent come on several connections and through relays, so that one may be overtaken.
+Test(run_ledger, a_report_that_was_overtaken_is_known) {
+  LedgerTable test;
+  schema::AttendRequest first = test.report("life-1");
+  first.set_sequence(1);
+  schema::AttendRequest second = test.report("life-2");
+  second.set_sequence(2);
+  cr_assert_not(test.ledger.isOvertaken(first));
+  test.attend(second);
+  cr_assert(test.ledger.isOvertaken(first), "it would end every run of the new life");
+  test.incarnation = 2;
+  schema::AttendRequest restarted = test.report("life-2");
+  restarted.set_sequence(1);
+  cr_assert_not(test.ledger.isOvertaken(restarted));
+  test.attend(restarted);
+  second.set_sequence(3);
+  cr_assert(test.ledger.isOvertaken(second), "of a former life of the agent");
+}
+
+Test(run_ledger, relays_are_agents_that_were_heard_lately_and_directly) {
+  LedgerTable test;
+  const auto hear = [&test](const std::string& agent, std::uint32_t relay, const std::string& hall, bool relayed) {
+    schema::AttendRequest report = test.report();
+    report.set_agent(agent);
+    report.set_relay(relay);
+    report.set_relayed(relayed);
+    report.mutable_target()->set_data_hall(hall);
+    test.ledger.takeReport(report, test.now);
+  };
+  hear("a", 1, "hall-1", false);
+  hear("b", 2, "hall-1", false);
+  hear("c", 3, "hall-2", false);
+  hear("d", 4, "hall-3", true);
+  hear("e", 0, "hall-3", false);
+  cr_assert(test.ledger.relays(4, test.now) == std::vector<std::uint32_t>({1, 3, 2}), "halls first");
+  cr_assert(test.ledger.relays(2, test.now) == std::vector<std::uint32_t>({1, 3}));
+  test.pass(3000);
+  cr_assert(test.ledger.relays(4, test.now).empty());
+}
+
 Test(run_ledger, a_silent_agents_runs_lapse_only_after_its_grant) {
   LedgerTable test;
   test.start(0, 1);
