Orders do not go out on a way that was overtaken; an agent whose target leaves gets shorter grants

Cause: a report held back by the leader may be on a cut connection while its agent has reported again through a relay; whichever woke first took the orders, and on the dead way they were lost for 1.5 s. Ruled out: giving orders again sooner (a start that is not listed yet would be stopped). Change: a held report ends when a newer one comes, and takes no orders then. RunLedger::grant() gives run_grant_ms while the target drains; an earlier, longer grant still counts.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -31,6 +31,7 @@
 RunLedgerOptions ledger_options(const schema::Settings& settings) {
   RunLedgerOptions options;
   options.grant = grantLength(settings.control());
+  options.leavingGrant = milliseconds(settings.control().run_grant_ms());
   return options;
 }
 
@@ -312,6 +313,7 @@
   }
   schema::AttendReply reply;
   if (runs.ends_size() > 0 && !co_await commitRuns(std::move(runs))) co_return fail(m_driver.noLeader("attend"));
+  notifyAgent(request.agent());  // a report that is held back has been overtaken
   wake();
   reply.set_ends_target(request.target().id());
   for (const schema::EndReport& end : request.ends()) {
@@ -320,18 +322,20 @@
   const Time end = received + milliseconds(request.wait_ms());
   const bool hasNews = request.ends_size() > 0 || request.started_size() > 0;
   while (leads() && !hasNews && !m_released && BootClock::now() < end) {
-    if (m_ledger.asked(request.agent())) break;
+    if (m_ledger.asked(request.agent()) || m_ledger.isOvertaken(request)) break;
     if (m_ledger.hasOrders(request.agent(), table(), BootClock::now())) break;
     co_await m_agentSignals[request.agent()].wait(end);
   }
   if (!leads() || m_released) co_return fail(m_driver.noLeader("attend"));
   const Time now = BootClock::now();
-  for (schema::RunOrder& order : m_ledger.takeOrders(request.agent(), table(), now)) {
-    *reply.add_orders() = std::move(order);
+  // The way of a report that was overtaken may be cut; its answer brings nothing that must arrive.
+  if (!m_ledger.isOvertaken(request)) {
+    for (schema::RunOrder& order : m_ledger.takeOrders(request.agent(), table(), now)) {
+      *reply.add_orders() = std::move(order);
+    }
   }
-  m_ledger.granted(request.agent(), now);
   reply.set_term(m_driver.replica().term());
-  reply.set_grant_ms(static_cast<std::uint32_t>(toMilliseconds(m_ledger.options().grant)));
+  reply.set_grant_ms(static_cast<std::uint32_t>(toMilliseconds(m_ledger.grant(request.agent(), now))));
   reply.set_held_ms(static_cast<std::uint32_t>(toMilliseconds(now - received)));
   if (m_membersSource) {
     for (const ReplicaId id : m_membersSource()) reply.add_members(id);
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -162,7 +162,14 @@
 
 // ---- leases
 
-void RunLedger::granted(const std::string& agent, Time now) { m_targets[agent].grantUntil = now + m_options.grant; }
+Duration RunLedger::grant(const std::string& agent, Time now) {
+  TargetTrack& target = m_targets[agent];
+  const Duration length =
+      target.report.draining() ? std::min(m_options.grant, m_options.leavingGrant) : m_options.grant;
+  // An earlier grant may have been longer.
+  target.grantUntil = std::max(target.grantUntil, now + length);
+  return length;
+}
 
 /** A former leader may have granted until the very instant at which this one began. */
 Time RunLedger::heldUntil(const std::string& agent) const {
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -30,6 +30,7 @@
 struct RunLedgerOptions {
   Duration grant = milliseconds(5500);           ///< time for which an agent may hold runs after word from the leader
   Duration slack = milliseconds(300);            ///< added before runs of a silent agent count as lapsed
+  Duration leavingGrant = milliseconds(5500);    ///< the same while the agent's target leaves
   Duration silence = milliseconds(2500);         ///< an agent not heard for this long gets no new runs
   Duration redeliverAfter = milliseconds(1500);  ///< an order without result is given again after this
   Duration fresh = milliseconds(150);     ///< an agent heard within this time is sure to be there: many round trips
@@ -102,8 +103,9 @@
   std::vector<schema::RunEnd> takeReport(const schema::AttendRequest& report, Time now);
   /** \returns ends of runs that nothing can hold any longer. */
   std::vector<schema::RunEnd> expire(Time now);
-  /** Says that an agent is being told that it may hold its runs for a grant from now. */
-  void granted(const std::string& agent, Time now);
+  /** Grants an agent that it may hold its runs from now on. \returns for how long: less if its target leaves, since an
+   * agent that leaves with it says no last word */
+  Duration grant(const std::string& agent, Time now);
   /** \returns orders that are due for an agent, and counts them as delivered. */
   std::vector<schema::RunOrder> takeOrders(const std::string& agent, const WorkflowTable& table, Time now);
   /** \returns whether takeOrders() would give any. */
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -57,7 +57,7 @@
   std::vector<schema::RunOrder> attend(const schema::AttendRequest& request) {
     commitEnds(ledger.takeReport(request, now));
     std::vector<schema::RunOrder> orders = ledger.takeOrders("agent", table, now);
-    ledger.granted("agent", now);
+    ledger.grant("agent", now);
     return orders;
   }
   void pass(std::int64_t ms) { now += milliseconds(ms); }
@@ -234,6 +234,27 @@
   cr_assert(test.ledger.relays(4, test.now).empty());
 }
 
+// Found on bmm-grown scale-1, seed 7001: a gang waited 17 s for a member whose target and agent had left for good.
+Test(run_ledger, an_agent_whose_target_leaves_gets_shorter_grants) {
+  LedgerTable test;
+  RunLedgerOptions options;
+  options.grant = milliseconds(14000);
+  test.ledger = RunLedger(options);
+  test.ledger.lead(test.table, test.now);
+  test.start(0, 1);
+  schema::AttendRequest leaving = withRunning(test.report(), 0, 1);
+  leaving.mutable_target()->set_draining(true);
+  test.attend(leaving);
+  // What a former leader granted may be longer.
+  test.pass(14200);
+  cr_assert(test.ledger.expire(test.now).empty());
+  test.attend(leaving);
+  test.pass(5700);
+  cr_assert(test.ledger.expire(test.now).empty());
+  test.pass(200);
+  cr_assert_eq(test.ledger.expire(test.now).size(), 1);
+}
+
 Test(run_ledger, a_silent_agents_runs_lapse_only_after_its_grant) {
   LedgerTable test;
   test.start(0, 1);
--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -304,7 +304,7 @@
     }
     commit(m_ledger->takeReport(request, m_now), {});
     const std::vector<schema::RunOrder> orders = m_ledger->takeOrders(request.agent(), m_table, m_now);
-    m_ledger->granted(request.agent(), m_now);
+    m_ledger->grant(request.agent(), m_now);
     if (m_faults && chance(0.1)) return;  // the reply is lost
     agent.grantUntil = m_now + Grant;
     agent.fates.clear();
