A report that was long on its way ends no run of a newer life

Cause: found by extending the seeded runs with reports that stay behind on a cut connection and arrive after newer ones, also at the next leader: a report of a former life of the target ends the runs of the present one, and the task runs twice. Relays and reports on two connections make that likelier, but it was there before them. Ruled out: the term alone (an agent's first report to a new leader carries the former one), the sequence alone (the stale report may be the first that a new leader sees). Change: isOvertaken() refuses what a newer report of the same agent has overtaken; runs of another life are ended only on the word of an agent that this leader has answered. A first report is answered at once, so that this costs one round trip.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -72,7 +72,7 @@
   m_advice.clear();
   m_readySince.clear();
   m_health.clear();
-  if (leads) m_ledger.lead(table(), BootClock::now());
+  if (leads) m_ledger.lead(table(), BootClock::now(), m_driver.replica().term());
   for (auto& [agent, signal] : m_agentSignals) signal.notify();
   wake();
 }
@@ -320,7 +320,8 @@
     reply.set_ends_taken(std::max<std::uint64_t>(reply.ends_taken(), end.number()));
   }
   const Time end = received + milliseconds(request.wait_ms());
-  const bool hasNews = request.ends_size() > 0 || request.started_size() > 0;
+  const bool hasNews =
+      request.ends_size() > 0 || request.started_size() > 0 || request.term() != m_driver.replica().term();
   while (leads() && !hasNews && !m_released && BootClock::now() < end) {
     if (m_ledger.asked(request.agent()) || m_ledger.isOvertaken(request)) break;
     if (m_ledger.hasOrders(request.agent(), table(), BootClock::now())) break;
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -32,8 +32,9 @@
 
 RunKey runKeyOf(const schema::TaskId& task, std::uint32_t run) { return {task.workflow(), keyOf(task), run}; }
 
-void RunLedger::lead(const WorkflowTable& table, Time now) {
+void RunLedger::lead(const WorkflowTable& table, Time now, std::uint64_t term) {
   m_leaderSince = now;
+  m_term = term;
   m_runs.clear();
   m_byAgent.clear();
   m_targets.clear();
@@ -80,6 +81,7 @@
 // ---- reports
 
 bool RunLedger::isOvertaken(const schema::AttendRequest& report) const {
+  if (!m_options.doubtReports) return false;
   const auto found = m_targets.find(report.agent());
   if (found == m_targets.end()) return false;
   const TargetTrack& target = found->second;
@@ -104,6 +106,8 @@
   } else if (target.withoutTargetSince == Time{}) {
     target.withoutTargetSince = now;
   }
+  // An agent that has had an answer of this leader says so; before that its report may be of long ago.
+  const bool current = !m_options.doubtReports || report.term() == m_term;
   std::vector<schema::RunEnd> ends;
   for (const RunKey& key : keys) {
     RunTrack& track = m_runs.at(key);
@@ -113,7 +117,7 @@
       track.stopDelivered = Time{};
     }
     const bool otherLife = !report.target().id().empty() && track.target != report.target().id();
-    if (otherLife) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
+    if (otherLife && current) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
   }
   takeRows(report, now);
   for (const schema::EndReport& row : report.ends()) {
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -39,6 +39,7 @@
   bool waitForGrants = true;   ///< runs of a silent agent are over only when its grant has run out
   bool inheritGrants = true;   ///< a new leader counts on grants that a former one gave until it began
   bool withholdEnding = true;  ///< no start is ordered for a run whose end is on its way into the log
+  bool doubtReports = true;    ///< a report that was long on its way ends no run of a newer life
 };
 
 /** \class RunTrack
@@ -92,8 +93,8 @@
  public:
   explicit RunLedger(RunLedgerOptions options = {}) : m_options(options) {}
 
-  /** Begins to lead: everything that a former leader knew has to be learnt again. */
-  void lead(const WorkflowTable& table, Time now);
+  /** Begins to lead: everything that a former leader knew has to be learnt again. \param term in which it leads */
+  void lead(const WorkflowTable& table, Time now, std::uint64_t term = 0);
   /** Takes committed changes in. */
   void apply(const std::vector<RunChange>& changes, Time now);
   /** \returns whether a report was overtaken by a newer one: on another connection, or through another node. */
@@ -138,6 +139,7 @@
 
   RunLedgerOptions m_options;
   Time m_leaderSince{};
+  std::uint64_t m_term = 0;
   std::map<RunKey, RunTrack> m_runs;
   std::map<std::string, std::set<RunKey>> m_byAgent;
   std::map<std::string, TargetTrack> m_targets;  ///< by agent
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -194,6 +194,19 @@
   cr_assert(track.seen == first + milliseconds(100), "for all that is known, it stood still for 100 ms");
 }
 
+// A report that was sent before this leader was elected may be older than what the log says.
+Test(run_ledger, only_an_agent_that_this_leader_has_answered_ends_runs_of_another_life) {
+  LedgerTable test;
+  test.ledger.lead(test.table, test.now, 2);
+  test.start(0, 1, "life-2");
+  test.attend(test.report("life-1"));
+  cr_assert_eq(test.ledger.runs().size(), 1);
+  schema::AttendRequest answered = test.report("life-3");
+  answered.set_term(2);
+  test.attend(answered);
+  cr_assert(test.ledger.runs().empty());
+}
+
 // Reports of one agent come on several connections and through relays, so that one may be overtaken.
 Test(run_ledger, a_report_that_was_overtaken_is_known) {
   LedgerTable test;
--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -84,6 +84,8 @@
   struct Agent {
     ModelTarget target;
     std::uint64_t incarnation = 1;
+    std::uint64_t sequence = 0;
+    std::uint64_t term = 0;  ///< of the newest leader that has answered
     std::uint64_t endsTaken = 0;
     Time grantUntil{};
     Time heldUntil{};
@@ -119,6 +121,7 @@
     }
     if (faults && chance(0.005)) newLeader();
     applyLate();
+    takeDelayed();
     for (std::size_t i = 0; i < m_agents.size(); ++i) {
       workOff(i);
       if (!m_agents[i].cut && chance(0.5)) attend(i);
@@ -151,6 +154,8 @@
 
   void restartAgent(Agent& agent) {
     ++agent.incarnation;
+    agent.sequence = 0;
+    agent.term = 0;
     agent.grantUntil = Time{};
     agent.seenEnds.clear();
     agent.inDoubt.clear();
@@ -166,7 +171,7 @@
     m_expiring.clear();
     m_ledger = std::make_unique<RunLedger>(m_options);
     m_table.takeRunChanges();
-    m_ledger->lead(m_table, m_now);
+    m_ledger->lead(m_table, m_now, ++m_term);
   }
 
   // ---- the target
@@ -302,16 +307,38 @@
       row->set_run(key.run);
       row->set_kind(kind);
     }
+    request.set_sequence(++agent.sequence);
+    request.set_term(agent.term);
+    if (m_faults && chance(0.03)) {  // it stays behind, on a connection that was cut
+      m_delayed.push_back({m_now + upTo(4000), request});
+      return;
+    }
     commit(m_ledger->takeReport(request, m_now), {});
     const std::vector<schema::RunOrder> orders = m_ledger->takeOrders(request.agent(), m_table, m_now);
     m_ledger->grant(request.agent(), m_now);
     if (m_faults && chance(0.1)) return;  // the reply is lost
     agent.grantUntil = m_now + Grant;
+    agent.term = m_term;
     agent.fates.clear();
     for (const schema::EndReport& end : request.ends()) noteEnd(agent, end);
     for (const schema::RunOrder& order : orders) takeOrder(i, order);
   }
 
+  /** Reports arrive that newer ones have overtaken; their answers reach nobody. */
+  void takeDelayed() {
+    for (std::size_t i = 0; i < m_delayed.size();) {
+      if (m_now < m_delayed[i].first) {
+        ++i;
+        continue;
+      }
+      const schema::AttendRequest request = m_delayed[i].second;
+      m_delayed.erase(m_delayed.begin() + static_cast<std::ptrdiff_t>(i));
+      if (m_ledger->isOvertaken(request)) continue;
+      commit(m_ledger->takeReport(request, m_now), {});
+      m_ledger->grant(request.agent(), m_now);
+    }
+  }
+
   void noteEnd(Agent& agent, const schema::EndReport& end) {
     if (end.number() == 0) return;
     const RunKey key = runKeyOf(end.task(), end.run());
@@ -393,6 +420,8 @@
   std::unique_ptr<RunLedger> m_ledger;
   std::vector<Agent> m_agents;
   std::vector<Late> m_late;
+  std::vector<std::pair<Time, schema::AttendRequest>> m_delayed;
+  std::uint64_t m_term = 0;
   std::vector<schema::RunEnd> m_expiring;  ///< ends on their way into the log ...
   Time m_expiredAt{};                      ///< ... until this time
   std::set<std::string> m_doneNoted;
@@ -455,3 +484,9 @@
   mechanisms.deadlines = false;
   cr_assert_not(firstViolation(400, {}, mechanisms).empty());
 }
+
+Test(run_ledger_seeded, fails_if_reports_that_were_long_on_their_way_are_believed) {
+  RunLedgerOptions options;
+  options.doubtReports = false;
+  cr_assert_not(firstViolation(100, options).empty());
+}
