--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -33,9 +33,6 @@
 constexpr Duration StopLimit = milliseconds(700);
 /** Longest wait of a look while fillers share the target with what serves, ms. */
 constexpr std::uint32_t SharingLookMs = 400;
-/** A run that has not moved for this long is told of at once. A sound one moves by a hundredth of its work, which is 25
- * ms for the shortest kinds seen and half a second for the longest ones on a target that is six times too slow. */
-constexpr Duration StillTold = milliseconds(600);
 /** Looks without answer after which a target gets nothing new. */
 constexpr unsigned FailuresUnreachable = 2;
 
@@ -337,7 +334,7 @@
   }
   m_life->running = answer.running;
   m_life->lookedAt = receivedAt;
-  noteProgress(receivedAt);
+  if (m_life->progress.note(m_life->running, receivedAt)) news();
   for (const schema::RunReport& row : answer.running) {
     m_runs.try_emplace(runKeyOf(row.task(), row.run()));
   }
@@ -351,24 +348,6 @@
   paceFillers();
 }
 
-/** The agent sees each run every look, the leader only as often as reports come: how long a run stands still is
- * measured here. */
-void RunAgentService::noteProgress(Time receivedAt) {
-  std::map<RunKey, Progress> progress;
-  for (schema::RunReport& row : m_life->running) {
-    const RunKey key = runKeyOf(row.task(), row.run());
-    const auto before = m_life->progress.find(key);
-    const bool moved = before == m_life->progress.end() || before->second.percent != row.percent();
-    Progress& now = progress[key];
-    now = moved ? Progress{row.percent(), receivedAt, false} : before->second;
-    row.set_still_ms(static_cast<std::uint32_t>(toMilliseconds(receivedAt - now.since)));
-    if (now.told || receivedAt < now.since + internal::StillTold) continue;
-    now.told = true;
-    news();
-  }
-  m_life->progress = std::move(progress);
-}
-
 // ---- sharing the target
 
 void RunAgentService::paceFillers() {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "Courseloom/src/Agent/FillerPacer.h"
+#include "Courseloom/src/Agent/ProgressWatch.h"
 #include "Courseloom/src/Agent/TargetPort.h"
 #include "Courseloom/src/Membership/ControlRelay.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
@@ -48,12 +49,6 @@
   struct LocalRun {
     bool busy = false;  ///< a call for it is under way
   };
-  /** How far a run was when it was last seen to move. */
-  struct Progress {
-    std::uint32_t percent = 0;
-    Time since{};
-    bool told = false;  ///< the leader was told that it stands still
-  };
   /** The target's present life. */
   struct Life {
     schema::TargetReport report;
@@ -65,8 +60,8 @@
     std::uint64_t endsTaken = 0;
     std::map<std::uint64_t, schema::EndReport> ends;  ///< not committed yet, by number
     std::vector<schema::RunReport> running;
-    Time lookedAt{};                      ///< when the target last told what runs
-    std::map<RunKey, Progress> progress;  ///< of what runs
+    Time lookedAt{};  ///< when the target last told what runs
+    ProgressWatch progress;
   };
 
   Awaitable<void> announce(TargetAnnouncement announcement) override;
@@ -87,7 +82,6 @@
   Awaitable<void> lookLoop();
   Awaitable<bool> look(std::uint32_t waitMs);
   void takeLook(const std::string& life, const TargetAnswer& answer, Time receivedAt);
-  void noteProgress(Time receivedAt);
   void takeSilence();
   bool inTouch() const;
   bool granted() const { return BootClock::now() < m_grantUntil; }
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -101,7 +101,7 @@
   for (const RunChange& change : changes) {
     if (change.started) noteStarted(change);
     if (!change.started) m_context.metrics.count("run_ends", schema::RunEndKind_Name(change.kind));
-    if (!change.started) m_health.ended(change.run.target(), change.task.workflow(), change.kind, BootClock::now());
+    if (!change.started) noteHealth(change);
     if (change.started) notifyAgent(change.run.agent());
     if (!change.started) stopSiblings(change);
   }
@@ -119,6 +119,19 @@
   wake();
 }
 
+/** Takes an end into the target's health, and tells if it changes what is believed of the target. */
+void WorkflowRunner::noteHealth(const RunChange& change) {
+  const std::string& target = change.run.target();
+  const Time now = BootClock::now();
+  const bool doubtedBefore = m_health.suspect(target, now) || m_health.onProbation(target, now);
+  m_health.ended(target, change.task.workflow(), change.kind, now);
+  const bool doubted = m_health.suspect(target, now) || m_health.onProbation(target, now);
+  if (doubted == doubtedBefore) return;
+  logEvent(
+      doubted ? schema::TargetSuspected : schema::TargetTrusted,
+      {{"target", target}, {"reason", schema::RunEndKind_Name(change.kind)}, {"workflow", change.task.workflow()}});
+}
+
 /** Members of a gang whose run has lost one would wait for it in vain until the target gives them up; the next run can
  * only begin when all of them are gone. */
 void WorkflowRunner::stopSiblings(const RunChange& change) {
@@ -249,7 +262,10 @@
   }
   for (const RunKey& key : leaving) stopWhole(key, "its target leaves");
   for (const RunKey& key : still) {
-    m_health.stalled(m_ledger.runs().at(key).target, BootClock::now());
+    const std::string& target = m_ledger.runs().at(key).target;
+    m_health.stalled(target, BootClock::now());
+    logEvent(schema::TargetSuspected,
+             {{"target", target}, {"reason", "a run stands still"}, {"workflow", key.workflow}});
     stopWhole(key, "it stands still");
   }
 }
@@ -301,6 +317,7 @@
   const Time received = BootClock::now();
   if (!leads()) co_return fail(m_driver.noLeader("attend"));
   if (m_ledger.isOvertaken(request)) {
+    logEvent(schema::ReportRefused, {{"agent", request.agent()}, {"sequence", request.sequence()}});
     co_return fail(Failure{FailureCode::Fenced, Ran::No, "attend", request.agent(), "a newer report has come", 0});
   }
   schema::RecordRuns runs;
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -57,6 +57,7 @@
   std::vector<RunPlan::Start> startsInReach(const RunPlan& plan, const std::vector<PlannedStep>& steps,
                                             const std::vector<PlannedTarget>& targets);
   void reviewRuns();
+  void noteHealth(const RunChange& change);
   void stopSiblings(const RunChange& change);
   void noteEnded(const WorkflowState& workflow);
   void noteStarted(const RunChange& change);
@@ -99,7 +100,6 @@
   Time m_urgentSeen{};                 ///< when the peak was last brought up to date
   bool m_leads = false;
   bool m_dirty = false;
-  bool m_expiring = false;
   bool m_released = false;
 };
 
--- a/Courseloom/src/Membership/ControlClient.cpp
+++ b/Courseloom/src/Membership/ControlClient.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/address_v4.hpp>
 #include <cstdlib>
 
+#include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Runtime/OneShot.h"
 
 namespace courseloom {
@@ -112,6 +113,7 @@
   const std::lock_guard lock(m_mutex);
   m_probing = false;
   if (reply) {
+    if (m_viaRelay) logEvent(schema::RelayLeft, {{"replica", replica.client->peer()}});
     m_viaRelay = false;
   } else {
     m_current = (m_current + 1) % m_replicas.size();
@@ -124,7 +126,11 @@
   if (!way.relayed) {
     moveOn(way.peer.id, failure);
     const std::lock_guard lock(m_mutex);
-    if (internal::is_silence(failure.code)) m_viaRelay = true;
+    if (!internal::is_silence(failure.code) || m_viaRelay || m_relays.empty()) return;
+    m_viaRelay = true;
+    logEvent(schema::RelayUsed, {{"relay", m_relays[m_relay % m_relays.size()].client->peer()},
+                                 {"replica", way.peer.client->peer()},
+                                 {"detail", failure.detail}});
     return;
   }
   const std::lock_guard lock(m_mutex);
