--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -80,8 +80,8 @@
   return runs;
 }
 
-/** A start for an agent that was just cut off holds its gang up for a whole grant, so agents that were not heard a moment
- * ago are asked for a sign of life first; the plan is made again when it comes. */
+/** A start for an agent that was just cut off holds its gang up for a whole grant, so agents that were not heard a
+ * moment ago are asked for a sign of life first; the plan is made again when it comes. */
 std::vector<RunPlan::Start> WorkflowRunner::startsInReach(const RunPlan& plan, const std::vector<PlannedStep>& steps,
                                                           const std::vector<PlannedTarget>& targets) {
   if (!m_context.settings.policy().ask_first()) return plan.starts;
--- a/Courseloom/src/Scheduling/Objective.cpp
+++ b/Courseloom/src/Scheduling/Objective.cpp
@@ -12,7 +12,8 @@
 namespace internal {
 namespace {
 
-/** Share of a service's room that one step can count on; a wider one runs in waves. Source: the users' rule on credit. */
+/** Share of a service's room that one step can count on; a wider one runs in waves. Source: the users' rule on credit.
+ */
 constexpr double StepShare = 0.25;
 
 /** \returns the waves that one kind of room asks for. */
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -123,9 +123,9 @@
  * \brief Switches with which proofs and benches turn one mechanism off; all on in production.
  */
 struct RunPlannerOptions {
-  bool preemption = true;             ///< priority 0 makes room for itself
-  /** Work of any priority above 0 that waited this many of its run times is served like that of priority 1, so that lasting
-   * overload starves no class; 0 is never. */
+  bool preemption = true;  ///< priority 0 makes room for itself
+  /** Work of any priority above 0 that waited this many of its run times is served like that of priority 1, so that
+   * lasting overload starves no class; 0 is never. */
   double ageAfterEstimates = 2.0;
   bool prospects = true;              ///< what can still be in time goes before what is late already
   unsigned reservations = 8;          ///< gangs that wait and keep their places against later work
@@ -135,7 +135,7 @@
   bool stickyReservations = true;     ///< a gang keeps the targets that it once chose to wait for
   bool patience = true;       ///< priority 0 waits for runs that end by themselves in time, rather than stop others
   double endsSoonMs = 500.0;  ///< a run that ends within this time is not worth stopping
-  double endsSoonTrustMs = 1000.0;   ///< a run that should have ended for this long is no longer counted on
+  double endsSoonTrustMs = 1000.0;  ///< a run that should have ended for this long is no longer counted on
   /** Wait after which guaranteed work counts on no end any more and stops what it needs: the promise, less a stop. */
   double guaranteedTrustMs = 2300.0;
   double patienceShare = 0.5;        ///< share of the time to its objective that it may wait so
