Tests of processes keep their run of ports by a lock, so that two of them at once never share one

Cause: while the failure of claims_processes was being reproduced with four loops at once, 11 of some 130 runs failed otherwise: a process "did not become ready", or callers reached another run's processes. freePortBase() looked for ports that nobody listens on, and two harnesses took the same ones before either listened. Ruled out: ephemeral ports (they begin at 32768, the harness ends at 31600). Change: a lock on a file for each run of ports, held until the program ends.

--- a/test/Processes.cpp
+++ b/test/Processes.cpp
@@ -4,6 +4,7 @@
 #include "test/Processes.h"
 
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -37,21 +38,34 @@
 
 void pause(std::int64_t ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
 
-/** A run of ports that nobody listens on now. */
+/** \returns whether nobody listens on a run of ports now, nor has until just now. */
+bool portsAreFree(unsigned base) {
+  for (unsigned port = base; port < base + PortsEach; ++port) {
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io);
+    boost::system::error_code error;
+    acceptor.open(asio::ip::tcp::v4(), error);
+    acceptor.bind({asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)}, error);
+    if (error) return false;
+  }
+  return true;
+}
+
+/** Takes a free run of ports, kept from other test programs by a lock that the kernel drops when this one ends. */
+bool claimPorts(unsigned base) {
+  const std::string name = "/tmp/courseloom-ports-" + std::to_string(base);
+  const int file = ::open(name.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+  if (file < 0) return portsAreFree(base);
+  if (::flock(file, LOCK_EX | LOCK_NB) == 0 && portsAreFree(base)) return true;
+  ::close(file);
+  return false;
+}
+
 unsigned freePortBase() {
   std::mt19937 random(std::random_device{}());
   while (true) {
     const unsigned base = 20000 + std::uniform_int_distribution<unsigned>(0, 115)(random) * PortsEach;
-    bool free = true;
-    for (unsigned port = base; port < base + PortsEach && free; ++port) {
-      asio::io_context io;
-      asio::ip::tcp::acceptor acceptor(io);
-      boost::system::error_code error;
-      acceptor.open(asio::ip::tcp::v4(), error);
-      acceptor.bind({asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)}, error);
-      free = !error;
-    }
-    if (free) return base;
+    if (claimPorts(base)) return base;
   }
 }
 
