An agent's relay takes the seeds of changed settings as the agent does; leaving a relay that fails has its log line

Cause, from the last reading: RunAgentService::reload() gave changed seeds to the agent's own ControlClient and not to the one in its ControlRelay, so a relay that had lost every member it was told of never found control again; and calls that went direct because a relay failed left no line, while a probe's success did. Ruled out: members named by the leader, which do reach both.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -484,6 +484,9 @@
   if (!listed(key)) settle(order.task(), order.run(), schema::RunVoided, "never began");
 }
 
-void RunAgentService::reload(const schema::Settings& settings) { m_control.setSeeds(settings.cluster()); }
+void RunAgentService::reload(const schema::Settings& settings) {
+  m_control.setSeeds(settings.cluster());
+  m_relay.setSeeds(settings.cluster());
+}
 
 }  // namespace courseloom
--- a/Courseloom/src/Membership/ControlClient.cpp
+++ b/Courseloom/src/Membership/ControlClient.cpp
@@ -85,10 +85,7 @@
   const auto isSame = [](const Replica& relay, std::uint32_t id) { return relay.id == id; };
   if (m_seedPort == 0 || std::equal(m_relays.begin(), m_relays.end(), ids.begin(), ids.end(), isSame)) return;
   std::vector<Replica> next;
-  for (const std::uint32_t id : ids) {
-    const auto known = std::find_if(m_relays.begin(), m_relays.end(), [id](const Replica& r) { return r.id == id; });
-    next.push_back(known != m_relays.end() ? *known : make(id));
-  }
+  for (const std::uint32_t id : ids) next.push_back(knownOrNew(m_relays, id));
   // The one in use stays in use if it is still named.
   const std::uint32_t now = m_relays.empty() ? 0 : m_relays[m_relay % m_relays.size()].id;
   const auto same = std::find_if(next.begin(), next.end(), [now](const Replica& r) { return r.id == now; });
@@ -134,22 +131,21 @@
     return;
   }
   const std::lock_guard lock(m_mutex);
+  if (m_viaRelay) logEvent(schema::RelayLeft, {{"relay", way.peer.client->peer()}, {"detail", failure.detail}});
   m_viaRelay = false;
   ++m_relay;
 }
 
-ControlClient::Replica ControlClient::knownOrNew(std::uint32_t id) const {
-  for (const Replica& replica : m_replicas) {
-    if (replica.id == id) return replica;
-  }
-  return make(id);
+ControlClient::Replica ControlClient::knownOrNew(const std::vector<Replica>& known, std::uint32_t id) const {
+  const auto found = std::find_if(known.begin(), known.end(), [id](const Replica& peer) { return peer.id == id; });
+  return found == known.end() ? make(id) : *found;
 }
 
 /** Puts the named replicas first and those of the settings after them; the current one stays current. */
 void ControlClient::rebuild(const std::vector<std::uint32_t>& ids) {
   const std::uint32_t now = m_replicas[m_current % m_replicas.size()].id;
   std::vector<Replica> next;
-  for (const std::uint32_t id : ids) next.push_back(knownOrNew(id));
+  for (const std::uint32_t id : ids) next.push_back(knownOrNew(m_replicas, id));
   for (const Replica& replica : m_configured) {
     const bool named = std::find(ids.begin(), ids.end(), replica.id) != ids.end();
     if (!named) next.push_back(replica);
@@ -172,7 +168,9 @@
   const std::lock_guard lock(m_mutex);
   if (cluster.seeds_size() == 0) return;
   m_configured.clear();
-  for (const schema::Seed& seed : cluster.seeds()) m_configured.push_back(knownOrNew(replicaIdOf(seed.endpoint())));
+  for (const schema::Seed& seed : cluster.seeds()) {
+    m_configured.push_back(knownOrNew(m_replicas, replicaIdOf(seed.endpoint())));
+  }
   rebuild(m_members);
 }
 
--- a/Courseloom/src/Membership/ControlClient.h
+++ b/Courseloom/src/Membership/ControlClient.h
@@ -69,7 +69,7 @@
   void moveOn(std::uint32_t from, const Failure& failure);
   bool followHint(std::uint32_t leader, Time now);
   Replica make(std::uint32_t id) const;
-  Replica knownOrNew(std::uint32_t id) const;
+  Replica knownOrNew(const std::vector<Replica>& known, std::uint32_t id) const;
   void rebuild(const std::vector<std::uint32_t>& ids);
 
   boost::asio::io_context& m_io;
--- a/Courseloom/src/Membership/ControlRelay.h
+++ b/Courseloom/src/Membership/ControlRelay.h
@@ -29,6 +29,8 @@
   std::uint32_t number() const { return m_number; }
   /** Takes the replicas that the leader names. */
   void setMembers(const std::vector<std::uint32_t>& ids) { m_control.setMembers(ids); }
+  /** Takes the seeds of changed settings as the last resort. */
+  void setSeeds(const schema::ClusterSettings& cluster) { m_control.setSeeds(cluster); }
 
  private:
   template <class Request, class Reply>
--- a/test/control_relay.cpp
+++ b/test/control_relay.cpp
@@ -151,6 +151,24 @@
   cr_assert(stage.answered > 0);
 }
 
+// After a reload the relay must find control where the changed settings say, also with all members that it knew gone.
+Test(control_relay, a_relay_takes_the_seeds_of_changed_settings) {
+  Stage stage;
+  asio::io_context& io = stage.io;
+  ControlRelay stale(io, cluster(CutReplica, stage.cut.port), [] { return true; });
+  schema::NodeSettings node;
+  node.set_address("127.0.9.24");
+  node.set_rpc_port(stage.cut.port);
+  cr_assert(static_cast<bool>(stale.start(node)));
+  stage.cut.silent = true;
+  stage.client.setRelays({stale.number()});
+  stage.run(milliseconds(800));
+  cr_assert_eq(stage.reached.relayed, 0, "the stale relay cannot know of the other replica yet");
+  stale.setSeeds(cluster(Replica, stage.cut.port));
+  stage.run(milliseconds(1500));
+  cr_assert(stage.reached.relayed > 5, "%u reports came through", stage.reached.relayed);
+}
+
 // Found on bmm-grown trouble-3, seed 14004: half of the core was cut off, and its replicas named their former leader;
 // no agent found the new one for the six seconds of the cut.
 Test(control_relay, replicas_that_name_one_that_does_not_lead_are_not_believed) {
