A run that fails at once makes its target suspect, without a second workflow

Change: TargetHealth is told how long a run took; one failure at once is enough. A workflow that fails on a third target is still taken to be at fault itself, and what it said is taken back.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -124,7 +124,8 @@
   const std::string& target = change.run.target();
   const Time now = BootClock::now();
   const bool doubtedBefore = m_health.suspect(target, now) || m_health.onProbation(target, now);
-  m_health.ended(target, change.task.workflow(), change.kind, now);
+  const std::uint64_t startedMs = std::min(change.run.started_ms(), change.timeMs);
+  m_health.ended(target, change.task.workflow(), change.kind, now, milliseconds(change.timeMs - startedMs));
   const bool doubted = m_health.suspect(target, now) || m_health.onProbation(target, now);
   if (doubted == doubtedBefore) return;
   logEvent(
