Planning sums up the room of each service once a plan, not once a waiting step

Change: serviceRooms() is taken once in planSteps(). No decision changes; unit tests of planner, ledger and objective pass.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -210,6 +210,7 @@
 
 std::vector<PlannedStep> WorkflowRunner::planSteps() {
   const std::uint64_t nowMs = wallClockMs();
+  m_serviceRooms = serviceRooms();
   std::vector<PlannedStep> steps;
   for (const std::string& id : table().open()) {
     const WorkflowState* workflow = table().find(id);
@@ -262,18 +263,19 @@
 
 /** \returns run time of a workflow's longest chain of steps, ms, as its objective counts it. */
 double WorkflowRunner::objectiveChainMs(const WorkflowState& workflow) const {
-  const Room room = m_context.settings.policy().waves() ? roomOfService(workflow.record.service()) : Room();
+  const auto found = m_serviceRooms.find(workflow.record.service());
+  const bool waves = m_context.settings.policy().waves() && found != m_serviceRooms.end();
   const TaskTime taskMs = [&](const schema::StepSpec& step) { return expectedMs(workflow.record.queue(), step); };
-  return longestChainMs(workflow.record.spec(), taskMs, room);
+  return longestChainMs(workflow.record.spec(), taskMs, waves ? found->second : Room());
 }
 
-/** \returns all room of a service's targets, whether they are open now or not. */
-Room WorkflowRunner::roomOfService(const std::string& service) const {
-  Room room;
+/** \returns all room of each service's targets, whether they are open now or not. */
+std::map<std::string, Room> WorkflowRunner::serviceRooms() const {
+  std::map<std::string, Room> rooms;
   for (const auto& [agent, track] : m_ledger.targets()) {
-    if (track.report.service() == service) room.add(roomOf(track.report.capacity()));
+    rooms[track.report.service()].add(roomOf(track.report.capacity()));
   }
-  return room;
+  return rooms;
 }
 
 std::vector<std::string> WorkflowRunner::openTargets(const std::string& service) const {
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -78,7 +78,7 @@
   std::vector<PlannedStep> planSteps();
   void addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
   double objectiveChainMs(const WorkflowState& workflow) const;
-  Room roomOfService(const std::string& service) const;
+  std::map<std::string, Room> serviceRooms() const;
   std::vector<std::string> openTargets(const std::string& service) const;
   const schema::Queue* queueNamed(const std::string& name) const;
   void notifyAgent(const std::string& agent);
@@ -95,9 +95,10 @@
   std::map<std::string, ChangeSignal> m_agentSignals;
   std::map<StepName, Time> m_readySince;
   std::function<std::vector<ReplicaId>()> m_membersSource;
-  std::set<std::string> m_guaranteed;  ///< workflows within their tenants' guarantees, as of this plan
-  double m_urgentPeak = 0.0;           ///< accelerators that priority 0 lately needed at once
-  Time m_urgentSeen{};                 ///< when the peak was last brought up to date
+  std::set<std::string> m_guaranteed;          ///< workflows within their tenants' guarantees, as of this plan
+  std::map<std::string, Room> m_serviceRooms;  ///< by service, as of this plan
+  double m_urgentPeak = 0.0;                   ///< accelerators that priority 0 lately needed at once
+  Time m_urgentSeen{};                         ///< when the peak was last brought up to date
   bool m_leads = false;
   bool m_dirty = false;
   bool m_released = false;
