What a workflow at fault said against a target is taken back whole

Cause, from reading the change: takeBack() left failedAtOnce set on targets on which only that workflow had failed, so that one later failure of a run that had worked closed them. Change: the mark goes with the last failed workflow. Test: a_workflow_that_fails_everywhere_at_once_speaks_against_no_target, which failed before.

--- a/Courseloom/src/Scheduling/TargetHealth.cpp
+++ b/Courseloom/src/Scheduling/TargetHealth.cpp
@@ -46,6 +46,7 @@
   for (const std::string& target : m_failedOn[workflow]) {
     Score& score = m_targets[target];
     score.failed.erase(workflow);
+    if (score.failed.empty()) score.failedAtOnce = false;
     if (score.stalled || tellsAgainst(score)) continue;
     trust(score);
   }
--- a/Courseloom/src/Scheduling/TargetHealth.h
+++ b/Courseloom/src/Scheduling/TargetHealth.h
@@ -35,10 +35,9 @@
 /** \class TargetHealth
  * \brief Tells failing, hanging and slow targets from tasks that fail by their own fault.
  *
- * A target is suspect when runs of several workflows failed or stalled on it with none done in between, or one failed
- * at once. It gets nothing
- * for a while, then one run at a time until one is done. A workflow that fails on one target after another is at fault
- * itself, and what it said against targets is taken back.
+ * A target is suspect when runs of several workflows failed on it with none done in between, one failed at once, or one
+ * stood still. It gets nothing for a while, then one run at a time until one is done. A workflow that fails on one
+ * target after another is at fault itself, and what it said against targets is taken back.
  * \sa RunPlanner
  */
 class TargetHealth {
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -392,4 +392,6 @@
   for (const char* target : {"t1", "t2", "t3"})
     health.ended(target, "poison", schema::RunFailed, now, milliseconds(40));
   for (const char* target : {"t1", "t2", "t3"}) cr_assert_not(health.suspect(target, now), "%s", target);
+  health.ended("t1", "w1", schema::RunFailed, now, Worked);
+  cr_assert_not(health.suspect("t1", now), "what the poisoned workflow said is taken back whole");
 }
