--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -125,7 +125,8 @@
   const Time now = BootClock::now();
   const bool doubtedBefore = m_health.suspect(target, now) || m_health.onProbation(target, now);
   const std::uint64_t startedMs = std::min(change.run.started_ms(), change.timeMs);
-  m_health.ended(target, change.task.workflow(), change.kind, now, milliseconds(change.timeMs - startedMs));
+  const auto ranMs = static_cast<std::int64_t>(change.timeMs - startedMs);
+  m_health.ended(target, change.task.workflow(), change.kind, now, milliseconds(ranMs));
   const bool doubted = m_health.suspect(target, now) || m_health.onProbation(target, now);
   if (doubted == doubtedBefore) return;
   logEvent(
