Revert: a run that fails at once makes its target suspect

Conclusion: a failure at once does tell of the target, but 4 s of closure that doubles is too long where targets fail only part of their runs or go up and down.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -124,9 +124,7 @@
   const std::string& target = change.run.target();
   const Time now = BootClock::now();
   const bool doubtedBefore = m_health.suspect(target, now) || m_health.onProbation(target, now);
-  const std::uint64_t startedMs = std::min(change.run.started_ms(), change.timeMs);
-  const auto ranMs = static_cast<std::int64_t>(change.timeMs - startedMs);
-  m_health.ended(target, change.task.workflow(), change.kind, now, milliseconds(ranMs));
+  m_health.ended(target, change.task.workflow(), change.kind, now);
   const bool doubted = m_health.suspect(target, now) || m_health.onProbation(target, now);
   if (doubted == doubtedBefore) return;
   logEvent(
--- a/Courseloom/src/Scheduling/TargetHealth.cpp
+++ b/Courseloom/src/Scheduling/TargetHealth.cpp
@@ -36,29 +36,21 @@
   score.suspectUntil = Time{};
 }
 
-/** \returns whether enough has failed there since the last success. */
-bool TargetHealth::tellsAgainst(const Score& score) const {
-  return score.failed.size() >= (score.failedAtOnce ? m_options.atOnceSuspect : m_options.failuresSuspect);
-}
-
 /** What a workflow at fault said against targets no longer counts. */
 void TargetHealth::takeBack(const std::string& workflow) {
   for (const std::string& target : m_failedOn[workflow]) {
     Score& score = m_targets[target];
     score.failed.erase(workflow);
-    if (score.failed.empty()) score.failedAtOnce = false;
-    if (score.stalled || tellsAgainst(score)) continue;
+    if (score.stalled || score.failed.size() >= m_options.failuresSuspect) continue;
     trust(score);
   }
 }
 
-void TargetHealth::ended(const std::string& target, const std::string& workflow, schema::RunEndKind kind, Time now,
-                         Duration ran) {
+void TargetHealth::ended(const std::string& target, const std::string& workflow, schema::RunEndKind kind, Time now) {
   if (kind == schema::RunDone) {
     const auto found = m_targets.find(target);
     if (found == m_targets.end()) return;
     found->second.failed.clear();
-    found->second.failedAtOnce = false;
     found->second.stalled = false;
     trust(found->second);
     found->second.cautionUntil = Time{};
@@ -72,9 +64,8 @@
   Score& score = m_targets[target];
   score.cautionUntil = now + m_options.failureCaution;
   score.failed.insert(workflow);
-  score.failedAtOnce = score.failedAtOnce || ran <= m_options.atOnce;
   // Several runs that began together fail together; only what began after the suspicion deepens it.
-  const bool deepens = tellsAgainst(score) && now >= score.suspectUntil;
+  const bool deepens = score.failed.size() >= m_options.failuresSuspect && now >= score.suspectUntil;
   if (deepens) suspectNow(score, now);
 }
 
--- a/Courseloom/src/Scheduling/TargetHealth.h
+++ b/Courseloom/src/Scheduling/TargetHealth.h
@@ -17,12 +17,7 @@
  * \brief When a target is taken to be unsound, and for how long.
  */
 struct TargetHealthOptions {
-  unsigned failuresSuspect = 2;  ///< failed runs of different workflows without one that was done
-  /** A run that fails within this time never got to work: its order, the target's answer and the report take most of
-   * it. On played days 62 of 101 such failures were followed by another one on the same target, and 12 of 372 later
-   * ones. */
-  Duration atOnce = milliseconds(300);
-  unsigned atOnceSuspect = 1;                    ///< the same as failuresSuspect for failures at once
+  unsigned failuresSuspect = 2;                  ///< failed runs of different workflows without one that was done
   Duration firstSuspicion = milliseconds(4000);  ///< doubles with each further one
   Duration longestSuspicion = milliseconds(32000);
   Duration failureCaution = milliseconds(3000);  ///< after one failure others are preferred for this long
@@ -35,9 +30,9 @@
 /** \class TargetHealth
  * \brief Tells failing, hanging and slow targets from tasks that fail by their own fault.
  *
- * A target is suspect when runs of several workflows failed on it with none done in between, one failed at once, or one
- * stood still. It gets nothing for a while, then one run at a time until one is done. A workflow that fails on one
- * target after another is at fault itself, and what it said against targets is taken back.
+ * A target is suspect when runs of several workflows failed or stalled on it with none done in between. It gets nothing
+ * for a while, then one run at a time until one is done. A workflow that fails on one target after another is at fault
+ * itself, and what it said against targets is taken back.
  * \sa RunPlanner
  */
 class TargetHealth {
@@ -47,8 +42,8 @@
   void clear();
   /** Forgets a workflow that has ended. */
   void forget(const std::string& workflow) { m_failedOn.erase(workflow); }
-  /** Takes a committed end in. \param ran time from the run's start to its end, both as committed */
-  void ended(const std::string& target, const std::string& workflow, schema::RunEndKind kind, Time now, Duration ran);
+  /** Takes a committed end in. */
+  void ended(const std::string& target, const std::string& workflow, schema::RunEndKind kind, Time now);
   /** A run stood still there. */
   void stalled(const std::string& target, Time now);
   /** The target refused a run, or never began it. */
@@ -70,14 +65,12 @@
  private:
   struct Score {
     std::set<std::string> failed;  ///< workflows that failed there since the last success
-    bool failedAtOnce = false;     ///< one of them before it got to work
     bool stalled = false;          ///< a run stood still there since the last success
     Time suspectUntil{};
     Duration suspicion{};
     Time cautionUntil{};
     Time pausedUntil{};
   };
-  bool tellsAgainst(const Score& score) const;
   void suspectNow(Score& score, Time now);
   static void trust(Score& score);
   void takeBack(const std::string& workflow);
