--- a/Courseloom/src/Entry/RequestPath.cpp
+++ b/Courseloom/src/Entry/RequestPath.cpp
@@ -319,6 +319,9 @@
     // and that asker may run the request, so this one cannot say that it did not run.
     if (failure.code == FailureCode::Fenced) {
       if (request.leftMs() == 0) co_return fail(internal::contested_failure());
+      // The agent may also be in a newer life than this entry knows: others come first, then the same again.
+      tried.push_back(target->name);
+      if (!pick(request, tried)) tried.clear();
       last = std::nullopt;
       continue;
     }
