--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -107,7 +107,8 @@
   const std::string& id = announcement.report.id();
   const bool newLife = !isLife(id);
   if (newLife) {
-    logEvent(schema::TargetRegistered, {{"target", id}, {"former", m_life ? m_life->report.id() : ""}});
+    logEvent(schema::TargetRegistered,
+             {{"target", id}, {"former", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
     // What ran in the former life ended with it; the leader concludes that from the new identity.
     m_life = Life();
     m_runs.clear();
@@ -410,6 +411,11 @@
   fate.set_run(run);
   fate.set_kind(kind);
   fate.set_reason(reason);
+  logEvent(schema::RunSettled, {{"task", taskText(task)},
+                                {"run", std::uint64_t{run}},
+                                {"kind", schema::RunEndKind_Name(kind)},
+                                {"reason", reason},
+                                {"target", m_life->report.id()}});
   m_runs.erase(key);
   news();
 }
@@ -469,6 +475,12 @@
       settle(order.task(), order.run(), schema::RunTargetLost, "another life answers");
       co_return;
     }
+    if (answer && answer->verdict == TargetVerdict::Refused) {
+      logEvent(schema::StopRefused, {{"task", taskText(order.task())},
+                                     {"run", std::uint64_t{order.run()}},
+                                     {"target", life},
+                                     {"reason", answer->reason}});
+    }
     if (answer && answer->reason != "fence") break;
     co_await sleepFor(internal::FailedPause);
     if (!isLife(life) || m_runs.count(key) == 0) co_return;
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -28,6 +28,17 @@
  * every hundredth of its work; the share bears a target that is six times too slow and looks that are 250 ms apart. */
 constexpr double StallMs = 700.0;
 constexpr double StallShare = 0.15;
+
+/** \returns what an end rests on: the words of the report that said so. */
+std::string reason_of(const schema::RunEnd& end, const schema::AttendRequest& report) {
+  const RunKey key = runKeyOf(end.task(), end.run());
+  for (const schema::EndReport& row : report.ends()) {
+    if (runKeyOf(row.task(), row.run()) != key) continue;
+    return row.number() == 0 ? row.reason() : "listed by the target";
+  }
+  return "the agent reports another life of the target";
+}
+
 RunLedgerOptions ledger_options(const schema::Settings& settings) {
   RunLedgerOptions options;
   options.grant = grantLength(settings.control());
@@ -325,7 +336,11 @@
     logEvent(schema::RunEnded, {{"task", taskText(end.task())},
                                 {"run", std::uint64_t{end.run()}},
                                 {"kind", schema::RunEndKind_Name(end.kind())},
-                                {"target", request.target().id()}});
+                                {"target", request.target().id()},
+                                {"reason", internal::reason_of(end, request)},
+                                {"sequence", request.sequence()},
+                                {"reportTerm", request.term()},
+                                {"ageMs", std::uint64_t{request.running_age_ms()}}});
     *runs.add_ends() = std::move(end);
   }
   schema::AttendReply reply;
