Test, failing: an agent calls a run over only on a word that proves it

Reproduction of the incident without any outside program, on a target and a leader played by the test.

--- /dev/null
+++ b/test/AgentStage.cpp
@@ -0,0 +1,141 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "test/AgentStage.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Courseloom/src/Transport/HttpClient.h"
+#include "test/main.h"
+
+namespace courseloom::test {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string Address = "127.0.9.1";
+constexpr std::uint64_t ClockMs = 1000;
+
+Result<TargetAnswer> noAnswer() {
+  return fail(Failure{FailureCode::TargetFailed, Ran::Unknown, "test", "", "no answer", 0});
+}
+
+TargetAnswer answerOf(TargetVerdict verdict, const std::string& reason = {}) {
+  TargetAnswer answer;
+  answer.verdict = verdict;
+  answer.reason = reason;
+  if (verdict == TargetVerdict::Taken) answer.clockMs = ClockMs;
+  return answer;
+}
+
+/** A heartbeat's path is /LIFE/SEQUENCE/ready or /LIFE/SEQUENCE/draining. */
+Awaitable<HttpResponse> answerRegistration(HttpRequest request, TargetRegistry& registry) {
+  const std::string path(request.target());
+  const std::size_t second = path.find('/', 1);
+  const std::size_t third = path.find('/', second + 1);
+  TargetAnnouncement announcement;
+  announcement.report.set_id(path.substr(1, second - 1));
+  announcement.report.set_draining(path.substr(third + 1) == "draining");
+  announcement.sequence = std::stoull(path.substr(second + 1, third - second - 1));
+  announcement.clockMs = ClockMs;
+  co_await registry.announce(announcement);
+  co_return jsonResponse(200, "{}");
+}
+
+}  // namespace
+
+schema::RunOrder startOrder(const std::string& target) {
+  schema::RunOrder order;
+  order.set_kind(schema::OrderStart);
+  *order.mutable_task() = makeTaskId("00000000000000aa", TaskKey{0, 0, 0});
+  order.set_run(1);
+  order.set_target(target);
+  return order;
+}
+
+schema::AttendReply grantReply(std::uint32_t grantMs) {
+  schema::AttendReply answer;
+  answer.set_term(1);
+  answer.set_grant_ms(grantMs);
+  return answer;
+}
+
+// ---- the target
+
+Awaitable<Result<TargetAnswer>> FakeTarget::start(std::string life, TargetStart, Duration) {
+  ++m_script.starts;
+  if (m_script.silent || m_script.startsGetNoAnswer) co_return noAnswer();
+  if (life != m_script.life) co_return answerOf(TargetVerdict::OtherLife);
+  if (m_script.refusesStarts) co_return answerOf(TargetVerdict::Refused, "room");
+  co_return answerOf(TargetVerdict::Taken);
+}
+
+Awaitable<Result<TargetAnswer>> FakeTarget::stop(std::string life, schema::TaskId, std::uint32_t, std::uint64_t,
+                                                 Duration) {
+  ++m_script.stops;
+  if (m_script.silent) co_return noAnswer();
+  if (life != m_script.life) co_return answerOf(TargetVerdict::OtherLife);
+  if (m_script.stops <= m_script.stopsRefused) co_return answerOf(TargetVerdict::Refused, "429");
+  ++m_script.stopsTaken;
+  co_return answerOf(TargetVerdict::Taken);
+}
+
+Awaitable<Result<TargetAnswer>> FakeTarget::hold(std::string life, TargetHold hold, Duration) {
+  co_await sleepFor(milliseconds(std::min<std::uint32_t>(hold.waitMs, 20)));
+  if (m_script.silent) co_return noAnswer();
+  if (life != m_script.life) co_return answerOf(TargetVerdict::OtherLife);
+  ++m_script.looks;
+  TargetAnswer answer = answerOf(TargetVerdict::Taken);
+  answer.ends = m_script.ends;
+  if (m_script.standsStill) {
+    schema::RunReport& row = answer.running.emplace_back();
+    *row.mutable_task() = startOrder().task();
+    row.set_run(1);
+    row.set_percent(30);
+  }
+  co_return answer;
+}
+
+Awaitable<Result<TargetAnswer>> FakeTarget::pace(std::string, schema::TaskId, std::uint32_t, std::uint32_t,
+                                                 std::uint64_t, Duration) {
+  co_return answerOf(TargetVerdict::Taken);
+}
+
+// ---- the stage
+
+Stage::Stage(FakeLeader& leader, bool draining, std::uint32_t maxHoldMs) : m_server(io) {
+  leader.target = &target;
+  m_server.handle<schema::AttendRequest>(
+      "attend", [&leader](schema::AttendRequest request, std::string) { return leader.attend(std::move(request)); });
+  const unsigned port = m_server.start(Address, 0).value();
+  m_registrationPort = port + 1;
+  m_settings.mutable_node()->set_name("agent");
+  m_settings.mutable_node()->set_address(Address);
+  m_settings.mutable_cluster()->set_seed_rpc_port(port);
+  m_settings.mutable_cluster()->set_election_timeout_ms(400);
+  m_settings.mutable_cluster()->add_seeds()->set_endpoint(Address + ":1");
+  m_settings.mutable_runner()->set_order_limit_ms(500);
+  m_settings.mutable_runner()->set_attend_ms(200);
+  m_settings.mutable_runner()->set_look_ms(100);
+  m_settings.mutable_runner()->set_max_hold_ms(maxHoldMs);
+  m_settings.mutable_edge()->set_control_endpoint(Address + ":" + std::to_string(m_registrationPort));
+  RunAgentEdges edges;
+  edges.makePort = [this](const DaemonContext&) { return std::make_unique<FakeTarget>(target); };
+  edges.answerRegistration = answerRegistration;
+  m_agent = std::make_unique<RunAgentService>(DaemonContext{io, m_settings, m_metrics}, std::move(edges));
+  cr_assert(static_cast<bool>(m_agent->start()), "the agent does not listen");
+  asio::co_spawn(io, deliver(draining ? "/i-1/1/draining" : "/i-1/1/ready"), asio::detached);
+}
+
+void Stage::announce(const std::string& life, std::uint64_t sequence) {
+  asio::co_spawn(io, deliver("/" + life + "/" + std::to_string(sequence) + "/ready"), asio::detached);
+}
+
+Awaitable<void> Stage::deliver(std::string path) {
+  HttpClient client(io, Address, m_registrationPort, 0);
+  co_await client.exchange("register", HttpRequest(boost::beast::http::verb::post, path, 11), milliseconds(1000), 4096);
+}
+
+}  // namespace courseloom::test
--- /dev/null
+++ b/test/AgentStage.h
@@ -0,0 +1,93 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Courseloom/src/Agent/RunAgentService.h"
+#include "Courseloom/src/Transport/RpcServer.h"
+
+namespace courseloom::test {
+
+/** Grant of a leader as the tests play it, ms. */
+constexpr std::uint32_t LongGrantMs = 5000;
+
+/** \returns an order to start run 1 of the one task of these tests. */
+schema::RunOrder startOrder(const std::string& target = "i-1");
+/** \returns an answer of the leader of term 1 that grants for a while and orders nothing. */
+schema::AttendReply grantReply(std::uint32_t grantMs);
+
+/** \class TargetScript
+ * \brief What the target beside an agent does, and what it was asked.
+ */
+struct TargetScript {
+  std::string life = "i-1";             ///< identity that it answers to; a call for another one is told so
+  bool startsGetNoAnswer = false;       ///< a start gets no answer and stays on its way
+  bool refusesStarts = true;            ///< a start that is answered is refused for want of room
+  unsigned stopsRefused = 0;            ///< so many stops are answered 429 and do nothing
+  bool silent = false;                  ///< answers nothing
+  bool standsStill = false;             ///< lists a run that does not move
+  std::vector<schema::EndReport> ends;  ///< what it lists as ended
+  // What it was asked.
+  unsigned starts = 0;
+  unsigned stops = 0;
+  unsigned stopsTaken = 0;
+  unsigned looks = 0;  ///< answered ones
+};
+
+/** \class FakeTarget
+ * \brief A target that follows a script.
+ */
+class FakeTarget : public TargetPort {
+ public:
+  explicit FakeTarget(TargetScript& script) : m_script(script) {}
+  Awaitable<Result<TargetAnswer>> start(std::string life, TargetStart start, Duration limit) override;
+  Awaitable<Result<TargetAnswer>> stop(std::string life, schema::TaskId task, std::uint32_t run, std::uint64_t term,
+                                       Duration limit) override;
+  Awaitable<Result<TargetAnswer>> hold(std::string life, TargetHold hold, Duration limit) override;
+  Awaitable<Result<TargetAnswer>> pace(std::string life, schema::TaskId task, std::uint32_t run, std::uint32_t percent,
+                                       std::uint64_t term, Duration limit) override;
+
+ private:
+  TargetScript& m_script;
+};
+
+/** \class FakeLeader
+ * \brief A leader as a test plays it.
+ */
+class FakeLeader {
+ public:
+  virtual ~FakeLeader() = default;
+  virtual Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) = 0;
+  TargetScript* target = nullptr;
+};
+
+/** \class Stage
+ * \brief An agent between a leader and a target that are both played by the test. The target announces itself once, as
+ * life i-1.
+ */
+class Stage {
+ public:
+  explicit Stage(FakeLeader& leader, bool draining = false, std::uint32_t maxHoldMs = 6000);
+  void run(Duration length) { io.run_for(length); }
+  /** The target's process, or the network, delivers a heartbeat. */
+  void announce(const std::string& life, std::uint64_t sequence);
+
+  boost::asio::io_context io;
+  TargetScript target;
+
+ private:
+  Awaitable<void> deliver(std::string path);
+
+  RpcServer m_server;
+  schema::Settings m_settings;
+  Histograms m_metrics;
+  unsigned m_registrationPort = 0;
+  std::unique_ptr<RunAgentService> m_agent;
+};
+
+}  // namespace courseloom::test
