A new life of a target is believed once the target answers to it

Cause: takeAnnouncement() took each identity other than the present one for a newer life. A heartbeat of a former life that a cut has held back was believed, the agent forgot its runs and fates, and the leader ended the present life's runs while they went on. Ruled out as a mend: the sequence (it rises within one life only) and a list of former identities (an agent that has restarted has none). Change: another identity is kept aside and asked for with one call at a time; the target refuses calls meant for another life. Only its answer begins the life, and brings the lists with it. TargetAnnounced and TargetDisowned tell of it. Cost: one call on the target's own machine for each new life.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -74,6 +74,7 @@
   asio::co_spawn(m_strand, attendLoop(), asio::detached);
   asio::co_spawn(m_strand, newsLoop(), asio::detached);
   asio::co_spawn(m_strand, lookLoop(), asio::detached);
+  asio::co_spawn(m_strand, confirmLoop(), asio::detached);
   return listening;
 }
 
@@ -105,35 +106,82 @@
 }
 
 void RunAgentService::takeAnnouncement(const TargetAnnouncement& announcement) {
-  const Time now = BootClock::now();
   const std::string& id = announcement.report.id();
-  const bool newLife = !isLife(id);
-  if (newLife) {
-    logEvent(schema::TargetRegistered,
-             {{"target", id}, {"former", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
-    // What ran in the former life ended with it; the leader concludes that from the new identity.
-    m_life = Life();
-    m_runs.clear();
-    m_traits.clear();
-    m_fates.clear();
-    m_started.clear();
-    // A former life of this agent may have had the target hold its runs for as long as it can.
-    m_heldUntil = now + milliseconds(m_context.settings.runner().max_hold_ms());
-  } else if (announcement.sequence <= m_life->sequence) {
-    return;
-  }
+  if (!isLife(id)) return takeOtherLife(announcement);
+  if (announcement.sequence <= m_life->sequence) return;
   const bool wasDraining = m_life->report.draining();
   m_life->report = announcement.report;
   m_life->report.set_reachable(m_life->failures < internal::FailuresUnreachable);
   m_life->sequence = announcement.sequence;
   if (announcement.clockMs > 0) {
     m_life->clockMs = announcement.clockMs;
-    m_life->clockAt = now;
+    m_life->clockAt = BootClock::now();
   }
-  if (newLife || wasDraining != announcement.report.draining()) {
-    if (announcement.report.draining()) logEvent(schema::TargetLeaving, {{"target", id}});
-    news();
+  if (wasDraining == announcement.report.draining()) return;
+  if (announcement.report.draining()) logEvent(schema::TargetLeaving, {{"target", id}});
+  news();
+}
+
+void RunAgentService::takeOtherLife(const TargetAnnouncement& announcement) {
+  const std::string& id = announcement.report.id();
+  const bool again = m_announced && m_announced->report.id() == id;
+  if (again && announcement.sequence <= m_announced->sequence) return;
+  if (!again) {
+    logEvent(schema::TargetAnnounced,
+             {{"target", id}, {"present", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
+  }
+  m_announced = announcement;
+  m_announcedSignal.notify();
+}
+
+Awaitable<void> RunAgentService::confirmLoop() {
+  while (true) {
+    while (!m_announced) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
+    const bool settled = co_await confirmAnnounced();
+    if (!settled) co_await sleepFor(internal::FailedPause);
+  }
+}
+
+/** Asks the target for the life that was announced. One call at a time, so that lives are believed in the order in
+ * which the target has had them. \returns whether the announcement was believed or dropped */
+Awaitable<bool> RunAgentService::confirmAnnounced() {
+  const std::string id = m_announced->report.id();
+  TargetHold hold;
+  hold.term = m_term;
+  Result<TargetAnswer> answer =
+      co_await m_port->hold(id, hold, milliseconds(m_context.settings.runner().order_limit_ms()));
+  const bool same = m_announced && m_announced->report.id() == id;
+  if (!same) co_return true;
+  const bool confirmed = answer && answer->verdict == TargetVerdict::Taken;
+  if (confirmed) {
+    beginLife(*m_announced);
+    takeLook(id, *answer, BootClock::now());
   }
+  const bool over = answer && answer->verdict == TargetVerdict::OtherLife;
+  if (over) logEvent(schema::TargetDisowned, {{"target", id}, {"present", m_life ? m_life->report.id() : ""}});
+  if (!confirmed && !over) co_return false;
+  m_announced.reset();
+  co_return true;
+}
+
+/** What ran in the former life ended with it; the leader concludes that from the new identity. */
+void RunAgentService::beginLife(const TargetAnnouncement& announcement) {
+  const std::string& id = announcement.report.id();
+  logEvent(schema::TargetRegistered,
+           {{"target", id}, {"former", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
+  if (announcement.report.draining()) logEvent(schema::TargetLeaving, {{"target", id}});
+  m_life = Life();
+  m_life->report = announcement.report;
+  m_life->sequence = announcement.sequence;
+  m_life->clockMs = announcement.clockMs;
+  m_life->clockAt = BootClock::now();
+  m_runs.clear();
+  m_traits.clear();
+  m_fates.clear();
+  m_started.clear();
+  // A former life of this agent may have had the target hold its runs for as long as it can.
+  m_heldUntil = BootClock::now() + milliseconds(m_context.settings.runner().max_hold_ms());
+  news();
   m_lifeSignal.notify();
 }
 
@@ -143,6 +191,7 @@
 
 Awaitable<void> RunAgentService::leaveOnStrand(std::string id) {
   if (isLife(id)) m_life->left = true;
+  if (m_announced && m_announced->report.id() == id) m_announced.reset();
   co_return;
 }
 
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -33,8 +33,8 @@
  * It follows the control leader, carries out its orders under the leader's term, and holds what runs for as long as the
  * leader's grants last. A start without an answer is stopped until the target answers that, and its fate is read from
  * the target's lists afterwards. Ends are reported until the leader has committed them; only then may the target forget
- * them. Everything runs on one strand.
- * \sa RunLedger
+ * them. A heartbeat may have been long on its way: another life of the target is believed once the target answers to
+ * its identity, which a former life's is refused. Everything runs on one strand. \sa RunLedger
  */
 class RunAgentService : public Service, private TargetRegistry {
  public:
@@ -69,6 +69,10 @@
   Awaitable<void> announceOnStrand(TargetAnnouncement announcement);
   Awaitable<void> leaveOnStrand(std::string id);
   void takeAnnouncement(const TargetAnnouncement& announcement);
+  void takeOtherLife(const TargetAnnouncement& announcement);
+  Awaitable<void> confirmLoop();
+  Awaitable<bool> confirmAnnounced();
+  void beginLife(const TargetAnnouncement& announcement);
 
   Awaitable<void> attendLoop();
   Awaitable<void> newsLoop();
@@ -111,6 +115,8 @@
   /** When control last answered without a relay, since the clock's beginning; the relay asks from any thread. */
   std::atomic<Duration::rep> m_directAt{0};
   std::optional<Life> m_life;
+  /** Newest heartbeat of another life than the present one; believed once the target answers to that identity. */
+  std::optional<TargetAnnouncement> m_announced;
   std::map<RunKey, LocalRun> m_runs;
   std::map<RunKey, RunTraits> m_traits;  ///< of runs whose order this agent has seen
   FillerPacer m_pacer;
@@ -124,6 +130,7 @@
   bool m_stopping = false;
   ChangeSignal m_newsSignal;
   ChangeSignal m_lifeSignal;
+  ChangeSignal m_announcedSignal;
   ChangeSignal m_lookSignal;
 };
 
