A copy of an order begins nothing after its run was settled

Cause: an agent forgot a fate as soon as the leader had committed it, and a run as soon as its fate was settled. A copy of the order that was still on its way then found no trace of the run and began it, beside the next run that the leader had placed. Ruled out: the grant that came with the order (it outlasts the target's longest hold); the mend of refused stops (no target refused). Change: fates are kept for one grant after they were told, and a start whose run has one does nothing; a start or stop looks again, when its turn comes, whether its run still stands, and a start whether its grant does. Stops of settled runs are carried out as before.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -219,7 +219,9 @@
     unknown->set_run(row.run());
   }
   for (const auto& [number, row] : m_life->ends) *request.add_ends() = row;
-  for (const auto& [key, row] : m_fates) *request.add_ends() = row;
+  for (const auto& [key, fate] : m_fates) {
+    if (!fate.told) *request.add_ends() = fate.report;
+  }
   for (const auto& [key, row] : m_started) *request.add_started() = row;
   return request;
 }
@@ -282,10 +284,9 @@
   const Time until = sentAt + milliseconds(reply.held_ms()) + milliseconds(reply.grant_ms());
   const bool wasGranted = granted();
   m_grantUntil = std::max(m_grantUntil, until);
+  m_longestGrant = std::max(m_longestGrant, Duration(milliseconds(reply.grant_ms())));
   if (!wasGranted) m_lifeSignal.notify();
-  for (const schema::EndReport& end : request.ends()) {
-    if (end.number() == 0) m_fates.erase(runKeyOf(end.task(), end.run()));
-  }
+  takeTold(request);
   for (const schema::StartReport& start : request.started()) m_started.erase(runKeyOf(start.task(), start.run()));
   if (isLife(reply.ends_target()) && reply.ends_taken() > m_life->endsTaken) {
     m_life->endsTaken = reply.ends_taken();
@@ -314,6 +315,8 @@
     asio::co_spawn(m_strand, stopRun(order), asio::detached);
     return;
   }
+  // A copy of an order may arrive after its run was settled: the leader may have begun the next run by then.
+  if (m_fates.count(key) > 0) return;
   m_traits[key] = RunTraits{order.filler(), order.latency_target_ms()};
   if (BootClock::now() >= until) return;
   if (found != m_runs.end()) {
@@ -325,7 +328,7 @@
   }
   LocalRun& run = m_runs[key];
   run.busy = true;
-  asio::co_spawn(m_strand, startRun(order), asio::detached);
+  asio::co_spawn(m_strand, startRun(order, until), asio::detached);
 }
 
 // ---- holding and looking
@@ -457,11 +460,12 @@
 void RunAgentService::settle(const schema::TaskId& task, std::uint32_t run, schema::RunEndKind kind,
                              const std::string& reason) {
   const RunKey key = runKeyOf(task, run);
-  schema::EndReport& fate = m_fates[key];
-  *fate.mutable_task() = task;
-  fate.set_run(run);
-  fate.set_kind(kind);
-  fate.set_reason(reason);
+  Fate& fate = m_fates[key];
+  fate = Fate();
+  *fate.report.mutable_task() = task;
+  fate.report.set_run(run);
+  fate.report.set_kind(kind);
+  fate.report.set_reason(reason);
   logEvent(schema::RunSettled, {{"task", taskText(task)},
                                 {"run", std::uint64_t{run}},
                                 {"kind", schema::RunEndKind_Name(kind)},
@@ -471,27 +475,46 @@
   news();
 }
 
+/** The leader has committed the ends of a report. */
+void RunAgentService::takeTold(const schema::AttendRequest& request) {
+  const Time now = BootClock::now();
+  for (const schema::EndReport& end : request.ends()) {
+    const auto found = m_fates.find(runKeyOf(end.task(), end.run()));
+    if (end.number() != 0 || found == m_fates.end()) continue;
+    found->second.told = true;
+    found->second.keptUntil = now + m_longestGrant;
+  }
+  std::erase_if(m_fates, [now](const auto& entry) { return entry.second.told && entry.second.keptUntil < now; });
+}
+
 void RunAgentService::settleAll(schema::RunEndKind kind, const std::string& reason) {
   const std::map<RunKey, LocalRun> runs = m_runs;
   for (const auto& [key, run] : runs) settle(makeTaskId(key.workflow, key.task), key.run, kind, reason);
 }
 
-Awaitable<void> RunAgentService::startRun(schema::RunOrder order) {
+/** \param until end of the grant that came with the order */
+Awaitable<void> RunAgentService::startRun(schema::RunOrder order, Time until) {
   const std::string life = order.target();
   const std::string name = taskText(order.task());
+  const RunKey key = runKeyOf(order.task(), order.run());
+  // A pause of this process, or what was learnt of the target, may have come between the order and its turn.
+  if (!isLife(life) || m_runs.count(key) == 0) co_return;
+  if (BootClock::now() >= until) {
+    m_runs.erase(key);
+    co_return;
+  }
   if (m_life->report.draining() || m_life->left) {
     // It may have run there all the same, under a former life of this agent: the target's lists tell.
     logEvent(schema::RunRefused, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"reason", "draining"}});
     co_await stopRun(std::move(order));
     co_return;
   }
-  const Time until = longestHold();
-  m_heldUntil = std::max(m_heldUntil, until);
-  const TargetStart start{order, deadlineOnTarget(until), m_term};
+  const Time heldUntil = longestHold();
+  m_heldUntil = std::max(m_heldUntil, heldUntil);
+  const TargetStart start{order, deadlineOnTarget(heldUntil), m_term};
   Result<TargetAnswer> answer =
       co_await m_port->start(life, start, milliseconds(m_context.settings.runner().order_limit_ms()));
   if (!isLife(life)) co_return;
-  const RunKey key = runKeyOf(order.task(), order.run());
   if (answer && answer->verdict == TargetVerdict::Taken) {
     const auto found = m_runs.find(key);
     if (found == m_runs.end()) co_return;  // it has ended already
@@ -517,6 +540,7 @@
 Awaitable<void> RunAgentService::stopRun(schema::RunOrder order) {
   const std::string& life = order.target();
   const RunKey key = runKeyOf(order.task(), order.run());
+  if (!isLife(life) || m_runs.count(key) == 0) co_return;
   m_runs[key].busy = true;
   const Duration limit = milliseconds(m_context.settings.runner().order_limit_ms());
   while (true) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -49,6 +49,12 @@
   struct LocalRun {
     bool busy = false;  ///< a call for it is under way
   };
+  /** What became of a run, as this agent has made sure of it. */
+  struct Fate {
+    schema::EndReport report;
+    bool told = false;  ///< the leader has committed it
+    Time keptUntil{};   ///< once told: the grants of orders that left the leader before are over then
+  };
   /** The target's present life. */
   struct Life {
     schema::TargetReport report;
@@ -96,9 +102,10 @@
 
   void paceFillers();
   Awaitable<void> paceRun(PaceChange change);
-  Awaitable<void> startRun(schema::RunOrder order);
+  Awaitable<void> startRun(schema::RunOrder order, Time until);
   Awaitable<void> stopRun(schema::RunOrder order);
   void settle(const schema::TaskId& task, std::uint32_t run, schema::RunEndKind kind, const std::string& reason);
+  void takeTold(const schema::AttendRequest& request);
   void settleAll(schema::RunEndKind kind, const std::string& reason);
   bool listed(const RunKey& key) const;
 
@@ -120,11 +127,12 @@
   std::map<RunKey, LocalRun> m_runs;
   std::map<RunKey, RunTraits> m_traits;  ///< of runs whose order this agent has seen
   FillerPacer m_pacer;
-  std::map<RunKey, schema::EndReport> m_fates;      ///< made sure of here, not reported yet
+  std::map<RunKey, Fate> m_fates;                   ///< of runs that this life of the target is not to begin any more
   std::map<RunKey, schema::StartReport> m_started;  ///< not reported yet
   std::uint64_t m_term = 0;
   Time m_grantUntil{};
-  Time m_heldUntil{};  ///< latest end of any hold that the target may have taken
+  Duration m_longestGrant{};  ///< that any leader has given
+  Time m_heldUntil{};         ///< latest end of any hold that the target may have taken
   bool m_following = false;
   bool m_hasNews = false;
   bool m_stopping = false;
