Test: a refused stop that counts as done must be found; it is not

Cause: the targets of run_ledger_seeded never refuse a call, so no seed can show what an agent makes of a refusal. Ruled out: nothing. Change: the switch doubtRefusals and its test, before the model knows refusals.

--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -32,6 +32,7 @@
   bool stopDoubts = true;         ///< a start without answer is stopped before it counts as never begun
   bool deadlines = true;          ///< an order that is carried out after its deadline does nothing
   bool readEndsAfterStop = true;  ///< what the target lists after the stop decides
+  bool doubtRefusals = true;      ///< a stop that the target refused is sent again
 };
 
 /** \class ModelTarget
@@ -479,6 +480,12 @@
   cr_assert_not(firstViolation(400, {}, mechanisms).empty());
 }
 
+Test(run_ledger_seeded, fails_if_a_refused_stop_counts_as_done) {
+  AgentMechanisms mechanisms;
+  mechanisms.doubtRefusals = false;
+  cr_assert_not(firstViolation(100, {}, mechanisms).empty());
+}
+
 Test(run_ledger_seeded, fails_without_the_deadline_of_an_order) {
   AgentMechanisms mechanisms;
   mechanisms.deadlines = false;
