Specification of runs: stops are refused

Ruled out: a bound on refusals as a state of its own, which would up to double the states. Not needed: a refused stop changes nothing and is possible only where its confirmation is, so it hides no state in which nothing can happen any more. Change: each stop is confirmed or refused; -DREFUSED_STOP takes the refusal for the confirmation.

--- a/spec/run.pml
+++ b/spec/run.pml
@@ -1,6 +1,7 @@
 /* The life of a run: one task, two targets with their agents, leaders that change. A start is committed, then ordered;
- * an order may be lost, or be carried out later; a target may crash; an agent may fall silent or restart blank; a grant
- * may run out at any time; a former leader may still have granted up to the moment at which the next one began.
+ * an order may be lost, be refused, or be carried out later; a stop may be refused; a target may crash; an agent may fall
+ * silent or restart blank; a grant may run out at any time; a former leader may still have granted up to the moment at
+ * which the next one began.
  *
  * Checked: never two runs of the task at once; no start after its end `done` was noted, and no note of an end after which
  * another run has begun (unless the hold ran out in between); no state in which nothing can happen any more before the
@@ -11,7 +12,8 @@
  * (a silent agent's run counts as over before its grant has run out), -DNO_DEADLINE (an order has no deadline),
  * -DNOTE_FIRST (an end is noted before it is committed), -DFORMER_RENEWS (a former leader goes on renewing grants),
  * -DREFUSAL_ENDS (a refused start counts as never begun, although a copy of its order may still reach the agent),
- * -DSTALE_ORDER (an agent carries out an order after the grant that came with it, under a later grant).
+ * -DREFUSED_STOP (a refused stop counts as done, although the start may still be on its way), -DSTALE_ORDER (an agent
+ * carries out an order after the grant that came with it, under a later grant).
  */
 #define TARGETS 2
 #define MAXRUN 4
@@ -129,11 +131,20 @@
   :: atomic { if :: !grant[0] -> t = 0 :: !grant[1] -> t = 1 fi; grant[t] = true; known[t] = true }
   /* An agent in doubt stops the run until that is answered, then reads what the target lists. */
   :: atomic { if :: doubt[0] && !stopAnswered[0] && logRun != 0 && logTarget == 0 -> t = 0 :: doubt[1] && !stopAnswered[1] && logRun != 0 && logTarget == 1 -> t = 1 fi;
+       if
+       :: true ->                                             /* confirmed */
 #ifndef NO_STOP
-       if :: running[t] == logRun -> finish(t) :: else -> skip fi;
-       if :: over[t] < logRun -> over[t] = logRun :: else -> skip fi;
+          if :: running[t] == logRun -> finish(t) :: else -> skip fi;
+          if :: over[t] < logRun -> over[t] = logRun :: else -> skip fi;
+#endif
+          stopAnswered[t] = true
+       :: true ->                                             /* refused: nothing was done */
+#ifdef REFUSED_STOP
+          stopAnswered[t] = true
+#else
+          skip
 #endif
-       stopAnswered[t] = true }
+       fi }
   :: atomic { if :: doubt[0] && stopAnswered[0] -> t = 0 :: doubt[1] && stopAnswered[1] -> t = 1 fi;
        doubt[t] = false;
        if
