Test: runs that an agent may hold are not over, although it reported no target

Cause: suspected from reading: expire() counts the silence of targets from the first report without target, while each such report is answered with a new grant. An agent that finds its target afterwards holds its runs under that grant; cut off or dead before its next report, it has told nobody.

--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -57,7 +57,7 @@
   std::vector<schema::RunOrder> attend(const schema::AttendRequest& request) {
     commitEnds(ledger.takeReport(request, now));
     std::vector<schema::RunOrder> orders = ledger.takeOrders("agent", table, now);
-    ledger.grant("agent", now);
+    grantedUntil = std::max(grantedUntil, now + ledger.grant("agent", now));
     return orders;
   }
   void pass(std::int64_t ms) { now += milliseconds(ms); }
@@ -65,6 +65,7 @@
   WorkflowTable table;
   RunLedger ledger;
   Time now = Time(milliseconds(1000000));
+  Time grantedUntil{};  ///< as far as the agent may have a target hold its runs
   std::uint64_t incarnation = 1;
 };
 
@@ -138,6 +139,31 @@
   cr_assert_eq(test.ledger.expire(test.now).size(), 1, "nobody can have held it for so long");
 }
 
+// An agent may find its target between two reports, have it hold its runs, and be cut off before the next one.
+Test(run_ledger, runs_are_not_over_while_an_agent_that_reported_no_target_may_hold_them) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1));
+  test.incarnation = 2;
+  for (int i = 0; i < 80; ++i) {
+    test.pass(100);
+    if (i < 55) test.attend(test.report(""));
+    if (test.now < test.grantedUntil) cr_assert(test.ledger.expire(test.now).empty(), "after %d00 ms", i + 1);
+  }
+}
+
+Test(run_ledger, runs_are_not_over_while_an_agent_that_has_died_since_may_hold_them) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1));
+  for (int i = 0; i < 80; ++i) {
+    test.pass(100);
+    test.incarnation = i < 50 ? 2 : 3;
+    if (i % 50 == 0 || i == 49) test.attend(test.report(""));
+    if (test.now < test.grantedUntil) cr_assert(test.ledger.expire(test.now).empty(), "after %d00 ms", i + 1);
+  }
+}
+
 Test(run_ledger, a_grant_outlasts_the_outage_that_the_settings_name) {
   schema::ControlSettings settings;
   settings.set_run_grant_ms(5500);
