Seeded runs: a restarted agent reports no target until it has heard of it

Cause: the model's agents knew their target at once after a restart, so no seed could show what a report without target does.

--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -94,6 +94,7 @@
     Time grantUntil{};
     Time heldUntil{};
     bool cut = false;
+    bool found = true;                        ///< its target has announced itself
     std::vector<schema::EndReport> seenEnds;  ///< as of its last look
     std::map<RunKey, bool> inDoubt;           ///< with whether its stop was answered
     std::map<RunKey, bool> known;
@@ -167,8 +168,7 @@
     agent.inDoubt.clear();
     agent.known.clear();
     agent.fates.clear();
-    // It does not know what its former life sent, and takes the longest hold there may be.
-    agent.heldUntil = m_now + Grant;
+    agent.found = false;
   }
 
   void newLeader() {
@@ -264,8 +264,17 @@
 
   // ---- the agent
 
+  /** A restarted agent hears of its target after a while. It does not know what its former life sent, and takes the
+   * longest hold there may be. */
+  bool finds(Agent& agent) {
+    if (agent.found || !chance(0.03)) return agent.found;
+    agent.heldUntil = m_now + Grant;
+    return agent.found = true;
+  }
+
   void workOff(std::size_t i) {
     Agent& agent = m_agents[i];
+    if (!finds(agent)) return;
     const bool granted = m_now < agent.grantUntil;
     if (granted && !agent.target.silent) {
       agent.heldUntil = std::max(agent.heldUntil, agent.grantUntil);
@@ -306,9 +315,9 @@
     schema::AttendRequest request;
     request.set_agent("agent-" + std::to_string(i));
     request.set_incarnation(agent.incarnation);
-    request.mutable_target()->set_id(agent.target.id);
+    if (agent.found) request.mutable_target()->set_id(agent.target.id);
     request.mutable_target()->set_reachable(!agent.target.silent);
-    if (!agent.target.silent) {
+    if (agent.found && !agent.target.silent) {
       for (const auto& [key, until] : agent.target.running) {
         schema::RunReport* row = request.add_running();
         *row->mutable_task() = makeTaskId(key.workflow, key.task);
@@ -330,9 +339,9 @@
     }
     commit(m_ledger->takeReport(request, m_now), {});
     const std::vector<schema::RunOrder> orders = m_ledger->takeOrders(request.agent(), m_table, m_now);
-    m_ledger->grant(request.agent(), m_now);
+    const Duration granted = m_ledger->grant(request.agent(), m_now);
     if (m_faults && chance(0.1)) return;  // the reply is lost
-    agent.grantUntil = m_now + Grant;
+    agent.grantUntil = m_now + granted;
     agent.term = m_term;
     agent.fates.clear();
     for (const schema::EndReport& end : request.ends()) noteEnd(agent, end);
@@ -377,7 +386,7 @@
 
   void takeOrder(std::size_t i, const schema::RunOrder& order) {
     Agent& agent = m_agents[i];
-    if (order.target() != agent.target.id) return;
+    if (!agent.found || order.target() != agent.target.id) return;
     const RunKey key = runKeyOf(order.task(), order.run());
     if (agent.inDoubt.count(key) > 0) return;
     const bool listed = agent.target.running.count(key) > 0;
