An agent that reports no target is granted nothing

Cause: expire() took runs for over one grant after the first report without target, although each later one was answered with a new grant; the agent may find its target right after, hold its runs under that grant, and be cut off or die before it says so. The next run then begins beside them. Change: no grant without a target, so runs end with the last grant that was given, by the rule that there is; withoutTargetSince is gone. Cost: an agent that has restarted and found its target gets its grant with the answer to the report that says so, one round trip later than before; it sends that report at once.

--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -101,11 +101,6 @@
   target.report = report.target();
   target.heard = now;
   target.askedAt = Time{};
-  if (!report.target().id().empty()) {
-    target.withoutTargetSince = Time{};
-  } else if (target.withoutTargetSince == Time{}) {
-    target.withoutTargetSince = now;
-  }
   // An agent that has had an answer of this leader says so; before that its report may be of long ago.
   const bool current = !m_options.doubtReports || report.term() == m_term;
   std::vector<schema::RunEnd> ends;
@@ -168,6 +163,7 @@
 
 Duration RunLedger::grant(const std::string& agent, Time now) {
   TargetTrack& target = m_targets[agent];
+  if (target.report.id().empty()) return Duration(0);
   const Duration length =
       target.report.draining() ? std::min(m_options.grant, m_options.leavingGrant) : m_options.grant;
   // An earlier grant may have been longer.
@@ -187,12 +183,7 @@
   std::vector<schema::RunEnd> ends;
   for (const auto& [agent, keys] : m_byAgent) {
     if (keys.empty()) continue;
-    const auto target = m_targets.find(agent);
-    const bool silent = now > heldUntil(agent) + m_options.slack;
-    const bool gone =
-        target != m_targets.end() && target->second.withoutTargetSince != Time{} &&
-        now > std::max(target->second.withoutTargetSince, m_leaderSince) + m_options.grant + m_options.slack;
-    if (!silent && !gone) continue;
+    if (now <= heldUntil(agent) + m_options.slack) continue;
     for (const RunKey& key : keys) ends.push_back(makeEnd(key, schema::RunLapsed, m_runs.at(key).checkpoint));
   }
   return ends;
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -77,7 +77,6 @@
   Time grantUntil{};
   Time heard{};
   Time askedAt{};              ///< when a sign of life was first asked for since it was heard; zero is not
-  Time withoutTargetSince{};   ///< when the agent began to report no target; zero while it has one
   std::vector<RunKey> strays;  ///< reported as running, but not active in the log
 };
 
@@ -105,7 +104,7 @@
   /** \returns ends of runs that nothing can hold any longer. */
   std::vector<schema::RunEnd> expire(Time now);
   /** Grants an agent that it may hold its runs from now on. \returns for how long: less if its target leaves, since an
-   * agent that leaves with it says no last word */
+   * agent that leaves with it says no last word; not at all while it reports no target, whose runs would never lapse */
   Duration grant(const std::string& agent, Time now);
   /** \returns orders that are due for an agent, and counts them as delivered. */
   std::vector<schema::RunOrder> takeOrders(const std::string& agent, const WorkflowTable& table, Time now);
