Test: at a new leader, late reports of former agents do harm

Cause: suspected from reading. A new leader knows no incarnation of any agent. The present agent's report comes first, then a late one of a former incarnation: takeReport() makes that the present one and refuses the real one for good. And an end that a former agent concluded by silence, of a run that its successor was ordered to start, is believed. Change: tests of both in run_ledger; run_ledger_seeded refuses overtaken reports of present agents as the runner does, and asks at the end that each present agent is believed.

--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -252,6 +252,63 @@
   cr_assert(test.ledger.isOvertaken(second), "of a former life of the agent");
 }
 
+// A new leader knows no incarnation of any agent yet, and the first report that it gets may be of long ago.
+Test(run_ledger, a_late_report_of_a_former_agent_does_not_shut_the_present_one_out) {
+  LedgerTable test;
+  test.ledger.lead(test.table, test.now, 2);
+  const auto hear = [&test](std::uint64_t incarnation, std::uint64_t term, std::uint64_t sequence) {
+    test.incarnation = incarnation;
+    schema::AttendRequest report = test.report();
+    report.set_term(term);
+    report.set_sequence(sequence);
+    if (test.ledger.isOvertaken(report)) return false;
+    test.attend(report);
+    return true;
+  };
+  cr_assert(hear(22, 1, 1));
+  hear(11, 1, 90);
+  cr_assert(hear(22, 2, 2), "it has had this leader's answer");
+  cr_assert(hear(22, 2, 3));
+  cr_assert_eq(test.ledger.targets().at("agent").incarnation, 22);
+  cr_assert(hear(33, 0, 1), "a restarted agent knows of no leader");
+  cr_assert(hear(33, 2, 2));
+  cr_assert_not(hear(22, 2, 4), "it was answered, but before the present one began");
+  cr_assert(hear(33, 2, 3));
+  cr_assert_eq(test.ledger.targets().at("agent").incarnation, 33);
+}
+
+Test(run_ledger, an_answered_agent_that_another_one_followed_is_overtaken_although_its_report_comes_last) {
+  LedgerTable test;
+  test.ledger.lead(test.table, test.now, 2);
+  schema::AttendRequest former = test.report();
+  test.attend(former);
+  test.incarnation = 2;
+  schema::AttendRequest present = test.report();
+  test.attend(present);
+  present.set_term(2);
+  present.set_sequence(2);
+  test.attend(present);
+  former.set_term(2);
+  former.set_sequence(2);
+  cr_assert(test.ledger.isOvertaken(former));
+  cr_assert_not(test.ledger.isOvertaken(present));
+}
+
+// An agent that has died since may have taken a run for lapsed that its successor was ordered to start.
+Test(run_ledger, only_an_agent_that_this_leader_has_answered_ends_runs) {
+  LedgerTable test;
+  test.ledger.lead(test.table, test.now, 2);
+  test.start(0, 1);
+  schema::AttendRequest report = withEnd(test.report(), 0, 1, schema::RunLapsed);
+  report.set_term(1);
+  test.attend(report);
+  cr_assert_eq(test.ledger.runs().size(), 1);
+  cr_assert_not(test.ledger.open("agent", test.now), "nor is it known that the agent is still there");
+  report.set_term(2);
+  test.attend(report);
+  cr_assert(test.ledger.runs().empty());
+}
+
 Test(run_ledger, relays_are_agents_that_were_heard_lately_and_directly) {
   LedgerTable test;
   const auto hear = [&test](const std::string& agent, std::uint32_t relay, const std::string& hall, bool relayed) {
--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -81,6 +81,8 @@
     for (unsigned i = 0; i < steps && m_violation.empty(); ++i) advance(true);
     for (unsigned i = 0; i < 1500 && m_violation.empty() && !m_table.open().empty(); ++i) advance(false);
     if (m_violation.empty() && !m_table.open().empty()) m_violation = "not everything ended";
+    for (unsigned i = 0; i < 300 && m_violation.empty(); ++i) advance(false);  // longer than a report is on its way
+    if (m_violation.empty()) checkPresentAgents();
     return m_violation;
   }
 
@@ -235,6 +237,17 @@
 
   bool refuses(const ModelTarget& target) { return target.refusing && chance(0.5); }
 
+  /** An agent that is there and heard must be the one that the leader believes in. */
+  void checkPresentAgents() {
+    for (std::size_t i = 0; i < m_agents.size(); ++i) {
+      const std::string name = "agent-" + std::to_string(i);
+      const auto found = m_ledger->targets().find(name);
+      const bool believed = found != m_ledger->targets().end() && m_ledger->open(name, m_now) &&
+                            found->second.incarnation == m_agents[i].incarnation;
+      if (!believed) m_violation = name + " is refused for good";
+    }
+  }
+
   /** Calls a target. Without an answer the call may be carried out later; a refused one never is, but one from before
    * may still be on its way. */
   CallAnswer call(std::size_t i, std::function<void(ModelTarget&)> apply) {
@@ -337,6 +350,7 @@
       m_delayed.push_back({m_now + upTo(4000), request});
       return;
     }
+    if (m_ledger->isOvertaken(request)) return;
     commit(m_ledger->takeReport(request, m_now), {});
     const std::vector<schema::RunOrder> orders = m_ledger->takeOrders(request.agent(), m_table, m_now);
     const Duration granted = m_ledger->grant(request.agent(), m_now);
