A report counts only for the leader that its agent has heard

Ruled out: incarnations that rise (an agent has no disk to count on, and clocks jump); ending nothing on such a report but taking the rest (it shuts the present agent out all the same); refusing them (an agent learns the term from answers only). Change: a report that does not carry this leader's term, which proves that it was made after an answer of this leader, is answered at once with the term and nothing else: no ends, no grant, no orders, no sign of life. Among answered incarnations of an agent the order in which they were first met is the order of their lives, since a former one was answered before its successor began; so a report of one that another followed is known, whichever comes last. A reply is not given in a later term than its report was taken in. Cost: one round trip for each agent after a change of leader, and after a restart of the agent; runs of a silent agent are over as before, with the grants that the former leader may have given. Agents that are not told of this forget the fates and starts that stood in such a report (RunAgentService::takeReply): the leader then gives the start again, the target remembers, and the same fate comes.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -324,6 +324,17 @@
   return m_ledger.relays(internal::RelaysNamed, BootClock::now());
 }
 
+/** \returns what any agent may know: who leads, and the ways there. */
+schema::AttendReply WorkflowRunner::makeReply() const {
+  schema::AttendReply reply;
+  reply.set_term(m_driver.replica().term());
+  if (m_membersSource) {
+    for (const ReplicaId id : m_membersSource()) reply.add_members(id);
+  }
+  for (const std::uint32_t id : relays()) reply.add_relays(id);
+  return reply;
+}
+
 Awaitable<Result<schema::AttendReply>> WorkflowRunner::attend(schema::AttendRequest request) {
   const Time received = BootClock::now();
   if (!leads()) co_return fail(m_driver.noLeader("attend"));
@@ -331,6 +342,7 @@
     logEvent(schema::ReportRefused, {{"agent", request.agent()}, {"sequence", request.sequence()}});
     co_return fail(Failure{FailureCode::Fenced, Ran::No, "attend", request.agent(), "a newer report has come", 0});
   }
+  const std::uint64_t term = m_driver.replica().term();
   schema::RecordRuns runs;
   for (schema::RunEnd& end : m_ledger.takeReport(request, received)) {
     logEvent(schema::RunEnded, {{"task", taskText(end.task())},
@@ -343,23 +355,26 @@
                                 {"ageMs", std::uint64_t{request.running_age_ms()}}});
     *runs.add_ends() = std::move(end);
   }
-  schema::AttendReply reply;
+  // Answered at once: the agent's next report carries this term, and counts.
+  if (!m_ledger.isCurrent(request)) co_return makeReply();
   if (runs.ends_size() > 0 && !co_await commitRuns(std::move(runs))) co_return fail(m_driver.noLeader("attend"));
   notifyAgent(request.agent());  // a report that is held back has been overtaken
   wake();
+  schema::AttendReply reply = makeReply();
   reply.set_ends_target(request.target().id());
   for (const schema::EndReport& end : request.ends()) {
     reply.set_ends_taken(std::max<std::uint64_t>(reply.ends_taken(), end.number()));
   }
   const Time end = received + milliseconds(request.wait_ms());
-  const bool hasNews =
-      request.ends_size() > 0 || request.started_size() > 0 || request.term() != m_driver.replica().term();
+  const bool hasNews = request.ends_size() > 0 || request.started_size() > 0;
   while (leads() && !hasNews && !m_released && BootClock::now() < end) {
     if (m_ledger.asked(request.agent()) || m_ledger.isOvertaken(request)) break;
     if (m_ledger.hasOrders(request.agent(), table(), BootClock::now())) break;
     co_await m_agentSignals[request.agent()].wait(end);
   }
-  if (!leads() || m_released) co_return fail(m_driver.noLeader("attend"));
+  // What was taken in before a change of leader is forgotten, and must not be answered in a later term.
+  const bool sameLeader = leads() && m_driver.replica().term() == term;
+  if (!sameLeader || m_released) co_return fail(m_driver.noLeader("attend"));
   const Time now = BootClock::now();
   // The way of a report that was overtaken may be cut; its answer brings nothing that must arrive.
   if (!m_ledger.isOvertaken(request)) {
@@ -367,13 +382,8 @@
       *reply.add_orders() = std::move(order);
     }
   }
-  reply.set_term(m_driver.replica().term());
   reply.set_grant_ms(static_cast<std::uint32_t>(toMilliseconds(m_ledger.grant(request.agent(), now))));
   reply.set_held_ms(static_cast<std::uint32_t>(toMilliseconds(now - received)));
-  if (m_membersSource) {
-    for (const ReplicaId id : m_membersSource()) reply.add_members(id);
-  }
-  for (const std::uint32_t id : relays()) reply.add_relays(id);
   co_return reply;
 }
 
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -47,6 +47,7 @@
 
   Awaitable<void> tickLoop();
   Awaitable<void> planLoop();
+  schema::AttendReply makeReply() const;
   Awaitable<bool> commitRuns(schema::RecordRuns runs);
   Awaitable<void> expireRuns();
   void wake();
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -38,6 +38,7 @@
   m_runs.clear();
   m_byAgent.clear();
   m_targets.clear();
+  m_met.clear();
   for (const std::string& id : table.open()) {
     for (const auto& [key, task] : table.find(id)->tasks) {
       for (const schema::ActiveRun& run : task.active) add(makeTaskId(id, key), run, now);
@@ -80,20 +81,41 @@
 
 // ---- reports
 
+bool RunLedger::isCurrent(const schema::AttendRequest& report) const {
+  return !m_options.doubtReports || report.term() == m_term;
+}
+
+/** Agents that were answered lived one after another in the order in which they were met: a former one was answered,
+ * and so met, before its successor began. */
 bool RunLedger::isOvertaken(const schema::AttendRequest& report) const {
-  if (!m_options.doubtReports) return false;
+  if (!m_options.doubtReports || !isCurrent(report)) return false;
   const auto found = m_targets.find(report.agent());
   if (found == m_targets.end()) return false;
   const TargetTrack& target = found->second;
   if (report.incarnation() == target.incarnation) return report.sequence() < target.sequence;
-  return target.formerIncarnations.count(report.incarnation()) > 0;
+  const std::size_t place = metAs(report.agent(), report.incarnation());
+  return place != 0 && place < metAs(report.agent(), target.incarnation);
+}
+
+void RunLedger::meet(const schema::AttendRequest& report) {
+  std::map<std::uint64_t, std::size_t>& met = m_met[report.agent()];
+  met.try_emplace(report.incarnation(), met.size() + 1);
+}
+
+/** \returns which incarnation of its agent this was, as this leader met them; 0 for one that it has not met. */
+std::size_t RunLedger::metAs(const std::string& agent, std::uint64_t incarnation) const {
+  const auto met = m_met.find(agent);
+  if (met == m_met.end()) return 0;
+  const auto place = met->second.find(incarnation);
+  return place == met->second.end() ? 0 : place->second;
 }
 
 std::vector<schema::RunEnd> RunLedger::takeReport(const schema::AttendRequest& report, Time now) {
+  meet(report);
+  if (!isCurrent(report) || isOvertaken(report)) return {};
   TargetTrack& target = m_targets[report.agent()];
   const std::set<RunKey>& keys = m_byAgent[report.agent()];
   const bool newAgent = target.incarnation != report.incarnation();
-  if (newAgent && target.incarnation != 0) target.formerIncarnations.insert(target.incarnation);
   target.incarnation = report.incarnation();
   target.sequence = report.sequence();
   target.relay = report.relay();
@@ -101,8 +123,6 @@
   target.report = report.target();
   target.heard = now;
   target.askedAt = Time{};
-  // An agent that has had an answer of this leader says so; before that its report may be of long ago.
-  const bool current = !m_options.doubtReports || report.term() == m_term;
   std::vector<schema::RunEnd> ends;
   for (const RunKey& key : keys) {
     RunTrack& track = m_runs.at(key);
@@ -112,7 +132,7 @@
       track.stopDelivered = Time{};
     }
     const bool otherLife = !report.target().id().empty() && track.target != report.target().id();
-    if (otherLife && current) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
+    if (otherLife) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
   }
   takeRows(report, now);
   for (const schema::EndReport& row : report.ends()) {
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -39,7 +39,7 @@
   bool waitForGrants = true;   ///< runs of a silent agent are over only when its grant has run out
   bool inheritGrants = true;   ///< a new leader counts on grants that a former one gave until it began
   bool withholdEnding = true;  ///< no start is ordered for a run whose end is on its way into the log
-  bool doubtReports = true;    ///< a report that was long on its way ends no run of a newer life
+  bool doubtReports = true;    ///< a report that was long on its way ends no run and shuts no newer agent out
 };
 
 /** \class RunTrack
@@ -70,10 +70,9 @@
 struct TargetTrack {
   schema::TargetReport report;
   std::uint64_t incarnation = 0;
-  std::uint64_t sequence = 0;                  ///< of the newest report
-  std::set<std::uint64_t> formerIncarnations;  ///< whose late reports count no more
-  std::uint32_t relay = 0;                     ///< number under which the agent relays calls; 0 is not
-  bool relayed = false;                        ///< its newest report came through another node
+  std::uint64_t sequence = 0;  ///< of the newest report
+  std::uint32_t relay = 0;     ///< number under which the agent relays calls; 0 is not
+  bool relayed = false;        ///< its newest report came through another node
   Time grantUntil{};
   Time heard{};
   Time askedAt{};              ///< when a sign of life was first asked for since it was heard; zero is not
@@ -96,10 +95,13 @@
   void lead(const WorkflowTable& table, Time now, std::uint64_t term = 0);
   /** Takes committed changes in. */
   void apply(const std::vector<RunChange>& changes, Time now);
+  /** \returns whether a report counts here: its agent has had an answer of this leader, so that the report cannot be
+   * older than the leader itself. Any other is only to be answered. */
+  bool isCurrent(const schema::AttendRequest& report) const;
   /** \returns whether a report was overtaken by a newer one: on another connection, or through another node. */
   bool isOvertaken(const schema::AttendRequest& report) const;
-  /** Takes an agent's report in; not one that was overtaken. \returns ends to commit; those of the target may be
-   * forgotten only afterwards */
+  /** Takes an agent's report in; of one that does not count or was overtaken only that the agent was met. \returns ends
+   * to commit; those of the target may be forgotten only afterwards */
   std::vector<schema::RunEnd> takeReport(const schema::AttendRequest& report, Time now);
   /** \returns ends of runs that nothing can hold any longer. */
   std::vector<schema::RunEnd> expire(Time now);
@@ -129,6 +131,8 @@
   const RunLedgerOptions& options() const { return m_options; }
 
  private:
+  void meet(const schema::AttendRequest& report);
+  std::size_t metAs(const std::string& agent, std::uint64_t incarnation) const;
   schema::RunEnd makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint);
   void takeRows(const schema::AttendRequest& report, Time now);
   bool startDue(const RunTrack& track, Time now) const;
@@ -141,7 +145,8 @@
   std::uint64_t m_term = 0;
   std::map<RunKey, RunTrack> m_runs;
   std::map<std::string, std::set<RunKey>> m_byAgent;
-  std::map<std::string, TargetTrack> m_targets;  ///< by agent
+  std::map<std::string, TargetTrack> m_targets;                       ///< by agent
+  std::map<std::string, std::map<std::uint64_t, std::size_t>> m_met;  ///< by agent: its incarnations, as first heard
 };
 
 RunKey runKeyOf(const schema::TaskId& task, std::uint32_t run);
--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -352,6 +352,10 @@
     }
     if (m_ledger->isOvertaken(request)) return;
     commit(m_ledger->takeReport(request, m_now), {});
+    if (!m_ledger->isCurrent(request)) {
+      if (!m_faults || !chance(0.1)) agent.term = m_term;
+      return;
+    }
     const std::vector<schema::RunOrder> orders = m_ledger->takeOrders(request.agent(), m_table, m_now);
     const Duration granted = m_ledger->grant(request.agent(), m_now);
     if (m_faults && chance(0.1)) return;  // the reply is lost
