Test: orders wait until the agent reports the target that they are for

Cause: an agent that reports no target is given orders, which it drops; they count as delivered and come again only after redeliverAfter (1.5 s).

--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -107,6 +107,27 @@
   cr_assert(test.attend(test.report()).empty(), "it is known to run");
 }
 
+// An agent drops orders for a target that it does not know; counted as delivered, they would wait to be given again.
+Test(run_ledger, orders_wait_until_the_agent_reports_the_target_that_they_are_for) {
+  LedgerTable test(2);
+  test.attend(withRunning(test.report(), 1, 1));
+  test.start(0, 1);
+  test.start(1, 1);
+  test.incarnation = 2;
+  cr_assert(test.attend(test.report("")).empty());
+  cr_assert_not(test.ledger.hasOrders("agent", test.table, test.now));
+  const std::vector<schema::RunOrder> starts = test.attend(withRunning(test.report(), 1, 1));
+  cr_assert_eq(starts.size(), 1);
+  cr_assert_eq(starts[0].kind(), schema::OrderStart);
+  test.table.cancel("w", 5);
+  test.incarnation = 3;
+  cr_assert(test.attend(test.report("")).empty());
+  cr_assert_not(test.ledger.hasOrders("agent", test.table, test.now));
+  const std::vector<schema::RunOrder> stops = test.attend(withRunning(test.report(), 1, 1));
+  cr_assert_eq(stops.size(), 2);
+  cr_assert_eq(stops[0].kind(), schema::OrderStop);
+}
+
 Test(run_ledger, a_restarted_agent_is_told_again) {
   LedgerTable test;
   test.start(0, 1);
