Orders only for the target that an agent reports

Change: takeOrders() and hasOrders() pass over runs whose target is not the one in the agent's newest report. No timing was changed.

--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -250,6 +250,12 @@
 
 // ---- orders
 
+/** An agent drops orders for any target but the one that it reports. */
+bool RunLedger::guards(const std::string& agent, const RunTrack& track) const {
+  const auto found = m_targets.find(agent);
+  return found != m_targets.end() && found->second.report.id() == track.target;
+}
+
 bool RunLedger::startDue(const RunTrack& track, Time now) const {
   if (track.confirmed || track.stopWanted) return false;
   // The next run may begin as soon as this one's end is committed; it must not begin in between.
@@ -273,6 +279,7 @@
   if (keys == m_byAgent.end()) return false;
   for (const RunKey& key : keys->second) {
     const RunTrack& track = m_runs.at(key);
+    if (!guards(agent, track)) continue;
     if (stopDue(key, track, table, now)) return true;
     if (!internal::is_over(table, key) && startDue(track, now)) return true;
   }
@@ -290,6 +297,7 @@
   };
   for (const RunKey& key : m_byAgent[agent]) {
     RunTrack& track = m_runs.at(key);
+    if (!guards(agent, track)) continue;
     if (stopDue(key, track, table, now)) {
       add(schema::OrderStop, key).set_target(track.target);
       track.stopDelivered = now;
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -135,6 +135,7 @@
   std::size_t metAs(const std::string& agent, std::uint64_t incarnation) const;
   schema::RunEnd makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint);
   void takeRows(const schema::AttendRequest& report, Time now);
+  bool guards(const std::string& agent, const RunTrack& track) const;
   bool startDue(const RunTrack& track, Time now) const;
   bool stopDue(const RunKey& key, const RunTrack& track, const WorkflowTable& table, Time now) const;
   Time heldUntil(const std::string& agent) const;
