Grants are counted from the instant at which the lease was checked

Cause: attend() checked that this replica leads, read the clock afterwards and granted from there. A process that is paused in between grants from a time at which another leader may lead, which counts on no grant later than its own beginning. Ruled out: reading the clock twice (the second reading is the fault); a margin on grants (a pause has no bound). Change: one reading for both; leads() and canRead() take the instant. endsIn() split off, so that attend() stays short.

--- a/Courseloom/src/Control/ReplicaDriver.h
+++ b/Courseloom/src/Control/ReplicaDriver.h
@@ -58,7 +58,9 @@
   std::set<std::string> takeChangedJobs() { return m_state.takeChangedJobs(); }
   std::vector<RunChange> takeRunChanges() { return m_state.workflows().takeRunChanges(); }
   std::vector<std::string> takeEndedWorkflows() { return m_state.workflows().takeEnded(); }
-  bool canRead() const { return m_replica->canRead(BootClock::now()); }
+  bool canRead() const { return canRead(BootClock::now()); }
+  /** \returns whether nobody else led at an instant; what is granted from that very instant needs no other clock. */
+  bool canRead(Time at) const { return m_replica->canRead(at); }
   /** \returns the failure of whoever asks this replica for what only the leader can do; it names the leader. */
   Failure noLeader(const std::string& step) const;
 
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -335,36 +335,36 @@
   return reply;
 }
 
+schema::RecordRuns WorkflowRunner::endsIn(const schema::AttendRequest& report, Time received) {
+  schema::RecordRuns runs;
+  for (schema::RunEnd& end : m_ledger.takeReport(report, received)) {
+    logEvent(schema::RunEnded, {{"task", taskText(end.task())},
+                                {"run", std::uint64_t{end.run()}},
+                                {"kind", schema::RunEndKind_Name(end.kind())},
+                                {"target", report.target().id()},
+                                {"reason", internal::reason_of(end, report)},
+                                {"sequence", report.sequence()},
+                                {"reportTerm", report.term()},
+                                {"ageMs", std::uint64_t{report.running_age_ms()}}});
+    *runs.add_ends() = std::move(end);
+  }
+  return runs;
+}
+
 Awaitable<Result<schema::AttendReply>> WorkflowRunner::attend(schema::AttendRequest request) {
   const Time received = BootClock::now();
-  if (!leads()) co_return fail(m_driver.noLeader("attend"));
+  if (!leads(received)) co_return fail(m_driver.noLeader("attend"));
   if (m_ledger.isOvertaken(request)) {
     logEvent(schema::ReportRefused, {{"agent", request.agent()}, {"sequence", request.sequence()}});
     co_return fail(Failure{FailureCode::Fenced, Ran::No, "attend", request.agent(), "a newer report has come", 0});
   }
   const std::uint64_t term = m_driver.replica().term();
-  schema::RecordRuns runs;
-  for (schema::RunEnd& end : m_ledger.takeReport(request, received)) {
-    logEvent(schema::RunEnded, {{"task", taskText(end.task())},
-                                {"run", std::uint64_t{end.run()}},
-                                {"kind", schema::RunEndKind_Name(end.kind())},
-                                {"target", request.target().id()},
-                                {"reason", internal::reason_of(end, request)},
-                                {"sequence", request.sequence()},
-                                {"reportTerm", request.term()},
-                                {"ageMs", std::uint64_t{request.running_age_ms()}}});
-    *runs.add_ends() = std::move(end);
-  }
+  schema::RecordRuns runs = endsIn(request, received);
   // Answered at once: the agent's next report carries this term, and counts.
   if (!m_ledger.isCurrent(request)) co_return makeReply();
   if (runs.ends_size() > 0 && !co_await commitRuns(std::move(runs))) co_return fail(m_driver.noLeader("attend"));
   notifyAgent(request.agent());  // a report that is held back has been overtaken
   wake();
-  schema::AttendReply reply = makeReply();
-  reply.set_ends_target(request.target().id());
-  for (const schema::EndReport& end : request.ends()) {
-    reply.set_ends_taken(std::max<std::uint64_t>(reply.ends_taken(), end.number()));
-  }
   const Time end = received + milliseconds(request.wait_ms());
   const bool hasNews = request.ends_size() > 0 || request.started_size() > 0;
   while (leads() && !hasNews && !m_released && BootClock::now() < end) {
@@ -373,9 +373,15 @@
     co_await m_agentSignals[request.agent()].wait(end);
   }
   // What was taken in before a change of leader is forgotten, and must not be answered in a later term.
-  const bool sameLeader = leads() && m_driver.replica().term() == term;
-  if (!sameLeader || m_released) co_return fail(m_driver.noLeader("attend"));
+  // One instant for the check and the grant: a process that is paused in between must not grant beyond its lease.
   const Time now = BootClock::now();
+  const bool sameLeader = leads(now) && m_driver.replica().term() == term;
+  if (!sameLeader || m_released) co_return fail(m_driver.noLeader("attend"));
+  schema::AttendReply reply = makeReply();
+  reply.set_ends_target(request.target().id());
+  for (const schema::EndReport& row : request.ends()) {
+    reply.set_ends_taken(std::max<std::uint64_t>(reply.ends_taken(), row.number()));
+  }
   // The way of a report that was overtaken may be cut; its answer brings nothing that must arrive.
   if (!m_ledger.isOvertaken(request)) {
     for (schema::RunOrder& order : m_ledger.takeOrders(request.agent(), table(), now)) {
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -48,10 +48,12 @@
   Awaitable<void> tickLoop();
   Awaitable<void> planLoop();
   schema::AttendReply makeReply() const;
+  schema::RecordRuns endsIn(const schema::AttendRequest& report, Time received);
   Awaitable<bool> commitRuns(schema::RecordRuns runs);
   Awaitable<void> expireRuns();
   void wake();
-  bool leads() const { return m_leads && m_driver.canRead(); }
+  bool leads() const { return leads(BootClock::now()); }
+  bool leads(Time at) const { return m_leads && m_driver.canRead(at); }
   const WorkflowTable& table() const { return m_driver.state().workflows(); }
 
   schema::RecordRuns makePlan();
