Tests of what is read into a refusal of the older platform interface; three fail

Change: the stand-in refuses stops and reports on demand; three tests. Before: a_stop_that_the_platform_refuses...: "it runs again; 2 of its tasks run now"; a_stop_that_the_platform_has_no_time_for...: the same; a_platform_that_is_busy...: "the gang was stopped". The other four of reclaim pass.

--- a/test/reclaim.cpp
+++ b/test/reclaim.cpp
@@ -3,8 +3,12 @@
 
 // An owner's shape among others' backfills, in the scheduler and on real processes.
 
+#include <google/protobuf/util/json_util.h>
+
+#include <algorithm>
 #include <thread>
 
+#include "generated/platform.pb.h"
 #include "test/Processes.h"
 #include "test/main.h"
 
@@ -21,6 +25,42 @@
          R"(,"accelerators":8,"adjacency":"SameRack"},)" + more + "}";
 }
 
+std::vector<schema::LeaseReport> runningLeases(Deployment& deployment) {
+  schema::PlatformReport report;
+  google::protobuf::util::JsonStringToMessage(send({deployment.http("platform"), "GET", "/v1/report"}).body, &report);
+  std::vector<schema::LeaseReport> running;
+  std::copy_if(report.leases().begin(), report.leases().end(), std::back_inserter(running),
+               [](const schema::LeaseReport& lease) { return lease.phase() == schema::TaskRunning; });
+  return running;
+}
+
+/** Breaks a running gang that must run once, while the platform answers its stops with a status and does nothing. */
+void playRefusedStops(const std::string& status) {
+  Deployment deployment({3, 1, 1, "--workers 6", "", ""});
+  deployment.setUp();
+  cr_assert_eq(deployment.apply(GuaranteeJson).status, 200);
+  deployment.submit(job("andes", 2, R"("notRepeatable":true,"expectedMs":60000)"));
+  cr_assert(deployment.until({deployment.http("entry-1"), "GET", "/v1/jobs/job-1"}, "JobRunning"));
+  const std::vector<schema::LeaseReport> first = runningLeases(deployment);
+  cr_assert_eq(first.size(), 2);
+  const std::string platform = deployment.http("platform");
+  send({platform, "POST", "/behave?stopStatus=" + status});
+  send({platform, "POST", "/worker?name=" + first[0].worker() + "&live=0"});
+  const Time end = BootClock::now() + milliseconds(1500);
+  while (BootClock::now() < end) {
+    const std::vector<schema::LeaseReport> running = runningLeases(deployment);
+    const bool again = std::any_of(running.begin(), running.end(), [&first](const schema::LeaseReport& lease) {
+      return lease.number() > std::max(first[0].number(), first[1].number());
+    });
+    cr_assert(!again, "it runs again; %zu of its tasks run now", running.size());
+  }
+  cr_assert(send({deployment.http("entry-1"), "GET", "/v1/jobs/job-1"}).has("JobStopping"));
+  send({platform, "POST", "/behave?stopStatus=0"});
+  const HttpReply done = deployment.waitJob("job-1", 20000);
+  cr_assert(done.has("JobLost"), "%s", done.body.c_str());
+  cr_assert(send({platform, "GET", "/audit"}).has("\"job-1\":2"), "each task started once");
+}
+
 }  // namespace
 
 Test(reclaim, an_owner_gets_its_shape_back_from_a_cluster_full_of_backfills) {
@@ -69,3 +109,20 @@
   cr_assert(done.has("JobFinished") || deployment.waitJob("job-1", 20000).has("JobFinished"), "%s", done.body.c_str());
   cr_assert(send({deployment.http("platform"), "GET", "/audit"}).has("\"job-1\":2"), "each task started once");
 }
+
+Test(reclaim, a_stop_that_the_platform_refuses_leaves_the_gang_running) { playRefusedStops("200"); }
+
+Test(reclaim, a_stop_that_the_platform_has_no_time_for_leaves_the_gang_running) { playRefusedStops("503"); }
+
+Test(reclaim, a_platform_that_is_busy_has_not_lost_its_workers) {
+  Deployment deployment({3, 1, 1, "--workers 3", "", ""});
+  deployment.setUp();
+  deployment.submit(job("retail", 3, R"("expectedMs":60000)"));
+  cr_assert(deployment.until({deployment.http("entry-1"), "GET", "/v1/jobs/job-1"}, "JobRunning"));
+  send({deployment.http("platform"), "POST", "/behave?reportStatus=503"});
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  send({deployment.http("platform"), "POST", "/behave?reportStatus=0"});
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  cr_assert_eq(runningLeases(deployment).size(), 3);
+  cr_assert(send({deployment.http("platform"), "GET", "/audit"}).has("\"job-1\":3"), "the gang was stopped");
+}
--- a/test/standins/platform.cpp
+++ b/test/standins/platform.cpp
@@ -5,7 +5,9 @@
 //
 //   platform --port 0 --workers 10 --accelerators 8
 //   GET /v1/report, POST /v1/orders       what courseloom uses; see schema/platform.proto
-//   POST /behave?checkpointMs=N&failCheckpoint=0|1&refuseStart=WORKER&dropAnswers=N
+//   POST /behave?checkpointMs=N&failCheckpoint=0|1&refuseStart=WORKER&dropAnswers=N&stopStatus=N&reportStatus=N
+//                                         stopStatus: stops are not carried out and get this status; reportStatus: as
+//                                         status of reports; both with an empty object, 0 ends it
 //   POST /worker?name=w1&live=0|1         loses or restores a worker with its tasks
 //   POST /instance?name=t1&leaving=0|1    shows in the report after the lag
 //   GET /audit                            starts by job and lease, as JSON
@@ -85,7 +87,7 @@
     const std::string path = target.substr(0, mark);
     const std::string query = mark == std::string::npos ? "" : target.substr(mark + 1);
     age();
-    if (path == "/v1/report") co_return report();
+    if (path == "/v1/report") co_return m_reportStatus == 0 ? report() : jsonResponse(m_reportStatus, "{}");
     if (path == "/v1/orders") co_return co_await takeOrder(request.body());
     if (path == "/audit") co_return audit();
     if (path == "/worker") setWorker(queryValue(query, "name"), queryValue(query, "live") == "1");
@@ -104,6 +106,8 @@
     if (!failing.empty()) m_failCheckpoint = failing == "1";
     m_refuseStart = queryValue(query, "refuseStart");
     m_dropAnswers = std::atoi(queryValue(query, "dropAnswers").c_str());
+    m_stopStatus = static_cast<unsigned>(std::atoi(queryValue(query, "stopStatus").c_str()));
+    m_reportStatus = static_cast<unsigned>(std::atoi(queryValue(query, "reportStatus").c_str()));
   }
 
   void setWorker(const std::string& name, bool live) {
@@ -162,6 +166,7 @@
   Awaitable<HttpResponse> takeOrder(const std::string& body) {
     schema::LeaseOrder order;
     if (!google::protobuf::util::JsonStringToMessage(body, &order).ok()) co_return jsonResponse(400, "{}");
+    if (order.kind() == schema::Stop && m_stopStatus != 0) co_return jsonResponse(m_stopStatus, "{}");
     schema::OrderReply reply;
     if (order.term() < m_term) {
       reply.set_detail("an order of a former term");
@@ -266,6 +271,8 @@
   bool m_failCheckpoint = false;
   std::string m_refuseStart;
   int m_dropAnswers = 0;
+  unsigned m_stopStatus = 0;
+  unsigned m_reportStatus = 0;
 };
 
 }  // namespace
