A refused stop of a gang is asked again; a status other than 200 of the older platform interface is no answer

A refusal, or any status, was read as an order's answer: the gang's places were given up and the job was queued while its tasks went on; with the phase that a body without one has, even a job that must run once "had never begun". Ruled out: the number and term of a lease (they fence former leaders and repeated starts, and the next start has new numbers). Change: HttpPlatform takes a body for an answer only with status 200, otherwise the order is in doubt and asked again; stops are repeated until each is accepted, every 200 ms; what they say of phases is then of accepted stops only.

--- a/Courseloom/src/Control/JobRunner.cpp
+++ b/Courseloom/src/Control/JobRunner.cpp
@@ -19,6 +19,7 @@
 constexpr Duration ReserveLimit = milliseconds(2000);
 constexpr Duration StartLimit = milliseconds(5000);
 constexpr Duration OrderPause = milliseconds(50);
+constexpr Duration StopPause = milliseconds(200);
 constexpr Duration CommitLimit = milliseconds(5000);
 
 SchedulerOptions scheduler_options(const schema::ControlSettings& control) {
@@ -453,14 +454,16 @@
   co_return saved == GangResult::All;
 }
 
-/** Stops every member and frees its lease; goes on until each is confirmed, since a part must not go on running. */
+/** Stops every member and frees its lease; goes on until each stop is accepted, since a part must not go on running,
+ * and a refusal says neither that it ended nor that it never began. */
 Awaitable<void> JobRunner::stopAndRelease(const schema::Job& job, Phases& phases) {
   const Duration limit = milliseconds(m_context.settings.control().lease_ms());
   while (leads()) {
     const GangResult stopped = co_await orderAll(job, schema::Stop, limit, phases);
-    if (stopped != GangResult::Unreachable) break;
-    logEvent(schema::PlatformFailed, {{"job", job.id()}, {"step", "stop"}});
-    co_await sleepFor(internal::OrderPause);
+    if (stopped == GangResult::All) break;
+    const char* const detail = stopped == GangResult::Refused ? "refused" : "no answer";
+    logEvent(schema::PlatformFailed, {{"job", job.id()}, {"step", "stop"}, {"detail", detail}});
+    co_await sleepFor(internal::StopPause);
   }
   Phases released;
   if (leads()) co_await orderAll(job, schema::Release, limit, released);
--- a/Courseloom/src/Platform/Platform.cpp
+++ b/Courseloom/src/Platform/Platform.cpp
@@ -25,9 +25,17 @@
   return fail(Failure{FailureCode::PlatformFailed, Ran::Unknown, step, peer, std::string(status.message()), 0});
 }
 
-Failure platform_failure(Failure failure) {
-  failure.code = FailureCode::PlatformFailed;
-  return failure;
+/** Reads the body of an answer whose status is 200. Any other status says nothing of what was asked. */
+template <class Message>
+Result<Message> read_answer(const std::string& step, const std::string& peer, Result<HttpResponse> response) {
+  if (!response) {
+    Failure failure = takeFailure(response);
+    failure.code = FailureCode::PlatformFailed;
+    return fail(std::move(failure));
+  }
+  if (response->result() == http::status::ok) return read_json<Message>(step, peer, response->body());
+  return fail(Failure{FailureCode::PlatformFailed, Ran::Unknown, step, peer,
+                      "status " + std::to_string(response->result_int()), 0});
 }
 
 }  // namespace
@@ -40,8 +48,7 @@
   HttpRequest request(http::verb::get, "/v1/report", 11);
   Result<HttpResponse> response =
       co_await m_client.exchange("platform report", std::move(request), m_limit, internal::MaxReportBytes);
-  if (!response) co_return fail(internal::platform_failure(takeFailure(response)));
-  co_return internal::read_json<schema::PlatformReport>("platform report", m_client.peer(), response->body());
+  co_return internal::read_answer<schema::PlatformReport>("platform report", m_client.peer(), std::move(response));
 }
 
 Awaitable<Result<schema::OrderReply>> HttpPlatform::order(schema::LeaseOrder order) {
@@ -50,8 +57,7 @@
   google::protobuf::util::MessageToJsonString(order, &request.body());
   Result<HttpResponse> response =
       co_await m_client.exchange("platform order", std::move(request), m_limit, internal::MaxReportBytes);
-  if (!response) co_return fail(internal::platform_failure(takeFailure(response)));
-  co_return internal::read_json<schema::OrderReply>("platform order", m_client.peer(), response->body());
+  co_return internal::read_answer<schema::OrderReply>("platform order", m_client.peer(), std::move(response));
 }
 
 }  // namespace courseloom
