Tests of "did not run" after an attempt was fenced off, and of a service that is gone; both fail

Cause: RequestPath keeps claimKnown after another asker made its attempt void; when the next claim cannot be opened in time it says "ran: no" (no-leader, peer-failed, no-target) while that asker runs the request. An unknown service or workspace is "ran: no" at once, also for a request id that ran before the service was removed, or that another entry with a newer view runs now. Change: two tests. An attempt that the agent refused for want of time stays "no": its own attempt surely never ran.

--- a/test/claims_processes.cpp
+++ b/test/claims_processes.cpp
@@ -66,6 +66,40 @@
   }
 }
 
+// Whoever was fenced off may be followed by an asker that runs the request; a deadline that comes then proves nothing.
+// Only an attempt that the agent refused, for want of time, never ran for sure.
+Test(claims_processes, a_request_that_one_asker_ran_is_not_said_by_another_not_to_have_run) {
+  Deployment deployment({3, 2, 1, "", "", ""});
+  deployment.setUp();
+  for (int round = 0; round < 40; ++round) {
+    const std::string id = "hurried-" + std::to_string(round);
+    std::vector<HttpAsk> asks;
+    for (int i = 0; i < 40; ++i) {
+      asks.push_back(deployment.request(i % 2 == 0 ? "entry-1" : "entry-2", "alert", id));
+      asks.back().headers.emplace_back("Courseloom-Deadline-Ms", std::to_string(5 + 2 * i));
+    }
+    const std::vector<HttpReply> replies = sendAll(asks);
+    pause(50);
+    if (deployment.runs(id) == 0) continue;
+    for (const HttpReply& reply : replies) {
+      const bool refused = reply.has("\"step\":\"admission\"");
+      cr_assert(refused || !reply.has("\"ran\":\"no\""), "%s ran: %u %s", id.c_str(), reply.status, reply.body.c_str());
+    }
+  }
+}
+
+Test(claims_processes, a_request_that_ran_is_not_said_not_to_have_run_when_its_service_is_gone) {
+  Deployment deployment({3, 2, 1, "", "", ""});
+  deployment.setUp();
+  const HttpAsk ask = deployment.request("entry-1", "alert", "gone");
+  cr_assert_eq(send(ask).status, 200);
+  const std::string entry = deployment.http("entry-1");
+  cr_assert_eq(send({entry, "DELETE", "/v1/objects/service/quotes"}).status, 200);
+  cr_assert(deployment.until(ask, "unknown-service"));
+  const HttpReply reply = send(ask);
+  cr_assert(reply.has("\"ran\":\"unknown\""), "it ran once: %u %s", reply.status, reply.body.c_str());
+}
+
 Test(claims_processes, an_entry_killed_in_the_middle_leaves_one_run_and_a_kept_answer) {
   Deployment deployment({3, 2, 2, "", "", ""});
   deployment.setUp();
