An entry does not say "ran: no" after an attempt was fenced off, nor of an unknown service, for a request that must run once

Ruled out: the agent's tombstones and the claim's table, which hold: no request ran twice in these tests. Change: claimKnown is given up with a fenced attempt, by whomever it was made void, so that the next refusal says "unknown" and a missing target makes the entry read the claim; unknown services and workspaces say notRun() like every other refusal before the claim is read.

--- a/Courseloom/src/Entry/RequestContext.h
+++ b/Courseloom/src/Entry/RequestContext.h
@@ -29,7 +29,8 @@
 
   std::string className() const { return schema::Urgency_Name(urgency); }
   std::uint32_t leftMs() const;
-  /** The claim in the log was read or made, so that refusals can say for sure that nothing ran. */
+  /** The claim in the log was read or made, so that refusals can say for sure that nothing ran; until an attempt was
+   * fenced off, since its claim may be another asker's then. */
   bool claimKnown = false;
   /** \returns No, or Unknown for a request that another entry may have run under the same request id. */
   Ran notRun() const { return repeatable || claimKnown ? Ran::No : Ran::Unknown; }
--- a/Courseloom/src/Entry/RequestPath.cpp
+++ b/Courseloom/src/Entry/RequestPath.cpp
@@ -92,12 +92,12 @@
   const View& view = m_follower.view().read(guard);
   const schema::Object* service = view.service(request.service);
   if (service == nullptr) {
-    return fail(Failure{FailureCode::UnknownService, Ran::No, "entry", "",
+    return fail(Failure{FailureCode::UnknownService, request.notRun(), "entry", "",
                         "service '" + request.service + "' does not exist", 0});
   }
   const schema::Object* workspace = view.workspace(request.workspace);
   if (workspace == nullptr) {
-    return fail(Failure{FailureCode::UnknownWorkspace, Ran::No, "entry", "",
+    return fail(Failure{FailureCode::UnknownWorkspace, request.notRun(), "entry", "",
                         "workspace '" + request.workspace + "' does not exist", 0});
   }
   if (service->draining() || workspace->draining())
@@ -309,6 +309,7 @@
       if (known) co_return known;
       Failure failure = takeFailure(known);
       if (failure.code != FailureCode::Fenced) co_return fail(std::move(failure));
+      request.claimKnown = false;
       last = std::nullopt;
       continue;
     }
@@ -322,6 +323,7 @@
       // The agent may also be in a newer life than this entry knows: others come first, then the same again.
       tried.push_back(target->name);
       if (!pick(request, tried)) tried.clear();
+      request.claimKnown = false;
       last = std::nullopt;
       continue;
     }
