Test of a target's look that cannot be read whole; it fails

Cause: the answer to a hold is believed in what it leaves out: a run in neither list is reported "never began". readTargetAnswer takes an empty body, an object without anything, lists of another type and rows of our own tasks that it cannot read for lists without the run. Change: a test; readTargetLook, for now the same function, is what the hold's call reads with.

--- a/test/platform_formats.cpp
+++ b/test/platform_formats.cpp
@@ -138,6 +138,32 @@
   cr_assert_not(bool(readTargetAnswer(200, "cut sho")), "half an answer is none");
 }
 
+// What is not in a target's lists counts as not there, so an answer that holds no readable lists must not be taken for
+// one.
+Test(platform_formats, a_look_that_cannot_be_read_whole_is_none) {
+  const std::string own = R"("5c0e7a21d94b36f8.0.1.9")";
+  const std::string bodies[] = {"",
+                                "{}",
+                                "[]",
+                                R"({"status":"ok"})",
+                                R"({"clock_ms":"soon","running":[],"finished":[]})",
+                                R"({"clock_ms":5,"running":7,"finished":[]})",
+                                R"({"clock_ms":5,"running":[],"finished":{}})",
+                                R"({"clock_ms":5,"running":[[)" + own + R"(,1]],"finished":[]})",
+                                R"({"clock_ms":5,"running":[[)" + own + R"(,"1","",4]],"finished":[]})",
+                                R"({"clock_ms":5,"running":[],"finished":[[1,)" + own + R"(,1,"gone",""]]})",
+                                R"({"clock_ms":5,"running":[],"finished":[["1",)" + own + R"(,1,"done",""]]})",
+                                R"({"clock_ms":5,"running":[],"finished":[[1,)" + own + R"(]]})"};
+  for (const std::string& body : bodies) cr_expect_not(bool(readTargetLook(200, body)), "%s", body.c_str());
+  const std::string none = R"({"clock_ms":5,"running":[],"finished":[]})";
+  cr_assert(bool(readTargetLook(200, none)));
+  const std::string row = R"({"clock_ms":5,"running":[],"finished":[[1,)" + own + R"(,1,"done",""]]})";
+  Result<TargetAnswer> look = readTargetLook(200, row);
+  cr_assert(look && look->ends.size() == 1);
+  Result<TargetAnswer> refused = readTargetLook(503, "<html>");
+  cr_assert(refused && refused->verdict == TargetVerdict::Refused);
+}
+
 Test(platform_formats, orders) {
   TargetStart start;
   *start.order.mutable_task() = makeTaskId("ab", {0, 1, 2});
