Test of an agent whose table of tokens is full; it fails

Cause: a full table takes a new incarnation, and begin() refuses the token that brought it about. AgentService takes the table's incarnation over into what it announces only after a token has begun, so that it goes on announcing the former life, entries go on making tokens for it, and each is fenced: a target serves no request that must run once any more, until somebody resolves a token there. Change: a test with a table of 64 and one target.

--- a/test/claims_processes.cpp
+++ b/test/claims_processes.cpp
@@ -66,6 +66,27 @@
   }
 }
 
+// An agent whose table of tokens is full begins a new life in it, of which entries hear only with its next heartbeat.
+Test(claims_processes, a_full_table_of_tokens_refuses_nobody) {
+  Deployment deployment({3, 2, 1, "", "maxKeptAnswers: 64", ""});
+  deployment.setUp();
+  unsigned refused = 0;
+  std::string first;
+  for (int round = 0; round < 60; ++round) {
+    std::vector<HttpAsk> asks;
+    for (int i = 0; i < 8; ++i) {
+      const std::string id = "kept-" + std::to_string(round) + "-" + std::to_string(i);
+      asks.push_back(deployment.request(i % 2 == 0 ? "entry-1" : "entry-2", "alert", id));
+    }
+    for (const HttpReply& reply : sendAll(asks)) {
+      if (reply.status == 200) continue;
+      ++refused;
+      if (first.empty()) first = reply.body;
+    }
+  }
+  cr_assert_eq(refused, 0, "%u of 480 were refused, the first with %s", refused, first.c_str());
+}
+
 // Whoever was fenced off may be followed by an asker that runs the request; a deadline that comes then proves nothing.
 // Only an attempt that the agent refused, for want of time, never ran for sure.
 Test(claims_processes, a_request_that_one_asker_ran_is_not_said_by_another_not_to_have_run) {
