An agent announces the life that its full table begins, and its answers tell entries of it at once

Ruled out: a restarted agent. It has another port, so that an entry with an old list cannot reach it, and is refused the connection. Change: AgentService takes the table's incarnation over also when the table refuses; RunReply carries it, and an entry makes tokens for the newest life that an agent has answered as, without waiting for the next list; an answer that was overtaken changes nothing. Not changed: a table that is full of running tokens still begins a life with each token that comes; it needs more requests at once than maxKeptAnswers.

--- a/Courseloom/src/Agent/AgentService.cpp
+++ b/Courseloom/src/Agent/AgentService.cpp
@@ -146,6 +146,7 @@
   schema::RunReply reply = co_await admitAndRun(std::move(request), deadline);
   reply.set_exchange(exchange);
   *reply.mutable_load() = load();
+  reply.set_incarnation(m_incarnation.load());
   co_return reply;
 }
 
@@ -156,14 +157,16 @@
     *reply.mutable_failure() = toInfo(*refused);
     co_return reply;
   }
-  if (request.has_token() && !m_tokens.begin(request.token())) {
+  const bool begins = !request.has_token() || m_tokens.begin(request.token());
+  // A full table begins a new life with the token that it refuses.
+  m_incarnation = m_tokens.incarnation();
+  if (!begins) {
     logEvent(schema::TokenFenced,
              {{"request", request.token().request_id()}, {"attempt", std::uint64_t{request.token().attempt()}}});
     *reply.mutable_failure() =
         toInfo(makeFailure(FailureCode::Fenced, Ran::Unknown, "agent", "the token is used, void or of a former life"));
     co_return reply;
   }
-  m_incarnation = m_tokens.incarnation();
   const std::uint64_t id = m_nextExchange++;
   const std::optional<Failure> refused = co_await admit(id, request, deadline);
   if (refused) {
--- a/Courseloom/src/Entry/RequestPath.cpp
+++ b/Courseloom/src/Entry/RequestPath.cpp
@@ -222,6 +222,7 @@
   Failure failure;
   if (reply) {
     target->report(reply->load(), BootClock::now());
+    target->heardLife(reply->incarnation());
     answer = readAnswer(*reply, exchange, *target);
   } else {
     answer = fail(takeFailure(reply));
@@ -277,7 +278,7 @@
   open->mutable_token()->set_workspace(request.workspace);
   open->mutable_token()->set_request_id(request.requestId);
   open->mutable_token()->set_target(target.name);
-  open->mutable_token()->set_incarnation(target.incarnation);
+  open->mutable_token()->set_incarnation(target.lifeForTokens());
   open->set_digest(request.digest);
   open->set_service(request.service);
   open->set_opener(opener);
--- a/Courseloom/src/Routing/Target.cpp
+++ b/Courseloom/src/Routing/Target.cpp
@@ -12,4 +12,10 @@
   if (load.leaving()) leaving.store(true, std::memory_order_relaxed);
 }
 
+void Target::heardLife(std::uint64_t life) {
+  std::uint64_t known = answeredAs.load(std::memory_order_relaxed);
+  while (life > known && !answeredAs.compare_exchange_weak(known, life, std::memory_order_relaxed)) {
+  }
+}
+
 }  // namespace courseloom
--- a/Courseloom/src/Routing/Target.h
+++ b/Courseloom/src/Routing/Target.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <string>
@@ -22,7 +23,7 @@
   std::string service;
   std::string name;
   std::string dataHall;
-  std::uint64_t incarnation = 0;
+  std::uint64_t incarnation = 0;     ///< of the agent's life that the list names
   std::shared_ptr<RpcClient> agent;  ///< null in benches
 
   std::atomic<unsigned> inFlight{0};      ///< sent from this entry and not answered
@@ -33,9 +34,14 @@
   std::atomic<unsigned> ejections{0};  ///< in a row, for the back-off
   std::atomic<std::int64_t> ejectedUntil{0};
   std::atomic<bool> leaving{false};
+  std::atomic<std::uint64_t> answeredAs{0};  ///< the agent's life as it last answered; 0 before that
 
   /** Takes a report of the agent's load in. */
   void report(const schema::AgentLoad& load, Time now);
+  /** Takes the agent's life from an answer; one that was overtaken by a later life's changes nothing. */
+  void heardLife(std::uint64_t life);
+  /** \returns the life for which tokens are made: the agent's own word comes before the list, which is told later. */
+  std::uint64_t lifeForTokens() const { return std::max(incarnation, answeredAs.load(std::memory_order_relaxed)); }
 };
 
 using TargetPointer = std::shared_ptr<Target>;
