A node asks the leader anew each time, and is not held back when its lease runs out

Ruled out: a longer lease (it hides the time without a leader and lets a node that is behind serve longer). Change: ViewFollower makes each question from the node's present state (ControlClient::watchOnce), every 40 ms while nobody leads; its lease counts from the question that was answered; it asks to be held back only with half of its lease left. A failure is told when the lease has run out, and then once in two leases. everFollowed(), which nobody asks any more, is gone.

--- a/Courseloom/src/Membership/ControlClient.cpp
+++ b/Courseloom/src/Membership/ControlClient.cpp
@@ -241,6 +241,10 @@
   co_return co_await tryOnce<schema::AttendReply>("attend", request, deadline);
 }
 
+Awaitable<Result<schema::WatchReply>> ControlClient::watchOnce(schema::WatchRequest request, Time deadline) {
+  co_return co_await tryOnce<schema::WatchReply>("watch", request, deadline);
+}
+
 Awaitable<Result<schema::CommandReply>> ControlClient::command(schema::Command command, Time deadline) {
   schema::CommandRequest request;
   *request.mutable_command() = std::move(command);
--- a/Courseloom/src/Membership/ControlClient.h
+++ b/Courseloom/src/Membership/ControlClient.h
@@ -29,6 +29,8 @@
   Awaitable<Result<schema::CommandReply>> command(schema::Command command, Time deadline);
   Awaitable<Result<schema::QueryReply>> query(schema::QueryRequest request, Time deadline);
   Awaitable<Result<schema::WatchReply>> watch(schema::WatchRequest request, Time deadline);
+  /** Not retried: the next question tells the node's state of then, and its lease counts from there. */
+  Awaitable<Result<schema::WatchReply>> watchOnce(schema::WatchRequest request, Time deadline);
 
   Awaitable<Result<schema::QueueAnswer>> call(schema::QueueCall call, Time deadline);
   /** Not retried: the next report brings newer news. */
--- a/Courseloom/src/Membership/ViewFollower.cpp
+++ b/Courseloom/src/Membership/ViewFollower.cpp
@@ -17,6 +17,7 @@
 namespace {
 /** A leader holds an exchange back for at most this part of the freshness lease. */
 constexpr int WaitShare = 5;
+constexpr Duration RetryPause = milliseconds(40);
 constexpr Duration FreshnessLook = milliseconds(50);
 constexpr Duration LeavingLimit = milliseconds(1000);
 }  // namespace
@@ -51,20 +52,30 @@
 Awaitable<void> ViewFollower::follow() {
   while (!m_stopped) {
     schema::WatchRequest request = makeRequest();
-    if (everFollowed())
-      request.set_wait_ms(static_cast<std::uint32_t>(toMilliseconds(m_freshness)) / internal::WaitShare);
     const Time sentAt = BootClock::now();
-    Result<schema::WatchReply> reply = co_await m_control.watch(std::move(request), sentAt + 2 * m_freshness);
+    // A node whose lease runs out cannot wait for news.
+    const bool mayWait = freshUntil() > sentAt + m_freshness / 2;
+    if (mayWait) request.set_wait_ms(static_cast<std::uint32_t>(toMilliseconds(m_freshness)) / internal::WaitShare);
+    Result<schema::WatchReply> reply = co_await m_control.watchOnce(std::move(request), sentAt + 2 * m_freshness);
     if (reply) {
       m_control.setMembers({reply->members().begin(), reply->members().end()});
       m_control.setRelays({reply->relays().begin(), reply->relays().end()});
       take(*reply, sentAt);
     } else {
-      logFailure(schema::PeerFailed, takeFailure(reply));
+      noteFailure(takeFailure(reply));
+      co_await sleepFor(internal::RetryPause);
     }
   }
 }
 
+/** Other replicas may answer at once, so that only a failure that lasts is told. */
+void ViewFollower::noteFailure(const Failure& failure) {
+  const Time now = BootClock::now();
+  if (fresh() || now < m_failureTold + 2 * m_freshness) return;
+  m_failureTold = now;
+  logFailure(schema::PeerFailed, failure);
+}
+
 void ViewFollower::take(const schema::WatchReply& reply, Time sentAt) {
   {
     std::unique_ptr<View> next;
--- a/Courseloom/src/Membership/ViewFollower.h
+++ b/Courseloom/src/Membership/ViewFollower.h
@@ -34,9 +34,7 @@
 
   const RcuPointer<View>& view() const { return m_view; }
   /** \returns whether the leader was heard within the freshness lease. */
-  bool fresh() const { return BootClock::now().time_since_epoch().count() < m_freshUntil.load(); }
-  /** \returns whether a configuration has ever arrived. */
-  bool everFollowed() const { return m_freshUntil.load() != 0; }
+  bool fresh() const { return BootClock::now() < freshUntil(); }
   bool leaving() const { return m_leaving.load(); }
   std::uint64_t revision() const { return m_revision.load(); }
   ControlClient& control() { return m_control; }
@@ -44,6 +42,8 @@
  private:
   Awaitable<void> follow();
   Awaitable<void> watchFreshness();
+  Time freshUntil() const { return Time(Duration(m_freshUntil.load())); }
+  void noteFailure(const Failure& failure);
   schema::WatchRequest makeRequest();
   void take(const schema::WatchReply& reply, Time sentAt);
 
@@ -54,6 +54,7 @@
   ViewHook m_hook;
   RcuPointer<View> m_view;
   Duration m_freshness;
+  Time m_failureTold{};
   std::atomic<std::int64_t> m_freshUntil{0};
   std::atomic<std::uint64_t> m_revision{0};
   std::atomic<bool> m_leaving{false};
