An agent tells a new leader again what that has not taken in

Cause: the leader now takes in only reports that carry its term, and answers others with its term alone; the agent counted any answer as taken, so that a fate or an end told at a change of leader would have been forgotten. Change: only an answer in the report's own term counts; after an introduction the report is sent once more at once, also when stopping.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -231,7 +231,14 @@
   return BootClock::now() < Time(Duration(m_directAt.load())) + internal::InTouchFor;
 }
 
+/** \returns whether a leader has taken a report in. */
 Awaitable<bool> RunAgentService::exchange(std::uint32_t waitMs) {
+  Heard heard = co_await tellLeader(waitMs);
+  if (heard == Heard::Introduced) heard = co_await tellLeader(waitMs);
+  co_return heard == Heard::Taken;
+}
+
+Awaitable<RunAgentService::Heard> RunAgentService::tellLeader(std::uint32_t waitMs) {
   schema::AttendRequest request = makeReport();
   request.set_wait_ms(waitMs);
   request.set_sequence(++m_sequence);
@@ -246,11 +253,11 @@
       m_following = false;
       logEvent(schema::LeaderLost, {{"term", m_term}});
     }
-    co_return false;
+    co_return Heard::Nothing;
   }
   if (!m_control.relayed()) m_directAt = BootClock::now().time_since_epoch().count();
   takeReply(request, *reply, sentAt);
-  co_return true;
+  co_return reply->term() == request.term() ? Heard::Taken : Heard::Introduced;
 }
 
 Awaitable<void> RunAgentService::attendLoop() {
@@ -277,6 +284,7 @@
   m_relay.setMembers({reply.members().begin(), reply.members().end()});
   followRelays(reply);
   if (reply.term() < m_term) return;  // a former leader's word
+  const bool taken = reply.term() == request.term();
   if (!m_following || reply.term() != m_term) logEvent(schema::LeaderFound, {{"term", reply.term()}});
   m_following = true;
   m_term = reply.term();
@@ -286,13 +294,7 @@
   m_grantUntil = std::max(m_grantUntil, until);
   m_longestGrant = std::max(m_longestGrant, Duration(milliseconds(reply.grant_ms())));
   if (!wasGranted) m_lifeSignal.notify();
-  takeTold(request);
-  for (const schema::StartReport& start : request.started()) m_started.erase(runKeyOf(start.task(), start.run()));
-  if (isLife(reply.ends_target()) && reply.ends_taken() > m_life->endsTaken) {
-    m_life->endsTaken = reply.ends_taken();
-    m_life->ends.erase(m_life->ends.begin(), m_life->ends.upper_bound(reply.ends_taken()));
-    m_lookSignal.notify();
-  }
+  if (taken) takeTold(request, reply);
   if (m_stopping) return;
   for (const schema::RunOrder& order : reply.orders()) takeOrder(order, until);
 }
@@ -475,8 +477,8 @@
   news();
 }
 
-/** The leader has committed the ends of a report. */
-void RunAgentService::takeTold(const schema::AttendRequest& request) {
+/** The leader has taken a report in and committed its ends. */
+void RunAgentService::takeTold(const schema::AttendRequest& request, const schema::AttendReply& reply) {
   const Time now = BootClock::now();
   for (const schema::EndReport& end : request.ends()) {
     const auto found = m_fates.find(runKeyOf(end.task(), end.run()));
@@ -485,6 +487,11 @@
     found->second.keptUntil = now + m_longestGrant;
   }
   std::erase_if(m_fates, [now](const auto& entry) { return entry.second.told && entry.second.keptUntil < now; });
+  for (const schema::StartReport& start : request.started()) m_started.erase(runKeyOf(start.task(), start.run()));
+  if (!isLife(reply.ends_target()) || reply.ends_taken() <= m_life->endsTaken) return;
+  m_life->endsTaken = reply.ends_taken();
+  m_life->ends.erase(m_life->ends.begin(), m_life->ends.upper_bound(reply.ends_taken()));
+  m_lookSignal.notify();
 }
 
 void RunAgentService::settleAll(schema::RunEndKind kind, const std::string& reason) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -82,7 +82,14 @@
 
   Awaitable<void> attendLoop();
   Awaitable<void> newsLoop();
+  /** How a report fared. */
+  enum class Heard : std::uint8_t {
+    Nothing,     ///< no leader answered
+    Introduced,  ///< a leader that this agent did not know has told its term, and has taken nothing in
+    Taken,
+  };
   Awaitable<bool> exchange(std::uint32_t waitMs);
+  Awaitable<Heard> tellLeader(std::uint32_t waitMs);
   schema::AttendRequest makeReport() const;
   void takeReply(const schema::AttendRequest& request, const schema::AttendReply& reply, Time sentAt);
   void followRelays(const schema::AttendReply& reply);
@@ -105,7 +112,7 @@
   Awaitable<void> startRun(schema::RunOrder order, Time until);
   Awaitable<void> stopRun(schema::RunOrder order);
   void settle(const schema::TaskId& task, std::uint32_t run, schema::RunEndKind kind, const std::string& reason);
-  void takeTold(const schema::AttendRequest& request);
+  void takeTold(const schema::AttendRequest& request, const schema::AttendReply& reply);
   void settleAll(schema::RunEndKind kind, const std::string& reason);
   bool listed(const RunKey& key) const;
 
--- a/test/AgentStage.h
+++ b/test/AgentStage.h
@@ -18,7 +18,8 @@
 
 /** \returns an order to start run 1 of the one task of these tests. */
 schema::RunOrder startOrder(const std::string& target = "i-1");
-/** \returns an answer of the leader of term 1 that grants for a while and orders nothing. */
+/** \returns an answer of the leader of term 1 that grants for a while and orders nothing. A leader takes in only
+ * reports that carry its term; answers of these tests do not depend on it. */
 schema::AttendReply grantReply(std::uint32_t grantMs);
 
 /** \class TargetScript
--- a/test/run_agent_fates.cpp
+++ b/test/run_agent_fates.cpp
@@ -79,7 +79,8 @@
     }
     if (m_ordered && !m_copied && request.wait_ms() > 0) {
       m_copied = true;
-      co_await sleepFor(milliseconds(900));
+      for (int i = 0; i < 100 && !settled; ++i) co_await sleepFor(milliseconds(10));
+      co_await sleepFor(milliseconds(100));
       copyArrived = settled;
       *answer.add_orders() = startOrder();
       co_return answer;
@@ -96,6 +97,27 @@
   bool m_copied = false;
 };
 
+/** Orders one run; another leader answers the report of its end, and takes in only what carries its own term. */
+class NextLeader : public FakeLeader {
+ public:
+  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
+    if (request.ends_size() > 0) m_term = 2;
+    toldAgain = toldAgain || (request.term() == 2 && request.ends_size() > 0);
+    schema::AttendReply answer = grantReply(LongGrantMs);
+    answer.set_term(m_term);
+    const bool order = !m_ordered && request.target().id() == "i-1";
+    if (order) *answer.add_orders() = startOrder();
+    m_ordered = m_ordered || order;
+    co_await sleepFor(milliseconds(20));
+    co_return answer;
+  }
+  bool toldAgain = false;
+
+ private:
+  std::uint64_t m_term = 1;
+  bool m_ordered = false;
+};
+
 }  // namespace
 
 Test(run_agent_fates, a_refused_stop_is_no_proof_that_a_run_never_began) {
@@ -160,3 +182,10 @@
   cr_assert(leader.copyArrived);
   cr_assert_eq(stage.target.starts, leader.startsBefore, "a run that the leader counts as over was begun");
 }
+
+Test(run_agent_fates, what_a_new_leader_has_not_taken_in_is_told_again) {
+  NextLeader leader;
+  Stage stage(leader);
+  stage.run(milliseconds(1000));
+  cr_assert(leader.toldAgain, "the end of a run was told to the new leader only with the former one's term");
+}
