Heartbeats that were overtaken are passed over, and so is advice to a question that was forgotten

Ruled out for heartbeats: an agent's own refusals, which keep requests of a former life from running (tokens are fenced, a leaving agent refuses); they do not keep entries from asking it, nor the list from naming it. Change: ViewFollower numbers the heartbeats of a life; NodeTable passes over an agent's that names a lower life, or a lower number in the same one, until the later one's place has run out. Nodes without numbers are taken as before. AdviceBook numbers its questions. Left: a new leader knows no heartbeat, so that a late one that comes first holds until the node's next, within a fifth of the lease, or for a node that is gone until its place runs out.

--- a/Courseloom/src/Control/AdviceBook.cpp
+++ b/Courseloom/src/Control/AdviceBook.cpp
@@ -31,15 +31,17 @@
   for (const std::string& target : targets) {
     if (permission.asked.count(target) == 0 && unasked.size() < internal::MaxAdvisedTargets) unasked.push_back(target);
   }
-  if (!unasked.empty() && !permission.asking) {
-    permission.asking = true;
-    boost::asio::co_spawn(m_strand, ask(name, std::move(unasked), milliseconds(policy.validity_ms())),
+  if (!unasked.empty() && permission.asking == 0) {
+    permission.asking = ++m_questions;
+    boost::asio::co_spawn(m_strand,
+                          ask(name, std::move(unasked), milliseconds(policy.validity_ms()), permission.asking),
                           boost::asio::detached);
   }
   return permission.tickets;
 }
 
-Awaitable<void> AdviceBook::ask(StepName name, std::vector<std::string> targets, Duration validity) {
+Awaitable<void> AdviceBook::ask(StepName name, std::vector<std::string> targets, Duration validity,
+                                std::uint64_t question) {
   const Time askedAt = BootClock::now();
   const schema::TaskId step = makeTaskId(name.first, {name.second.occurrence, name.second.step, 0});
   Result<std::vector<Ticket>> tickets = co_await m_port->advise(step, targets, internal::AdviceLimit);
@@ -48,9 +50,10 @@
     co_await sleepFor(internal::AdvicePause);
   }
   const auto found = m_permissions.find(name);
-  if (found == m_permissions.end()) co_return;
+  // Forgotten, and perhaps asked anew: its time does not count from this question.
+  if (found == m_permissions.end() || found->second.asking != question) co_return;
   Permission& permission = found->second;
-  permission.asking = false;
+  permission.asking = 0;
   if (tickets) {
     if (permission.asked.empty()) permission.until = askedAt + validity - internal::AdviceMargin;
     permission.asked.insert(targets.begin(), targets.end());
--- a/Courseloom/src/Control/AdviceBook.h
+++ b/Courseloom/src/Control/AdviceBook.h
@@ -61,14 +61,15 @@
     std::map<std::string, std::string> tickets;
     Time until{};
     std::set<std::string> asked;  ///< targets that were named
-    bool asking = false;
+    std::uint64_t asking = 0;     ///< the question under way, or 0
   };
-  Awaitable<void> ask(StepName name, std::vector<std::string> targets, Duration validity);
+  Awaitable<void> ask(StepName name, std::vector<std::string> targets, Duration validity, std::uint64_t question);
 
   ControlStrand m_strand;
   std::unique_ptr<AdvicePort> m_port;
   std::function<void()> m_arrived;
   std::map<StepName, Permission> m_permissions;
+  std::uint64_t m_questions = 0;
 };
 
 }  // namespace courseloom
--- a/Courseloom/src/Membership/NodeTable.cpp
+++ b/Courseloom/src/Membership/NodeTable.cpp
@@ -13,11 +13,20 @@
          lhs.leaving() == rhs.leaving() && lhs.service() == rhs.service() && lhs.target() == rhs.target();
 }
 
+/** \returns whether a heartbeat was sent before one that has come already. Lives of an agent have rising numbers, and
+ * so have the heartbeats of a life; without numbers they are taken as they come. */
+bool is_overtaken(const schema::NodeStatus& node, const schema::NodeStatus& known) {
+  if (node.role() != schema::AgentRole || node.sequence() == 0) return false;
+  if (node.incarnation() != known.incarnation()) return node.incarnation() < known.incarnation();
+  return node.sequence() < known.sequence();
+}
+
 }  // namespace
 }  // namespace internal
 
 void NodeTable::heard(const schema::NodeStatus& node, Time now) {
   const auto found = m_nodes.find(node.name());
+  if (found != m_nodes.end() && internal::is_overtaken(node, found->second.status)) return;
   const bool isAgent = node.role() == schema::AgentRole;
   const bool changed = found == m_nodes.end() || !internal::same_target(found->second.status, node);
   if (isAgent && changed) ++m_version;
--- a/Courseloom/src/Membership/NodeTable.h
+++ b/Courseloom/src/Membership/NodeTable.h
@@ -23,7 +23,7 @@
  public:
   explicit NodeTable(Duration lease) : m_lease(lease) {}
 
-  /** Takes a heartbeat in. */
+  /** Takes a heartbeat in, unless a later one of the node has come before it: that one's silence ends its place. */
   void heard(const schema::NodeStatus& node, Time now);
   /** Forgets nodes that have been silent for longer than the lease. */
   void expire(Time now);
--- a/Courseloom/src/Membership/ViewFollower.cpp
+++ b/Courseloom/src/Membership/ViewFollower.cpp
@@ -41,6 +41,7 @@
   schema::WatchRequest request;
   *request.mutable_node() = m_status();
   request.mutable_node()->set_revision(m_revision.load());
+  request.mutable_node()->set_sequence(++m_sequence);
   const RcuReadGuard guard;
   const View& view = m_view.read(guard);
   request.set_revision(view.revision);
--- a/Courseloom/src/Membership/ViewFollower.h
+++ b/Courseloom/src/Membership/ViewFollower.h
@@ -55,6 +55,7 @@
   RcuPointer<View> m_view;
   Duration m_freshness;
   Time m_failureTold{};
+  std::atomic<std::uint64_t> m_sequence{0};
   std::atomic<std::int64_t> m_freshUntil{0};
   std::atomic<std::uint64_t> m_revision{0};
   std::atomic<bool> m_leaving{false};
