Test that a lease's number is given to one job only; it fails

Cause: JobRunner takes the next number over once, at the first batch that it applies after it began to lead. If that batch ends before the rest of its predecessor's log is applied, it gives out numbers that the rest has given; the platform answers the second job's orders as those of the first. Read in the code, not seen to happen. Change: a test of the state, which takes the second job's leases. Before: "two jobs hold the leases 1 and 2"; the other six tests of cluster_state pass.

--- a/test/cluster_state.cpp
+++ b/test/cluster_state.cpp
@@ -121,3 +121,35 @@
   pause.mutable_action()->set_selector("kind=(");
   cr_assert(state.apply(3, pause).failure().code() == "bad-selector");
 }
+
+// A new leader that has applied only a part of its predecessor's log may give numbers out again; the platform would
+// take the second job's order for the first one's.
+Test(cluster_state, a_lease_number_is_given_once) {
+  ClusterState state;
+  state.apply(10, applyWorkspace("c1", "rosa", 1, 0));
+  schema::Command service;
+  service.mutable_apply()->add_objects()->set_name("s");
+  service.mutable_apply()->mutable_objects(0)->mutable_service();
+  state.apply(11, service);
+  schema::Command submit;
+  submit.mutable_submit()->mutable_spec()->set_workspace("andes");
+  submit.mutable_submit()->mutable_spec()->set_service("s");
+  std::vector<schema::Command> reserves;
+  for (std::uint64_t i = 0; i < 2; ++i) {
+    const schema::CommandReply submitted = state.apply(12 + i, submit);
+    cr_assert(submitted.has_job(), "%s", submitted.failure().detail().c_str());
+    schema::ChangeJob* change = reserves.emplace_back().mutable_change_job();
+    *change->mutable_job() = submitted.job();
+    change->mutable_job()->set_phase(schema::JobReserving);
+    change->mutable_job()->add_leases()->set_number(1);
+    change->mutable_job()->add_leases()->set_number(2);
+    change->set_from(schema::JobQueued);
+  }
+  cr_assert_not(state.apply(14, reserves[0]).has_failure());
+  const schema::CommandReply again = state.apply(15, reserves[1]);
+  cr_assert(again.has_failure(), "two jobs hold the leases 1 and 2");
+  cr_assert_str_eq(again.failure().code().c_str(), "conflict");
+  reserves[1].mutable_change_job()->mutable_job()->mutable_leases(0)->set_number(3);
+  reserves[1].mutable_change_job()->mutable_job()->mutable_leases(1)->set_number(4);
+  cr_assert_not(state.apply(16, reserves[1]).has_failure());
+}
