--- a/Courseloom/src/Control/JobRunner.cpp
+++ b/Courseloom/src/Control/JobRunner.cpp
@@ -86,7 +86,6 @@
 void JobRunner::reloadJobs() {
   if (m_reloadWanted) {
     m_reloadWanted = false;
-    m_nextLease = std::max(m_nextLease, m_driver.state().nextLease());
     for (const auto& [id, job] : m_driver.state().jobs()) m_scheduler.updateJob(job);
   }
   for (const std::string& id : m_driver.takeChangedJobs()) {
@@ -216,6 +215,7 @@
   job.set_term(m_driver.replica().term());
   job.set_started_ms(wallClockMs());
   job.clear_leases();
+  m_nextLease = std::max(m_nextLease, m_driver.state().nextLease());
   for (const TaskPlace& place : decision.placement) {
     schema::Lease* lease = job.add_leases();
     lease->set_number(m_nextLease++);
--- a/Courseloom/src/State/ClusterState.cpp
+++ b/Courseloom/src/State/ClusterState.cpp
@@ -7,6 +7,8 @@
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace courseloom {
 
 namespace internal {
@@ -307,6 +309,14 @@
     return internal::refusal(Failure{FailureCode::Conflict, Ran::No, "change job", "",
                                      "job '" + change.job().id() + "' is no longer in that phase", 0});
   }
+  const auto& leases = change.job().leases();
+  const bool given = change.from() == schema::JobQueued &&
+                     std::any_of(leases.begin(), leases.end(),
+                                 [this](const schema::Lease& lease) { return lease.number() < m_nextLease; });
+  if (given) {
+    return internal::refusal(Failure{FailureCode::Conflict, Ran::No, "change job", "",
+                                     "job '" + change.job().id() + "' names a lease that was given before", 0});
+  }
   schema::Job next = change.job();
   // What callers and operators decide is theirs; the scheduler's copy may be older.
   *next.mutable_spec() = found->second.spec();
