Stand-in of the back end: orders refused or carried out late, heartbeats that outlive their sender

The stand-in played none of it, so neither the process tests nor the fault soak could show what an agent makes of it. /mute carries orders out late, but all of them, in turn, and nothing beside it is answered. Change: /refuse and /late befall a share of the orders, all kinds or one; /crash?late=MS and /former deliver heartbeats as the former life made them; /hush keeps the present ones back; /starts counts what was refused and what came late. A new life counts its heartbeats from 1 and has no hold of the former one; a hold that waits across a crash is answered 421 instead of with the new life's lists under the old life's name. The event file is what it was.

--- a/test/standins/runner.cpp
+++ b/test/standins/runner.cpp
@@ -6,9 +6,19 @@
 //   standin-runner --address 127.0.0.1 --port 9001 --agent 127.0.0.1:9101 --name m1 --service s
 //
 // A task runs for as many milliseconds as its `spec` says (`200`), fails with `fail`, and never ends with `forever`.
-// GET /starts tells how often each task was started, and `done` ends; POST /crash begins a new life; POST /drain makes
-// it announce that it leaves; POST /mute?ms=N answers no order for a while. With --events each start, end, forgotten
-// end and new life is a line of a file: `MICROSECONDS started|ended|noted|lapsed|over LIFE TASK RUN HOW`.
+// GET /starts tells how often each task was started, and `done` ends, and how many orders were refused and came late.
+// Troubles:
+//   POST /crash                        begins a new life
+//   POST /crash?late=MS&times=N        so, and the last N heartbeats of the former life arrive MS later
+//   POST /former?times=N               the last N heartbeats of the former life arrive now
+//   POST /hush?ms=N                    sends no heartbeat of its own for a while
+//   POST /drain                        announces that it leaves
+//   POST /mute?ms=N                    carries no order out for a while, then all that came meanwhile
+//   POST /refuse?ms=N&percent=P&of=X   answers a share of the orders 429 or 503 for a while, and does nothing
+//   POST /late?ms=N&percent=P&of=X     leaves a share of the orders without an answer for a while, and carries them out
+//                                      0.3 to 4 s later, out of turn
+// X is run-start, run-stop or hold; all when left out. With --events each start, end, forgotten end and new life is a
+// line of a file: `MICROSECONDS started|ended|noted|lapsed|over LIFE TASK RUN HOW`.
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -16,9 +26,11 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <deque>
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <random>
 
 #include "Courseloom/src/Runtime/OneShot.h"
 #include "Courseloom/src/Transport/HttpClient.h"
@@ -34,6 +46,14 @@
 constexpr Duration HeartbeatInterval = milliseconds(150);
 constexpr Duration Look = milliseconds(10);
 constexpr std::int64_t StopMs = 50;
+/** A late order is carried out this long after it came, ms. */
+constexpr unsigned ShortestLateMs = 300;
+constexpr unsigned LongestLateMs = 4000;
+/** No caller waits for an answer for as long as this. */
+constexpr Duration NoAnswer = milliseconds(20000);
+/** Heartbeats of a life that may arrive after its end. */
+constexpr std::size_t KeptHeartbeats = 8;
+constexpr unsigned AllPercent = 100;
 
 struct RunnerOptions {
   std::string address = "127.0.0.1";
@@ -43,6 +63,40 @@
   std::string service = "s";
   std::string events;           ///< file for events; empty is none
   unsigned clockPercent = 100;  ///< speed of its clock
+  std::uint64_t seed = 1;       ///< of what it draws
+};
+
+/** \returns the value of `NAME=` in a path's query, or an empty string. */
+std::string queryText(const std::string& path, const std::string& name) {
+  for (std::size_t at = path.find('?'); at != std::string::npos; at = path.find('&', at + 1)) {
+    if (path.compare(at + 1, name.size() + 1, name + "=") != 0) continue;
+    const std::size_t begin = at + 1 + name.size() + 1;
+    return path.substr(begin, path.find('&', begin) - begin);
+  }
+  return {};
+}
+
+unsigned queryNumber(const std::string& path, const std::string& name, unsigned standard) {
+  const std::string text = queryText(path, name);
+  return text.empty() ? standard : static_cast<unsigned>(std::stoul(text));
+}
+
+/** \class Trouble
+ * \brief What befalls a share of the orders for a while.
+ */
+struct Trouble {
+  Time until{};
+  unsigned percent = 0;
+  std::string of;  ///< the only kind of order that it befalls; empty is all
+
+  static Trouble asked(const std::string& path) {
+    return {BootClock::now() + milliseconds(queryNumber(path, "ms", 0)), queryNumber(path, "percent", AllPercent),
+            queryText(path, "of")};
+  }
+  bool befalls(const std::string& path, std::mt19937_64& random) const {
+    if (BootClock::now() >= until || (!of.empty() && path != "/-/" + of)) return false;
+    return std::uniform_int_distribution<unsigned>(1, AllPercent)(random) <= percent;
+  }
 };
 
 class StandInRunner {
@@ -50,6 +104,7 @@
   StandInRunner(asio::io_context& io, RunnerOptions options)
       : m_io(io),
         m_options(std::move(options)),
+        m_random(m_options.seed),
         m_agent(io, m_options.agent.substr(0, m_options.agent.find(':')),
                 static_cast<unsigned>(std::stoul(m_options.agent.substr(m_options.agent.find(':') + 1))), 1),
         m_server(io, HttpLimits(), [this](HttpRequest request, std::string) { return answer(std::move(request)); }) {}
@@ -88,6 +143,7 @@
 
   Awaitable<void> heartbeatLoop() {
     while (true) {
+      while (BootClock::now() < m_hushUntil) co_await sleepFor(Look);
       HttpRequest request(http::verb::post, "/-/Instances.Heartbeat/" + id(), 11);
       request.set(http::field::content_type, "application/json");
       const json::object body{{"service", m_options.service},
@@ -100,11 +156,44 @@
                               {"clock_ms", clockMs()},
                               {"seq", ++m_sequence}};
       request.body() = json::serialize(body);
+      m_heartbeats.push_back(request);
+      if (m_heartbeats.size() > KeptHeartbeats) m_heartbeats.pop_front();
       co_await m_agent.exchange("heartbeat", std::move(request), milliseconds(1000), 4096);
       co_await sleepFor(HeartbeatInterval);
     }
   }
 
+  /** Delivers the last heartbeats of the former life as it made them. */
+  Awaitable<void> deliverFormer(std::size_t times, Duration after) {
+    std::deque<HttpRequest> heartbeats = m_former;
+    while (heartbeats.size() > times) heartbeats.pop_front();
+    co_await sleepFor(after);
+    while (!heartbeats.empty()) {
+      co_await m_agent.exchange("late heartbeat", heartbeats.front(), milliseconds(1000), 4096);
+      heartbeats.pop_front();
+      if (!heartbeats.empty()) co_await sleepFor(HeartbeatInterval);
+    }
+  }
+
+  void beginLife(const std::string& path) {
+    tell("over", "-", 0, "crash");
+    ++m_life;
+    m_former = std::exchange(m_heartbeats, {});
+    const unsigned lateMs = queryNumber(path, "late", 0);
+    if (lateMs > 0) {
+      asio::co_spawn(m_io, deliverFormer(queryNumber(path, "times", 1), milliseconds(lateMs)), asio::detached);
+    }
+    m_sequence = 0;
+    m_running.clear();
+    m_over.clear();
+    m_ends.clear();
+    m_lastEnd = 0;
+    m_term = 0;
+    m_heldUntil = 0;
+    m_lapseTold = 0;
+    m_draining = false;
+  }
+
   void end(const std::string& name, const char* how) {
     const Task task = m_running.at(name);
     m_running.erase(name);
@@ -138,15 +227,16 @@
   Awaitable<HttpResponse> answer(HttpRequest request) {
     const std::string path(request.target());
     if (path == "/starts") co_return jsonResponse(200, counts());
-    if (path == "/crash") {
-      tell("over", "-", 0, "crash");
-      ++m_life;
-      m_running.clear();
-      m_over.clear();
-      m_ends.clear();
-      m_lastEnd = 0;
-      m_term = 0;
-      m_draining = false;
+    if (path.rfind("/crash", 0) == 0) {
+      beginLife(path);
+      co_return jsonResponse(200, "{}");
+    }
+    if (path.rfind("/former", 0) == 0) {
+      co_await deliverFormer(queryNumber(path, "times", 1), Duration(0));
+      co_return jsonResponse(200, "{}");
+    }
+    if (path.rfind("/hush", 0) == 0) {
+      m_hushUntil = BootClock::now() + milliseconds(queryNumber(path, "ms", 0));
       co_return jsonResponse(200, "{}");
     }
     if (path == "/drain") {
@@ -154,10 +244,38 @@
       co_return jsonResponse(200, "{}");
     }
     if (path.rfind("/mute", 0) == 0) {
-      m_muteUntil = clockMs() + std::atoi(path.substr(path.find('=') + 1).c_str());
+      m_muteUntil = clockMs() + queryNumber(path, "ms", 0);
+      co_return jsonResponse(200, "{}");
+    }
+    if (path.rfind("/refuse", 0) == 0) {
+      m_refusing = Trouble::asked(path);
       co_return jsonResponse(200, "{}");
     }
+    if (path.rfind("/late", 0) == 0) {
+      m_late = Trouble::asked(path);
+      co_return jsonResponse(200, "{}");
+    }
+    if (m_refusing.befalls(path, m_random)) {
+      ++m_refused;
+      co_return jsonResponse(m_random() % 2 == 0 ? 429 : 503, "");
+    }
+    if (m_late.befalls(path, m_random)) co_return co_await carryOutLate(std::move(request));
     while (clockMs() < m_muteUntil) co_await sleepFor(Look);
+    co_return co_await carryOut(std::move(request));
+  }
+
+  Awaitable<HttpResponse> carryOutLate(HttpRequest request) {
+    ++m_onTheirWay;
+    co_await sleepFor(milliseconds(std::uniform_int_distribution<unsigned>(ShortestLateMs, LongestLateMs)(m_random)));
+    --m_onTheirWay;
+    ++m_cameLate;
+    HttpResponse unsent = co_await carryOut(std::move(request));
+    co_await sleepFor(NoAnswer);
+    co_return unsent;
+  }
+
+  Awaitable<HttpResponse> carryOut(HttpRequest request) {
+    const std::string path(request.target());
     if (headerValue(request, "X-Courseloom-Target-Instance") != id()) co_return jsonResponse(421, "{}");
     co_return co_await order(path, json::parse(request.body()).as_object());
   }
@@ -182,7 +300,9 @@
     }
     forgetEnds(number("last_seen"));
     const std::int64_t until = clockMs() + number("wait_ms");
-    while (m_ends.empty() && clockMs() < until) co_await sleepFor(Look);
+    const unsigned life = m_life;
+    while (m_ends.empty() && clockMs() < until && m_life == life) co_await sleepFor(Look);
+    if (m_life != life) co_return jsonResponse(421, "{}");  // what runs now is not what was asked for
     json::array running;
     for (const auto& [name, task] : m_running) {
       const std::int64_t whole = std::max<std::int64_t>(1, task.doneAt - task.startedAt);
@@ -233,11 +353,17 @@
     for (const auto& [name, count] : m_starts) starts[name] = count;
     json::object done;
     for (const auto& [name, count] : m_done) done[name] = count;
-    return json::serialize(json::object{{"starts", starts}, {"done", done}, {"running", m_running.size()}});
+    return json::serialize(json::object{{"starts", starts},
+                                        {"done", done},
+                                        {"running", m_running.size()},
+                                        {"refused", m_refused},
+                                        {"onTheirWay", m_onTheirWay},
+                                        {"cameLate", m_cameLate}});
   }
 
   asio::io_context& m_io;
   RunnerOptions m_options;
+  std::mt19937_64 m_random;
   HttpClient m_agent;
   HttpServer m_server;
   /** What its clock shows at its birth, ms. */
@@ -248,10 +374,18 @@
   unsigned m_life = 1;
   bool m_draining = false;
   std::int64_t m_sequence = 0;
+  std::deque<HttpRequest> m_heartbeats;  ///< the last ones of the present life
+  std::deque<HttpRequest> m_former;      ///< the last ones of the former life
+  Time m_hushUntil{};
   std::int64_t m_term = 0;
   std::int64_t m_heldUntil = 0;
   std::int64_t m_lapseTold = 0;  ///< end of the hold whose lapse was told last
   std::int64_t m_muteUntil = 0;
+  Trouble m_refusing;
+  Trouble m_late;
+  unsigned m_refused = 0;
+  unsigned m_onTheirWay = 0;  ///< late orders that are still to be carried out
+  unsigned m_cameLate = 0;
   std::int64_t m_lastEnd = 0;
   std::map<std::string, Task> m_running;
   std::map<std::string, std::int64_t> m_over;
@@ -272,6 +406,7 @@
   app.add_option("--service", options.service, "Its service");
   app.add_option("--events", options.events, "File for events");
   app.add_option("--clock-percent", options.clockPercent, "Speed of its clock, percent");
+  app.add_option("--seed", options.seed, "Of what it draws");
   CLI11_PARSE(app, argc, argv);
   asio::io_context io;
   StandInRunner runner(io, options);
