Fault soak: a second draw with refused orders, late orders and late heartbeats

Change: four new kinds: a share of a target's orders refused, a share carried out late, both overlapping on one target, and a crash whose former heartbeats arrive 0.1 to 3 s later, with the agent killed beside it in a third of the cases and after a drain in a quarter. Healing ends refusals and delays in draw 2 only. The reader of the event files has a file of its own, for tests that use it too.

--- a/test/soak/SoakCluster.cpp
+++ b/test/soak/SoakCluster.cpp
@@ -44,7 +44,7 @@
     addDaemon("agent-" + std::to_string(i), AgentHost + i,
               "runner: {service: s, targetEndpoint: \"" + at(AgentHost + i, RunnerProxyPort) +
                   "\"}\nedge: {controlEndpoint: \"" + at(AgentHost + i, ControlPort) + "\"}\n");
-    addRunner(i, std::uniform_int_distribution<unsigned>(SlowestClock, 100)(random));
+    addRunner(i, std::uniform_int_distribution<unsigned>(SlowestClock, 100)(random), seed + i);
   }
   for (unsigned i = 1; i <= m_size.entries; ++i) {
     addDaemon("entry-" + std::to_string(i), EntryHost + i,
@@ -85,7 +85,7 @@
   m_commands[name] = {BuildFolder + "/daemons/courseloom-" + kind, "--settings", m_folder + "/" + name + ".yaml"};
 }
 
-void SoakCluster::addRunner(unsigned target, unsigned clockPercent) {
+void SoakCluster::addRunner(unsigned target, unsigned clockPercent, std::uint64_t seed) {
   m_commands["runner-" + std::to_string(target)] = {BuildFolder + "/test/standin-runner",
                                                     "--address",
                                                     address(AgentHost + target),
@@ -98,7 +98,9 @@
                                                     "--events",
                                                     eventFile(target),
                                                     "--clock-percent",
-                                                    std::to_string(clockPercent)};
+                                                    std::to_string(clockPercent),
+                                                    "--seed",
+                                                    std::to_string(seed)};
 }
 
 void SoakCluster::start(const std::string& name) {
--- a/test/soak/SoakCluster.h
+++ b/test/soak/SoakCluster.h
@@ -77,7 +77,7 @@
   std::string address(unsigned host) const;
   std::string at(unsigned host, unsigned port) const { return address(host) + ":" + std::to_string(m_base + port); }
   void addDaemon(const std::string& name, unsigned host, const std::string& extra);
-  void addRunner(unsigned target, unsigned clockPercent);
+  void addRunner(unsigned target, unsigned clockPercent, std::uint64_t seed);
   std::string callerOf(unsigned port);
 
   SoakSize m_size;
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -20,8 +20,12 @@
 
 }  // namespace
 
-SoakFaults::SoakFaults(SoakCluster& cluster, Disturbances& disturbances, std::uint64_t seed)
-    : m_cluster(cluster), m_disturbances(disturbances), m_random(seed), m_next(m_began + milliseconds(1500)) {}
+SoakFaults::SoakFaults(SoakCluster& cluster, Disturbances& disturbances, std::uint64_t seed, FaultDraw draw)
+    : m_cluster(cluster),
+      m_disturbances(disturbances),
+      m_random(seed),
+      m_draw(draw),
+      m_next(m_began + milliseconds(1500)) {}
 
 void SoakFaults::note(const std::string& text) {
   const auto ms = (BootClock::now() - m_began).count() / 1000;
@@ -44,11 +48,20 @@
 }
 
 void SoakFaults::begin() {
-  static const std::vector<Kind> kinds{
+  static const std::vector<Kind> first{
       {6, &SoakFaults::killOne},    {1, &SoakFaults::killAllControl}, {5, &SoakFaults::stopOne},
       {1, &SoakFaults::stopInTurn}, {4, &SoakFaults::pauseOne},       {2, &SoakFaults::hangUpSeries},
       {2, &SoakFaults::loseDisk},   {2, &SoakFaults::tearDisk},       {6, &SoakFaults::harmLink},
       {2, &SoakFaults::resetLinks}, {4, &SoakFaults::harmTarget},     {2, &SoakFaults::leaveTarget}};
+  static const std::vector<Kind> orders = [] {
+    std::vector<Kind> more = first;
+    more.push_back({3, &SoakFaults::refuseOrders});
+    more.push_back({3, &SoakFaults::lateOrders});
+    more.push_back({4, &SoakFaults::refuseAndLate});
+    more.push_back({4, &SoakFaults::crashWithLateHeartbeats});
+    return more;
+  }();
+  const std::vector<Kind>& kinds = m_draw == FaultDraw::First ? first : orders;
   const unsigned all =
       std::accumulate(kinds.begin(), kinds.end(), 0U, [](unsigned sum, const Kind& kind) { return sum + kind.weight; });
   unsigned drawn = pick(1, all);
@@ -62,6 +75,11 @@
   m_healing = true;
   note("healing");
   m_cluster.links().heal();
+  if (m_draw == FaultDraw::First) return;
+  for (unsigned target = 1; target <= m_cluster.size().targets; ++target) {
+    tellTarget(target, "/refuse?ms=0");
+    tellTarget(target, "/late?ms=0");
+  }
 }
 
 // ---- processes
@@ -253,4 +271,44 @@
   later(pickMs(500, 3000), [this, target] { tellTarget(target, "/crash"); });
 }
 
+void SoakFaults::refuse(unsigned target) {
+  const std::string length = std::to_string(pick(300, 5000));
+  const std::string percent = std::to_string(pick(30, 100));
+  note("target " + std::to_string(target) + " refuses " + percent + "% of its orders for " + length + " ms");
+  tellTarget(target, "/refuse?ms=" + length + "&percent=" + percent);
+}
+
+void SoakFaults::delay(unsigned target) {
+  const std::string length = std::to_string(pick(300, 5000));
+  const std::string percent = std::to_string(pick(20, 100));
+  note("target " + std::to_string(target) + " carries " + percent + "% of its orders out late for " + length + " ms");
+  tellTarget(target, "/late?ms=" + length + "&percent=" + percent);
+}
+
+void SoakFaults::refuseOrders() { refuse(pick(1, m_cluster.size().targets)); }
+
+void SoakFaults::lateOrders() { delay(pick(1, m_cluster.size().targets)); }
+
+/** Late orders, and refusals that begin while some of them are on their way. */
+void SoakFaults::refuseAndLate() {
+  const unsigned target = pick(1, m_cluster.size().targets);
+  delay(target);
+  later(pickMs(0, 1500), [this, target] {
+    if (!m_healing) refuse(target);
+  });
+}
+
+/** The former life's heartbeats arrive while the present life registers or has runs; its agent may be new as well. */
+void SoakFaults::crashWithLateHeartbeats() {
+  const unsigned target = pick(1, m_cluster.size().targets);
+  const std::string after = std::to_string(pick(100, 3000));
+  const std::string times = std::to_string(pick(1, 3));
+  note("target " + std::to_string(target) + " crashes, " + times + " of its heartbeats arrive " + after + " ms later");
+  const std::string crash = "/crash?late=" + after + "&times=" + times;
+  if (pick(1, 3) == 1) kill("agent-" + std::to_string(target), pickMs(0, 1000));
+  if (pick(1, 4) > 1) return tellTarget(target, crash);
+  tellTarget(target, "/drain");
+  later(pickMs(200, 1500), [this, target, crash] { tellTarget(target, crash); });
+}
+
 }  // namespace courseloom::test
--- a/test/soak/SoakFaults.h
+++ b/test/soak/SoakFaults.h
@@ -14,13 +14,22 @@
 
 namespace courseloom::test {
 
+/** Which kinds of faults are drawn. A seed plays what it always played as long as it is drawn from the same kinds, so
+ * new kinds come with a new draw. */
+enum class FaultDraw {
+  First = 1,   ///< processes, disks, links; back ends that crash, fall silent, leave
+  Orders = 2,  ///< as well: orders that are refused or carried out late, heartbeats that outlive their sender
+};
+constexpr FaultDraw NewestDraw = FaultDraw::Orders;
+
 /** \class SoakFaults
  * \brief Draws faults from a seed and brings them about: signals in series, kills, lost and torn disks, harmed links,
- * back ends that crash, fall silent or leave. They overlap; only the loss of disks keeps to what three replicas bear.
+ * back ends that crash, fall silent or leave, refuse orders or carry them out late, and heartbeats that arrive after
+ * their sender's crash. They overlap; only the loss of disks keeps to what three replicas bear.
  */
 class SoakFaults {
  public:
-  SoakFaults(SoakCluster& cluster, Disturbances& disturbances, std::uint64_t seed);
+  SoakFaults(SoakCluster& cluster, Disturbances& disturbances, std::uint64_t seed, FaultDraw draw);
 
   /** Begins what is due now. Called every few milliseconds. */
   void step();
@@ -51,6 +60,12 @@
   void resetLinks();
   void harmTarget();
   void leaveTarget();
+  void refuseOrders();
+  void lateOrders();
+  void refuseAndLate();
+  void crashWithLateHeartbeats();
+  void refuse(unsigned target);
+  void delay(unsigned target);
 
   void kill(const std::string& name, Duration downFor, const std::function<void()>& whileDown = {});
   void stop(const std::string& name);
@@ -71,6 +86,7 @@
   SoakCluster& m_cluster;
   Disturbances& m_disturbances;
   std::mt19937_64 m_random;
+  FaultDraw m_draw;
   Time m_began = BootClock::now();
   Time m_next{};
   Time m_controlHarmed{};  ///< when a control replica or its links were last harmed
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -7,6 +7,7 @@
 //   soak --seed 7 --seconds 20            one run
 //   soak --seed 1 --runs 50 --seconds 15  fifty seeds, one line each
 //   soak --large                          as many processes as the machine bears
+//   soak --draw 1                         only the kinds of faults that the first draw knew
 //   soak --cases test/soak/cases.txt      every seed that ever failed
 //
 // Ends with 0 if every promise held. The folder of a run that failed is kept and named.
@@ -17,6 +18,7 @@
 #include <set>
 #include <sstream>
 
+#include "test/soak/EventReader.h"
 #include "test/soak/SoakFaults.h"
 
 using namespace courseloom;
@@ -39,6 +41,7 @@
   unsigned seconds = 20;
   bool large = false;
   bool verbose = false;
+  unsigned draw = static_cast<unsigned>(NewestDraw);
   std::string cases;  ///< file of seeds that have failed once
 };
 
@@ -47,9 +50,10 @@
   std::uint64_t seed = 1;
   unsigned seconds = 20;
   bool large = false;
+  FaultDraw draw = NewestDraw;
 };
 
-/** Reads lines `SEED SECONDS normal|large CAUSE`; those that begin with # are notes. */
+/** Reads lines `SEED SECONDS DRAW normal|large CAUSE`; those that begin with # are notes. */
 std::vector<SoakCase> readCases(const std::string& name) {
   std::vector<SoakCase> cases;
   std::ifstream file(name);
@@ -59,8 +63,12 @@
     SoakCase one;
     std::string size;
     if (line.empty() || line[0] == '#') continue;
-    if (!(words >> one.seed >> one.seconds >> size)) throw CLI::ValidationError("--cases", "unreadable: " + line);
+    unsigned draw = 0;
+    words >> one.seed >> one.seconds >> draw >> size;
+    const bool known = draw >= 1 && draw <= static_cast<unsigned>(NewestDraw) && (size == "normal" || size == "large");
+    if (!words || !known) throw CLI::ValidationError("--cases", "unreadable: " + line);
     one.large = size == "large";
+    one.draw = static_cast<FaultDraw>(draw);
     cases.push_back(one);
   }
   return cases;
@@ -69,41 +77,20 @@
 std::vector<SoakCase> casesOf(const SoakOptions& options) {
   if (!options.cases.empty()) return readCases(options.cases);
   std::vector<SoakCase> cases;
-  for (unsigned i = 0; i < options.runs; ++i) cases.push_back({options.seed + i, options.seconds, options.large});
+  const auto draw = static_cast<FaultDraw>(options.draw);
+  for (unsigned i = 0; i < options.runs; ++i) cases.push_back({options.seed + i, options.seconds, options.large, draw});
   return cases;
 }
 
-/** Reads what is new in the event files of all back ends. */
-class EventReader {
- public:
-  EventReader(const SoakCluster& cluster, RunHistory& history) : m_cluster(cluster), m_history(history) {}
-  void read() {
-    for (unsigned target = 1; target <= m_cluster.size().targets; ++target) {
-      std::ifstream file(m_cluster.eventFile(target));
-      file.seekg(m_offsets[target]);
-      for (std::string line; std::getline(file, line) && !file.eof();) {
-        m_offsets[target] += static_cast<std::streamoff>(line.size()) + 1;
-        const std::optional<RunEvent> event = parseRunEvent(line);
-        if (event) m_history.add(*event);
-      }
-    }
-  }
-
- private:
-  const SoakCluster& m_cluster;
-  RunHistory& m_history;
-  std::map<unsigned, std::streamoff> m_offsets;
-};
-
 /** \class SoakRun
  * \brief One run of one seed.
  */
 class SoakRun {
  public:
-  SoakRun(std::uint64_t seed, SoakSize size, unsigned callers)
-      : m_cluster(size, seed),
-        m_clients(m_cluster, m_disturbances, seed * 3 + 1, callers),
-        m_faults(m_cluster, m_disturbances, seed * 3 + 2),
+  SoakRun(const SoakCase& one, SoakSize size, unsigned callers)
+      : m_cluster(size, one.seed),
+        m_clients(m_cluster, m_disturbances, one.seed * 3 + 1, callers),
+        m_faults(m_cluster, m_disturbances, one.seed * 3 + 2, one.draw),
         m_events(m_cluster, m_history) {}
 
   bool play(Duration length) {
@@ -169,8 +156,10 @@
   app.add_option("--runs", options.runs, "Seeds to play, one after the other");
   app.add_option("--seconds", options.seconds, "Length of each run's faults, s");
   app.add_flag("--large", options.large, "Many processes: 3 control replicas, 4 entries, 12 targets with agents");
-  app.add_option("--cases", options.cases, "File of runs to play instead: SEED SECONDS normal|large CAUSE")
+  app.add_option("--cases", options.cases, "File of runs to play instead: SEED SECONDS DRAW normal|large CAUSE")
       ->check(CLI::ExistingFile);
+  app.add_option("--draw", options.draw, "Kinds of faults, as numbered in docs/SOAK.md")
+      ->check(CLI::Range(1U, static_cast<unsigned>(NewestDraw)));
   app.add_flag("--verbose", options.verbose, "Print the faults of runs that held as well");
   CLI11_PARSE(app, argc, argv);
   std::vector<SoakCase> cases;
@@ -182,7 +171,7 @@
   unsigned failed = 0;
   for (const SoakCase& one : cases) {
     const SoakSize size = one.large ? SoakSize{3, 4, 12} : SoakSize{};
-    SoakRun run(one.seed, size, one.large ? LargeCallers : Callers);
+    SoakRun run(one, size, one.large ? LargeCallers : Callers);
     const bool held = run.play(milliseconds(1000) * one.seconds);
     if (!held) ++failed;
     std::cout << "seed " << one.seed << (held ? " held: " : " FAILED: ");
