--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -38,6 +38,7 @@
   m_runs.clear();
   m_byAgent.clear();
   m_targets.clear();
+  m_met.clear();
   for (const std::string& id : table.open()) {
     for (const auto& [key, task] : table.find(id)->tasks) {
       for (const schema::ActiveRun& run : task.active) add(makeTaskId(id, key), run, now);
@@ -80,20 +81,41 @@
 
 // ---- reports
 
+bool RunLedger::isCurrent(const schema::AttendRequest& report) const {
+  return !m_options.doubtReports || report.term() == m_term;
+}
+
+/** Agents that were answered lived one after another in the order in which they were met: a former one was answered,
+ * and so met, before its successor began. */
 bool RunLedger::isOvertaken(const schema::AttendRequest& report) const {
-  if (!m_options.doubtReports) return false;
+  if (!m_options.doubtReports || !isCurrent(report)) return false;
   const auto found = m_targets.find(report.agent());
   if (found == m_targets.end()) return false;
   const TargetTrack& target = found->second;
   if (report.incarnation() == target.incarnation) return report.sequence() < target.sequence;
-  return target.formerIncarnations.count(report.incarnation()) > 0;
+  const std::size_t place = metAs(report.agent(), report.incarnation());
+  return place != 0 && place < metAs(report.agent(), target.incarnation);
+}
+
+void RunLedger::meet(const schema::AttendRequest& report) {
+  std::map<std::uint64_t, std::size_t>& met = m_met[report.agent()];
+  met.try_emplace(report.incarnation(), met.size() + 1);
+}
+
+/** \returns which incarnation of its agent this was, as this leader met them; 0 for one that it has not met. */
+std::size_t RunLedger::metAs(const std::string& agent, std::uint64_t incarnation) const {
+  const auto met = m_met.find(agent);
+  if (met == m_met.end()) return 0;
+  const auto place = met->second.find(incarnation);
+  return place == met->second.end() ? 0 : place->second;
 }
 
 std::vector<schema::RunEnd> RunLedger::takeReport(const schema::AttendRequest& report, Time now) {
+  meet(report);
+  if (!isCurrent(report) || isOvertaken(report)) return {};
   TargetTrack& target = m_targets[report.agent()];
   const std::set<RunKey>& keys = m_byAgent[report.agent()];
   const bool newAgent = target.incarnation != report.incarnation();
-  if (newAgent && target.incarnation != 0) target.formerIncarnations.insert(target.incarnation);
   target.incarnation = report.incarnation();
   target.sequence = report.sequence();
   target.relay = report.relay();
@@ -101,13 +123,6 @@
   target.report = report.target();
   target.heard = now;
   target.askedAt = Time{};
-  if (!report.target().id().empty()) {
-    target.withoutTargetSince = Time{};
-  } else if (target.withoutTargetSince == Time{}) {
-    target.withoutTargetSince = now;
-  }
-  // An agent that has had an answer of this leader says so; before that its report may be of long ago.
-  const bool current = !m_options.doubtReports || report.term() == m_term;
   std::vector<schema::RunEnd> ends;
   for (const RunKey& key : keys) {
     RunTrack& track = m_runs.at(key);
@@ -117,7 +132,7 @@
       track.stopDelivered = Time{};
     }
     const bool otherLife = !report.target().id().empty() && track.target != report.target().id();
-    if (otherLife && current) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
+    if (otherLife) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
   }
   takeRows(report, now);
   for (const schema::EndReport& row : report.ends()) {
@@ -168,6 +183,7 @@
 
 Duration RunLedger::grant(const std::string& agent, Time now) {
   TargetTrack& target = m_targets[agent];
+  if (target.report.id().empty()) return Duration(0);
   const Duration length =
       target.report.draining() ? std::min(m_options.grant, m_options.leavingGrant) : m_options.grant;
   // An earlier grant may have been longer.
@@ -187,12 +203,7 @@
   std::vector<schema::RunEnd> ends;
   for (const auto& [agent, keys] : m_byAgent) {
     if (keys.empty()) continue;
-    const auto target = m_targets.find(agent);
-    const bool silent = now > heldUntil(agent) + m_options.slack;
-    const bool gone =
-        target != m_targets.end() && target->second.withoutTargetSince != Time{} &&
-        now > std::max(target->second.withoutTargetSince, m_leaderSince) + m_options.grant + m_options.slack;
-    if (!silent && !gone) continue;
+    if (now <= heldUntil(agent) + m_options.slack) continue;
     for (const RunKey& key : keys) ends.push_back(makeEnd(key, schema::RunLapsed, m_runs.at(key).checkpoint));
   }
   return ends;
@@ -239,6 +250,12 @@
 
 // ---- orders
 
+/** An agent drops orders for any target but the one that it reports. */
+bool RunLedger::guards(const std::string& agent, const RunTrack& track) const {
+  const auto found = m_targets.find(agent);
+  return found != m_targets.end() && found->second.report.id() == track.target;
+}
+
 bool RunLedger::startDue(const RunTrack& track, Time now) const {
   if (track.confirmed || track.stopWanted) return false;
   // The next run may begin as soon as this one's end is committed; it must not begin in between.
@@ -262,6 +279,7 @@
   if (keys == m_byAgent.end()) return false;
   for (const RunKey& key : keys->second) {
     const RunTrack& track = m_runs.at(key);
+    if (!guards(agent, track)) continue;
     if (stopDue(key, track, table, now)) return true;
     if (!internal::is_over(table, key) && startDue(track, now)) return true;
   }
@@ -279,6 +297,7 @@
   };
   for (const RunKey& key : m_byAgent[agent]) {
     RunTrack& track = m_runs.at(key);
+    if (!guards(agent, track)) continue;
     if (stopDue(key, track, table, now)) {
       add(schema::OrderStop, key).set_target(track.target);
       track.stopDelivered = now;
