A list that leaves ends out is no proof that a run never began

Cause: a target lists 500 ends at a time; a run whose end is further back is in neither list, and a confirmed stop then called it void although it had ended, perhaps done. Ruled out in practice: 500 ends that no leader has committed need minutes without one, and runs lapse before; the proof is right without that reasoning. Change: an answer says whether the target may have further ends; the agent looks again until a look leaves none out. The model of run_ledger_seeded now keeps fates at an introduction, as the agent does.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -390,6 +390,7 @@
     m_life->clockAt = receivedAt;
   }
   m_life->running = answer.running;
+  m_life->moreEnds = answer.moreEnds;
   m_life->lookedAt = receivedAt;
   if (m_life->progress.note(m_life->running, receivedAt)) news();
   for (const schema::RunReport& row : answer.running) {
@@ -568,8 +569,9 @@
     co_await sleepFor(answer ? internal::RefusedPause : internal::FailedPause);
     if (!isLife(life) || m_runs.count(key) == 0) co_return;
   }
-  // Only a look that was asked for after the confirmation says whether the run was there.
-  while (!co_await look(0)) {
+  // Only a look that was asked for after the confirmation says whether the run was there, and only one that leaves no
+  // ends out.
+  while (!co_await look(0) || (m_life->moreEnds && !listed(key))) {
     co_await sleepFor(internal::FailedPause);
     if (!isLife(life) || m_runs.count(key) == 0) co_return;
   }
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -65,6 +65,7 @@
     unsigned failures = 0;      ///< looks in a row without answer
     std::uint64_t endsTaken = 0;
     std::map<std::uint64_t, schema::EndReport> ends;  ///< not committed yet, by number
+    bool moreEnds = false;                            ///< the newest look left ends out
     std::vector<schema::RunReport> running;
     Time lookedAt{};  ///< when the target last told what runs
     ProgressWatch progress;
--- a/Courseloom/src/Agent/TargetPort.h
+++ b/Courseloom/src/Agent/TargetPort.h
@@ -47,6 +47,7 @@
   std::uint64_t clockMs = 0;  ///< the target's steady clock when it answered; 0 if it did not say
   std::vector<schema::RunReport> running;
   std::vector<schema::EndReport> ends;
+  bool moreEnds = false;  ///< the target lists no more ends at a time, and may have further ones
 };
 
 /** \class TargetPort
--- a/test/AgentStage.cpp
+++ b/test/AgentStage.cpp
@@ -89,6 +89,7 @@
   ++m_script.looks;
   TargetAnswer answer = answerOf(TargetVerdict::Taken);
   answer.ends = m_script.ends;
+  answer.moreEnds = m_script.moreEnds;
   if (m_script.standsStill) {
     schema::RunReport& row = answer.running.emplace_back();
     *row.mutable_task() = startOrder().task();
--- a/test/AgentStage.h
+++ b/test/AgentStage.h
@@ -33,6 +33,7 @@
   bool silent = false;                  ///< answers nothing
   bool standsStill = false;             ///< lists a run that does not move
   std::vector<schema::EndReport> ends;  ///< what it lists as ended
+  bool moreEnds = false;                ///< it has further ends than it lists
   // What it was asked.
   unsigned starts = 0;
   unsigned stops = 0;
--- a/test/platform_formats.cpp
+++ b/test/platform_formats.cpp
@@ -179,3 +179,17 @@
   hold.term = 7;
   cr_assert(writeHold(hold) == R"({"fencing_token":7,"last_seen":0})");
 }
+
+Test(platform_formats, a_list_of_as_many_ends_as_a_target_lists_may_leave_some_out) {
+  const auto look = [](unsigned count) {
+    std::string rows;
+    for (unsigned i = 1; i <= count; ++i) {
+      rows += (i > 1 ? "," : "") + std::string("[") + std::to_string(i) + R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+    }
+    return R"({"clock_ms":5,"running":[],"finished":[)" + rows + "]}";
+  };
+  Result<TargetAnswer> whole = readTargetLook(200, look(499));
+  cr_assert(whole && !whole->moreEnds);
+  Result<TargetAnswer> cut = readTargetLook(200, look(500));
+  cr_assert(cut && cut->moreEnds);
+}
--- a/test/run_agent_fates.cpp
+++ b/test/run_agent_fates.cpp
@@ -133,6 +133,18 @@
   cr_assert(leader.told, "once the stop is confirmed, the run is surely void");
 }
 
+Test(run_agent_fates, a_list_that_leaves_ends_out_is_no_proof_that_a_run_never_began) {
+  DoubtfulLeader leader;
+  Stage stage(leader);
+  stage.target.moreEnds = true;
+  stage.run(milliseconds(800));
+  cr_assert(stage.target.stopsTaken > 0);
+  cr_assert_not(leader.told, "its end may be among those that were left out");
+  stage.target.moreEnds = false;
+  stage.run(milliseconds(800));
+  cr_assert(leader.told, "once the list is whole, the run is surely void");
+}
+
 Test(run_agent_fates, a_late_heartbeat_of_a_former_life_ends_nothing) {
   LivesLeader leader;
   Stage stage(leader);
--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -376,7 +376,6 @@
     if (!m_ledger->isCurrent(request)) {
       if (m_faults && chance(0.1)) return;  // the reply is lost
       agent.term = m_term;
-      agent.fates.clear();  // the agent takes any answer for one to what it told
       return;
     }
     Reply reply{m_now, i, agent.incarnation, m_term, {}, {request.ends().begin(), request.ends().end()}, {}, {}};
