--- a/test/AgentStage.cpp
+++ b/test/AgentStage.cpp
@@ -85,8 +85,10 @@
 Awaitable<Result<TargetAnswer>> FakeTarget::hold(std::string life, TargetHold hold, Duration) {
   co_await sleepFor(milliseconds(std::min<std::uint32_t>(hold.waitMs, 20)));
   if (m_script.silent) co_return noAnswer();
+  if (m_script.busy) co_return answerOf(TargetVerdict::Refused, "429");
   if (life != m_script.life) co_return answerOf(TargetVerdict::OtherLife);
   ++m_script.looks;
+  if (hold.deadlineMs) ++m_script.holds;
   TargetAnswer answer = answerOf(TargetVerdict::Taken);
   answer.ends = m_script.ends;
   if (m_script.standsStill) {
--- a/test/AgentStage.h
+++ b/test/AgentStage.h
@@ -30,6 +30,7 @@
   bool refusesStarts = true;            ///< a start that is answered is refused for want of room
   unsigned stopsRefused = 0;            ///< so many stops are answered 429 and do nothing
   bool silent = false;                  ///< answers nothing
+  bool busy = false;                    ///< answers looks with 429, whatever life they are meant for
   bool standsStill = false;             ///< lists a run that does not move
   std::vector<schema::EndReport> ends;  ///< what it lists as ended
   // What it was asked.
@@ -37,6 +38,7 @@
   unsigned stops = 0;
   unsigned stopsTaken = 0;
   unsigned looks = 0;  ///< answered ones
+  unsigned holds = 0;  ///< answered looks that prolonged the hold
 };
 
 /** \class FakeTarget
--- a/test/run_agent_fates.cpp
+++ b/test/run_agent_fates.cpp
@@ -16,6 +16,8 @@
 // that was long on its way says nothing about the target's present life, and an order's copy that arrives after its run
 // was settled begins nothing.
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <set>
 
 #include "test/AgentStage.h"
@@ -96,6 +98,83 @@
   bool m_copied = false;
 };
 
+/** Hears of no target: reports that name one stay on their way, those that name none are answered with a grant. */
+class TargetlessLeader : public FakeLeader {
+ public:
+  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
+    if (!request.target().id().empty()) co_await sleepFor(milliseconds(60000));
+    ++grants;
+    co_await sleepFor(milliseconds(20));
+    co_return grantReply(LongGrantMs);
+  }
+  unsigned grants = 0;
+};
+
+/** A leader with a real ledger, in whose log the run is active from before the agent's restart; answers with orders are
+ * on their way for a while. */
+class LedgerLeader : public FakeLeader {
+ public:
+  LedgerLeader() : m_ledger(options()) {
+    schema::Workflow workflow;
+    workflow.set_id(startOrder().task().workflow());
+    workflow.set_max_attempts(3);
+    workflow.mutable_spec()->add_steps()->set_count(1);
+    m_table.submit(workflow, 1);
+    m_ledger.lead(m_table, BootClock::now(), 1);
+    schema::RecordRuns runs;
+    schema::RunStart* row = runs.add_starts();
+    *row->mutable_task() = startOrder().task();
+    row->mutable_run()->set_number(1);
+    row->mutable_run()->set_target("i-1");
+    row->mutable_run()->set_agent("agent");
+    commit(runs);
+  }
+  Awaitable<void> expireLoop() {
+    while (true) {
+      co_await sleepFor(milliseconds(10));
+      take(m_ledger.expire(BootClock::now()));
+    }
+  }
+  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
+    const Time now = BootClock::now();
+    if (m_ledger.isOvertaken(request)) co_return fail(Failure{FailureCode::Fenced, Ran::No, "test", "", "", 0});
+    take(m_ledger.takeReport(request, now));
+    schema::AttendReply answer;
+    answer.set_term(1);
+    for (schema::RunOrder& order : m_ledger.takeOrders("agent", m_table, now)) *answer.add_orders() = std::move(order);
+    answer.set_grant_ms(static_cast<std::uint32_t>(toMilliseconds(m_ledger.grant("agent", now))));
+    co_await sleepFor(milliseconds(answer.orders_size() > 0 ? 750 : 20));
+    co_return answer;
+  }
+  bool over = false;  ///< the run's end is in the log, and the task may run elsewhere
+  unsigned startsBefore = 0;
+
+ private:
+  static RunLedgerOptions options() {
+    RunLedgerOptions options;
+    options.grant = milliseconds(1500);
+    options.slack = milliseconds(100);
+    options.redeliverAfter = milliseconds(250);
+    return options;
+  }
+  void commit(const schema::RecordRuns& runs) {
+    m_table.record(runs, 2);
+    m_ledger.apply(m_table.takeRunChanges(), BootClock::now());
+  }
+  void take(std::vector<schema::RunEnd> ends) {
+    if (ends.empty()) return;
+    schema::RecordRuns runs;
+    for (schema::RunEnd& end : ends) *runs.add_ends() = std::move(end);
+    commit(runs);
+    over = true;
+    startsBefore = target->starts;
+    target->silent = false;
+  }
+
+  WorkflowTable m_table;
+  RunLedger m_ledger;
+};
+
 }  // namespace
 
 Test(run_agent_fates, a_refused_stop_is_no_proof_that_a_run_never_began) {
@@ -151,6 +230,20 @@
   cr_assert(leader.lives.back() == "i-2", "its one heartbeat must do, however late it answers");
 }
 
+Test(run_agent_fates, a_refusal_confirms_no_life) {
+  LivesLeader leader;
+  Stage stage(leader);
+  stage.target.life = "i-2";
+  stage.target.busy = true;  // the heartbeat is a late one of i-1
+  stage.run(milliseconds(400));
+  cr_assert(leader.lives.empty(), "a target that refuses has not told which life it is");
+  stage.target.busy = false;
+  stage.announce("i-2", 1);
+  stage.run(milliseconds(600));
+  const std::vector<std::string> expected{"i-2"};
+  cr_assert(leader.lives == expected);
+}
+
 Test(run_agent_fates, a_copy_of_an_order_begins_nothing_after_its_run_was_settled) {
   CopyLeader leader;
   Stage stage(leader, false, 300);
@@ -160,3 +253,27 @@
   cr_assert(leader.copyArrived);
   cr_assert_eq(stage.target.starts, leader.startsBefore, "a run that the leader counts as over was begun");
 }
+
+// The leader counts runs of an agent without target as lapsed once a grant has passed since it first said so, whatever
+// it has granted since; what such an agent finds running must not be held by those grants.
+Test(run_agent_fates, a_grant_to_an_agent_without_target_holds_nothing) {
+  TargetlessLeader leader;
+  Stage stage(leader);
+  stage.run(milliseconds(1500));
+  cr_assert(leader.grants > 0);
+  cr_assert(stage.target.looks > 0, "the life was not confirmed");
+  cr_assert_eq(stage.target.holds, 0, "runs were held for a leader that has not heard of their target");
+}
+
+// The target hangs while its agent restarts, and answers when the leader has just counted its run as lapsed; an order
+// to start that run is still on its way to the agent then.
+Test(run_agent_fates, a_run_that_lapsed_while_its_target_was_unknown_is_not_begun) {
+  LedgerLeader leader;
+  Stage stage(leader);
+  stage.target.silent = true;
+  stage.target.refusesStarts = false;
+  boost::asio::co_spawn(stage.io, leader.expireLoop(), boost::asio::detached);
+  stage.run(milliseconds(3500));
+  cr_assert(leader.over, "the leader waited for a target that was not known for longer than a grant");
+  cr_assert_eq(stage.target.starts, leader.startsBefore, "begun after the leader counted it as lapsed");
+}
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -371,3 +371,64 @@
   cr_assert_not(health.suspect("t1", now), "what failed on three targets is at fault itself");
   cr_assert_not(health.onProbation("t1", now));
 }
+
+// A restarted agent has heard of no target, is granted all the same, and may find the target while an order is on its
+// way to it: the order then begins the run.
+Test(run_ledger, a_run_is_not_over_while_an_order_may_still_begin_it) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(test.report());
+  test.incarnation = 2;
+  Time orderedAt{};
+  for (int i = 0; i < 70; ++i) {
+    for (const schema::RunOrder& order : test.attend(test.report(""))) {
+      if (order.kind() == schema::OrderStart) orderedAt = test.now;
+    }
+    test.pass(100);
+    if (test.ledger.expire(test.now).empty()) continue;
+    cr_assert(orderedAt == Time{} || test.now > orderedAt + test.ledger.options().grant,
+              "over %lld ms after a start was ordered under a grant of %lld ms",
+              static_cast<long long>(toMilliseconds(test.now - orderedAt)),
+              static_cast<long long>(toMilliseconds(test.ledger.options().grant)));
+    return;
+  }
+}
+
+// That a run lapsed is sure only as long as the agent that says so lives: the next one may have begun it since.
+Test(run_ledger, a_former_agents_word_that_a_run_lapsed_is_doubted_by_a_new_leader) {
+  LedgerTable test;
+  test.ledger.lead(test.table, test.now, 1);
+  test.start(0, 1);
+  schema::AttendRequest late = test.report();
+  late.set_term(1);
+  test.attend(late);
+  schema::EndReport* fate = late.add_ends();
+  *fate->mutable_task() = makeTaskId("w", {0, 0, 0});
+  fate->set_run(1);
+  fate->set_kind(schema::RunLapsed);
+  fate->set_reason("the target is silent");
+  late.set_sequence(1);  // stays on its way; the agent restarts
+  test.incarnation = 2;
+  cr_assert_eq(test.attend(test.report()).size(), 1, "the next agent is ordered to begin the run, and does");
+  test.pass(1000);
+  test.ledger.lead(test.table, test.now, 2);
+  cr_assert_not(test.ledger.isOvertaken(late));
+  cr_assert(test.ledger.takeReport(late, test.now).empty(), "the run goes on under the next agent");
+}
+
+// A new leader knows no former agents, so the late report of one looks like the word of a restarted agent.
+Test(run_ledger, a_late_report_of_a_former_agent_does_not_displace_the_present_one) {
+  LedgerTable test;
+  test.ledger.lead(test.table, test.now, 2);
+  schema::AttendRequest late = test.report();
+  late.set_term(1);
+  late.set_sequence(900);
+  test.incarnation = 2;
+  schema::AttendRequest present = test.report();
+  present.set_term(2);
+  present.set_sequence(5);
+  test.attend(present);
+  if (!test.ledger.isOvertaken(late)) test.attend(late);
+  present.set_sequence(6);
+  cr_assert_not(test.ledger.isOvertaken(present), "every later report of the agent is refused in this term");
+}
