--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -39,7 +39,7 @@
   bool waitForGrants = true;   ///< runs of a silent agent are over only when its grant has run out
   bool inheritGrants = true;   ///< a new leader counts on grants that a former one gave until it began
   bool withholdEnding = true;  ///< no start is ordered for a run whose end is on its way into the log
-  bool doubtReports = true;    ///< a report that was long on its way ends no run of a newer life
+  bool doubtReports = true;    ///< a report that was long on its way ends no run and shuts no newer agent out
 };
 
 /** \class RunTrack
@@ -70,14 +70,12 @@
 struct TargetTrack {
   schema::TargetReport report;
   std::uint64_t incarnation = 0;
-  std::uint64_t sequence = 0;                  ///< of the newest report
-  std::set<std::uint64_t> formerIncarnations;  ///< whose late reports count no more
-  std::uint32_t relay = 0;                     ///< number under which the agent relays calls; 0 is not
-  bool relayed = false;                        ///< its newest report came through another node
+  std::uint64_t sequence = 0;  ///< of the newest report
+  std::uint32_t relay = 0;     ///< number under which the agent relays calls; 0 is not
+  bool relayed = false;        ///< its newest report came through another node
   Time grantUntil{};
   Time heard{};
   Time askedAt{};              ///< when a sign of life was first asked for since it was heard; zero is not
-  Time withoutTargetSince{};   ///< when the agent began to report no target; zero while it has one
   std::vector<RunKey> strays;  ///< reported as running, but not active in the log
 };
 
@@ -97,15 +95,18 @@
   void lead(const WorkflowTable& table, Time now, std::uint64_t term = 0);
   /** Takes committed changes in. */
   void apply(const std::vector<RunChange>& changes, Time now);
+  /** \returns whether a report counts here: its agent has had an answer of this leader, so that the report cannot be
+   * older than the leader itself. Any other is only to be answered. */
+  bool isCurrent(const schema::AttendRequest& report) const;
   /** \returns whether a report was overtaken by a newer one: on another connection, or through another node. */
   bool isOvertaken(const schema::AttendRequest& report) const;
-  /** Takes an agent's report in; not one that was overtaken. \returns ends to commit; those of the target may be
-   * forgotten only afterwards */
+  /** Takes an agent's report in; of one that does not count or was overtaken only that the agent was met. \returns ends
+   * to commit; those of the target may be forgotten only afterwards */
   std::vector<schema::RunEnd> takeReport(const schema::AttendRequest& report, Time now);
   /** \returns ends of runs that nothing can hold any longer. */
   std::vector<schema::RunEnd> expire(Time now);
   /** Grants an agent that it may hold its runs from now on. \returns for how long: less if its target leaves, since an
-   * agent that leaves with it says no last word */
+   * agent that leaves with it says no last word; not at all while it reports no target, whose runs would never lapse */
   Duration grant(const std::string& agent, Time now);
   /** \returns orders that are due for an agent, and counts them as delivered. */
   std::vector<schema::RunOrder> takeOrders(const std::string& agent, const WorkflowTable& table, Time now);
@@ -130,8 +131,11 @@
   const RunLedgerOptions& options() const { return m_options; }
 
  private:
+  void meet(const schema::AttendRequest& report);
+  std::size_t metAs(const std::string& agent, std::uint64_t incarnation) const;
   schema::RunEnd makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint);
   void takeRows(const schema::AttendRequest& report, Time now);
+  bool guards(const std::string& agent, const RunTrack& track) const;
   bool startDue(const RunTrack& track, Time now) const;
   bool stopDue(const RunKey& key, const RunTrack& track, const WorkflowTable& table, Time now) const;
   Time heldUntil(const std::string& agent) const;
@@ -142,7 +146,8 @@
   std::uint64_t m_term = 0;
   std::map<RunKey, RunTrack> m_runs;
   std::map<std::string, std::set<RunKey>> m_byAgent;
-  std::map<std::string, TargetTrack> m_targets;  ///< by agent
+  std::map<std::string, TargetTrack> m_targets;                       ///< by agent
+  std::map<std::string, std::map<std::uint64_t, std::size_t>> m_met;  ///< by agent: its incarnations, as first heard
 };
 
 RunKey runKeyOf(const schema::TaskId& task, std::uint32_t run);
