--- a/test/AgentStage.cpp
+++ b/test/AgentStage.cpp
@@ -88,7 +88,6 @@
   if (m_script.busy) co_return answerOf(TargetVerdict::Refused, "429");
   if (life != m_script.life) co_return answerOf(TargetVerdict::OtherLife);
   ++m_script.looks;
-  if (hold.deadlineMs) ++m_script.holds;
   TargetAnswer answer = answerOf(TargetVerdict::Taken);
   answer.ends = m_script.ends;
   if (m_script.standsStill) {
--- a/test/AgentStage.h
+++ b/test/AgentStage.h
@@ -39,7 +39,6 @@
   unsigned stops = 0;
   unsigned stopsTaken = 0;
   unsigned looks = 0;  ///< answered ones
-  unsigned holds = 0;  ///< answered looks that prolonged the hold
 };
 
 /** \class FakeTarget
