--- a/test/AgentStage.h
+++ b/test/AgentStage.h
@@ -31,6 +31,7 @@
   bool refusesStarts = true;            ///< a start that is answered is refused for want of room
   unsigned stopsRefused = 0;            ///< so many stops are answered 429 and do nothing
   bool silent = false;                  ///< answers nothing
+  bool busy = false;                    ///< answers looks with 429, whatever life they are meant for
   bool standsStill = false;             ///< lists a run that does not move
   std::vector<schema::EndReport> ends;  ///< what it lists as ended
   bool moreEnds = false;                ///< it has further ends than it lists
