--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -33,8 +33,8 @@
  * It follows the control leader, carries out its orders under the leader's term, and holds what runs for as long as the
  * leader's grants last. A start without an answer is stopped until the target answers that, and its fate is read from
  * the target's lists afterwards. Ends are reported until the leader has committed them; only then may the target forget
- * them. Everything runs on one strand.
- * \sa RunLedger
+ * them. A heartbeat may have been long on its way: another life of the target is believed once the target answers to
+ * its identity, which a former life's is refused. Everything runs on one strand. \sa RunLedger
  */
 class RunAgentService : public Service, private TargetRegistry {
  public:
@@ -49,6 +49,12 @@
   struct LocalRun {
     bool busy = false;  ///< a call for it is under way
   };
+  /** What became of a run, as this agent has made sure of it. */
+  struct Fate {
+    schema::EndReport report;
+    bool told = false;  ///< the leader has committed it
+    Time keptUntil{};   ///< once told: the grants of orders that left the leader before are over then
+  };
   /** The target's present life. */
   struct Life {
     schema::TargetReport report;
@@ -69,6 +75,10 @@
   Awaitable<void> announceOnStrand(TargetAnnouncement announcement);
   Awaitable<void> leaveOnStrand(std::string id);
   void takeAnnouncement(const TargetAnnouncement& announcement);
+  void takeOtherLife(const TargetAnnouncement& announcement);
+  Awaitable<void> confirmLoop();
+  Awaitable<bool> confirmAnnounced();
+  void beginLife(const TargetAnnouncement& announcement);
 
   Awaitable<void> attendLoop();
   Awaitable<void> newsLoop();
@@ -92,9 +102,10 @@
 
   void paceFillers();
   Awaitable<void> paceRun(PaceChange change);
-  Awaitable<void> startRun(schema::RunOrder order);
+  Awaitable<void> startRun(schema::RunOrder order, Time until);
   Awaitable<void> stopRun(schema::RunOrder order);
   void settle(const schema::TaskId& task, std::uint32_t run, schema::RunEndKind kind, const std::string& reason);
+  void takeTold(const schema::AttendRequest& request);
   void settleAll(schema::RunEndKind kind, const std::string& reason);
   bool listed(const RunKey& key) const;
 
@@ -111,19 +122,23 @@
   /** When control last answered without a relay, since the clock's beginning; the relay asks from any thread. */
   std::atomic<Duration::rep> m_directAt{0};
   std::optional<Life> m_life;
+  /** Newest heartbeat of another life than the present one; believed once the target answers to that identity. */
+  std::optional<TargetAnnouncement> m_announced;
   std::map<RunKey, LocalRun> m_runs;
   std::map<RunKey, RunTraits> m_traits;  ///< of runs whose order this agent has seen
   FillerPacer m_pacer;
-  std::map<RunKey, schema::EndReport> m_fates;      ///< made sure of here, not reported yet
+  std::map<RunKey, Fate> m_fates;                   ///< of runs that this life of the target is not to begin any more
   std::map<RunKey, schema::StartReport> m_started;  ///< not reported yet
   std::uint64_t m_term = 0;
   Time m_grantUntil{};
-  Time m_heldUntil{};  ///< latest end of any hold that the target may have taken
+  Duration m_longestGrant{};  ///< that any leader has given
+  Time m_heldUntil{};         ///< latest end of any hold that the target may have taken
   bool m_following = false;
   bool m_hasNews = false;
   bool m_stopping = false;
   ChangeSignal m_newsSignal;
   ChangeSignal m_lifeSignal;
+  ChangeSignal m_announcedSignal;
   ChangeSignal m_lookSignal;
 };
 
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -57,7 +57,7 @@
   std::vector<schema::RunOrder> attend(const schema::AttendRequest& request) {
     commitEnds(ledger.takeReport(request, now));
     std::vector<schema::RunOrder> orders = ledger.takeOrders("agent", table, now);
-    ledger.grant("agent", now);
+    grantedUntil = std::max(grantedUntil, now + ledger.grant("agent", now));
     return orders;
   }
   void pass(std::int64_t ms) { now += milliseconds(ms); }
@@ -65,6 +65,7 @@
   WorkflowTable table;
   RunLedger ledger;
   Time now = Time(milliseconds(1000000));
+  Time grantedUntil{};  ///< as far as the agent may have a target hold its runs
   std::uint64_t incarnation = 1;
 };
 
@@ -106,6 +107,27 @@
   cr_assert(test.attend(test.report()).empty(), "it is known to run");
 }
 
+// An agent drops orders for a target that it does not know; counted as delivered, they would wait to be given again.
+Test(run_ledger, orders_wait_until_the_agent_reports_the_target_that_they_are_for) {
+  LedgerTable test(2);
+  test.attend(withRunning(test.report(), 1, 1));
+  test.start(0, 1);
+  test.start(1, 1);
+  test.incarnation = 2;
+  cr_assert(test.attend(test.report("")).empty());
+  cr_assert_not(test.ledger.hasOrders("agent", test.table, test.now));
+  const std::vector<schema::RunOrder> starts = test.attend(withRunning(test.report(), 1, 1));
+  cr_assert_eq(starts.size(), 1);
+  cr_assert_eq(starts[0].kind(), schema::OrderStart);
+  test.table.cancel("w", 5);
+  test.incarnation = 3;
+  cr_assert(test.attend(test.report("")).empty());
+  cr_assert_not(test.ledger.hasOrders("agent", test.table, test.now));
+  const std::vector<schema::RunOrder> stops = test.attend(withRunning(test.report(), 1, 1));
+  cr_assert_eq(stops.size(), 2);
+  cr_assert_eq(stops[0].kind(), schema::OrderStop);
+}
+
 Test(run_ledger, a_restarted_agent_is_told_again) {
   LedgerTable test;
   test.start(0, 1);
@@ -138,6 +160,31 @@
   cr_assert_eq(test.ledger.expire(test.now).size(), 1, "nobody can have held it for so long");
 }
 
+// An agent may find its target between two reports, have it hold its runs, and be cut off before the next one.
+Test(run_ledger, runs_are_not_over_while_an_agent_that_reported_no_target_may_hold_them) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1));
+  test.incarnation = 2;
+  for (int i = 0; i < 80; ++i) {
+    test.pass(100);
+    if (i < 55) test.attend(test.report(""));
+    if (test.now < test.grantedUntil) cr_assert(test.ledger.expire(test.now).empty(), "after %d00 ms", i + 1);
+  }
+}
+
+Test(run_ledger, runs_are_not_over_while_an_agent_that_has_died_since_may_hold_them) {
+  LedgerTable test;
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1));
+  for (int i = 0; i < 80; ++i) {
+    test.pass(100);
+    test.incarnation = i < 50 ? 2 : 3;
+    if (i % 50 == 0 || i == 49) test.attend(test.report(""));
+    if (test.now < test.grantedUntil) cr_assert(test.ledger.expire(test.now).empty(), "after %d00 ms", i + 1);
+  }
+}
+
 Test(run_ledger, a_grant_outlasts_the_outage_that_the_settings_name) {
   schema::ControlSettings settings;
   settings.set_run_grant_ms(5500);
@@ -226,6 +273,63 @@
   cr_assert(test.ledger.isOvertaken(second), "of a former life of the agent");
 }
 
+// A new leader knows no incarnation of any agent yet, and the first report that it gets may be of long ago.
+Test(run_ledger, a_late_report_of_a_former_agent_does_not_shut_the_present_one_out) {
+  LedgerTable test;
+  test.ledger.lead(test.table, test.now, 2);
+  const auto hear = [&test](std::uint64_t incarnation, std::uint64_t term, std::uint64_t sequence) {
+    test.incarnation = incarnation;
+    schema::AttendRequest report = test.report();
+    report.set_term(term);
+    report.set_sequence(sequence);
+    if (test.ledger.isOvertaken(report)) return false;
+    test.attend(report);
+    return true;
+  };
+  cr_assert(hear(22, 1, 1));
+  hear(11, 1, 90);
+  cr_assert(hear(22, 2, 2), "it has had this leader's answer");
+  cr_assert(hear(22, 2, 3));
+  cr_assert_eq(test.ledger.targets().at("agent").incarnation, 22);
+  cr_assert(hear(33, 0, 1), "a restarted agent knows of no leader");
+  cr_assert(hear(33, 2, 2));
+  cr_assert_not(hear(22, 2, 4), "it was answered, but before the present one began");
+  cr_assert(hear(33, 2, 3));
+  cr_assert_eq(test.ledger.targets().at("agent").incarnation, 33);
+}
+
+Test(run_ledger, an_answered_agent_that_another_one_followed_is_overtaken_although_its_report_comes_last) {
+  LedgerTable test;
+  test.ledger.lead(test.table, test.now, 2);
+  schema::AttendRequest former = test.report();
+  test.attend(former);
+  test.incarnation = 2;
+  schema::AttendRequest present = test.report();
+  test.attend(present);
+  present.set_term(2);
+  present.set_sequence(2);
+  test.attend(present);
+  former.set_term(2);
+  former.set_sequence(2);
+  cr_assert(test.ledger.isOvertaken(former));
+  cr_assert_not(test.ledger.isOvertaken(present));
+}
+
+// An agent that has died since may have taken a run for lapsed that its successor was ordered to start.
+Test(run_ledger, only_an_agent_that_this_leader_has_answered_ends_runs) {
+  LedgerTable test;
+  test.ledger.lead(test.table, test.now, 2);
+  test.start(0, 1);
+  schema::AttendRequest report = withEnd(test.report(), 0, 1, schema::RunLapsed);
+  report.set_term(1);
+  test.attend(report);
+  cr_assert_eq(test.ledger.runs().size(), 1);
+  cr_assert_not(test.ledger.open("agent", test.now), "nor is it known that the agent is still there");
+  report.set_term(2);
+  test.attend(report);
+  cr_assert(test.ledger.runs().empty());
+}
+
 Test(run_ledger, relays_are_agents_that_were_heard_lately_and_directly) {
   LedgerTable test;
   const auto hear = [&test](const std::string& agent, std::uint32_t relay, const std::string& hall, bool relayed) {
--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -1,10 +1,10 @@
 // This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
 // SPDX-License-Identifier: MPL-2.0
 
-// Seeded runs of the ledger and the table with agents and targets that lose answers, carry orders out late, fall
-// silent, restart and lapse, and with leaders that change. The checker sees the targets only: never two runs of a task
-// at once, no start after a noted end `done`, and everything ends once the faults do. Each mechanism is then switched
-// off, and the checker must find a violation.
+// Seeded runs of the ledger and the table with agents and targets that lose answers, carry orders out late, refuse
+// calls, fall silent, restart and lapse, and with leaders that change. The checker sees the targets only: never two
+// runs of a task at once, no start after a noted end `done`, and everything ends once the faults do. Each mechanism is
+// then switched off, and the checker must find a violation.
 
 #include <algorithm>
 #include <functional>
@@ -32,6 +32,7 @@
   bool stopDoubts = true;         ///< a start without answer is stopped before it counts as never begun
   bool deadlines = true;          ///< an order that is carried out after its deadline does nothing
   bool readEndsAfterStop = true;  ///< what the target lists after the stop decides
+  bool doubtRefusals = true;      ///< a stop that the target refused is sent again
 };
 
 /** \class ModelTarget
@@ -46,8 +47,11 @@
   Time heldUntil{};
   Time lapsedAt{};  ///< when its hold last ran out
   bool silent = false;
+  bool refusing = false;  ///< answers part of its calls without doing anything
 };
 
+enum class CallAnswer { None, Refused, Done };
+
 std::string taskText(const RunKey& key) { return key.workflow + "." + std::to_string(key.task.index); }
 
 /** \class LedgerRun
@@ -77,6 +81,8 @@
     for (unsigned i = 0; i < steps && m_violation.empty(); ++i) advance(true);
     for (unsigned i = 0; i < 1500 && m_violation.empty() && !m_table.open().empty(); ++i) advance(false);
     if (m_violation.empty() && !m_table.open().empty()) m_violation = "not everything ended";
+    for (unsigned i = 0; i < 300 && m_violation.empty(); ++i) advance(false);  // longer than a report is on its way
+    if (m_violation.empty()) checkPresentAgents();
     return m_violation;
   }
 
@@ -90,6 +96,7 @@
     Time grantUntil{};
     Time heldUntil{};
     bool cut = false;
+    bool found = true;                        ///< its target has announced itself
     std::vector<schema::EndReport> seenEnds;  ///< as of its last look
     std::map<RunKey, bool> inDoubt;           ///< with whether its stop was answered
     std::map<RunKey, bool> known;
@@ -113,6 +120,8 @@
       if (!faults || chance(0.02)) agent.cut = false;
       if (faults && chance(0.004)) agent.target.silent = true;
       if (!faults || chance(0.008)) agent.target.silent = false;
+      if (faults && chance(0.004)) agent.target.refusing = true;
+      if (!faults || chance(0.008)) agent.target.refusing = false;
       letTimePass(agent.target);
     }
     for (std::size_t i = 0; i < m_agents.size(); ++i) {
@@ -161,8 +170,7 @@
     agent.inDoubt.clear();
     agent.known.clear();
     agent.fates.clear();
-    // It does not know what its former life sent, and takes the longest hold there may be.
-    agent.heldUntil = m_now + Grant;
+    agent.found = false;
   }
 
   void newLeader() {
@@ -227,16 +235,31 @@
     if (m_doneNoted.count(taskText(key)) > 0) m_violation = "a start after a noted end of " + taskText(key);
   }
 
-  /** Calls a target. \returns whether the call was answered; without an answer it may be carried out later */
-  bool call(std::size_t i, std::function<void(ModelTarget&)> apply) {
+  bool refuses(const ModelTarget& target) { return target.refusing && chance(0.5); }
+
+  /** An agent that is there and heard must be the one that the leader believes in. */
+  void checkPresentAgents() {
+    for (std::size_t i = 0; i < m_agents.size(); ++i) {
+      const std::string name = "agent-" + std::to_string(i);
+      const auto found = m_ledger->targets().find(name);
+      const bool believed = found != m_ledger->targets().end() && m_ledger->open(name, m_now) &&
+                            found->second.incarnation == m_agents[i].incarnation;
+      if (!believed) m_violation = name + " is refused for good";
+    }
+  }
+
+  /** Calls a target. Without an answer the call may be carried out later; a refused one never is, but one from before
+   * may still be on its way. */
+  CallAnswer call(std::size_t i, std::function<void(ModelTarget&)> apply) {
     ModelTarget& target = m_agents[i].target;
     const bool lost = target.silent || (m_faults && chance(0.1));
     if (!lost) {
+      if (refuses(target)) return CallAnswer::Refused;
       apply(target);
-      return true;
+      return CallAnswer::Done;
     }
     if (chance(0.5)) m_late.push_back({m_now + upTo(4000), i, target.id, std::move(apply)});
-    return false;
+    return CallAnswer::None;
   }
 
   void applyLate() {
@@ -254,14 +277,23 @@
 
   // ---- the agent
 
+  /** A restarted agent hears of its target after a while. It does not know what its former life sent, and takes the
+   * longest hold there may be. */
+  bool finds(Agent& agent) {
+    if (agent.found || !chance(0.03)) return agent.found;
+    agent.heldUntil = m_now + Grant;
+    return agent.found = true;
+  }
+
   void workOff(std::size_t i) {
     Agent& agent = m_agents[i];
+    if (!finds(agent)) return;
     const bool granted = m_now < agent.grantUntil;
     if (granted && !agent.target.silent) {
       agent.heldUntil = std::max(agent.heldUntil, agent.grantUntil);
-      agent.target.heldUntil = std::max(agent.target.heldUntil, agent.grantUntil);
+      if (!refuses(agent.target)) agent.target.heldUntil = std::max(agent.target.heldUntil, agent.grantUntil);
     }
-    if (!agent.target.silent && chance(0.3)) agent.seenEnds = agent.target.ends;
+    if (!agent.target.silent && chance(0.3) && !refuses(agent.target)) agent.seenEnds = agent.target.ends;
     if (agent.target.silent && m_now > agent.heldUntil + milliseconds(50)) {
       for (const auto& [key, known] : agent.known) agent.fates[key] = schema::RunLapsed;
       for (const auto& [key, answered] : agent.inDoubt) agent.fates[key] = schema::RunLapsed;
@@ -275,8 +307,8 @@
         settled.push_back(key);
         continue;
       }
-      if (!answered && chance(0.1)) answered = call(i, [this, key = key](ModelTarget& target) { stopOn(target, key); });
-      if (!answered || agent.target.silent) continue;
+      if (!answered && chance(0.1)) answered = stopCounts(i, key);
+      if (!answered || agent.target.silent || refuses(agent.target)) continue;
       if (m_mechanisms.readEndsAfterStop) agent.seenEnds = agent.target.ends;
       const bool listed = std::any_of(agent.seenEnds.begin(), agent.seenEnds.end(),
                                       [&key = key](const auto& end) { return runKeyOf(end.task(), end.run()) == key; });
@@ -286,14 +318,19 @@
     for (const RunKey& key : settled) agent.inDoubt.erase(key);
   }
 
+  bool stopCounts(std::size_t i, const RunKey& key) {
+    const CallAnswer answer = call(i, [this, key](ModelTarget& target) { stopOn(target, key); });
+    return answer == CallAnswer::Done || (answer == CallAnswer::Refused && !m_mechanisms.doubtRefusals);
+  }
+
   void attend(std::size_t i) {
     Agent& agent = m_agents[i];
     schema::AttendRequest request;
     request.set_agent("agent-" + std::to_string(i));
     request.set_incarnation(agent.incarnation);
-    request.mutable_target()->set_id(agent.target.id);
+    if (agent.found) request.mutable_target()->set_id(agent.target.id);
     request.mutable_target()->set_reachable(!agent.target.silent);
-    if (!agent.target.silent) {
+    if (agent.found && !agent.target.silent) {
       for (const auto& [key, until] : agent.target.running) {
         schema::RunReport* row = request.add_running();
         *row->mutable_task() = makeTaskId(key.workflow, key.task);
@@ -313,11 +350,16 @@
       m_delayed.push_back({m_now + upTo(4000), request});
       return;
     }
+    if (m_ledger->isOvertaken(request)) return;
     commit(m_ledger->takeReport(request, m_now), {});
+    if (!m_ledger->isCurrent(request)) {
+      if (!m_faults || !chance(0.1)) agent.term = m_term;
+      return;
+    }
     const std::vector<schema::RunOrder> orders = m_ledger->takeOrders(request.agent(), m_table, m_now);
-    m_ledger->grant(request.agent(), m_now);
+    const Duration granted = m_ledger->grant(request.agent(), m_now);
     if (m_faults && chance(0.1)) return;  // the reply is lost
-    agent.grantUntil = m_now + Grant;
+    agent.grantUntil = m_now + granted;
     agent.term = m_term;
     agent.fates.clear();
     for (const schema::EndReport& end : request.ends()) noteEnd(agent, end);
@@ -362,7 +404,7 @@
 
   void takeOrder(std::size_t i, const schema::RunOrder& order) {
     Agent& agent = m_agents[i];
-    if (order.target() != agent.target.id) return;
+    if (!agent.found || order.target() != agent.target.id) return;
     const RunKey key = runKeyOf(order.task(), order.run());
     if (agent.inDoubt.count(key) > 0) return;
     const bool listed = agent.target.running.count(key) > 0;
@@ -373,9 +415,8 @@
     agent.known[key] = true;
     const Time deadline = agent.grantUntil;
     agent.heldUntil = std::max(agent.heldUntil, deadline);
-    if (!call(i, [this, key, deadline](ModelTarget& target) { startOn(target, key, deadline); })) {
-      agent.inDoubt[key] = false;
-    }
+    const CallAnswer answer = call(i, [this, key, deadline](ModelTarget& target) { startOn(target, key, deadline); });
+    if (answer != CallAnswer::Done) agent.inDoubt[key] = false;
   }
 
   // ---- the leader
@@ -433,11 +474,13 @@
   std::string m_violation;
 };
 
-/** \returns the first violation with its seed, or an empty string. */
-std::string firstViolation(std::uint64_t seeds, RunLedgerOptions options = {}, AgentMechanisms mechanisms = {}) {
+/** \returns the first violation of a kind with its seed, or an empty string; of any kind by default. */
+std::string firstViolation(std::uint64_t seeds, RunLedgerOptions options = {}, AgentMechanisms mechanisms = {},
+                           const std::string& kind = "") {
   for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seeds; ++seed) {
     const std::string violation = LedgerRun(seed, options, mechanisms).run(1500);
-    if (!violation.empty()) return "seed " + std::to_string(seed) + ": " + violation;
+    if (!violation.empty() && violation.find(kind) != std::string::npos)
+      return "seed " + std::to_string(seed) + ": " + violation;
   }
   return {};
 }
@@ -479,6 +522,12 @@
   cr_assert_not(firstViolation(400, {}, mechanisms).empty());
 }
 
+Test(run_ledger_seeded, fails_if_a_refused_stop_counts_as_done) {
+  AgentMechanisms mechanisms;
+  mechanisms.doubtRefusals = false;
+  cr_assert_not(firstViolation(100, {}, mechanisms, "two runs at once").empty());
+}
+
 Test(run_ledger_seeded, fails_without_the_deadline_of_an_order) {
   AgentMechanisms mechanisms;
   mechanisms.deadlines = false;
