Announced lives do not displace each other; a target that refuses stops is asked less often

A run whose stops are refused sent 18 a second to a target that said 429. Change: announcements are kept by identity, eight at most, and asked for in turn; a refused stop waits 50 ms, doubled up to 400 ms. Checks in startRun() that nothing could reach are gone: a coroutine that is started on its own strand begins at once. What is known of a settled run's order is forgotten with it. An agent without a target does not call the leader lost for want of a grant.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -25,8 +25,13 @@
 /** Added before holds count as over. */
 constexpr Duration LapseSlack = milliseconds(200);
 constexpr Duration FailedPause = milliseconds(150);
-/** Before a refused stop is sent again: a refusal comes at once, and a run in doubt holds up its whole gang. */
+/** Before a refused stop is sent again: a refusal comes at once, and a run in doubt holds up its whole gang. Doubled
+ * with each refusal up to the longest, since the target may be overloaded. */
 constexpr Duration RefusedPause = milliseconds(50);
+constexpr Duration LongestRefusedPause = milliseconds(400);
+/** Lives that are asked for at once: a target's former lives whose heartbeats a cut can hold back, with room to spare.
+ */
+constexpr std::size_t MostAnnounced = 8;
 constexpr Duration UncommittedPause = milliseconds(250);
 constexpr Duration AttendPause = milliseconds(50);
 constexpr Duration ReplyLimit = milliseconds(1500);
@@ -124,44 +129,44 @@
 
 void RunAgentService::takeOtherLife(const TargetAnnouncement& announcement) {
   const std::string& id = announcement.report.id();
-  const bool again = m_announced && m_announced->report.id() == id;
-  if (again && announcement.sequence <= m_announced->sequence) return;
-  if (!again) {
+  const auto found = m_announced.find(id);
+  if (found != m_announced.end() && announcement.sequence <= found->second.sequence) return;
+  if (found == m_announced.end()) {
+    if (m_announced.size() >= internal::MostAnnounced) return;
     logEvent(schema::TargetAnnounced,
              {{"target", id}, {"present", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
   }
-  m_announced = announcement;
+  m_announced[id] = announcement;
   m_announcedSignal.notify();
 }
 
+/** Asks the target for each life that was announced, one call at a time, so that lives are believed in the order in
+ * which the target has had them. */
 Awaitable<void> RunAgentService::confirmLoop() {
   while (true) {
-    while (!m_announced) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
-    const bool settled = co_await confirmAnnounced();
-    if (!settled) co_await sleepFor(internal::FailedPause);
+    while (m_announced.empty()) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
+    std::vector<std::string> ids;
+    for (const auto& [id, announcement] : m_announced) ids.push_back(id);
+    for (const std::string& id : ids) co_await confirm(id);
+    if (!m_announced.empty()) co_await sleepFor(internal::FailedPause);
   }
 }
 
-/** Asks the target for the life that was announced. One call at a time, so that lives are believed in the order in
- * which the target has had them. \returns whether the announcement was believed or dropped */
-Awaitable<bool> RunAgentService::confirmAnnounced() {
-  const std::string id = m_announced->report.id();
+/** A refusal does not say which life refuses, and silence says nothing: the life is asked for again. */
+Awaitable<void> RunAgentService::confirm(std::string id) {
   TargetHold hold;
   hold.term = m_term;
   Result<TargetAnswer> answer =
       co_await m_port->hold(id, hold, milliseconds(m_context.settings.runner().order_limit_ms()));
-  const bool same = m_announced && m_announced->report.id() == id;
-  if (!same) co_return true;
-  const bool confirmed = answer && answer->verdict == TargetVerdict::Taken;
-  if (confirmed) {
-    beginLife(*m_announced);
+  const auto found = m_announced.find(id);
+  if (!answer || answer->verdict == TargetVerdict::Refused || found == m_announced.end()) co_return;
+  if (answer->verdict == TargetVerdict::Taken) {
+    beginLife(found->second);
     takeLook(id, *answer, BootClock::now());
+  } else {
+    logEvent(schema::TargetDisowned, {{"target", id}, {"present", m_life ? m_life->report.id() : ""}});
   }
-  const bool over = answer && answer->verdict == TargetVerdict::OtherLife;
-  if (over) logEvent(schema::TargetDisowned, {{"target", id}, {"present", m_life ? m_life->report.id() : ""}});
-  if (!confirmed && !over) co_return false;
-  m_announced.reset();
-  co_return true;
+  m_announced.erase(found);
 }
 
 /** What ran in the former life ended with it; the leader concludes that from the new identity. */
@@ -191,7 +196,7 @@
 
 Awaitable<void> RunAgentService::leaveOnStrand(std::string id) {
   if (isLife(id)) m_life->left = true;
-  if (m_announced && m_announced->report.id() == id) m_announced.reset();
+  m_announced.erase(id);
   co_return;
 }
 
@@ -249,7 +254,9 @@
   if (!reply) {
     const Failure failure = takeFailure(reply);
     if (m_following && failure.code != FailureCode::NoLeader) logFailure(schema::PeerFailed, failure);
-    if (m_following && !granted()) {
+    // Without a target there is nothing to grant.
+    const bool lost = m_life ? !granted() : BootClock::now() > m_leaderHeard + internal::ReplyLimit;
+    if (m_following && lost) {
       m_following = false;
       logEvent(schema::LeaderLost, {{"term", m_term}});
     }
@@ -287,6 +294,7 @@
   const bool taken = reply.term() == request.term();
   if (!m_following || reply.term() != m_term) logEvent(schema::LeaderFound, {{"term", reply.term()}});
   m_following = true;
+  m_leaderHeard = BootClock::now();
   m_term = reply.term();
   // Counted from the sending of the request plus the time that the leader held it: never later than its own count.
   const Time until = sentAt + milliseconds(reply.held_ms()) + milliseconds(reply.grant_ms());
@@ -330,7 +338,7 @@
   }
   LocalRun& run = m_runs[key];
   run.busy = true;
-  asio::co_spawn(m_strand, startRun(order, until), asio::detached);
+  asio::co_spawn(m_strand, startRun(order), asio::detached);
 }
 
 // ---- holding and looking
@@ -475,6 +483,7 @@
                                 {"reason", reason},
                                 {"target", m_life->report.id()}});
   m_runs.erase(key);
+  m_traits.erase(key);
   news();
 }
 
@@ -500,17 +509,10 @@
   for (const auto& [key, run] : runs) settle(makeTaskId(key.workflow, key.task), key.run, kind, reason);
 }
 
-/** \param until end of the grant that came with the order */
-Awaitable<void> RunAgentService::startRun(schema::RunOrder order, Time until) {
+Awaitable<void> RunAgentService::startRun(schema::RunOrder order) {
   const std::string life = order.target();
   const std::string name = taskText(order.task());
   const RunKey key = runKeyOf(order.task(), order.run());
-  // A pause of this process, or what was learnt of the target, may have come between the order and its turn.
-  if (!isLife(life) || m_runs.count(key) == 0) co_return;
-  if (BootClock::now() >= until) {
-    m_runs.erase(key);
-    co_return;
-  }
   if (m_life->report.draining() || m_life->left) {
     // It may have run there all the same, under a former life of this agent: the target's lists tell.
     logEvent(schema::RunRefused, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"reason", "draining"}});
@@ -551,6 +553,7 @@
   if (!isLife(life) || m_runs.count(key) == 0) co_return;
   m_runs[key].busy = true;
   const Duration limit = milliseconds(m_context.settings.runner().order_limit_ms());
+  Duration refusedPause = internal::RefusedPause;
   while (true) {
     Result<TargetAnswer> answer = co_await m_port->stop(life, order.task(), order.run(), m_term, limit);
     if (!isLife(life) || m_runs.count(key) == 0) co_return;
@@ -566,7 +569,8 @@
                                      {"target", life},
                                      {"reason", answer->reason}});
     }
-    co_await sleepFor(answer ? internal::RefusedPause : internal::FailedPause);
+    co_await sleepFor(answer ? refusedPause : internal::FailedPause);
+    if (answer) refusedPause = std::min(2 * refusedPause, internal::LongestRefusedPause);
     if (!isLife(life) || m_runs.count(key) == 0) co_return;
   }
   // Only a look that was asked for after the confirmation says whether the run was there, and only one that leaves no
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -31,7 +31,7 @@
  * \brief The agent daemon that runs tasks of workflows: the only process that calls the target beside it.
  *
  * It follows the control leader, carries out its orders under the leader's term, and holds what runs for as long as the
- * leader's grants last. A start without an answer is stopped until the target answers that, and its fate is read from
+ * leader's grants last. A start without an answer is stopped until the target confirms that, and its fate is read from
  * the target's lists afterwards. Ends are reported until the leader has committed them; only then may the target forget
  * them. A heartbeat may have been long on its way: another life of the target is believed once the target answers to
  * its identity, which a former life's is refused. Everything runs on one strand. \sa RunLedger
@@ -78,7 +78,7 @@
   void takeAnnouncement(const TargetAnnouncement& announcement);
   void takeOtherLife(const TargetAnnouncement& announcement);
   Awaitable<void> confirmLoop();
-  Awaitable<bool> confirmAnnounced();
+  Awaitable<void> confirm(std::string id);
   void beginLife(const TargetAnnouncement& announcement);
 
   Awaitable<void> attendLoop();
@@ -110,7 +110,7 @@
 
   void paceFillers();
   Awaitable<void> paceRun(PaceChange change);
-  Awaitable<void> startRun(schema::RunOrder order, Time until);
+  Awaitable<void> startRun(schema::RunOrder order);
   Awaitable<void> stopRun(schema::RunOrder order);
   void settle(const schema::TaskId& task, std::uint32_t run, schema::RunEndKind kind, const std::string& reason);
   void takeTold(const schema::AttendRequest& request, const schema::AttendReply& reply);
@@ -130,8 +130,8 @@
   /** When control last answered without a relay, since the clock's beginning; the relay asks from any thread. */
   std::atomic<Duration::rep> m_directAt{0};
   std::optional<Life> m_life;
-  /** Newest heartbeat of another life than the present one; believed once the target answers to that identity. */
-  std::optional<TargetAnnouncement> m_announced;
+  /** Newest heartbeats of other lives than the present one, by identity; believed once the target answers to it. */
+  std::map<std::string, TargetAnnouncement> m_announced;
   std::map<RunKey, LocalRun> m_runs;
   std::map<RunKey, RunTraits> m_traits;  ///< of runs whose order this agent has seen
   FillerPacer m_pacer;
@@ -140,6 +140,7 @@
   std::uint64_t m_term = 0;
   Time m_grantUntil{};
   Duration m_longestGrant{};  ///< that any leader has given
+  Time m_leaderHeard{};       ///< when a leader last answered
   Time m_heldUntil{};         ///< latest end of any hold that the target may have taken
   bool m_following = false;
   bool m_hasNews = false;
--- a/test/run_agent_fates.cpp
+++ b/test/run_agent_fates.cpp
@@ -267,6 +267,22 @@
   cr_assert(leader.lives == expected);
 }
 
+Test(run_agent_fates, a_late_heartbeat_does_not_displace_a_new_life_that_has_not_answered_yet) {
+  LivesLeader leader;
+  Stage stage(leader);
+  stage.run(milliseconds(300));
+  stage.target.life = "i-2";
+  stage.target.silent = true;
+  stage.announce("i-2", 1);
+  stage.run(milliseconds(200));
+  stage.announce("i-0", 7);
+  stage.run(milliseconds(200));
+  stage.target.silent = false;
+  stage.run(milliseconds(800));
+  const std::vector<std::string> expected{"i-1", "i-2"};
+  cr_assert(leader.lives == expected, "the new life waits for another heartbeat");
+}
+
 Test(run_agent_fates, a_copy_of_an_order_begins_nothing_after_its_run_was_settled) {
   CopyLeader leader;
   Stage stage(leader, false, 300);
