Test of a leader that may not read for a moment while a gang is under way; it fails

Cause: JobRunner::runPhase ends when the leader may not read (its lease over the quorum ran out), and only the next applied entry begins it again. Where nothing else is committed, the gang stays reserving, starting or stopping for good. Seen in reclaim beside other work: the last line of a gang is JobPlaced at 21:58:41.409, a sync of the disk took 418 ms at 41.455, no leadership was lost, nothing followed. Change: a test that freezes the other replicas for 385 ms at a time.

--- a/test/reclaim.cpp
+++ b/test/reclaim.cpp
@@ -6,6 +6,7 @@
 #include <google/protobuf/util/json_util.h>
 
 #include <algorithm>
+#include <csignal>
 #include <thread>
 
 #include "generated/platform.pb.h"
@@ -99,6 +100,25 @@
   cr_assert(deployment.until({deployment.http("entry-1"), "GET", "/v1/jobs/job-1"}, "JobRunning"));
 }
 
+// The others are frozen for less than an election timeout, and for longer than the leader may read without them.
+Test(reclaim, a_leader_that_was_out_of_touch_for_a_moment_goes_on_with_a_gang) {
+  Deployment deployment({3, 1, 1, "--workers 3", "", ""});
+  deployment.setUp();
+  send({deployment.http("platform"), "POST", "/behave?refuseStart=worker-2"});
+  deployment.submit(job("retail", 3, R"("expectedMs":60000)"));
+  for (int i = 0; i < 6; ++i) {
+    const std::string leader = deployment.leader();
+    for (const int signal : {SIGSTOP, SIGCONT}) {
+      for (const char* name : {"control-1", "control-2", "control-3"}) {
+        if (name != leader) deployment.process(name).signal(signal);
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(385));
+    }
+  }
+  send({deployment.http("platform"), "POST", "/behave?refuseStart="});
+  cr_assert(deployment.until({deployment.http("entry-1"), "GET", "/v1/jobs/job-1"}, "JobRunning"));
+}
+
 Test(reclaim, the_leader_killed_while_a_gang_starts_leaves_one_run) {
   Deployment deployment({3, 1, 1, "--workers 6", "", ""});
   deployment.setUp();
