--- a/Courseloom/src/Control/JobRunner.cpp
+++ b/Courseloom/src/Control/JobRunner.cpp
@@ -97,12 +97,19 @@
   reloadObjects();
   reloadJobs();
   if (!m_leads) return;
+  actOnOpenSteps();
+  decide();
+}
+
+/** Goes on with each gang whose step is not done, also one that was left when this leader could not read for a moment.
+ */
+void JobRunner::actOnOpenSteps() {
+  if (!leads()) return;
   for (const auto& [id, job] : m_driver.state().jobs()) {
     const bool stepOpen =
         job.phase() == schema::JobReserving || job.phase() == schema::JobStarting || job.phase() == schema::JobStopping;
     if (stepOpen) act(id);
   }
-  decide();
 }
 
 void JobRunner::takeWorkers(const schema::PlatformReport& report) {
@@ -187,6 +194,7 @@
 Awaitable<void> JobRunner::scheduleLoop() {
   const Duration interval = milliseconds(m_context.settings.control().schedule_ms());
   while (true) {
+    actOnOpenSteps();
     decide();
     co_await sleepFor(interval);
   }
--- a/Courseloom/src/Control/JobRunner.h
+++ b/Courseloom/src/Control/JobRunner.h
@@ -43,6 +43,7 @@
   Awaitable<void> scheduleLoop();
   Awaitable<void> pollLoop();
   void decide();
+  void actOnOpenSteps();
   void takeReport(const schema::PlatformReport& report);
   void takeWorkers(const schema::PlatformReport& report);
   void reviewRunning();
