--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -25,8 +25,13 @@
 /** Added before holds count as over. */
 constexpr Duration LapseSlack = milliseconds(200);
 constexpr Duration FailedPause = milliseconds(150);
-/** Before a refused stop is sent again: a refusal comes at once, and a run in doubt holds up its whole gang. */
+/** Before a refused stop is sent again: a refusal comes at once, and a run in doubt holds up its whole gang. Doubled
+ * with each refusal up to the longest, since the target may be overloaded. */
 constexpr Duration RefusedPause = milliseconds(50);
+constexpr Duration LongestRefusedPause = milliseconds(400);
+/** Lives that are asked for at once: a target's former lives whose heartbeats a cut can hold back, with room to spare.
+ */
+constexpr std::size_t MostAnnounced = 8;
 constexpr Duration UncommittedPause = milliseconds(250);
 constexpr Duration AttendPause = milliseconds(50);
 constexpr Duration ReplyLimit = milliseconds(1500);
@@ -124,44 +129,44 @@
 
 void RunAgentService::takeOtherLife(const TargetAnnouncement& announcement) {
   const std::string& id = announcement.report.id();
-  const bool again = m_announced && m_announced->report.id() == id;
-  if (again && announcement.sequence <= m_announced->sequence) return;
-  if (!again) {
+  const auto found = m_announced.find(id);
+  if (found != m_announced.end() && announcement.sequence <= found->second.sequence) return;
+  if (found == m_announced.end()) {
+    if (m_announced.size() >= internal::MostAnnounced) return;
     logEvent(schema::TargetAnnounced,
              {{"target", id}, {"present", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
   }
-  m_announced = announcement;
+  m_announced[id] = announcement;
   m_announcedSignal.notify();
 }
 
+/** Asks the target for each life that was announced, one call at a time, so that lives are believed in the order in
+ * which the target has had them. */
 Awaitable<void> RunAgentService::confirmLoop() {
   while (true) {
-    while (!m_announced) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
-    const bool settled = co_await confirmAnnounced();
-    if (!settled) co_await sleepFor(internal::FailedPause);
+    while (m_announced.empty()) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
+    std::vector<std::string> ids;
+    for (const auto& [id, announcement] : m_announced) ids.push_back(id);
+    for (const std::string& id : ids) co_await confirm(id);
+    if (!m_announced.empty()) co_await sleepFor(internal::FailedPause);
   }
 }
 
-/** Asks the target for the life that was announced. One call at a time, so that lives are believed in the order in
- * which the target has had them. \returns whether the announcement was believed or dropped */
-Awaitable<bool> RunAgentService::confirmAnnounced() {
-  const std::string id = m_announced->report.id();
+/** A refusal does not say which life refuses, and silence says nothing: the life is asked for again. */
+Awaitable<void> RunAgentService::confirm(std::string id) {
   TargetHold hold;
   hold.term = m_term;
   Result<TargetAnswer> answer =
       co_await m_port->hold(id, hold, milliseconds(m_context.settings.runner().order_limit_ms()));
-  const bool same = m_announced && m_announced->report.id() == id;
-  if (!same) co_return true;
-  const bool confirmed = answer && answer->verdict == TargetVerdict::Taken;
-  if (confirmed) {
-    beginLife(*m_announced);
+  const auto found = m_announced.find(id);
+  if (!answer || answer->verdict == TargetVerdict::Refused || found == m_announced.end()) co_return;
+  if (answer->verdict == TargetVerdict::Taken) {
+    beginLife(found->second);
     takeLook(id, *answer, BootClock::now());
+  } else {
+    logEvent(schema::TargetDisowned, {{"target", id}, {"present", m_life ? m_life->report.id() : ""}});
   }
-  const bool over = answer && answer->verdict == TargetVerdict::OtherLife;
-  if (over) logEvent(schema::TargetDisowned, {{"target", id}, {"present", m_life ? m_life->report.id() : ""}});
-  if (!confirmed && !over) co_return false;
-  m_announced.reset();
-  co_return true;
+  m_announced.erase(found);
 }
 
 /** What ran in the former life ended with it; the leader concludes that from the new identity. */
@@ -191,7 +196,7 @@
 
 Awaitable<void> RunAgentService::leaveOnStrand(std::string id) {
   if (isLife(id)) m_life->left = true;
-  if (m_announced && m_announced->report.id() == id) m_announced.reset();
+  m_announced.erase(id);
   co_return;
 }
 
@@ -231,7 +236,14 @@
   return BootClock::now() < Time(Duration(m_directAt.load())) + internal::InTouchFor;
 }
 
+/** \returns whether a leader has taken a report in. */
 Awaitable<bool> RunAgentService::exchange(std::uint32_t waitMs) {
+  Heard heard = co_await tellLeader(waitMs);
+  if (heard == Heard::Introduced) heard = co_await tellLeader(waitMs);
+  co_return heard == Heard::Taken;
+}
+
+Awaitable<RunAgentService::Heard> RunAgentService::tellLeader(std::uint32_t waitMs) {
   schema::AttendRequest request = makeReport();
   request.set_wait_ms(waitMs);
   request.set_sequence(++m_sequence);
@@ -242,15 +254,17 @@
   if (!reply) {
     const Failure failure = takeFailure(reply);
     if (m_following && failure.code != FailureCode::NoLeader) logFailure(schema::PeerFailed, failure);
-    if (m_following && !granted()) {
+    // Without a target there is nothing to grant.
+    const bool lost = m_life ? !granted() : BootClock::now() > m_leaderHeard + internal::ReplyLimit;
+    if (m_following && lost) {
       m_following = false;
       logEvent(schema::LeaderLost, {{"term", m_term}});
     }
-    co_return false;
+    co_return Heard::Nothing;
   }
   if (!m_control.relayed()) m_directAt = BootClock::now().time_since_epoch().count();
   takeReply(request, *reply, sentAt);
-  co_return true;
+  co_return reply->term() == request.term() ? Heard::Taken : Heard::Introduced;
 }
 
 Awaitable<void> RunAgentService::attendLoop() {
@@ -277,8 +291,10 @@
   m_relay.setMembers({reply.members().begin(), reply.members().end()});
   followRelays(reply);
   if (reply.term() < m_term) return;  // a former leader's word
+  const bool taken = reply.term() == request.term();
   if (!m_following || reply.term() != m_term) logEvent(schema::LeaderFound, {{"term", reply.term()}});
   m_following = true;
+  m_leaderHeard = BootClock::now();
   m_term = reply.term();
   // Counted from the sending of the request plus the time that the leader held it: never later than its own count.
   const Time until = sentAt + milliseconds(reply.held_ms()) + milliseconds(reply.grant_ms());
@@ -286,13 +302,7 @@
   m_grantUntil = std::max(m_grantUntil, until);
   m_longestGrant = std::max(m_longestGrant, Duration(milliseconds(reply.grant_ms())));
   if (!wasGranted) m_lifeSignal.notify();
-  takeTold(request);
-  for (const schema::StartReport& start : request.started()) m_started.erase(runKeyOf(start.task(), start.run()));
-  if (isLife(reply.ends_target()) && reply.ends_taken() > m_life->endsTaken) {
-    m_life->endsTaken = reply.ends_taken();
-    m_life->ends.erase(m_life->ends.begin(), m_life->ends.upper_bound(reply.ends_taken()));
-    m_lookSignal.notify();
-  }
+  if (taken) takeTold(request, reply);
   if (m_stopping) return;
   for (const schema::RunOrder& order : reply.orders()) takeOrder(order, until);
 }
@@ -328,7 +338,7 @@
   }
   LocalRun& run = m_runs[key];
   run.busy = true;
-  asio::co_spawn(m_strand, startRun(order, until), asio::detached);
+  asio::co_spawn(m_strand, startRun(order), asio::detached);
 }
 
 // ---- holding and looking
@@ -388,6 +398,7 @@
     m_life->clockAt = receivedAt;
   }
   m_life->running = answer.running;
+  m_life->moreEnds = answer.moreEnds;
   m_life->lookedAt = receivedAt;
   if (m_life->progress.note(m_life->running, receivedAt)) news();
   for (const schema::RunReport& row : answer.running) {
@@ -472,11 +483,12 @@
                                 {"reason", reason},
                                 {"target", m_life->report.id()}});
   m_runs.erase(key);
+  m_traits.erase(key);
   news();
 }
 
-/** The leader has committed the ends of a report. */
-void RunAgentService::takeTold(const schema::AttendRequest& request) {
+/** The leader has taken a report in and committed its ends. */
+void RunAgentService::takeTold(const schema::AttendRequest& request, const schema::AttendReply& reply) {
   const Time now = BootClock::now();
   for (const schema::EndReport& end : request.ends()) {
     const auto found = m_fates.find(runKeyOf(end.task(), end.run()));
@@ -485,6 +497,11 @@
     found->second.keptUntil = now + m_longestGrant;
   }
   std::erase_if(m_fates, [now](const auto& entry) { return entry.second.told && entry.second.keptUntil < now; });
+  for (const schema::StartReport& start : request.started()) m_started.erase(runKeyOf(start.task(), start.run()));
+  if (!isLife(reply.ends_target()) || reply.ends_taken() <= m_life->endsTaken) return;
+  m_life->endsTaken = reply.ends_taken();
+  m_life->ends.erase(m_life->ends.begin(), m_life->ends.upper_bound(reply.ends_taken()));
+  m_lookSignal.notify();
 }
 
 void RunAgentService::settleAll(schema::RunEndKind kind, const std::string& reason) {
@@ -492,17 +509,10 @@
   for (const auto& [key, run] : runs) settle(makeTaskId(key.workflow, key.task), key.run, kind, reason);
 }
 
-/** \param until end of the grant that came with the order */
-Awaitable<void> RunAgentService::startRun(schema::RunOrder order, Time until) {
+Awaitable<void> RunAgentService::startRun(schema::RunOrder order) {
   const std::string life = order.target();
   const std::string name = taskText(order.task());
   const RunKey key = runKeyOf(order.task(), order.run());
-  // A pause of this process, or what was learnt of the target, may have come between the order and its turn.
-  if (!isLife(life) || m_runs.count(key) == 0) co_return;
-  if (BootClock::now() >= until) {
-    m_runs.erase(key);
-    co_return;
-  }
   if (m_life->report.draining() || m_life->left) {
     // It may have run there all the same, under a former life of this agent: the target's lists tell.
     logEvent(schema::RunRefused, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"reason", "draining"}});
@@ -543,6 +553,7 @@
   if (!isLife(life) || m_runs.count(key) == 0) co_return;
   m_runs[key].busy = true;
   const Duration limit = milliseconds(m_context.settings.runner().order_limit_ms());
+  Duration refusedPause = internal::RefusedPause;
   while (true) {
     Result<TargetAnswer> answer = co_await m_port->stop(life, order.task(), order.run(), m_term, limit);
     if (!isLife(life) || m_runs.count(key) == 0) co_return;
@@ -558,11 +569,13 @@
                                      {"target", life},
                                      {"reason", answer->reason}});
     }
-    co_await sleepFor(answer ? internal::RefusedPause : internal::FailedPause);
+    co_await sleepFor(answer ? refusedPause : internal::FailedPause);
+    if (answer) refusedPause = std::min(2 * refusedPause, internal::LongestRefusedPause);
     if (!isLife(life) || m_runs.count(key) == 0) co_return;
   }
-  // Only a look that was asked for after the confirmation says whether the run was there.
-  while (!co_await look(0)) {
+  // Only a look that was asked for after the confirmation says whether the run was there, and only one that leaves no
+  // ends out.
+  while (!co_await look(0) || (m_life->moreEnds && !listed(key))) {
     co_await sleepFor(internal::FailedPause);
     if (!isLife(life) || m_runs.count(key) == 0) co_return;
   }
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -31,7 +31,7 @@
  * \brief The agent daemon that runs tasks of workflows: the only process that calls the target beside it.
  *
  * It follows the control leader, carries out its orders under the leader's term, and holds what runs for as long as the
- * leader's grants last. A start without an answer is stopped until the target answers that, and its fate is read from
+ * leader's grants last. A start without an answer is stopped until the target confirms that, and its fate is read from
  * the target's lists afterwards. Ends are reported until the leader has committed them; only then may the target forget
  * them. A heartbeat may have been long on its way: another life of the target is believed once the target answers to
  * its identity, which a former life's is refused. Everything runs on one strand. \sa RunLedger
@@ -65,6 +65,7 @@
     unsigned failures = 0;      ///< looks in a row without answer
     std::uint64_t endsTaken = 0;
     std::map<std::uint64_t, schema::EndReport> ends;  ///< not committed yet, by number
+    bool moreEnds = false;                            ///< the newest look left ends out
     std::vector<schema::RunReport> running;
     Time lookedAt{};  ///< when the target last told what runs
     ProgressWatch progress;
@@ -77,12 +78,19 @@
   void takeAnnouncement(const TargetAnnouncement& announcement);
   void takeOtherLife(const TargetAnnouncement& announcement);
   Awaitable<void> confirmLoop();
-  Awaitable<bool> confirmAnnounced();
+  Awaitable<void> confirm(std::string id);
   void beginLife(const TargetAnnouncement& announcement);
 
   Awaitable<void> attendLoop();
   Awaitable<void> newsLoop();
+  /** How a report fared. */
+  enum class Heard : std::uint8_t {
+    Nothing,     ///< no leader answered
+    Introduced,  ///< a leader that this agent did not know has told its term, and has taken nothing in
+    Taken,
+  };
   Awaitable<bool> exchange(std::uint32_t waitMs);
+  Awaitable<Heard> tellLeader(std::uint32_t waitMs);
   schema::AttendRequest makeReport() const;
   void takeReply(const schema::AttendRequest& request, const schema::AttendReply& reply, Time sentAt);
   void followRelays(const schema::AttendReply& reply);
@@ -102,10 +110,10 @@
 
   void paceFillers();
   Awaitable<void> paceRun(PaceChange change);
-  Awaitable<void> startRun(schema::RunOrder order, Time until);
+  Awaitable<void> startRun(schema::RunOrder order);
   Awaitable<void> stopRun(schema::RunOrder order);
   void settle(const schema::TaskId& task, std::uint32_t run, schema::RunEndKind kind, const std::string& reason);
-  void takeTold(const schema::AttendRequest& request);
+  void takeTold(const schema::AttendRequest& request, const schema::AttendReply& reply);
   void settleAll(schema::RunEndKind kind, const std::string& reason);
   bool listed(const RunKey& key) const;
 
@@ -122,8 +130,8 @@
   /** When control last answered without a relay, since the clock's beginning; the relay asks from any thread. */
   std::atomic<Duration::rep> m_directAt{0};
   std::optional<Life> m_life;
-  /** Newest heartbeat of another life than the present one; believed once the target answers to that identity. */
-  std::optional<TargetAnnouncement> m_announced;
+  /** Newest heartbeats of other lives than the present one, by identity; believed once the target answers to it. */
+  std::map<std::string, TargetAnnouncement> m_announced;
   std::map<RunKey, LocalRun> m_runs;
   std::map<RunKey, RunTraits> m_traits;  ///< of runs whose order this agent has seen
   FillerPacer m_pacer;
@@ -132,6 +140,7 @@
   std::uint64_t m_term = 0;
   Time m_grantUntil{};
   Duration m_longestGrant{};  ///< that any leader has given
+  Time m_leaderHeard{};       ///< when a leader last answered
   Time m_heldUntil{};         ///< latest end of any hold that the target may have taken
   bool m_following = false;
   bool m_hasNews = false;
--- a/test/AgentStage.h
+++ b/test/AgentStage.h
@@ -18,7 +18,8 @@
 
 /** \returns an order to start run 1 of the one task of these tests. */
 schema::RunOrder startOrder(const std::string& target = "i-1");
-/** \returns an answer of the leader of term 1 that grants for a while and orders nothing. */
+/** \returns an answer of the leader of term 1 that grants for a while and orders nothing. A leader takes in only
+ * reports that carry its term; answers of these tests do not depend on it. */
 schema::AttendReply grantReply(std::uint32_t grantMs);
 
 /** \class TargetScript
@@ -30,8 +31,10 @@
   bool refusesStarts = true;            ///< a start that is answered is refused for want of room
   unsigned stopsRefused = 0;            ///< so many stops are answered 429 and do nothing
   bool silent = false;                  ///< answers nothing
+  bool busy = false;                    ///< answers looks with 429, whatever life they are meant for
   bool standsStill = false;             ///< lists a run that does not move
   std::vector<schema::EndReport> ends;  ///< what it lists as ended
+  bool moreEnds = false;                ///< it has further ends than it lists
   // What it was asked.
   unsigned starts = 0;
   unsigned stops = 0;
