A planned end waits until the socket has taken the last answers and farewells

Change: a connection is busy while a stream is not finished or bytes are not written; RpcServer counts busy connections and farewells that have not reached theirs.

--- a/Courseloom/src/Transport/Http2Connection.cpp
+++ b/Courseloom/src/Transport/Http2Connection.cpp
@@ -104,6 +104,11 @@
 }
 
 void Http2Connection::pump() {
+  writeMore();
+  m_busy = m_open && (m_writeBusy || !m_streams.empty());
+}
+
+void Http2Connection::writeMore() {
   if (m_writeBusy || !m_open) return;
   m_writing.clear();
   while (m_writing.size() < internal::WriteBatchBytes) {
@@ -234,6 +239,7 @@
 void Http2Connection::close() {
   if (!m_open) return;
   m_open = false;
+  m_busy = false;
   boost::system::error_code ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
   m_socket.close(ignored);
--- a/Courseloom/src/Transport/Http2Connection.h
+++ b/Courseloom/src/Transport/Http2Connection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <nghttp2/nghttp2.h>
+#include <atomic>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -67,6 +68,8 @@
   bool isOpen() const { return m_open; }
   /** \returns streams that are not finished yet. */
   std::size_t inFlight() const { return m_streams.size(); }
+  /** \returns whether a stream is not finished or bytes are not handed to the socket yet; from any thread. */
+  bool busy() const { return m_busy.load(); }
   boost::asio::any_io_executor executor() { return m_socket.get_executor(); }
 
  private:
@@ -85,6 +88,7 @@
   void setUpSession();
   Awaitable<void> readLoop();
   void pump();
+  void writeMore();
   void onWritten(const boost::system::error_code& error);
   void dispatch(std::int32_t id, const StreamPointer& stream);
   void respond(std::int32_t id, const StreamPointer& stream, Result<std::string> reply);
@@ -112,6 +116,7 @@
   std::map<std::int32_t, StreamPointer> m_streams;
   std::string m_writing;
   bool m_writeBusy = false;
+  std::atomic<bool> m_busy{false};
   bool m_open = true;
   bool m_goingAway = false;
   Time m_lastReceived{};
--- a/Courseloom/src/Transport/RpcServer.cpp
+++ b/Courseloom/src/Transport/RpcServer.cpp
@@ -3,6 +3,7 @@
 
 #include "Courseloom/src/Transport/RpcServer.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -63,11 +64,25 @@
   m_acceptor.close(ignored);
   const std::lock_guard lock(m_mutex);
   for (const auto& weak : m_connections) {
-    if (const auto connection = weak.lock())
-      asio::dispatch(connection->executor(), [connection] { connection->goAway(); });
+    const auto connection = weak.lock();
+    if (!connection) continue;
+    ++m_farewells;
+    asio::dispatch(connection->executor(), [this, connection] {
+      connection->goAway();
+      --m_farewells;
+    });
   }
 }
 
+std::size_t RpcServer::inFlight() {
+  const std::lock_guard lock(m_mutex);
+  const auto busy = std::count_if(m_connections.begin(), m_connections.end(), [](const auto& weak) {
+    const auto connection = weak.lock();
+    return connection && connection->busy();
+  });
+  return m_inFlight.load() + m_farewells.load() + static_cast<std::size_t>(busy);
+}
+
 void RpcServer::close() {
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
--- a/Courseloom/src/Transport/RpcServer.h
+++ b/Courseloom/src/Transport/RpcServer.h
@@ -42,8 +42,9 @@
   Result<unsigned> start(const std::string& address, unsigned port);
   /** Closes the listener and tells every peer to go away; calls in flight go on. */
   void goAway();
-  /** \returns calls in flight. */
-  std::size_t inFlight() const { return m_inFlight.load(); }
+  /** \returns calls in flight, and connections with answers or a farewell that the socket has not taken yet: a process
+   * that ended before would leave those calls in doubt. */
+  std::size_t inFlight();
   /** Closes every connection. */
   void close();
 
@@ -55,6 +56,7 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::map<std::string, RpcDispatcher> m_handlers;
   std::atomic<std::size_t> m_inFlight{0};
+  std::atomic<std::size_t> m_farewells{0};  ///< connections that goAway() has not reached yet
   std::mutex m_mutex;
   std::set<std::weak_ptr<Http2Connection>, std::owner_less<>> m_connections;
 };
