--- a/test/control_relay.cpp
+++ b/test/control_relay.cpp
@@ -99,7 +99,7 @@
 
 }  // namespace
 
-// Found on bmm: a node that is cut off from the replicas still reaches the nodes that are not.
+// A node that is cut off from the replicas alone still reaches nodes that are not; without relays its work is lost.
 Test(control_relay, a_node_behind_a_cut_is_served_through_a_relay) {
   Stage stage;
   stage.cut.silent = true;
@@ -138,7 +138,7 @@
   cr_assert(stage.answered > 0, "the replicas are tried again");
 }
 
-// Found on bmm scale-1: with all replicas off, calls that surely had not run were answered as doubts, by way of relays.
+// With all replicas off, a relay that lets calls time out turns calls that surely have not run into doubts.
 Test(control_relay, a_relay_that_is_cut_off_itself_refuses_at_once) {
   Stage stage;
   stage.cut.silent = true;
@@ -169,8 +169,8 @@
   cr_assert(stage.reached.relayed > 5, "%u reports came through", stage.reached.relayed);
 }
 
-// Found on bmm-grown trouble-3, seed 14004: half of the core was cut off, and its replicas named their former leader;
-// no agent found the new one for the six seconds of the cut.
+// Replicas that are cut off go on naming their former leader; agents that believe them again and again find the new one
+// only when the cut ends.
 Test(control_relay, replicas_that_name_one_that_does_not_lead_are_not_believed) {
   asio::io_context io;
   FakeReplica former(io, "127.0.9.24", 0);
--- a/test/run_history.cpp
+++ b/test/run_history.cpp
@@ -126,7 +126,7 @@
   cr_assert(test.finds("accepted and never ended", true));
 }
 
-// Found by seed 301: a closed connection without an owner, listed after the open one, hid who calls.
+// A closed connection without an owner, listed after the open one, must not hide who calls.
 Test(run_history, the_owner_of_a_port_is_found_beside_closed_connections_of_the_same_port) {
   const std::string rows =
       "  sl  local_address rem_address   st tx_queue rx_queue tr tm->when retrnsmt   uid  timeout inode\n"
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -204,8 +204,7 @@
   cr_assert_not(test.ledger.open("agent", test.now));
 }
 
-// Found on bmm trouble-3 and scale-2: gangs stood still for a whole grant since one member was ordered to an agent that
-// had just been cut off.
+// A gang whose member is ordered to an agent that has just been cut off stands still for a whole grant.
 Test(run_ledger, an_agent_that_was_asked_for_a_sign_of_life_gets_nothing_until_it_gives_one) {
   LedgerTable test;
   test.attend(test.report());
@@ -225,7 +224,7 @@
   cr_assert(test.ledger.fresh("agent", test.now));
 }
 
-// Found by reading: runs on targets that were only cut off were moved for standing still.
+// Runs on a target that is only cut off must not be moved for standing still.
 Test(run_ledger, a_report_that_was_long_on_its_way_tells_of_the_past) {
   LedgerTable test;
   test.start(0, 1);
@@ -351,7 +350,7 @@
   cr_assert(test.ledger.relays(4, test.now).empty());
 }
 
-// Found on bmm-grown scale-1, seed 7001: a gang waited 17 s for a member whose target and agent had left for good.
+// With full grants a gang waits 17 s for a member whose target and agent have left for good.
 Test(run_ledger, an_agent_whose_target_leaves_gets_shorter_grants) {
   LedgerTable test;
   RunLedgerOptions options;
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -132,8 +132,7 @@
   cr_assert((targetsOf(table.plan()) == std::set<std::size_t>{2, 3}));
 }
 
-// Found on Lima scale-1: a gang spread over racks, and took 42 s for 8 s of work, since a target was paused for a
-// moment.
+// Spread over racks because a target is paused for a moment, a gang took 42 s for 8 s of work.
 Test(run_planner, a_gang_of_one_rack_waits_for_a_target_that_is_closed_for_a_moment) {
   PlannerTable table;
   table.runs(0, 8, LowRank);
@@ -194,7 +193,7 @@
   cr_assert_eq(table.plan().starts.size(), 1);
 }
 
-// Found by own days one-ack-wipe and one-race on Lima: RECLAIM.
+// Without ranks, guaranteed work waits for other urgent work beyond its bound.
 Test(run_planner, guaranteed_work_stops_other_urgent_work) {
   PlannerTable table;
   for (std::size_t i = 0; i < 4; ++i) table.runs(i, 8, UrgentRank);
@@ -218,7 +217,7 @@
   cr_assert(withheld == std::set<std::size_t>{1});
 }
 
-// Found on bmm trouble-3, seed 49004: half of the targets had left for good, and nothing of the lowest priority ended.
+// With half of the targets gone for good, strict ranks let nothing of the lowest priority end.
 Test(run_planner, work_of_low_priority_that_waited_long_gets_its_turn) {
   PlannerTable table(1);
   PlannedStep& higher = table.waits(1, 8, rankOf(1, false));
