What the change wrote twice stands once: a target's word, the pause for a leader, the askers and orders of tests

Ruled out, left as they are: takeReport()'s own check of overtaken reports beside attend()'s (a guard, not work that costs), and the two walks over open gangs (the second is the mend for a leader that could not read). Http2Connection::inFlight(), which nobody called, is gone beside busy(). StopPause says what it is for. No behaviour and no assertion changed.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -115,16 +115,20 @@
   if (!isLife(id)) return takeOtherLife(announcement);
   if (announcement.sequence <= m_life->sequence) return;
   const bool wasDraining = m_life->report.draining();
+  takeWord(announcement);
+  if (wasDraining != announcement.report.draining()) news();
+}
+
+/** Takes in what the present life says of itself. */
+void RunAgentService::takeWord(const TargetAnnouncement& announcement) {
+  const bool leaves = announcement.report.draining() && !m_life->report.draining();
+  if (leaves) logEvent(schema::TargetLeaving, {{"target", announcement.report.id()}});
   m_life->report = announcement.report;
   m_life->report.set_reachable(m_life->failures < internal::FailuresUnreachable);
   m_life->sequence = announcement.sequence;
-  if (announcement.clockMs > 0) {
-    m_life->clockMs = announcement.clockMs;
-    m_life->clockAt = BootClock::now();
-  }
-  if (wasDraining == announcement.report.draining()) return;
-  if (announcement.report.draining()) logEvent(schema::TargetLeaving, {{"target", id}});
-  news();
+  if (announcement.clockMs == 0) return;
+  m_life->clockMs = announcement.clockMs;
+  m_life->clockAt = BootClock::now();
 }
 
 void RunAgentService::takeOtherLife(const TargetAnnouncement& announcement) {
@@ -174,12 +178,8 @@
   const std::string& id = announcement.report.id();
   logEvent(schema::TargetRegistered,
            {{"target", id}, {"former", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
-  if (announcement.report.draining()) logEvent(schema::TargetLeaving, {{"target", id}});
   m_life = Life();
-  m_life->report = announcement.report;
-  m_life->sequence = announcement.sequence;
-  m_life->clockMs = announcement.clockMs;
-  m_life->clockAt = BootClock::now();
+  takeWord(announcement);
   m_runs.clear();
   m_traits.clear();
   m_fates.clear();
@@ -519,9 +519,9 @@
     co_await stopRun(std::move(order));
     co_return;
   }
-  const Time heldUntil = longestHold();
-  m_heldUntil = std::max(m_heldUntil, heldUntil);
-  const TargetStart start{order, deadlineOnTarget(heldUntil), m_term};
+  const Time until = longestHold();
+  m_heldUntil = std::max(m_heldUntil, until);
+  const TargetStart start{order, deadlineOnTarget(until), m_term};
   Result<TargetAnswer> answer =
       co_await m_port->start(life, start, milliseconds(m_context.settings.runner().order_limit_ms()));
   if (!isLife(life)) co_return;
@@ -550,13 +550,13 @@
 Awaitable<void> RunAgentService::stopRun(schema::RunOrder order) {
   const std::string& life = order.target();
   const RunKey key = runKeyOf(order.task(), order.run());
-  if (!isLife(life) || m_runs.count(key) == 0) co_return;
+  if (!isOpen(life, key)) co_return;
   m_runs[key].busy = true;
   const Duration limit = milliseconds(m_context.settings.runner().order_limit_ms());
   Duration refusedPause = internal::RefusedPause;
   while (true) {
     Result<TargetAnswer> answer = co_await m_port->stop(life, order.task(), order.run(), m_term, limit);
-    if (!isLife(life) || m_runs.count(key) == 0) co_return;
+    if (!isOpen(life, key)) co_return;
     if (answer && answer->verdict == TargetVerdict::OtherLife) {
       settle(order.task(), order.run(), schema::RunTargetLost, "another life answers");
       co_return;
@@ -571,13 +571,13 @@
     }
     co_await sleepFor(answer ? refusedPause : internal::FailedPause);
     if (answer) refusedPause = std::min(2 * refusedPause, internal::LongestRefusedPause);
-    if (!isLife(life) || m_runs.count(key) == 0) co_return;
+    if (!isOpen(life, key)) co_return;
   }
   // Only a look that was asked for after the confirmation says whether the run was there, and only one that leaves no
   // ends out.
   while (!co_await look(0) || (m_life->moreEnds && !listed(key))) {
     co_await sleepFor(internal::FailedPause);
-    if (!isLife(life) || m_runs.count(key) == 0) co_return;
+    if (!isOpen(life, key)) co_return;
   }
   const auto found = m_runs.find(key);
   if (found == m_runs.end()) co_return;
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -80,6 +80,7 @@
   Awaitable<void> confirmLoop();
   Awaitable<void> confirm(std::string id);
   void beginLife(const TargetAnnouncement& announcement);
+  void takeWord(const TargetAnnouncement& announcement);
 
   Awaitable<void> attendLoop();
   Awaitable<void> newsLoop();
@@ -116,6 +117,8 @@
   void takeTold(const schema::AttendRequest& request, const schema::AttendReply& reply);
   void settleAll(schema::RunEndKind kind, const std::string& reason);
   bool listed(const RunKey& key) const;
+  /** \returns whether a run of a life is still to be made sure of. */
+  bool isOpen(const std::string& life, const RunKey& key) const { return isLife(life) && m_runs.count(key) > 0; }
 
   DaemonContext m_context;
   RunAgentEdges m_edges;
--- a/Courseloom/src/Control/JobRunner.cpp
+++ b/Courseloom/src/Control/JobRunner.cpp
@@ -19,6 +19,7 @@
 constexpr Duration ReserveLimit = milliseconds(2000);
 constexpr Duration StartLimit = milliseconds(5000);
 constexpr Duration OrderPause = milliseconds(50);
+/** Before a stop that was refused or not answered is sent again: the platform may be overloaded. */
 constexpr Duration StopPause = milliseconds(200);
 constexpr Duration CommitLimit = milliseconds(5000);
 
--- a/Courseloom/src/Membership/ControlClient.cpp
+++ b/Courseloom/src/Membership/ControlClient.cpp
@@ -16,7 +16,6 @@
 
 namespace internal {
 namespace {
-constexpr Duration RetryPause = milliseconds(40);
 /** A replica that said that it does not lead is not gone to on another's word for this long: about ten tries. Replicas
  * that were cut off together name each other, and a client that believed them would never try the others. */
 constexpr Duration RefusalHolds = milliseconds(600);
@@ -225,7 +224,7 @@
     last = takeFailure(reply);
     if (last.ran == Ran::Unknown) ran = Ran::Unknown;
     if (!internal::is_elsewhere(last.code)) break;
-    co_await sleepFor(internal::RetryPause);
+    co_await sleepFor(LeaderRetryPause);
   }
   // One try whose outcome is unknown makes the whole unknown, whatever the last one said.
   if (ran == Ran::Unknown) last.ran = Ran::Unknown;
--- a/Courseloom/src/Membership/ControlClient.h
+++ b/Courseloom/src/Membership/ControlClient.h
@@ -13,6 +13,9 @@
 
 namespace courseloom {
 
+/** Before replicas are asked again of which none leads: a small part of an election. */
+inline constexpr Duration LeaderRetryPause = milliseconds(40);
+
 /** \class ControlClient
  * \brief Reaches the control leader: remembers it, follows its replicas' hints, tries the others until the deadline.
  *
--- a/Courseloom/src/Membership/ViewFollower.cpp
+++ b/Courseloom/src/Membership/ViewFollower.cpp
@@ -17,7 +17,6 @@
 namespace {
 /** A leader holds an exchange back for at most this part of the freshness lease. */
 constexpr int WaitShare = 5;
-constexpr Duration RetryPause = milliseconds(40);
 constexpr Duration FreshnessLook = milliseconds(50);
 constexpr Duration LeavingLimit = milliseconds(1000);
 }  // namespace
@@ -64,7 +63,7 @@
       take(*reply, sentAt);
     } else {
       noteFailure(takeFailure(reply));
-      co_await sleepFor(internal::RetryPause);
+      co_await sleepFor(LeaderRetryPause);
     }
   }
 }
--- a/Courseloom/src/Transport/Http2Connection.h
+++ b/Courseloom/src/Transport/Http2Connection.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include <nghttp2/nghttp2.h>
-#include <atomic>
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -66,8 +66,6 @@
   /** \returns whether new calls may be made here. */
   bool usable() const { return m_open && !m_goingAway; }
   bool isOpen() const { return m_open; }
-  /** \returns streams that are not finished yet. */
-  std::size_t inFlight() const { return m_streams.size(); }
   /** \returns whether a stream is not finished or bytes are not handed to the socket yet; from any thread. */
   bool busy() const { return m_busy.load(); }
   boost::asio::any_io_executor executor() { return m_socket.get_executor(); }
--- a/test/AgentStage.cpp
+++ b/test/AgentStage.cpp
@@ -105,6 +105,15 @@
   co_return answerOf(TargetVerdict::Taken);
 }
 
+// ---- the leader
+
+bool FakeLeader::orderOnce(const schema::AttendRequest& request, schema::AttendReply& answer) {
+  if (m_ordered || request.target().id() != "i-1") return false;
+  m_ordered = true;
+  *answer.add_orders() = startOrder();
+  return true;
+}
+
 // ---- the stage
 
 Stage::Stage(FakeLeader& leader, bool draining, std::uint32_t maxHoldMs) : m_server(io) {
@@ -131,6 +140,13 @@
   asio::co_spawn(io, deliver(draining ? "/i-1/1/draining" : "/i-1/1/ready"), asio::detached);
 }
 
+void Stage::beginNextLife(bool silent) {
+  run(milliseconds(300));
+  target.life = "i-2";
+  target.silent = silent;
+  announce("i-2", 1);
+}
+
 void Stage::announce(const std::string& life, std::uint64_t sequence) {
   asio::co_spawn(io, deliver("/" + life + "/" + std::to_string(sequence) + "/ready"), asio::detached);
 }
--- a/test/AgentStage.h
+++ b/test/AgentStage.h
@@ -67,6 +67,11 @@
   virtual ~FakeLeader() = default;
   virtual Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) = 0;
   TargetScript* target = nullptr;
+
+ protected:
+  /** Adds the order to start run 1 to the first answer to a report of life i-1. \returns whether this is that answer */
+  bool orderOnce(const schema::AttendRequest& request, schema::AttendReply& answer);
+  bool m_ordered = false;
 };
 
 /** \class Stage
@@ -77,6 +82,8 @@
  public:
   explicit Stage(FakeLeader& leader, bool draining = false, std::uint32_t maxHoldMs = 6000);
   void run(Duration length) { io.run_for(length); }
+  /** After life i-1 was found: i-2 takes its place and announces itself once. */
+  void beginNextLife(bool silent = false);
   /** The target's process, or the network, delivers a heartbeat. */
   void announce(const std::string& life, std::uint64_t sequence);
 
--- a/test/claims_processes.cpp
+++ b/test/claims_processes.cpp
@@ -29,6 +29,13 @@
   return reply;
 }
 
+/** \returns askers of one request, at both entries in turn. */
+std::vector<HttpAsk> askersOf(const std::string& id, int count, const Deployment& deployment) {
+  std::vector<HttpAsk> asks;
+  for (int i = 0; i < count; ++i) asks.push_back(deployment.request(i % 2 == 0 ? "entry-1" : "entry-2", "alert", id));
+  return asks;
+}
+
 }  // namespace
 
 Test(claims_processes, the_same_request_asked_many_times_at_once_runs_once) {
@@ -36,11 +43,9 @@
   deployment.setUp();
   deployment.behave("target-1", "slow", 100);
   deployment.behave("target-2", "slow", 100);
-  std::vector<HttpAsk> asks;
-  for (int i = 0; i < 20; ++i) asks.push_back(deployment.request(i % 2 == 0 ? "entry-1" : "entry-2", "alert", "r1"));
   unsigned answered = 0;
   HttpReply other;
-  for (const HttpReply& reply : sendAll(asks)) {
+  for (const HttpReply& reply : sendAll(askersOf("r1", 20, deployment))) {
     const bool whole = reply.status == 200 && reply.has("answers: alert");
     answered += whole ? 1 : 0;
     if (!whole) other = reply;
@@ -56,9 +61,7 @@
   deployment.setUp();
   for (int round = 0; round < 15; ++round) {
     const std::string id = "contested-" + std::to_string(round);
-    std::vector<HttpAsk> asks;
-    for (int i = 0; i < 40; ++i) asks.push_back(deployment.request(i % 2 == 0 ? "entry-1" : "entry-2", "alert", id));
-    for (const HttpReply& reply : sendAll(asks)) {
+    for (const HttpReply& reply : sendAll(askersOf(id, 40, deployment))) {
       cr_assert(reply.status == 200 && reply.has("answers: alert"), "%s: %u %s", id.c_str(), reply.status,
                 reply.body.c_str());
     }
@@ -94,10 +97,11 @@
   deployment.setUp();
   for (int round = 0; round < 40; ++round) {
     const std::string id = "hurried-" + std::to_string(round);
-    std::vector<HttpAsk> asks;
-    for (int i = 0; i < 40; ++i) {
-      asks.push_back(deployment.request(i % 2 == 0 ? "entry-1" : "entry-2", "alert", id));
-      asks.back().headers.emplace_back("Courseloom-Deadline-Ms", std::to_string(5 + 2 * i));
+    std::vector<HttpAsk> asks = askersOf(id, 40, deployment);
+    int deadlineMs = 5;
+    for (HttpAsk& ask : asks) {
+      ask.headers.emplace_back("Courseloom-Deadline-Ms", std::to_string(deadlineMs));
+      deadlineMs += 2;
     }
     const std::vector<HttpReply> replies = sendAll(asks);
     pause(50);
--- a/test/run_agent.cpp
+++ b/test/run_agent.cpp
@@ -19,17 +19,11 @@
   Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
     schema::AttendReply answer = grantReply(LongGrantMs);
     if (request.ends_size() > 0 && reports++ == 0) stopsBefore = target->stops;
-    const bool order = !m_ordered && request.target().id() == "i-1";
-    if (order) *answer.add_orders() = startOrder();
-    m_ordered = m_ordered || order;
-    if (!order) co_await sleepFor(milliseconds(20));
+    if (!orderOnce(request, answer)) co_await sleepFor(milliseconds(20));
     co_return answer;
   }
   unsigned reports = 0;
   unsigned stopsBefore = 0;
-
- private:
-  bool m_ordered = false;
 };
 
 /** Orders one run, as again after an agent's restart, and notes how the agent says that it ended. */
--- a/test/run_agent_fates.cpp
+++ b/test/run_agent_fates.cpp
@@ -37,17 +37,11 @@
       toldTooSoon = toldTooSoon || target->stopsTaken == 0;
     }
     schema::AttendReply answer = grantReply(LongGrantMs);
-    const bool order = !m_ordered && request.target().id() == "i-1";
-    if (order) *answer.add_orders() = startOrder();
-    m_ordered = m_ordered || order;
-    if (!order) co_await sleepFor(milliseconds(20));
+    if (!orderOnce(request, answer)) co_await sleepFor(milliseconds(20));
     co_return answer;
   }
   bool told = false;
   bool toldTooSoon = false;
-
- private:
-  bool m_ordered = false;
 };
 
 /** Notes the lives of the target in the order in which it is told of them. */
@@ -72,11 +66,8 @@
       startsBefore = target->starts;
       target->silent = false;
     }
-    const bool present = request.target().id() == "i-1";
-    if (present && !m_ordered) {
-      m_ordered = true;
+    if (orderOnce(request, answer)) {
       target->silent = true;
-      *answer.add_orders() = startOrder();
       co_return answer;
     }
     if (m_ordered && !m_copied && request.wait_ms() > 0) {
@@ -95,7 +86,6 @@
   unsigned startsBefore = 0;
 
  private:
-  bool m_ordered = false;
   bool m_copied = false;
 };
 
@@ -173,9 +163,7 @@
     toldAgain = toldAgain || (request.term() == 2 && request.ends_size() > 0);
     schema::AttendReply answer = grantReply(LongGrantMs);
     answer.set_term(m_term);
-    const bool order = !m_ordered && request.target().id() == "i-1";
-    if (order) *answer.add_orders() = startOrder();
-    m_ordered = m_ordered || order;
+    orderOnce(request, answer);
     co_await sleepFor(milliseconds(20));
     co_return answer;
   }
@@ -183,7 +171,6 @@
 
  private:
   std::uint64_t m_term = 1;
-  bool m_ordered = false;
 };
 
 }  // namespace
@@ -216,9 +203,7 @@
 Test(run_agent_fates, a_late_heartbeat_of_a_former_life_ends_nothing) {
   LivesLeader leader;
   Stage stage(leader);
-  stage.run(milliseconds(300));
-  stage.target.life = "i-2";
-  stage.announce("i-2", 1);
+  stage.beginNextLife();
   stage.run(milliseconds(300));
   stage.announce("i-1", 2);
   stage.run(milliseconds(500));
@@ -242,10 +227,7 @@
 Test(run_agent_fates, a_new_life_is_found_once_it_answers) {
   LivesLeader leader;
   Stage stage(leader);
-  stage.run(milliseconds(300));
-  stage.target.life = "i-2";
-  stage.target.silent = true;
-  stage.announce("i-2", 1);
+  stage.beginNextLife(true);
   stage.run(milliseconds(400));
   cr_assert(leader.lives.back() == "i-1", "a life that has not answered is no proof that the one before is over");
   stage.target.silent = false;
@@ -270,10 +252,7 @@
 Test(run_agent_fates, a_late_heartbeat_does_not_displace_a_new_life_that_has_not_answered_yet) {
   LivesLeader leader;
   Stage stage(leader);
-  stage.run(milliseconds(300));
-  stage.target.life = "i-2";
-  stage.target.silent = true;
-  stage.announce("i-2", 1);
+  stage.beginNextLife(true);
   stage.run(milliseconds(200));
   stage.announce("i-0", 7);
   stage.run(milliseconds(200));
