The lives of a target have a file of their own

Change: what a target announces, and which announcements are believed, moved to RunAgentLives.cpp, as the planner's and the scheduler's parts are; the pause between confirmations has its own name there. A move: no behaviour changed.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -29,9 +29,6 @@
  * with each refusal up to the longest, since the target may be overloaded. */
 constexpr Duration RefusedPause = milliseconds(50);
 constexpr Duration LongestRefusedPause = milliseconds(400);
-/** Lives that are asked for at once: a target's former lives whose heartbeats a cut can hold back, with room to spare.
- */
-constexpr std::size_t MostAnnounced = 8;
 constexpr Duration UncommittedPause = milliseconds(250);
 constexpr Duration AttendPause = milliseconds(50);
 constexpr Duration ReplyLimit = milliseconds(1500);
@@ -40,8 +37,6 @@
 constexpr Duration StopLimit = milliseconds(700);
 /** Longest wait of a look while fillers share the target with what serves, ms. */
 constexpr std::uint32_t SharingLookMs = 400;
-/** Looks without answer after which a target gets nothing new. */
-constexpr unsigned FailuresUnreachable = 2;
 
 std::uint64_t random_incarnation() {
   std::random_device device;
@@ -99,107 +94,6 @@
   co_return 0;
 }
 
-// ---- the target's announcements
-
-Awaitable<void> RunAgentService::announce(TargetAnnouncement announcement) {
-  co_await asio::co_spawn(m_strand, announceOnStrand(std::move(announcement)), asio::use_awaitable);
-}
-
-Awaitable<void> RunAgentService::announceOnStrand(TargetAnnouncement announcement) {
-  takeAnnouncement(announcement);
-  co_return;
-}
-
-void RunAgentService::takeAnnouncement(const TargetAnnouncement& announcement) {
-  const std::string& id = announcement.report.id();
-  if (!isLife(id)) return takeOtherLife(announcement);
-  if (announcement.sequence <= m_life->sequence) return;
-  const bool wasDraining = m_life->report.draining();
-  takeWord(announcement);
-  if (wasDraining != announcement.report.draining()) news();
-}
-
-/** Takes in what the present life says of itself. */
-void RunAgentService::takeWord(const TargetAnnouncement& announcement) {
-  const bool leaves = announcement.report.draining() && !m_life->report.draining();
-  if (leaves) logEvent(schema::TargetLeaving, {{"target", announcement.report.id()}});
-  m_life->report = announcement.report;
-  m_life->report.set_reachable(m_life->failures < internal::FailuresUnreachable);
-  m_life->sequence = announcement.sequence;
-  if (announcement.clockMs == 0) return;
-  m_life->clockMs = announcement.clockMs;
-  m_life->clockAt = BootClock::now();
-}
-
-void RunAgentService::takeOtherLife(const TargetAnnouncement& announcement) {
-  const std::string& id = announcement.report.id();
-  const auto found = m_announced.find(id);
-  if (found != m_announced.end() && announcement.sequence <= found->second.sequence) return;
-  if (found == m_announced.end()) {
-    if (m_announced.size() >= internal::MostAnnounced) return;
-    logEvent(schema::TargetAnnounced,
-             {{"target", id}, {"present", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
-  }
-  m_announced[id] = announcement;
-  m_announcedSignal.notify();
-}
-
-/** Asks the target for each life that was announced, one call at a time, so that lives are believed in the order in
- * which the target has had them. */
-Awaitable<void> RunAgentService::confirmLoop() {
-  while (true) {
-    while (m_announced.empty()) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
-    std::vector<std::string> ids;
-    for (const auto& [id, announcement] : m_announced) ids.push_back(id);
-    for (const std::string& id : ids) co_await confirm(id);
-    if (!m_announced.empty()) co_await sleepFor(internal::FailedPause);
-  }
-}
-
-/** A refusal does not say which life refuses, and silence says nothing: the life is asked for again. */
-Awaitable<void> RunAgentService::confirm(std::string id) {
-  TargetHold hold;
-  hold.term = m_term;
-  Result<TargetAnswer> answer =
-      co_await m_port->hold(id, hold, milliseconds(m_context.settings.runner().order_limit_ms()));
-  const auto found = m_announced.find(id);
-  if (!answer || answer->verdict == TargetVerdict::Refused || found == m_announced.end()) co_return;
-  if (answer->verdict == TargetVerdict::Taken) {
-    beginLife(found->second);
-    takeLook(id, *answer, BootClock::now());
-  } else {
-    logEvent(schema::TargetDisowned, {{"target", id}, {"present", m_life ? m_life->report.id() : ""}});
-  }
-  m_announced.erase(found);
-}
-
-/** What ran in the former life ended with it; the leader concludes that from the new identity. */
-void RunAgentService::beginLife(const TargetAnnouncement& announcement) {
-  const std::string& id = announcement.report.id();
-  logEvent(schema::TargetRegistered,
-           {{"target", id}, {"former", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
-  m_life = Life();
-  takeWord(announcement);
-  m_runs.clear();
-  m_traits.clear();
-  m_fates.clear();
-  m_started.clear();
-  // A former life of this agent may have had the target hold its runs for as long as it can.
-  m_heldUntil = BootClock::now() + milliseconds(m_context.settings.runner().max_hold_ms());
-  news();
-  m_lifeSignal.notify();
-}
-
-Awaitable<void> RunAgentService::leave(std::string id) {
-  co_await asio::co_spawn(m_strand, leaveOnStrand(std::move(id)), asio::use_awaitable);
-}
-
-Awaitable<void> RunAgentService::leaveOnStrand(std::string id) {
-  if (isLife(id)) m_life->left = true;
-  m_announced.erase(id);
-  co_return;
-}
-
 // ---- the leader
 
 void RunAgentService::news() {
@@ -387,7 +281,7 @@
 }
 
 void RunAgentService::takeLook(const std::string& life, const TargetAnswer& answer, Time receivedAt) {
-  if (m_life->failures >= internal::FailuresUnreachable) {
+  if (m_life->failures >= FailuresUnreachable) {
     logEvent(schema::TargetRegained, {{"target", life}});
     news();
   }
@@ -433,7 +327,7 @@
 
 void RunAgentService::takeSilence() {
   ++m_life->failures;
-  if (m_life->failures == internal::FailuresUnreachable) {
+  if (m_life->failures == FailuresUnreachable) {
     logEvent(schema::TargetLost, {{"target", m_life->report.id()}});
     m_life->report.set_reachable(false);
     news();
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -46,6 +46,9 @@
  private:
   using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
+  /** Looks without answer after which a target gets nothing new. */
+  static constexpr unsigned FailuresUnreachable = 2;
+
   struct LocalRun {
     bool busy = false;  ///< a call for it is under way
   };
