--- /dev/null
+++ b/bench/planning.cpp
@@ -0,0 +1,54 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// Time of one pass of the planner with every target full and a backlog in proportion, from 30 to 900 targets.
+
+#include <cstdio>
+#include <string>
+
+#include "Courseloom/src/Core/Clock.h"
+#include "Courseloom/src/Scheduling/RunPlanner.h"
+#include "bench/Figures.h"
+#include "test/PlannerLoad.h"
+
+using namespace courseloom;
+using namespace courseloom::bench;
+using namespace courseloom::test;
+
+namespace {
+
+constexpr int Rounds = 15;
+
+/** \returns the median time of a pass, ms. */
+double measure(std::size_t targets, unsigned backlog) {
+  std::vector<double> times;
+  RunPlan plan;
+  PlannerLoad load = PlannerLoad::full(targets, backlog, 1);
+  RunPlanner planner;
+  for (int round = 0; round < Rounds; ++round) {
+    const Time before = BootClock::now();
+    plan = planner.plan(load.targets, load.runs, load.steps, 0, load.nowMs);
+    times.push_back(toMilliseconds(BootClock::now() - before));
+    load.nowMs += 10.0;
+  }
+  const double median = quantile(times, 0.5);
+  const std::string name = "pass, " + std::to_string(targets) + " targets, " + std::to_string(load.steps.size()) +
+                           " steps (" + std::to_string(plan.starts.size()) + " starts, " +
+                           std::to_string(plan.stops.size()) + " stops)";
+  figure(name.c_str(), median, "ms");
+  return median;
+}
+
+}  // namespace
+
+int main() {
+  double at300 = 0.0;
+  for (const std::size_t targets : {30, 100, 300, 900}) {
+    for (const unsigned backlog : {1, 4, 16}) {
+      const double median = measure(targets, backlog);
+      if (targets == 300 && backlog == 1) at300 = median;
+      if (targets == 900 && backlog == 1) figure("growth from 300 to 900 targets", median / at300, "times");
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/test/PlannerLoad.h
@@ -0,0 +1,57 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "Courseloom/src/Scheduling/RunPlan.h"
+
+namespace courseloom::test {
+
+/** \class PlannerLoad
+ * \brief Targets, runs and waiting steps for a planner, drawn from a seed; the same seed gives the same load.
+ */
+class PlannerLoad {
+ public:
+  static constexpr double NowMs = 1000000.0;
+
+  /** Every target full of single tasks, and a backlog in proportion: for each 30 targets one gang of 25 times 4
+   * accelerators, three urgent gangs of 8 times 4, and 78 single tasks. \param backlog multiple of that backlog */
+  static PlannerLoad full(std::size_t targets, unsigned backlog, std::uint64_t seed);
+  /** Any mix of sizes, racks, services, labels, limits, closed and doubtful targets, gangs and ranks. */
+  static PlannerLoad mixed(std::uint64_t seed);
+
+  /** Lets time pass: runs come nearer to their end and go, steps wait longer. */
+  void pass(double ms);
+
+  std::vector<PlannedTarget> targets;
+  std::vector<PlannedRun> runs;
+  std::vector<PlannedStep> steps;
+  unsigned keepWhole = 0;
+  double nowMs = NowMs;
+
+ private:
+  explicit PlannerLoad(std::uint64_t seed) : m_random(seed) {}
+
+  /** \returns a number from 0 to below a bound. */
+  std::uint32_t below(std::uint32_t bound) { return static_cast<std::uint32_t>(m_random() % bound); }
+  double between(double least, double most) { return std::uniform_real_distribution<double>(least, most)(m_random); }
+  bool chance(double share) { return between(0, 1) < share; }
+  void addTargets(std::size_t count, std::size_t perRack);
+  PlannedStep& addStep(std::uint32_t count, std::uint32_t accelerators, Rank rank, bool gang);
+  schema::StepSpec& specOf(const PlannedStep& step);
+  void addRun(std::size_t target, std::int64_t accelerators, Rank rank, double remainingMs);
+  void drawTarget(PlannedTarget& target);
+  void drawRuns(std::size_t target);
+  void drawGang(std::uint32_t number);
+  void drawStep();
+
+  std::mt19937_64 m_random;
+  std::deque<WorkflowState> m_workflows;  ///< one for each step
+};
+
+}  // namespace courseloom::test
