Planning yields to votes, reports and commits, reads what runs share once, and leaves two thirds of the time to them

Cause: a pass ran to its end on the strand that answers votes and reports, and began anew at once whenever anything had come, also reports that changed nothing. What runs of one step share (need, rank, expected time, a logarithm and an exponential each) was worked out for each run; open targets were listed anew for each step that needs advice, and tasks by target counted where no limit asks for it. Ruled out: a thread of its own for the planner; passes of 1 to 5 ms on a machine that runs one thread at a time gain nothing by it. Change: a pass yields after control.planShareMs (5 ms) and goes on where it stopped; what was committed meanwhile is taken out of the plan (dropOutdated, of a gang all or none); after a pass planning pauses twice its time, at most 50 ms; a report wakes the planner only if its target opened or closed, or owed a sign of life: ends wake it when they are applied, progress counts at the next tick.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -4,7 +4,12 @@
 // The part of WorkflowRunner that tells RunPlanner of targets, runs and waiting steps, and turns its plan into starts.
 
 #include <algorithm>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cmath>
+#include <string_view>
+#include <unordered_map>
 
 #include "Courseloom/src/Control/WorkflowRunner.h"
 #include "Courseloom/src/Core/Log.h"
@@ -43,15 +48,42 @@
 }  // namespace
 }  // namespace internal
 
-schema::RecordRuns WorkflowRunner::makePlan() {
-  schema::RecordRuns runs;
+/** Reports, votes and commits go on while a long pass yields; what it decides is checked against what they changed. */
+Awaitable<schema::RecordRuns> WorkflowRunner::makePlan() {
   markGuaranteed();
   std::vector<PlannedStep> steps = planSteps();
-  if (steps.empty()) return runs;
+  if (steps.empty()) co_return schema::RecordRuns();
   const std::vector<PlannedTarget> targets = planTargets();
   const std::vector<PlannedRun> active = planRuns(targets);
   const unsigned keepWhole = wholeTargetsToKeep(active, steps);
-  const RunPlan plan = m_planner.plan(targets, active, steps, keepWhole, static_cast<double>(wallClockMs()));
+  const std::uint64_t version = table().version();
+  const Term term = m_driver.replica().term();
+  const Duration share = milliseconds(m_context.settings.control().plan_share_ms());
+  m_planner.begin(targets, active, steps, keepWhole, static_cast<double>(wallClockMs()));
+  Time shareEnds = BootClock::now() + share;
+  while (!m_planner.advance([&shareEnds] { return BootClock::now() >= shareEnds; })) {
+    m_context.metrics.count("plan_yields", "all");
+    co_await boost::asio::post(boost::asio::bind_executor(m_strand, boost::asio::use_awaitable));
+    shareEnds = BootClock::now() + share;
+  }
+  const std::vector<std::string> owners = m_planner.workflowsOfSteps();
+  RunPlan plan = m_planner.finish();
+  if (!leads() || m_driver.replica().term() != term) co_return schema::RecordRuns();
+  if (table().version() != version) {
+    for (std::size_t i = 0; i < steps.size(); ++i) steps[i].workflow = table().find(owners[i]);
+    dropOutdated(plan, steps, [&](std::size_t target) { return takesStarts(targets[target]); });
+  }
+  stopPlanned(plan, steps);
+  co_return recordStarts(startsInReach(plan, steps, targets), steps, targets);
+}
+
+/** \returns whether a target that was planned for still lives and may be given runs. */
+bool WorkflowRunner::takesStarts(const PlannedTarget& target) const {
+  if (!m_ledger.open(target.agent, BootClock::now())) return false;
+  return m_ledger.targets().at(target.agent).report.id() == target.id;
+}
+
+void WorkflowRunner::stopPlanned(const RunPlan& plan, const std::vector<PlannedStep>& steps) {
   for (const RunPlan::Stop& stop : plan.stops) {
     notifyAgent(m_ledger.wantStop(stop.run));
     const PlannedStep& step = steps[stop.forStep];
@@ -61,7 +93,13 @@
                                     {"rank", std::uint64_t{step.rank}},
                                     {"waitedMs", static_cast<std::uint64_t>(step.waitedMs)}});
   }
-  for (const RunPlan::Start& start : startsInReach(plan, steps, targets)) {
+}
+
+schema::RecordRuns WorkflowRunner::recordStarts(const std::vector<RunPlan::Start>& starts,
+                                                const std::vector<PlannedStep>& steps,
+                                                const std::vector<PlannedTarget>& targets) const {
+  schema::RecordRuns runs;
+  for (const RunPlan::Start& start : starts) {
     const PlannedStep& step = steps[start.step];
     const PlannedTarget& target = targets[start.target];
     const TaskKey key{step.key.occurrence, step.key.step, start.task};
@@ -181,36 +219,56 @@
 }
 
 std::vector<PlannedRun> WorkflowRunner::planRuns(const std::vector<PlannedTarget>& targets) const {
-  std::map<std::string, std::size_t> byAgent;
-  for (std::size_t i = 0; i < targets.size(); ++i) byAgent[targets[i].agent] = i;
+  std::unordered_map<std::string_view, std::size_t> byAgent;
+  for (std::size_t i = 0; i < targets.size(); ++i) byAgent.emplace(targets[i].agent, i);
   const Time now = BootClock::now();
   std::vector<PlannedRun> runs;
+  runs.reserve(m_ledger.runs().size());
+  // Runs of one step follow each other; what they share is worked out once.
+  std::optional<internal::RunsOfStep> shared;
   for (const auto& [key, track] : m_ledger.runs()) {
+    if (!shared || !shared->covers(key)) shared = sharedBy(key);
     const auto target = byAgent.find(track.agent);
-    const WorkflowState* workflow = table().find(key.workflow);
-    if (target == byAgent.end() || workflow == nullptr) continue;
-    const schema::StepSpec& step = workflow->step(key.task.step);
+    if (target == byAgent.end() || shared->workflow == nullptr) continue;
     PlannedRun& run = runs.emplace_back();
     run.key = key;
     run.target = target->second;
-    run.need = roomOf(step);
-    run.rank = rankOfWorkflow(*workflow);
-    run.stopping = track.stopWanted || workflow->ended();
-    run.movable = !step.long_running();
-    if (step.gang()) run.gang = internal::gang_name(key);
+    run.need = shared->need;
+    run.rank = shared->rank;
+    run.stopping = track.stopWanted || shared->ended;
+    run.movable = shared->movable;
+    if (shared->gang) run.gang = internal::gang_name(key);
     const double ranMs = toMilliseconds(now - track.startedAt);
-    const double lostMs = step.checkpointable() ? std::min(ranMs, internal::CheckpointLossMs) : ranMs;
-    const double restartMs = step.gang() ? internal::GangRestartMs : 0.0;
-    run.lostWork = internal::cores_of(step) * (lostMs + restartMs) / internal::MillisecondsPerSecond;
-    run.remainingMs = remainingMs(key, track);
+    const double lostMs = shared->checkpointable ? std::min(ranMs, internal::CheckpointLossMs) : ranMs;
+    const double restartMs = shared->gang ? internal::GangRestartMs : 0.0;
+    run.lostWork = shared->cores * (lostMs + restartMs) / internal::MillisecondsPerSecond;
+    run.remainingMs = remainingMs(track, shared->expectedMs);
   }
   endGangsTogether(runs);
   return runs;
 }
 
+internal::RunsOfStep WorkflowRunner::sharedBy(const RunKey& key) const {
+  internal::RunsOfStep shared;
+  shared.name = {key.workflow, key.task.stepKey()};
+  shared.workflow = table().find(key.workflow);
+  if (shared.workflow == nullptr) return shared;
+  const schema::StepSpec& step = shared.workflow->step(key.task.step);
+  shared.need = roomOf(step);
+  shared.rank = rankOfWorkflow(*shared.workflow);
+  shared.ended = shared.workflow->ended();
+  shared.movable = !step.long_running();
+  shared.gang = step.gang();
+  shared.checkpointable = step.checkpointable();
+  shared.cores = internal::cores_of(step);
+  shared.expectedMs = expectedMs(shared.workflow->record.queue(), step);
+  return shared;
+}
+
 std::vector<PlannedStep> WorkflowRunner::planSteps() {
   const std::uint64_t nowMs = wallClockMs();
   m_serviceRooms = serviceRooms();
+  m_openTargets.clear();
   std::vector<PlannedStep> steps;
   for (const std::string& id : table().open()) {
     const WorkflowState* workflow = table().find(id);
@@ -237,6 +295,7 @@
         const bool waits = task == nullptr || (!task->done && task->active.empty());
         if (waits) step.tasks.push_back(i);
         if (task == nullptr) continue;
+        if (spec.max_per_target() == 0) continue;
         for (const schema::ActiveRun& run : task->active) ++step.placedOn[run.target()];
       }
       const bool partOfGang = spec.gang() && step.tasks.size() < spec.count();
@@ -278,10 +337,14 @@
   return rooms;
 }
 
-std::vector<std::string> WorkflowRunner::openTargets(const std::string& service) const {
-  std::vector<std::string> open;
+/** \returns lives of a service's targets that may be given new runs, worked out once a pass. */
+const std::vector<std::string>& WorkflowRunner::openTargets(const std::string& service) {
+  const auto known = m_openTargets.find(service);
+  if (known != m_openTargets.end()) return known->second;
+  std::vector<std::string>& open = m_openTargets[service];
+  const Time now = BootClock::now();
   for (const auto& [agent, track] : m_ledger.targets()) {
-    const bool fits = m_ledger.open(agent, BootClock::now()) && track.report.service() == service;
+    const bool fits = track.report.service() == service && m_ledger.open(agent, now);
     if (fits) open.push_back(track.report.id());
   }
   return open;
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -18,6 +18,12 @@
 
 constexpr Duration TickInterval = milliseconds(100);
 constexpr Duration CommitLimit = milliseconds(3000);
+/** Pause after a plan, in times that it took: planning takes at most a third of the leader's time, however often
+ * something changes. */
+constexpr int PausePerPlan = 2;
+/** A plan that takes less is not worth a timer. */
+constexpr Duration ShortPlan = milliseconds(1);
+constexpr Duration LongestPlanPause = milliseconds(50);
 /** Relays that nodes are told of: one is enough, and others may be cut off with the node itself. */
 constexpr std::size_t RelaysNamed = 4;
 /** An unfinished task whose percent stands at this is taken to be about to end. */
@@ -251,6 +257,7 @@
   const schema::Workflow& record = table().find(key.workflow)->record;
   const schema::StepSpec& step = record.spec().steps(static_cast<int>(key.task.step));
   if (!track.confirmed || step.long_running() || track.percent >= internal::WholePercent) return false;
+  if (track.stillMs <= internal::StallMs) return false;
   const double patienceMs = std::max(internal::StallMs, internal::StallShare * expectedMs(record.queue(), step));
   if (!step.gang()) return track.stillMs > patienceMs;
   for (std::uint32_t index = 0; index < step.count(); ++index) {
@@ -298,7 +305,11 @@
 
 double WorkflowRunner::remainingMs(const RunKey& key, const RunTrack& track) const {
   const schema::Workflow& record = table().find(key.workflow)->record;
-  const double wholeMs = expectedMs(record.queue(), record.spec().steps(static_cast<int>(key.task.step)));
+  return remainingMs(track, expectedMs(record.queue(), record.spec().steps(static_cast<int>(key.task.step))));
+}
+
+/** \returns the time that a run still needs, ms. \param wholeMs run time to be expected of its task */
+double WorkflowRunner::remainingMs(const RunTrack& track, double wholeMs) const {
   const double leftMs = wholeMs * (1.0 - track.percent / internal::WholePercent);
   const std::optional<double> byPace = learns() ? remainingByPaceMs(track, BootClock::now()) : std::nullopt;
   return byPace ? *byPace : std::max(0.0, leftMs);
@@ -312,9 +323,12 @@
     m_dirty = false;
     if (!leads()) continue;
     const Time before = BootClock::now();
-    schema::RecordRuns runs = makePlan();
-    m_context.metrics.record("plan_ms", "all", "all", toMilliseconds(BootClock::now() - before));
+    schema::RecordRuns runs = co_await makePlan();
+    const Duration took = BootClock::now() - before;
+    m_context.metrics.record("plan_ms", "all", "all", toMilliseconds(took));
     if (runs.starts_size() > 0) co_await commitRuns(std::move(runs));
+    if (took >= internal::ShortPlan)
+      co_await sleepFor(std::min(internal::LongestPlanPause, internal::PausePerPlan * took));
   }
 }
 
@@ -359,12 +373,15 @@
     co_return fail(Failure{FailureCode::Fenced, Ran::No, "attend", request.agent(), "a newer report has come", 0});
   }
   const std::uint64_t term = m_driver.replica().term();
+  const bool wasAsked = m_ledger.asked(request.agent());
+  const bool wasOpen = m_ledger.open(request.agent(), received);
   schema::RecordRuns runs = endsIn(request, received);
   // Answered at once: the agent's next report carries this term, and counts.
   if (!m_ledger.isCurrent(request)) co_return makeReply();
   if (runs.ends_size() > 0 && !co_await commitRuns(std::move(runs))) co_return fail(m_driver.noLeader("attend"));
   notifyAgent(request.agent());  // a report that is held back has been overtaken
-  wake();
+  // Ends wake the planner when they are applied, progress counts at the next tick; most reports change no decision.
+  if (wasAsked || m_ledger.open(request.agent(), received) != wasOpen) wake();
   const Time end = received + milliseconds(request.wait_ms());
   const bool hasNews = request.ends_size() > 0 || request.started_size() > 0;
   while (leads() && !hasNews && !m_released && BootClock::now() < end) {
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -17,6 +17,26 @@
 
 namespace courseloom {
 
+namespace internal {
+
+/** What the active runs of one step have in common. */
+struct RunsOfStep {
+  std::pair<std::string, StepKey> name;  ///< workflow and step
+  const WorkflowState* workflow = nullptr;
+  Room need;
+  Rank rank = UrgentRank;
+  bool ended = false;
+  bool movable = true;
+  bool gang = false;
+  bool checkpointable = false;
+  double cores = 0.0;
+  double expectedMs = 0.0;  ///< run time of a task
+
+  bool covers(const RunKey& key) const { return key.task.stepKey() == name.second && key.workflow == name.first; }
+};
+
+}  // namespace internal
+
 /** \class WorkflowRunner
  * \brief Serves agents on the leader: plans runs of workflows, commits them, gives the orders, takes reports.
  *
@@ -56,7 +76,11 @@
   bool leads(Time at) const { return m_leads && m_driver.canRead(at); }
   const WorkflowTable& table() const { return m_driver.state().workflows(); }
 
-  schema::RecordRuns makePlan();
+  Awaitable<schema::RecordRuns> makePlan();
+  void stopPlanned(const RunPlan& plan, const std::vector<PlannedStep>& steps);
+  schema::RecordRuns recordStarts(const std::vector<RunPlan::Start>& starts, const std::vector<PlannedStep>& steps,
+                                  const std::vector<PlannedTarget>& targets) const;
+  bool takesStarts(const PlannedTarget& target) const;
   std::vector<RunPlan::Start> startsInReach(const RunPlan& plan, const std::vector<PlannedStep>& steps,
                                             const std::vector<PlannedTarget>& targets);
   void reviewRuns();
@@ -73,16 +97,18 @@
   bool learns() const { return m_context.settings.policy().learn_run_times(); }
   double expectedMs(const std::string& queue, const schema::StepSpec& step) const;
   double remainingMs(const RunKey& key, const RunTrack& track) const;
+  double remainingMs(const RunTrack& track, double wholeMs) const;
   void learnFrom(const RunChange& change);
   void stopWhole(const RunKey& key, const char* reason);
   std::vector<PlannedTarget> planTargets() const;
   static void endGangsTogether(std::vector<PlannedRun>& runs);
+  internal::RunsOfStep sharedBy(const RunKey& key) const;
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
   std::vector<PlannedStep> planSteps();
   void addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
   double objectiveChainMs(const WorkflowState& workflow) const;
   std::map<std::string, Room> serviceRooms() const;
-  std::vector<std::string> openTargets(const std::string& service) const;
+  const std::vector<std::string>& openTargets(const std::string& service);
   const schema::Queue* queueNamed(const std::string& name) const;
   void notifyAgent(const std::string& agent);
 
@@ -100,8 +126,9 @@
   std::function<std::vector<ReplicaId>()> m_membersSource;
   std::set<std::string> m_guaranteed;          ///< workflows within their tenants' guarantees, as of this plan
   std::map<std::string, Room> m_serviceRooms;  ///< by service, as of this plan
-  double m_urgentPeak = 0.0;                   ///< accelerators that priority 0 lately needed at once
-  Time m_urgentSeen{};                         ///< when the peak was last brought up to date
+  std::map<std::string, std::vector<std::string>> m_openTargets;  ///< by service, as of this plan
+  double m_urgentPeak = 0.0;  ///< accelerators that priority 0 lately needed at once
+  Time m_urgentSeen{};        ///< when the peak was last brought up to date
   bool m_leads = false;
   bool m_dirty = false;
   bool m_released = false;
--- a/Courseloom/src/Scheduling/RunPlan.cpp
+++ b/Courseloom/src/Scheduling/RunPlan.cpp
@@ -16,21 +16,53 @@
   return step.worthlessMs == 0.0 || endMs <= step.worthlessMs ? Prospect::Late : Prospect::Worthless;
 }
 
+namespace internal {
+namespace {
+
+/** \returns the starts that pass a test; of a gang all or none. */
+std::vector<RunPlan::Start> whole_starts(const std::vector<RunPlan::Start>& starts,
+                                         const std::vector<PlannedStep>& steps,
+                                         const std::function<bool(const RunPlan::Start&)>& passes) {
+  std::vector<RunPlan::Start> passing;
+  std::set<std::size_t> brokenGangs;  // by index among the steps
+  for (const RunPlan::Start& start : starts) {
+    if (passes(start)) {
+      passing.push_back(start);
+    } else if (steps[start.step].isGang()) {
+      brokenGangs.insert(start.step);
+    }
+  }
+  std::erase_if(passing, [&](const RunPlan::Start& start) { return brokenGangs.count(start.step) > 0; });
+  return passing;
+}
+
+}  // namespace
+}  // namespace internal
+
 std::vector<RunPlan::Start> startsInReach(const RunPlan& plan, const std::vector<PlannedStep>& steps,
                                           const std::function<bool(std::size_t target)>& inReach,
                                           std::set<std::size_t>& withheld) {
-  std::set<std::size_t> heldGangs;  // by index among the steps
-  for (const RunPlan::Start& start : plan.starts) {
-    if (inReach(start.target)) continue;
+  return internal::whole_starts(plan.starts, steps, [&](const RunPlan::Start& start) {
+    if (inReach(start.target)) return true;
     withheld.insert(start.target);
+    return false;
+  });
+}
+
+bool stillWaits(const PlannedStep& step) {
+  return step.workflow != nullptr && !step.workflow->ended() && !step.workflow->stepDone(step.key);
+}
+
+void dropOutdated(RunPlan& plan, const std::vector<PlannedStep>& steps,
+                  const std::function<bool(std::size_t target)>& isOpen) {
+  std::erase_if(plan.stops, [&](const RunPlan::Stop& stop) { return !stillWaits(steps[stop.forStep]); });
+  std::erase_if(plan.starts, [&](const RunPlan::Start& start) { return !stillWaits(steps[start.step]); });
+  plan.starts = internal::whole_starts(plan.starts, steps, [&](const RunPlan::Start& start) {
     const PlannedStep& step = steps[start.step];
-    if (step.workflow->step(step.key.step).gang()) heldGangs.insert(start.step);
-  }
-  std::vector<RunPlan::Start> starts;
-  for (const RunPlan::Start& start : plan.starts) {
-    if (withheld.count(start.target) == 0 && heldGangs.count(start.step) == 0) starts.push_back(start);
-  }
-  return starts;
+    const TaskState* task = step.workflow->task({step.key.occurrence, step.key.step, start.task});
+    const bool waits = task == nullptr || (!task->done && task->active.empty());
+    return waits && isOpen(start.target);
+  });
 }
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunPlan.h
+++ b/Courseloom/src/Scheduling/RunPlan.h
@@ -69,6 +69,7 @@
   double estimateMs = 0.0;   ///< expected run time of one task
   double waitedMs = 0.0;     ///< time since the step became ready
   bool isUrgent() const { return rank <= UrgentRank; }
+  bool isGang() const { return workflow->step(key.step).gang(); }
   std::set<std::string> avoided;             ///< targets on which it has failed: used only if no other could hold it
   std::map<std::string, unsigned> placedOn;  ///< tasks of this step by target id, for the limit on one target
   /** Targets that may run it, with their tickets; nothing where no permission is needed. */
@@ -103,6 +104,15 @@
                                           const std::function<bool(std::size_t target)>& inReach,
                                           std::set<std::size_t>& withheld);
 
+/** \returns whether a step's workflow goes on and its step is not done. */
+bool stillWaits(const PlannedStep& step);
+
+/** Takes out of a plan what no longer fits what was committed while it was made: starts of tasks that are done or run,
+ * starts on targets that were closed, of a gang all of them, and all that was for a step that no longer waits.
+ * \param steps with the workflows as they are now; null for one that is gone */
+void dropOutdated(RunPlan& plan, const std::vector<PlannedStep>& steps,
+                  const std::function<bool(std::size_t target)>& isOpen);
+
 /** \class RunPlannerOptions
  * \brief Switches with which proofs and benches turn one mechanism off; all on in production.
  */
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -42,6 +42,13 @@
   return m_pass->next == m_pass->order.size();
 }
 
+std::vector<std::string> RunPlanner::workflowsOfSteps() const {
+  std::vector<std::string> workflows;
+  workflows.reserve(m_pass->names.size());
+  for (const StepName& name : m_pass->names) workflows.push_back(name.first);
+  return workflows;
+}
+
 RunPlan RunPlanner::finish() {
   m_nominated = std::move(m_pass->nominating);
   m_waitedFor = std::move(m_pass->waitingFor);
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -42,6 +42,8 @@
   /** Serves steps, the most urgent first, until all are served or time is up. \returns whether all are served
    * \param timeIsUp asked after each step */
   bool advance(const std::function<bool()>& timeIsUp);
+  /** \returns by step the workflow that it belongs to. */
+  std::vector<std::string> workflowsOfSteps() const;
   /** Ends a pass. \returns what was decided in it */
   RunPlan finish();
 
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -5,6 +5,7 @@
 
 #include "Courseloom/src/Scheduling/RunPlanner.h"
 
+#include <algorithm>
 #include <deque>
 
 #include "test/main.h"
@@ -81,6 +82,9 @@
     return planner.plan(m_targets, m_runs, m_steps, keepWhole, nowMs);
   }
   void endRuns() { m_runs.clear(); }
+  WorkflowState& workflow(std::size_t step) { return m_workflows[step]; }
+  /** Makes a step one whose workflow is no longer known. */
+  void forgetWorkflow(std::size_t step) { m_steps[step].workflow = nullptr; }
   const std::vector<PlannedStep>& steps() const { return m_steps; }
 
  private:
@@ -413,3 +417,43 @@
   test.nowMs += 1500.0;
   cr_assert_eq(test.planWith(planner).stops.size(), 1, "it has not ended, and the bound comes nearer");
 }
+
+// While a pass yields, work is cancelled, starts elsewhere, and targets close; none of that may be started all the
+// same.
+Test(run_planner, a_plan_keeps_only_what_still_fits_when_it_is_committed) {
+  const auto planFor = [](PlannerTable& test) {
+    test.waits(1, 8, LowRank);
+    test.waits(2, 8, LowRank, true);
+    return test.plan();
+  };
+  const auto startsOf = [](const RunPlan& plan, std::size_t step) {
+    return std::count_if(plan.starts.begin(), plan.starts.end(), [&](const auto& start) { return start.step == step; });
+  };
+  const auto open = [](std::size_t) { return true; };
+  PlannerTable same;
+  RunPlan plan = planFor(same);
+  dropOutdated(plan, same.steps(), open);
+  cr_assert_eq(plan.starts.size(), 3);
+
+  PlannerTable closed;
+  plan = planFor(closed);
+  const std::size_t lost = plan.starts.back().target;
+  dropOutdated(plan, closed.steps(), [lost](std::size_t target) { return target != lost; });
+  cr_assert_eq(startsOf(plan, 0), 1);
+  cr_assert_eq(startsOf(plan, 1), 0, "of a gang all or none");
+
+  PlannerTable started;
+  plan = planFor(started);
+  started.workflow(1).tasks[{0, 0, 1}].active.emplace_back();
+  dropOutdated(plan, started.steps(), open);
+  cr_assert_eq(startsOf(plan, 1), 0, "a member runs already");
+
+  PlannerTable gone;
+  plan = planFor(gone);
+  plan.stops.push_back({RunKey{}, 0});
+  gone.forgetWorkflow(0);
+  gone.workflow(1).record.set_phase(schema::WorkflowCancelled);
+  dropOutdated(plan, gone.steps(), open);
+  cr_assert(plan.starts.empty());
+  cr_assert(plan.stops.empty(), "nothing is stopped for work that is gone");
+}
--- a/test/run_planner_reference.cpp
+++ b/test/run_planner_reference.cpp
@@ -137,7 +137,7 @@
       load.pass(300.0);
     }
   }
-  cr_log_warn(
+  cr_log_info(
       "%zu of %lu plans alike; started %.0f against %.0f core-seconds, urgent %.0f against %.0f, lost %.0f "
       "against %.0f in %zu against %zu stops",
       same, Loads * PassesEach, now.started, former.started, now.startedUrgent, former.startedUrgent, now.lost,
