Test: a leader with 300 agents and thousands of waiting tasks, on half of a processor, stays leader

Purpose: replays the load under which leaders fell silent for 0.6 to 1 s and were replaced though nothing had hit them. 300 agents played by the test, 120 workflows of 3,570 tasks, gangs of 8 and 25 times 4 accelerators among them; the leader is stopped for 10 ms in every 20.

--- /dev/null
+++ b/test/AgentCrowd.h
@@ -0,0 +1,70 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Courseloom/src/Membership/ControlClient.h"
+#include "Courseloom/src/Scheduling/RunLedger.h"
+
+namespace courseloom::test {
+
+/** \class AgentCrowd
+ * \brief Many agents that the test plays itself, each with a connection of its own to the leader and a target that runs
+ * whatever is ordered for as many milliseconds as its payload says.
+ */
+class AgentCrowd {
+ public:
+  AgentCrowd(const schema::ClusterSettings& cluster, std::size_t agents);
+  ~AgentCrowd();
+
+  /** \returns terms of which a leader has answered, from the last call of forgetTerms() on. */
+  std::set<std::uint64_t> terms() const;
+  void forgetTerms();
+  std::size_t started() const { return m_started; }
+  std::size_t running() const { return m_running; }
+  /** \returns the time that each report took beyond what the leader held it back, ms. */
+  std::vector<double> takeDelays();
+
+ private:
+  struct Run {
+    Time endsAt{};
+    Time startedAt{};
+  };
+  struct Agent {
+    std::unique_ptr<ControlClient> control;
+    std::string name;
+    std::size_t number = 0;
+    std::map<RunKey, Run> running;
+    std::map<std::uint64_t, std::pair<RunKey, schema::RunEndKind>> ended;  ///< by number, not taken yet
+    std::uint64_t lastEnd = 0;
+    std::uint64_t term = 0;
+    std::uint64_t sequence = 0;
+  };
+
+  Awaitable<void> attend(Agent& agent);
+  schema::AttendRequest report(Agent& agent) const;
+  void endRuns(Agent& agent);
+  void end(Agent& agent, const RunKey& key, schema::RunEndKind kind);
+  void take(Agent& agent, const schema::AttendReply& reply);
+  void note(std::uint64_t term, double delayMs);
+
+  boost::asio::io_context m_io;
+  std::vector<std::unique_ptr<Agent>> m_agents;
+  std::atomic<std::size_t> m_started{0};
+  std::atomic<std::size_t> m_running{0};
+  mutable std::mutex m_mutex;
+  std::set<std::uint64_t> m_terms;
+  std::vector<double> m_delays;
+  std::thread m_thread;
+};
+
+}  // namespace courseloom::test
--- /dev/null
+++ b/test/WorkflowDeployment.h
@@ -0,0 +1,187 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "generated/settings.pb.h"
+#include "test/Processes.h"
+#include "test/main.h"
+
+namespace courseloom::test {
+
+inline const std::string BuildFolder = COURSELOOM_BUILD_DIR;
+inline constexpr unsigned ElectionTimeoutMs = 400;
+inline constexpr unsigned ControlPort = 1;
+inline constexpr unsigned ClientPort = 2;
+inline constexpr unsigned ReadinessPort = 3;
+inline constexpr unsigned TargetPort = 4;
+inline constexpr unsigned HttpPort = 5;
+
+inline void pause(std::int64_t ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+
+inline std::string configuration(unsigned version, const std::string& key = "key-1") {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":"q","host":"h.example","path_prefix":"/q/","timeout_ms":3000,"target_latency_ms":250,)"
+         R"("priority":1,"service":"s","max_attempts":2,"stretch":3.0}],"services":[{"name":"s"}],)"
+         R"("tenants":[{"name":"t","api_keys":[")" +
+         key + R"("],"guaranteed":{"gpu":8}}]})";
+}
+
+inline std::string job(unsigned count, const std::string& spec) {
+  return R"({"spec":")" + spec + R"(","steps":[{"count":)" + std::to_string(count) +
+         R"(,"cpu":1000,"mem_mb":100,"gpu":1,"estimate_ms":200,"checkpointing":true}]})";
+}
+
+/** \class WorkflowDeployment
+ * \brief Three replicas, an entry, two agents with their back ends, each on an address of its own.
+ */
+class WorkflowDeployment {
+ public:
+  explicit WorkflowDeployment(unsigned agents = 2) : m_base(freePorts()) {
+    std::string pattern = "/tmp/courseloom-test-XXXXXX";
+    m_folder = mkdtemp(pattern.data());
+    for (unsigned i = 1; i <= 3; ++i) control(i, true);
+    for (unsigned i = 1; i <= agents; ++i) {
+      agent(i);
+      m_processes["runner-" + std::to_string(i)] = std::make_unique<Process>(
+          std::vector<std::string>{BuildFolder + "/test/standin-runner", "--address", address(10 + i), "--port",
+                                   std::to_string(m_base + TargetPort), "--agent", at(10 + i, ControlPort), "--name",
+                                   "m" + std::to_string(i)},
+          m_folder + "/runner.log");
+    }
+    entry();
+  }
+  ~WorkflowDeployment() {
+    m_processes.clear();
+    if (std::getenv("COURSELOOM_KEEP") == nullptr) std::filesystem::remove_all(m_folder);
+  }
+
+  void control(unsigned i, bool bootstrap) {
+    start("control-" + std::to_string(i), "courseloom-control", i,
+          "  bootstrap: " + std::string(bootstrap ? "true" : "false") +
+              "\ncontrol: {reserveMb: 1, snapshotEntries: 64}\nedge: {controlEndpoint: " + at(i, ControlPort) + "}\n");
+  }
+  void agent(unsigned i) {
+    start("agent-" + std::to_string(i), "courseloom-agent", 10 + i,
+          "runner: {service: s, targetEndpoint: \"" + at(10 + i, TargetPort) + "\"}\nedge: {controlEndpoint: \"" +
+              at(10 + i, ControlPort) + "\"}\n");
+  }
+  void entry() {
+    start("entry-1", "courseloom-entry", 20,
+          "entry: {notReadyMs: 10}\nedge: {clientEndpoint: \"" + at(20, ClientPort) + "\", readinessEndpoint: \"" +
+              at(20, ReadinessPort) + "\"}\n");
+  }
+  Process& process(const std::string& name) { return *m_processes.at(name); }
+  void kill(const std::string& name) { process(name).kill(); }
+  void wipe(unsigned i) { std::filesystem::remove_all(m_folder + "/control-" + std::to_string(i)); }
+
+  HttpReply call(const std::string& method, const std::string& path, const std::string& body = "",
+                 const std::string& key = "key-1") {
+    return send({at(20, ClientPort),
+                 method,
+                 path,
+                 body,
+                 {{"Host", "h.example"}, {"Authorization", "Bearer " + key}, {"Content-Type", "application/json"}},
+                 milliseconds(5000)});
+  }
+  /** Calls until the status is as wanted. */
+  bool until(unsigned status, const std::string& method, const std::string& path, const std::string& body = "",
+             const std::string& text = "") {
+    const Time end = BootClock::now() + milliseconds(20000);
+    while (BootClock::now() < end) {
+      const HttpReply reply = call(method, path, body);
+      if (reply.status == status && reply.has(text)) return true;
+      pause(30);
+    }
+    return false;
+  }
+  /** Puts a configuration at whichever replica takes it. */
+  unsigned configure(const std::string& body) {
+    const Time end = BootClock::now() + milliseconds(20000);
+    for (unsigned i = 0; BootClock::now() < end; ++i) {
+      const HttpReply reply = send({at(1 + i % 4, ControlPort), "POST", "/-/Config.Put", body, {}, milliseconds(3000)});
+      if (reply.status == 200 || reply.status == 400) return reply.status;
+      pause(20);
+    }
+    return 0;
+  }
+  std::string readBack() {
+    for (unsigned i = 0; i < 400; ++i) {
+      const HttpReply reply = send({at(1 + i % 4, ControlPort), "GET", "/-/Config.Get", "", {}, milliseconds(3000)});
+      if (reply.status == 200) return reply.body;
+      pause(20);
+    }
+    return {};
+  }
+  /** \returns the leader's number, or 0. */
+  unsigned leader() {
+    for (unsigned round = 0; round < 400; ++round) {
+      for (unsigned i = 1; i <= 4; ++i) {
+        if (send({at(i, ControlPort), "GET", "/-/Config.Get", "", {}, milliseconds(1000)}).status == 200) return i;
+      }
+      pause(20);
+    }
+    return 0;
+  }
+  HttpReply runner(unsigned i, const std::string& method, const std::string& path) {
+    return send({at(10 + i, TargetPort), method, path, "", {}, milliseconds(3000)});
+  }
+  /** \returns how often a text stands in what both back ends count. */
+  unsigned counted(const std::string& text) {
+    unsigned count = 0;
+    for (unsigned i = 1; i <= 2; ++i) count += runner(i, "GET", "/starts").has(text) ? 1 : 0;
+    return count;
+  }
+  void setUp() {
+    cr_assert_eq(configure(configuration(1)), 200);
+    cr_assert(until(200, "GET", "/q/", "", "pending"));
+  }
+
+  /** \returns the cluster as a node's settings name it, for agents that a test plays itself. */
+  schema::ClusterSettings cluster() const {
+    schema::ClusterSettings settings;
+    settings.set_election_timeout_ms(ElectionTimeoutMs);
+    settings.set_seed_rpc_port(m_base);
+    for (unsigned i = 1; i <= 3; ++i) settings.add_seeds()->set_endpoint(at(i, ControlPort));
+    return settings;
+  }
+
+ private:
+  std::string address(unsigned host) const { return "127.0.7." + std::to_string(host); }
+  std::string at(unsigned host, unsigned port) const { return address(host) + ":" + std::to_string(m_base + port); }
+
+  static unsigned freePorts() { return 21000 + std::random_device()() % 400 * 10; }
+
+  void start(const std::string& name, const std::string& program, unsigned host, const std::string& extra) {
+    std::ofstream file(m_folder + "/" + name + ".yaml");
+    file << "node: {name: " << name << ", address: " << address(host)
+         << ", dataHall: hall-1, threads: 1, rpcPort: " << m_base << ", httpPort: " << m_base + HttpPort
+         << ", dataFolder: " << m_folder << "/" << name << "}\n"
+         << "cluster:\n  id: test\n  heartbeatMs: 50\n  electionTimeoutMs: " << ElectionTimeoutMs
+         << "\n  freshnessLeaseMs: 2000\n"
+         << "  seedRpcPort: " << m_base << "\n  seeds:\n";
+    for (unsigned i = 1; i <= 3; ++i) file << "    - {endpoint: \"" << at(i, ControlPort) << "\"}\n";
+    file << extra;
+    file.close();
+    m_processes[name] = std::make_unique<Process>(
+        std::vector<std::string>{BuildFolder + "/daemons/" + program, "--settings", m_folder + "/" + name + ".yaml"},
+        m_folder + "/" + name + ".log");
+    if (!m_processes[name]->ready()) std::fprintf(stderr, "%s did not become ready\n", name.c_str());
+  }
+
+  std::string m_folder;
+  unsigned m_base;
+  std::map<std::string, std::unique_ptr<Process>> m_processes;
+};
+
+}  // namespace courseloom::test
--- /dev/null
+++ b/test/crowded_leader.cpp
@@ -0,0 +1,89 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// A leader with hundreds of agents and thousands of waiting tasks, on a part of a processor: deciding stops nothing.
+
+#include <algorithm>
+#include <csignal>
+
+#include "test/AgentCrowd.h"
+#include "test/WorkflowDeployment.h"
+
+using namespace courseloom;
+using namespace courseloom::test;
+
+namespace {
+
+constexpr std::size_t Agents = 300;
+constexpr int Workflows = 120;
+constexpr std::int64_t MeasuredMs = 15000;
+
+/** \class ProcessorShare
+ * \brief Lets a process run for a part of the time only.
+ */
+class ProcessorShare {
+ public:
+  ProcessorShare(const Process& process, std::int64_t runMs, std::int64_t stopMs)
+      : m_thread([this, &process, runMs, stopMs] {
+          while (!m_done) {
+            process.signal(SIGSTOP);
+            pause(stopMs);
+            process.signal(SIGCONT);
+            pause(runMs);
+          }
+        }) {}
+  ~ProcessorShare() {
+    m_done = true;
+    m_thread.join();
+  }
+
+ private:
+  std::atomic<bool> m_done{false};
+  std::thread m_thread;
+};
+
+std::string gangJob(unsigned count, unsigned accelerators, unsigned ms) {
+  return R"({"spec":")" + std::to_string(ms) + R"(","steps":[{"count":)" + std::to_string(count) +
+         R"(,"cpu":1000,"mem_mb":100,"gang":true,"gpu":)" + std::to_string(accelerators) + R"(,"estimate_ms":)" +
+         std::to_string(ms) + R"(,"checkpointing":true}]})";
+}
+
+std::string idOf(int number) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016x", 0xfeed0000U + static_cast<unsigned>(number));
+  return text;
+}
+
+}  // namespace
+
+// With passes of 0.25 s and more the leader's heartbeats came too late, and it was replaced though nothing had hit it.
+Test(crowded_leader, hundreds_of_agents_and_thousands_of_waiting_tasks_end_no_leadership, .timeout = 120) {
+  WorkflowDeployment test(0);
+  cr_assert_eq(test.configure(configuration(1)), 200);
+  cr_assert(test.until(200, "GET", "/q/", "", "pending"));
+  AgentCrowd crowd(test.cluster(), Agents);
+  int refused = 0;
+  for (int i = 0; i < Workflows; ++i) {
+    const std::string body = i % 4 == 0 ? job(78, "6000") : gangJob(i % 4 == 1 ? 25 : 8, 4, 3000);
+    refused += test.call("POST", "/q/" + idOf(i), body).status == 200 ? 0 : 1;
+  }
+  cr_expect_eq(refused, 0, "%d submissions were refused", refused);
+  const unsigned leader = test.leader();
+  cr_assert_neq(leader, 0);
+  for (int i = 0; i < 100 && crowd.running() < Agents; ++i) pause(100);
+  cr_assert_geq(crowd.running(), Agents, "only %zu runs began", crowd.running());
+  crowd.forgetTerms();
+  crowd.takeDelays();
+  {
+    const ProcessorShare share(test.process("control-" + std::to_string(leader)), 10, 10);
+    pause(MeasuredMs);
+  }
+  std::vector<double> delays = crowd.takeDelays();
+  std::sort(delays.begin(), delays.end());
+  cr_assert_gt(delays.size(), 0);
+  const std::set<std::uint64_t> terms = crowd.terms();
+  std::printf("%zu reports, half within %.1f ms, 99 of 100 within %.1f ms; %zu runs began; %zu terms\n", delays.size(),
+              delays[delays.size() / 2], delays[delays.size() * 99 / 100], crowd.started(), terms.size());
+  cr_assert_eq(terms.size(), 1, "%zu leaders answered although nothing hit the first", terms.size());
+  cr_assert_eq(test.leader(), leader);
+}
