Nodes that are cut off spread over the relays, and a relay refuses what it cannot bear

Change: RelayDirectory, rendezvous hashing over the agents in touch, an order for each node, data halls first; made once a tick instead of once a reply. A relay hands on 32 calls at once and refuses more as surely not run. RunLedger only tells who relays.

--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -401,7 +401,7 @@
     }
   }
   for (const ReplicaId id : m_driver.memberIds()) reply.add_members(id);
-  for (const std::uint32_t id : m_workflows.relays()) reply.add_relays(id);
+  for (const std::uint32_t id : m_workflows.relaysFor(request.node().name())) reply.add_relays(id);
   if (hasNewTargets(request)) {
     reply.set_has_targets(true);
     reply.set_view(m_nodes.version());
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -196,6 +196,7 @@
     co_await sleepFor(internal::TickInterval);
     showGauges();
     if (!leads()) continue;
+    m_relays = RelayDirectory(m_ledger.relays(BootClock::now()));
     co_await expireRuns();
     reviewRuns();
     if (!table().open().empty()) wake();
@@ -334,18 +335,18 @@
 
 // ---- agents
 
-std::vector<std::uint32_t> WorkflowRunner::relays() const {
-  return m_ledger.relays(internal::RelaysNamed, BootClock::now());
+std::vector<std::uint32_t> WorkflowRunner::relaysFor(const std::string& asker) const {
+  return m_relays.relaysFor(asker, internal::RelaysNamed);
 }
 
 /** \returns what any agent may know: who leads, and the ways there. */
-schema::AttendReply WorkflowRunner::makeReply() const {
+schema::AttendReply WorkflowRunner::makeReply(const std::string& agent) const {
   schema::AttendReply reply;
   reply.set_term(m_driver.replica().term());
   if (m_membersSource) {
     for (const ReplicaId id : m_membersSource()) reply.add_members(id);
   }
-  for (const std::uint32_t id : relays()) reply.add_relays(id);
+  for (const std::uint32_t id : relaysFor(agent)) reply.add_relays(id);
   return reply;
 }
 
@@ -377,7 +378,7 @@
   const bool wasOpen = m_ledger.open(request.agent(), received);
   schema::RecordRuns runs = endsIn(request, received);
   // Answered at once: the agent's next report carries this term, and counts.
-  if (!m_ledger.isCurrent(request)) co_return makeReply();
+  if (!m_ledger.isCurrent(request)) co_return makeReply(request.agent());
   if (runs.ends_size() > 0 && !co_await commitRuns(std::move(runs))) co_return fail(m_driver.noLeader("attend"));
   notifyAgent(request.agent());  // a report that is held back has been overtaken
   // Ends wake the planner when they are applied, progress counts at the next tick; most reports change no decision.
@@ -394,7 +395,7 @@
   const Time now = BootClock::now();
   const bool sameLeader = leads(now) && m_driver.replica().term() == term;
   if (!sameLeader || m_released) co_return fail(m_driver.noLeader("attend"));
-  schema::AttendReply reply = makeReply();
+  schema::AttendReply reply = makeReply(request.agent());
   reply.set_ends_target(request.target().id());
   for (const schema::EndReport& row : request.ends()) {
     reply.set_ends_taken(std::max<std::uint64_t>(reply.ends_taken(), row.number()));
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -10,6 +10,7 @@
 
 #include "Courseloom/src/Control/AdviceBook.h"
 #include "Courseloom/src/Control/ReplicaDriver.h"
+#include "Courseloom/src/Membership/RelayDirectory.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
 #include "Courseloom/src/Scheduling/RunTimes.h"
@@ -55,8 +56,8 @@
   void onApplied();
 
   Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request);
-  /** \returns nodes that relay calls for those that cannot reach control. */
-  std::vector<std::uint32_t> relays() const;
+  /** \returns nodes that relay calls for one that cannot reach control. \param asker name of that node */
+  std::vector<std::uint32_t> relaysFor(const std::string& asker) const;
   /** Lets waiting agents go, so that they look for another leader. */
   void release();
   /** \returns control replicas, for agents that follow them. */
@@ -67,7 +68,7 @@
 
   Awaitable<void> tickLoop();
   Awaitable<void> planLoop();
-  schema::AttendReply makeReply() const;
+  schema::AttendReply makeReply(const std::string& agent) const;
   schema::RecordRuns endsIn(const schema::AttendRequest& report, Time received);
   Awaitable<bool> commitRuns(schema::RecordRuns runs);
   Awaitable<void> expireRuns();
@@ -117,6 +118,7 @@
   ReplicaDriver& m_driver;
   AdviceBook m_advice;
   RunLedger m_ledger;
+  RelayDirectory m_relays;  ///< as of the last tick
   RunPlanner m_planner;
   TargetHealth m_health;
   RunTimes m_runTimes;
--- a/Courseloom/src/Membership/ControlRelay.cpp
+++ b/Courseloom/src/Membership/ControlRelay.cpp
@@ -3,6 +3,8 @@
 
 #include "Courseloom/src/Membership/ControlRelay.h"
 
+#include "Courseloom/src/Core/Counted.h"
+
 namespace courseloom {
 
 namespace internal {
@@ -10,6 +12,9 @@
 
 /** Time for one call to be handed on; its sender gives up a little later. */
 constexpr Duration RelayLimit = milliseconds(500);
+/** Calls that are handed on at once: each of some 8 nodes has a report and a view under way all the time, and a few
+ * submissions. A caller costs about 0.4 MB. */
+constexpr unsigned MaxRelaying = 32;
 
 }  // namespace
 }  // namespace internal
@@ -25,6 +30,9 @@
 void ControlRelay::relay(const std::string& method, Awaitable<Result<Reply>> (ControlClient::*call)(Request, Time)) {
   m_server.handle<Request>(method, [this, method, call](Request request, std::string) -> Awaitable<Result<Reply>> {
     if (!m_inTouch()) co_return fail(Failure{FailureCode::NoLeader, Ran::No, method, "", "no way to control", 0});
+    if (m_relaying >= internal::MaxRelaying)
+      co_return fail(Failure{FailureCode::NoLeader, Ran::No, method, "", "relays as much as it may", 0});
+    const Counted<unsigned> counted(m_relaying);
     Duration limit = internal::RelayLimit;
     if constexpr (requires { request.wait_ms(); }) limit += milliseconds(request.wait_ms());
     if constexpr (requires { request.set_relayed(true); }) request.set_relayed(true);
--- a/Courseloom/src/Membership/ControlRelay.h
+++ b/Courseloom/src/Membership/ControlRelay.h
@@ -15,7 +15,8 @@
  *
  * It decides nothing and keeps nothing. It calls replicas only, never another relay, so that no call goes round. A
  * grant that comes through it is counted by its receiver from the sending of the request, so the way cannot lengthen
- * it. \sa ControlClient
+ * it. More calls at once than a node of this size bears are refused at once, so that their senders look elsewhere.
+ * \sa ControlClient
  */
 class ControlRelay {
  public:
@@ -39,6 +40,7 @@
   InTouch m_inTouch;
   unsigned m_port;  ///< where relays are looked for; 0 where nodes are not found by number
   std::uint32_t m_number = 0;
+  std::atomic<unsigned> m_relaying{0};  ///< calls under way
   ControlClient m_control;
   RpcServer m_server;
 };
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -233,19 +233,13 @@
   return found != m_targets.end() && found->second.askedAt != Time{};
 }
 
-std::vector<std::uint32_t> RunLedger::relays(std::size_t most, Time now) const {
-  std::vector<std::uint32_t> chosen;
-  std::vector<std::uint32_t> others;  // of data halls that have one already
-  std::set<std::string> halls;
+std::vector<RelayAgent> RunLedger::relays(Time now) const {
+  std::vector<RelayAgent> relays;
   for (const auto& [agent, target] : m_targets) {
     const bool direct = target.relay != 0 && !target.relayed && now <= target.heard + m_options.silence;
-    if (!direct) continue;
-    const bool newHall = halls.insert(target.report.data_hall()).second;
-    (newHall ? chosen : others).push_back(target.relay);
+    if (direct) relays.push_back({target.relay, target.report.data_hall()});
   }
-  chosen.insert(chosen.end(), others.begin(), others.end());
-  if (chosen.size() > most) chosen.resize(most);
-  return chosen;
+  return relays;
 }
 
 // ---- orders
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -79,6 +79,14 @@
   std::vector<RunKey> strays;  ///< reported as running, but not active in the log
 };
 
+/** \class RelayAgent
+ * \brief An agent that relays calls to control.
+ */
+struct RelayAgent {
+  std::uint32_t number = 0;  ///< by which nodes find it
+  std::string dataHall;
+};
+
 /** \class RunLedger
  * \brief The leader's account of runs between the log and the agents.
  *
@@ -125,9 +133,8 @@
   void ask(const std::string& agent, Time now);
   /** \returns whether an agent owes a sign of life. */
   bool asked(const std::string& agent) const;
-  /** \returns agents that relay calls to control and were heard lately without a relay: at most so many, of different
-   * data halls as far as there are. */
-  std::vector<std::uint32_t> relays(std::size_t most, Time now) const;
+  /** \returns agents that relay calls to control and were heard lately without a relay. */
+  std::vector<RelayAgent> relays(Time now) const;
   const RunLedgerOptions& options() const { return m_options; }
 
  private:
--- a/test/control_relay.cpp
+++ b/test/control_relay.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <memory>
 
 #include "Courseloom/src/Runtime/OneShot.h"
 #include "test/main.h"
@@ -188,3 +189,41 @@
   io.run_for(milliseconds(500));
   cr_assert(answered > 0, "the leader was never tried");
 }
+
+namespace {
+
+/** How calls to a relay ended. */
+struct CallCounts {
+  unsigned refused = 0;
+  unsigned doubtful = 0;
+};
+
+/** Reports through a relay once, on a connection of its own. */
+Awaitable<void> callRelay(asio::io_context& io, unsigned port, CallCounts& counts) {
+  const auto client = std::make_shared<RpcClient>(io, "127.0.9.28", port);
+  Result<schema::AttendReply> reply = co_await client->call<schema::AttendReply>("attend", schema::AttendRequest(),
+                                                                                 BootClock::now() + milliseconds(2000));
+  if (reply) co_return;
+  const Failure failure = takeFailure(reply);
+  if (failure.code == FailureCode::NoLeader && failure.ran == Ran::No) ++counts.refused;
+  if (failure.ran == Ran::Unknown) ++counts.doubtful;
+}
+
+}  // namespace
+
+// Every cut-off node at one relay cost it 34 MB and 425 descriptors; what is refused at once can go elsewhere.
+Test(control_relay, a_relay_that_bears_as_many_calls_as_it_may_refuses_at_once) {
+  asio::io_context io;
+  FakeReplica replica(io, "127.0.9.27", 0);
+  replica.silent = true;
+  ControlRelay relay(io, cluster("127.0.9.27", replica.port), [] { return true; });
+  schema::NodeSettings node;
+  node.set_address("127.0.9.28");
+  node.set_rpc_port(replica.port);
+  cr_assert(static_cast<bool>(relay.start(node)));
+  CallCounts counts;
+  for (int i = 0; i < 50; ++i) asio::co_spawn(io, callRelay(io, replica.port, counts), asio::detached);
+  io.run_for(milliseconds(250));
+  cr_assert_eq(counts.refused, 50 - 32, "%u were refused at once", counts.refused);
+  cr_assert_eq(counts.doubtful, 0);
+}
