A submission in doubt is asked again for as long as its caller waits

Cause: an entry gave every call up after 0.6 of the caller's time or 1.8 s, also one whose outcome was unknown. Ruled out: relays that tell a doubt on before the next way is tried; the client goes on after any failure that another way may mend. A doubt that stays is told later than before, by choice: the caller could do nothing better meanwhile.

--- a/Courseloom/src/Membership/ControlClient.cpp
+++ b/Courseloom/src/Membership/ControlClient.cpp
@@ -215,10 +215,10 @@
 }
 
 template <class Reply, class Request>
-Awaitable<Result<Reply>> ControlClient::callLeader(std::string method, Request request, Time deadline) {
+Awaitable<Result<Reply>> ControlClient::callLeader(std::string method, Request request, Time giveUpAt, Time deadline) {
   Failure last{FailureCode::NoLeader, Ran::No, method, "", "no control replica answered", 0};
   Ran ran = Ran::No;
-  while (BootClock::now() < deadline) {
+  while (BootClock::now() < (ran == Ran::Unknown ? deadline : giveUpAt)) {
     Result<Reply> reply = co_await tryOnce<Reply>(method, request, deadline);
     if (reply) co_return reply;
     last = takeFailure(reply);
@@ -233,7 +233,11 @@
 }
 
 Awaitable<Result<schema::QueueAnswer>> ControlClient::call(schema::QueueCall call, Time deadline) {
-  return callLeader<schema::QueueAnswer>("queue", std::move(call), deadline);
+  return callLeader<schema::QueueAnswer>("queue", std::move(call), deadline, deadline);
+}
+
+Awaitable<Result<schema::QueueAnswer>> ControlClient::call(schema::QueueCall call, Time giveUpAt, Time deadline) {
+  return callLeader<schema::QueueAnswer>("queue", std::move(call), giveUpAt, deadline);
 }
 
 Awaitable<Result<schema::AttendReply>> ControlClient::attend(schema::AttendRequest request, Time deadline) {
@@ -247,15 +251,15 @@
 Awaitable<Result<schema::CommandReply>> ControlClient::command(schema::Command command, Time deadline) {
   schema::CommandRequest request;
   *request.mutable_command() = std::move(command);
-  return callLeader<schema::CommandReply>("command", std::move(request), deadline);
+  return callLeader<schema::CommandReply>("command", std::move(request), deadline, deadline);
 }
 
 Awaitable<Result<schema::QueryReply>> ControlClient::query(schema::QueryRequest request, Time deadline) {
-  return callLeader<schema::QueryReply>("query", std::move(request), deadline);
+  return callLeader<schema::QueryReply>("query", std::move(request), deadline, deadline);
 }
 
 Awaitable<Result<schema::WatchReply>> ControlClient::watch(schema::WatchRequest request, Time deadline) {
-  return callLeader<schema::WatchReply>("watch", std::move(request), deadline);
+  return callLeader<schema::WatchReply>("watch", std::move(request), deadline, deadline);
 }
 
 }  // namespace courseloom
--- a/Courseloom/src/Membership/ControlClient.h
+++ b/Courseloom/src/Membership/ControlClient.h
@@ -36,6 +36,9 @@
   Awaitable<Result<schema::WatchReply>> watchOnce(schema::WatchRequest request, Time deadline);
 
   Awaitable<Result<schema::QueueAnswer>> call(schema::QueueCall call, Time deadline);
+  /** Gives up sooner what surely did not run than what may have run: a doubt is asked again until there is an answer.
+   * \param giveUpAt when a call that surely did not run is given up \param deadline when any is */
+  Awaitable<Result<schema::QueueAnswer>> call(schema::QueueCall call, Time giveUpAt, Time deadline);
   /** Not retried: the next report brings newer news. */
   Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request, Time deadline);
 
@@ -56,7 +59,7 @@
   };
 
   template <class Reply, class Request>
-  Awaitable<Result<Reply>> callLeader(std::string method, Request request, Time deadline);
+  Awaitable<Result<Reply>> callLeader(std::string method, Request request, Time giveUpAt, Time deadline);
   template <class Reply, class Request>
   Awaitable<Result<Reply>> tryOnce(const std::string& method, const Request& request, Time deadline);
   /** One way to the leader: a replica, or a relay. */
--- a/Courseloom/src/Membership/ControlRelay.cpp
+++ b/Courseloom/src/Membership/ControlRelay.cpp
@@ -22,7 +22,7 @@
 ControlRelay::ControlRelay(boost::asio::io_context& io, const schema::ClusterSettings& cluster, InTouch inTouch)
     : m_inTouch(std::move(inTouch)), m_port(cluster.seed_rpc_port()), m_control(io, cluster), m_server(io) {
   relay("attend", &ControlClient::attend);
-  relay("queue", &ControlClient::call);
+  relay<schema::QueueCall, schema::QueueAnswer>("queue", &ControlClient::call);
   relay("watch", &ControlClient::watch);
 }
 
