A data hall is drained and given back, durably, by selector or by the platform's order

Cause: an order to empty a data hall was answered 404, so it was never acknowledged, and work went on being placed there. Acknowledged once committed; the same again changes nothing. While a hall is drained its targets are planned as if they were gone, are asked for no advice, and entries see them as leaving; a start that is still on its way there is stopped with its gang, what runs ends by itself, work that never ends moves. status names drained halls with what still runs there; events 407, 408.

--- a/Courseloom/src/Client/Tables.cpp
+++ b/Courseloom/src/Client/Tables.cpp
@@ -162,10 +162,16 @@
   for (const schema::GuaranteeStatus& guarantee : status.guarantees()) {
     guarantees.push_back({guarantee.name(), guarantee.witnessed() ? "yes" : "AT RISK", guarantee.reason()});
   }
+  internal::Rows drains{{"DRAINED HALL", "BY", "TARGETS", "STILL RUNNING"}};
+  for (const schema::HallDrainStatus& drain : status.hall_drains()) {
+    drains.push_back({drain.drain().data_hall(), drain.drain().operator_name(), std::to_string(drain.targets()),
+                      std::to_string(drain.runs())});
+  }
   text << formatTable(replicas) << "\n"
        << formatTable(nodes) << "\n"
        << formatTable(workers) << "\n"
        << formatTable(guarantees);
+  if (status.hall_drains_size() > 0) text << "\n" << formatTable(drains);
   return text.str();
 }
 
--- a/Courseloom/src/Control/ConfigurationGateway.h
+++ b/Courseloom/src/Control/ConfigurationGateway.h
@@ -18,6 +18,9 @@
   virtual Awaitable<Result<void>> put(schema::QueueConfiguration configuration) = 0;
   /** \returns the newest configuration as it was sent; NoLeader where this replica cannot be sure */
   virtual Awaitable<Result<std::string>> read() = 0;
+  /** Drains a data hall or gives it back, durably; the same again changes nothing. \returns NoLeader where this replica
+   * cannot, BadRequest for what cannot name a data hall */
+  virtual Awaitable<Result<void>> drainHall(std::string hall, bool drained) = 0;
   /** \returns IP number of the leader, or an empty string if it is not known or is this replica. */
   virtual std::string leaderAddress() = 0;
 };
--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -110,6 +110,10 @@
   co_return configuration->source();
 }
 
+Awaitable<Result<void>> ControlService::drainHall(std::string hall, bool drained) {
+  co_return co_await asio::co_spawn(m_strand, m_queues.drainHall(std::move(hall), drained), asio::use_awaitable);
+}
+
 std::string ControlService::leaderAddress() {
   const ReplicaId leader = m_leader.load();
   const bool named = leader != 0 && m_context.settings.cluster().seeds_size() > 0;
@@ -140,6 +144,7 @@
     m_nodes.expire(BootClock::now());
     m_leader.store(m_driver.replica().leader());
     m_nodes.setLeavingInstances(m_jobs.leavingInstances());
+    m_nodes.setDrainedHalls(m_driver.state().hallDrains().halls());
     if (m_nodes.version() != announced) m_changed.notify();
     announced = m_nodes.version();
     co_await sleepFor(internal::HousekeepingInterval);
@@ -225,6 +230,7 @@
   const Time deadline = BootClock::now() + 2 * milliseconds(m_context.settings.cluster().election_timeout_ms());
   if (!leads()) co_return fail(m_driver.noLeader("command"));
   schema::Command& command = *request.mutable_command();
+  if (command.has_action()) nameHalls(*command.mutable_action());
   // A resent command gets its first answer, whatever has changed since.
   if (m_driver.state().knowsCommand(command.command_id()))
     co_return co_await m_driver.submit(std::move(command), deadline);
@@ -237,6 +243,20 @@
   co_return co_await m_driver.submit(std::move(command), deadline);
 }
 
+/** A data hall is found by its labels `kind=hall`, `hall` and `name`, like anything that an operator acts on. */
+void ControlService::nameHalls(schema::Action& action) const {
+  action.clear_halls();
+  Result<Selector> selector = Selector::parse(action.selector());
+  const bool concernsHalls = action.kind() == schema::Drain || action.kind() == schema::Resume;
+  if (!selector || !concernsHalls) return;
+  std::set<std::string> known = m_driver.state().hallDrains().halls();
+  for (const std::string& hall : m_workflows.dataHalls()) known.insert(hall);
+  for (const schema::NodeStatus& node : m_nodes.nodes(BootClock::now())) known.insert(node.data_hall());
+  for (const std::string& hall : known) {
+    if (selector->matches({{"kind", "hall"}, {"hall", hall}, {"name", hall}})) action.add_halls(hall);
+  }
+}
+
 /** A new leader reads the inventory within one poll; what names a shape can wait that long, to be checked against it.
  */
 Awaitable<void> ControlService::waitForInventory(Time deadline) const {
@@ -286,6 +306,7 @@
     row->set_match(replica.matchOf(member.id()));
     row->set_leader(member.id() == replica.leader());
   }
+  for (schema::HallDrainStatus& drain : m_workflows.hallDrainStatus()) *status.add_hall_drains() = std::move(drain);
   const Scheduler& scheduler = m_jobs.scheduler();
   const std::vector<schema::Worker>& workers = scheduler.topology().workers();
   for (std::size_t i = 0; i < workers.size(); ++i) {
@@ -407,17 +428,17 @@
     reply.set_view(m_nodes.version());
     for (schema::NodeStatus& node : m_nodes.targets()) *reply.add_targets() = std::move(node);
   }
-  reply.set_leaving(m_nodes.isLeaving(request.node().target()) || m_nodes.isLeaving(request.node().name()));
+  reply.set_leaving(m_nodes.isLeaving(request.node()));
   return reply;
 }
 
 Awaitable<Result<schema::WatchReply>> ControlService::watch(schema::WatchRequest request) {
   if (!leads()) co_return fail(m_driver.noLeader("watch"));
   m_nodes.heard(request.node(), BootClock::now());
-  const bool leavingBefore = m_nodes.isLeaving(request.node().target());
+  const bool leavingBefore = m_nodes.isLeaving(request.node());
   const Time end = BootClock::now() + milliseconds(request.wait_ms());
   while (leads() && !hasNews(request) && BootClock::now() < end && !m_stopping) {
-    if (m_nodes.isLeaving(request.node().target()) != leavingBefore) break;
+    if (m_nodes.isLeaving(request.node()) != leavingBefore) break;
     co_await m_changed.wait(end);
   }
   if (!leads()) co_return fail(m_driver.noLeader("watch"));
--- a/Courseloom/src/Control/ControlService.h
+++ b/Courseloom/src/Control/ControlService.h
@@ -34,12 +34,14 @@
  private:
   Awaitable<Result<void>> put(schema::QueueConfiguration configuration) override;
   Awaitable<Result<std::string>> read() override;
+  Awaitable<Result<void>> drainHall(std::string hall, bool drained) override;
   std::string leaderAddress() override;
   Result<void> startEdge();
   void registerHandlers();
   void registerWorkflowHandlers();
   Awaitable<Result<schema::Empty>> replicate(schema::ReplicaMessage message);
   Awaitable<Result<schema::CommandReply>> command(schema::CommandRequest request);
+  void nameHalls(schema::Action& action) const;
   Awaitable<void> waitForInventory(Time deadline) const;
   Awaitable<Result<schema::CommandReply>> configure(schema::Command command, Time deadline);
   Awaitable<Result<schema::QueryReply>> query(schema::QueryRequest request);
--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -168,6 +168,25 @@
   co_return Result<void>();
 }
 
+Awaitable<Result<void>> QueueHandler::drainHall(std::string hall, bool drained) {
+  if (!leads()) co_return fail(m_driver.noLeader("drain hall"));
+  if (!isHallName(hall)) {
+    co_return fail(
+        Failure{FailureCode::BadRequest, Ran::No, "drain hall", "", "'" + hall + "' cannot name a data hall", 0});
+  }
+  // What this leader may read is committed, so an order that is sent again is done already.
+  if (m_driver.state().hallDrains().contains(hall) == drained) co_return Result<void>();
+  schema::Command command;
+  command.set_operator_name("platform");
+  command.mutable_action()->set_kind(drained ? schema::Drain : schema::Resume);
+  command.mutable_action()->set_selector("kind=hall,hall=" + hall);
+  command.mutable_action()->add_halls(hall);
+  Result<schema::CommandReply> reply =
+      co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
+  if (!reply) co_return fail(takeFailure(reply));
+  co_return Result<void>();
+}
+
 Awaitable<Result<schema::QueueConfiguration>> QueueHandler::readConfiguration() {
   if (!leads()) co_return fail(m_driver.noLeader("read configuration"));
   co_return table().configuration();
--- a/Courseloom/src/Control/QueueHandler.h
+++ b/Courseloom/src/Control/QueueHandler.h
@@ -25,6 +25,8 @@
   Awaitable<Result<void>> putConfiguration(schema::QueueConfiguration configuration);
   /** \returns the configuration in force, surely the newest one; NoLeader where this replica cannot be sure */
   Awaitable<Result<schema::QueueConfiguration>> readConfiguration();
+  /** Drains a data hall or gives it back. \returns once a quorum holds that */
+  Awaitable<Result<void>> drainHall(std::string hall, bool drained);
 
  private:
   bool leads() const { return m_driver.canRead(); }
--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -80,7 +80,8 @@
 /** \returns whether a target that was planned for still lives and may be given runs. */
 bool WorkflowRunner::takesStarts(const PlannedTarget& target) const {
   if (!m_ledger.open(target.agent, BootClock::now())) return false;
-  return m_ledger.targets().at(target.agent).report.id() == target.id;
+  const TargetTrack& track = m_ledger.targets().at(target.agent);
+  return track.report.id() == target.id && !isDrained(track);
 }
 
 void WorkflowRunner::stopPlanned(const RunPlan& plan, const std::vector<PlannedStep>& steps) {
@@ -189,6 +190,7 @@
   const bool trusted = !m_health.tooManySuspect(lives, now);
   std::vector<PlannedTarget> targets;
   for (const auto& [agent, track] : m_ledger.targets()) {
+    if (isDrained(track)) continue;  // planned as if it were gone
     const schema::TargetReport& report = track.report;
     PlannedTarget& target = targets.emplace_back();
     target.id = report.id();
@@ -344,7 +346,7 @@
   std::vector<std::string>& open = m_openTargets[service];
   const Time now = BootClock::now();
   for (const auto& [agent, track] : m_ledger.targets()) {
-    const bool fits = track.report.service() == service && m_ledger.open(agent, now);
+    const bool fits = track.report.service() == service && !isDrained(track) && m_ledger.open(agent, now);
     if (fits) open.push_back(track.report.id());
   }
   return open;
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -110,6 +110,7 @@
 }
 
 void WorkflowRunner::onApplied() {
+  takeDrains();
   const std::vector<RunChange> changes = m_driver.takeRunChanges();
   const std::vector<std::string> ended = m_driver.takeEndedWorkflows();
   for (const RunChange& change : changes) learnFrom(change);
@@ -136,6 +137,65 @@
   wake();
 }
 
+// ---- drained data halls
+
+bool WorkflowRunner::isDrained(const TargetTrack& target) const {
+  return m_driver.state().hallDrains().contains(target.report.data_hall());
+}
+
+bool WorkflowRunner::runsInDrainedHall(const RunTrack& track) const {
+  const auto found = m_ledger.targets().find(track.agent);
+  return found != m_ledger.targets().end() && isDrained(found->second);
+}
+
+/** A start that is on its way to a hall when that is drained would begin there later; it goes elsewhere. What runs
+ * there ends by itself. */
+void WorkflowRunner::takeDrains() {
+  std::set<std::string> halls = m_driver.state().hallDrains().halls();
+  if (halls == m_drainedHalls) return;
+  for (const std::string& hall : m_drainedHalls) {
+    if (halls.count(hall) == 0) logEvent(schema::HallReturned, {{"hall", hall}});
+  }
+  for (const schema::HallDrainStatus& status : hallDrainStatus()) {
+    if (m_drainedHalls.count(status.drain().data_hall()) > 0) continue;
+    logEvent(schema::HallDrained,
+             {{"hall", status.drain().data_hall()}, {"by", status.drain().operator_name()}, {"runs", status.runs()}});
+  }
+  m_drainedHalls = std::move(halls);
+  if (!m_leads) return;
+  std::vector<RunKey> onTheirWay;
+  for (const auto& [key, track] : m_ledger.runs()) {
+    if (!track.confirmed && !track.stopWanted && runsInDrainedHall(track)) onTheirWay.push_back(key);
+  }
+  for (const RunKey& key : onTheirWay) stopWhole(key, "its data hall is drained");
+  wake();
+}
+
+std::set<std::string> WorkflowRunner::dataHalls() const {
+  std::set<std::string> halls;
+  for (const auto& [agent, target] : m_ledger.targets()) halls.insert(target.report.data_hall());
+  halls.erase("");
+  return halls;
+}
+
+std::vector<schema::HallDrainStatus> WorkflowRunner::hallDrainStatus() const {
+  std::map<std::string, schema::HallDrainStatus> byHall;
+  for (const auto& [hall, drain] : m_driver.state().hallDrains().drains()) *byHall[hall].mutable_drain() = drain;
+  for (const auto& [agent, target] : m_ledger.targets()) {
+    const auto found = byHall.find(target.report.data_hall());
+    if (found != byHall.end()) found->second.set_targets(found->second.targets() + 1);
+  }
+  for (const auto& [key, track] : m_ledger.runs()) {
+    const auto target = m_ledger.targets().find(track.agent);
+    if (target == m_ledger.targets().end()) continue;
+    const auto found = byHall.find(target->second.report.data_hall());
+    if (found != byHall.end()) found->second.set_runs(found->second.runs() + 1);
+  }
+  std::vector<schema::HallDrainStatus> statuses;
+  for (auto& [hall, status] : byHall) statuses.push_back(std::move(status));
+  return statuses;
+}
+
 /** Takes an end into the target's health, and tells if it changes what is believed of the target. */
 void WorkflowRunner::noteHealth(const RunChange& change) {
   const std::string& target = change.run.target();
@@ -276,7 +336,9 @@
   for (const auto& [key, track] : m_ledger.runs()) {
     const WorkflowState* workflow = table().find(key.workflow);
     if (track.stopWanted || workflow == nullptr || workflow->ended()) continue;
-    if (leavesTooLate(key, track)) leaving.push_back(key);
+    // Work that never ends by itself would keep a drained hall in use for good.
+    const bool endless = workflow->step(key.task.step).long_running() && runsInDrainedHall(track);
+    if (endless || leavesTooLate(key, track)) leaving.push_back(key);
     if (standsStill(key, track)) still.push_back(key);
   }
   for (const RunKey& key : leaving) stopWhole(key, "its target leaves");
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -58,6 +58,10 @@
   Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request);
   /** \returns nodes that relay calls for one that cannot reach control. \param asker name of that node */
   std::vector<std::uint32_t> relaysFor(const std::string& asker) const;
+  /** \returns data halls of the targets that are known. */
+  std::set<std::string> dataHalls() const;
+  /** \returns each drained data hall with the targets and runs that are still there. */
+  std::vector<schema::HallDrainStatus> hallDrainStatus() const;
   /** Lets waiting agents go, so that they look for another leader. */
   void release();
   /** \returns control replicas, for agents that follow them. */
@@ -85,6 +89,9 @@
   std::vector<RunPlan::Start> startsInReach(const RunPlan& plan, const std::vector<PlannedStep>& steps,
                                             const std::vector<PlannedTarget>& targets);
   void reviewRuns();
+  void takeDrains();
+  bool isDrained(const TargetTrack& target) const;
+  bool runsInDrainedHall(const RunTrack& track) const;
   void noteHealth(const RunChange& change);
   void stopSiblings(const RunChange& change);
   void noteEnded(const WorkflowState& workflow);
@@ -126,6 +133,7 @@
   std::map<std::string, ChangeSignal> m_agentSignals;
   std::map<StepName, Time> m_readySince;
   std::function<std::vector<ReplicaId>()> m_membersSource;
+  std::set<std::string> m_drainedHalls;        ///< as last seen
   std::set<std::string> m_guaranteed;          ///< workflows within their tenants' guarantees, as of this plan
   std::map<std::string, Room> m_serviceRooms;  ///< by service, as of this plan
   std::map<std::string, std::vector<std::string>> m_openTargets;  ///< by service, as of this plan
--- a/Courseloom/src/Membership/NodeTable.cpp
+++ b/Courseloom/src/Membership/NodeTable.cpp
@@ -50,6 +50,17 @@
   ++m_version;
 }
 
+void NodeTable::setDrainedHalls(std::set<std::string> halls) {
+  if (halls == m_drainedHalls) return;
+  m_drainedHalls = std::move(halls);
+  ++m_version;
+}
+
+bool NodeTable::isLeaving(const schema::NodeStatus& node) const {
+  const bool leaves = m_leavingInstances.count(node.target()) > 0 || m_leavingInstances.count(node.name()) > 0;
+  return leaves || (node.role() == schema::AgentRole && m_drainedHalls.count(node.data_hall()) > 0);
+}
+
 void NodeTable::clear() {
   m_nodes.clear();
   ++m_version;
@@ -60,7 +71,7 @@
   for (const auto& [name, entry] : m_nodes) {
     if (entry.status.role() != schema::AgentRole) continue;
     list.push_back(entry.status);
-    if (isLeaving(entry.status.target())) list.back().set_leaving(true);
+    if (isLeaving(entry.status)) list.back().set_leaving(true);
   }
   return list;
 }
@@ -70,7 +81,7 @@
   for (const auto& [name, entry] : m_nodes) {
     list.push_back(entry.status);
     list.back().set_silent_ms(static_cast<std::uint32_t>(toMilliseconds(now - entry.heard)));
-    if (isLeaving(entry.status.target())) list.back().set_leaving(true);
+    if (isLeaving(entry.status)) list.back().set_leaving(true);
   }
   return list;
 }
--- a/Courseloom/src/Membership/NodeTable.h
+++ b/Courseloom/src/Membership/NodeTable.h
@@ -29,6 +29,8 @@
   void expire(Time now);
   /** Takes the platform's list of leaving instances. */
   void setLeavingInstances(std::set<std::string> names);
+  /** Takes the data halls that are drained; targets there are leaving until they are given back. */
+  void setDrainedHalls(std::set<std::string> halls);
   void clear();
 
   /** \returns a number that grows whenever the list of targets changes otherwise than in load. */
@@ -37,8 +39,8 @@
   std::vector<schema::NodeStatus> targets() const;
   /** \returns all live nodes with the time since they were heard. */
   std::vector<schema::NodeStatus> nodes(Time now) const;
-  /** \returns whether the platform says that a target is leaving. */
-  bool isLeaving(const std::string& target) const { return m_leavingInstances.count(target) > 0; }
+  /** \returns whether a node's target gets nothing new: the platform says that it leaves, or its hall is drained. */
+  bool isLeaving(const schema::NodeStatus& node) const;
 
  private:
   struct Entry {
@@ -49,6 +51,7 @@
   Duration m_lease;
   std::map<std::string, Entry> m_nodes;
   std::set<std::string> m_leavingInstances;
+  std::set<std::string> m_drainedHalls;
   std::uint64_t m_version = 1;
 };
 
--- a/Courseloom/src/State/ClusterState.cpp
+++ b/Courseloom/src/State/ClusterState.cpp
@@ -61,6 +61,8 @@
 static std::string commandDigest(const schema::Command& command) {
   schema::Command repeated = command;
   repeated.clear_time_ms();
+  // What the leader knew then says nothing of what was asked.
+  if (repeated.has_action()) repeated.mutable_action()->clear_halls();
   return digestOf(repeated);
 }
 
@@ -185,6 +187,7 @@
     jobs.push_back(id);
     reply.add_matched("job/" + id);
   }
+  for (const std::string& hall : action.halls()) reply.add_matched("hall/" + hall);
   return reply;
 }
 
@@ -195,6 +198,7 @@
   if (reply.has_failure()) return reply;
   for (const ObjectId& id : objects) actOnObject(id, command.action(), index, command.operator_name());
   for (const std::string& id : jobs) actOnJob(m_jobs.at(id), command.action());
+  for (const std::string& hall : command.action().halls()) actOnHall(hall, index, command);
   reply.set_revision(objects.empty() ? m_objects.revision() : index);
   return reply;
 }
@@ -222,6 +226,12 @@
   m_objects.put(std::move(object), index, operatorName);
 }
 
+void ClusterState::actOnHall(const std::string& hall, LogIndex index, const schema::Command& command) {
+  if (command.action().kind() == schema::Drain)
+    m_hallDrains.add(hall, command.time_ms(), command.operator_name(), index);
+  if (command.action().kind() == schema::Resume) m_hallDrains.remove(hall);
+}
+
 void ClusterState::actOnJob(schema::Job& job, const schema::Action& action) {
   switch (action.kind()) {
     case schema::Pause:
@@ -361,6 +371,7 @@
   m_objects.save(snapshot);
   m_claims.save(snapshot);
   m_workflows.save(snapshot);
+  m_hallDrains.save(snapshot);
   for (const auto& [id, job] : m_jobs) *snapshot.add_jobs() = job;
   for (const auto& [time, id] : m_replyOrder) {
     const auto kept = m_replies.find(id);
@@ -380,6 +391,7 @@
   m_objects.load(snapshot);
   m_claims.load(snapshot);
   m_workflows.load(snapshot);
+  m_hallDrains.load(snapshot);
   std::multimap<std::uint64_t, std::string> ended;
   for (const schema::Job& job : snapshot.jobs()) {
     m_jobs[job.id()] = job;
--- a/Courseloom/src/State/ClusterState.h
+++ b/Courseloom/src/State/ClusterState.h
@@ -10,6 +10,7 @@
 
 #include "Courseloom/src/Replication/ReplicaTypes.h"
 #include "Courseloom/src/State/ClaimTable.h"
+#include "Courseloom/src/State/HallDrains.h"
 #include "Courseloom/src/State/ObjectTable.h"
 #include "Courseloom/src/State/WorkflowTable.h"
 
@@ -45,6 +46,7 @@
   const ClaimTable& claims() const { return m_claims; }
   const WorkflowTable& workflows() const { return m_workflows; }
   WorkflowTable& workflows() { return m_workflows; }
+  const HallDrains& hallDrains() const { return m_hallDrains; }
   const std::map<std::string, schema::Job>& jobs() const { return m_jobs; }
   const schema::Job* job(const std::string& id) const;
   /** \returns jobs changed since the last call, for the scheduler; each id once. */
@@ -66,6 +68,7 @@
   schema::CommandReply matchAction(const schema::Action& action, std::vector<ObjectId>& objects,
                                    std::vector<std::string>& jobs) const;
   void actOnObject(const ObjectId& id, const schema::Action& action, LogIndex index, const std::string& operatorName);
+  void actOnHall(const std::string& hall, LogIndex index, const schema::Command& command);
   void actOnJob(schema::Job& job, const schema::Action& action);
   const schema::KeptReply* keptReply(const std::string& commandId) const;
   void keepReply(const schema::Command& command, const schema::CommandReply& reply);
@@ -76,6 +79,7 @@
   ObjectTable m_objects;
   ClaimTable m_claims;
   WorkflowTable m_workflows;
+  HallDrains m_hallDrains;
   std::map<std::string, schema::Job> m_jobs;
   std::map<std::pair<std::string, std::string>, std::string> m_jobByRequest;
   std::deque<std::pair<std::uint64_t, std::string>> m_endedJobs;
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -56,7 +56,7 @@
       m_processes["runner-" + std::to_string(i)] = std::make_unique<Process>(
           std::vector<std::string>{BuildFolder + "/test/standin-runner", "--address", address(10 + i), "--port",
                                    std::to_string(m_base + TargetPort), "--agent", at(10 + i, ControlPort), "--name",
-                                   "m" + std::to_string(i)},
+                                   "m" + std::to_string(i), "--hall", hallOf(10 + i)},
           m_folder + "/runner.log");
     }
     entry();
@@ -115,6 +115,15 @@
     }
     return 0;
   }
+  /** Sends an operator's order without a body to replicas until one takes it. \returns its status */
+  unsigned order(const std::string& path) {
+    for (unsigned i = 0; i < 400; ++i) {
+      const HttpReply reply = send({at(1 + i % 4, ControlPort), "POST", path, "", {}, milliseconds(3000)});
+      if (reply.status == 200 || reply.status == 400) return reply.status;
+      pause(20);
+    }
+    return 0;
+  }
   std::string readBack() {
     for (unsigned i = 0; i < 400; ++i) {
       const HttpReply reply = send({at(1 + i % 4, ControlPort), "GET", "/-/Config.Get", "", {}, milliseconds(3000)});
@@ -160,13 +169,16 @@
   std::string address(unsigned host) const { return "127.0.7." + std::to_string(host); }
   std::string at(unsigned host, unsigned port) const { return address(host) + ":" + std::to_string(m_base + port); }
 
+  /** The second agent's hall is hall-2; all else is in hall-1. */
+  static std::string hallOf(unsigned host) { return host == 12 ? "hall-2" : "hall-1"; }
+
   static unsigned freePorts() { return 21000 + std::random_device()() % 400 * 10; }
 
   void start(const std::string& name, const std::string& program, unsigned host, const std::string& extra) {
     std::ofstream file(m_folder + "/" + name + ".yaml");
-    file << "node: {name: " << name << ", address: " << address(host)
-         << ", dataHall: hall-1, threads: 1, rpcPort: " << m_base << ", httpPort: " << m_base + HttpPort
-         << ", dataFolder: " << m_folder << "/" << name << "}\n"
+    file << "node: {name: " << name << ", address: " << address(host) << ", dataHall: " << hallOf(host)
+         << ", threads: 1, rpcPort: " << m_base << ", httpPort: " << m_base + HttpPort << ", dataFolder: " << m_folder
+         << "/" << name << "}\n"
          << "cluster:\n  id: test\n  heartbeatMs: 50\n  electionTimeoutMs: " << ElectionTimeoutMs
          << "\n  freshnessLeaseMs: 2000\n"
          << "  seedRpcPort: " << m_base << "\n  seeds:\n";
--- a/test/cluster_state.cpp
+++ b/test/cluster_state.cpp
@@ -153,3 +153,57 @@
   reserves[1].mutable_change_job()->mutable_job()->mutable_leases(1)->set_number(4);
   cr_assert_not(state.apply(16, reserves[1]).has_failure());
 }
+
+namespace {
+
+schema::Command actOnHall(schema::ActionKind kind, const std::string& hall, const std::string& commandId = "") {
+  schema::Command command;
+  command.set_command_id(commandId);
+  command.set_operator_name("ana");
+  command.set_time_ms(1000);
+  command.mutable_action()->set_kind(kind);
+  command.mutable_action()->set_selector("kind=hall,hall=" + hall);
+  command.mutable_action()->add_halls(hall);
+  return command;
+}
+
+}  // namespace
+
+Test(cluster_state, a_drain_is_kept_through_repeats_snapshots_and_other_halls) {
+  ClusterState state;
+  const schema::CommandReply reply = state.apply(10, actOnHall(schema::Drain, "hall-1"));
+  cr_assert_eq(reply.matched_size(), 1);
+  cr_assert_str_eq(reply.matched(0).c_str(), "hall/hall-1");
+  const std::uint64_t version = state.hallDrains().version();
+  state.apply(11, actOnHall(schema::Drain, "hall-1"));
+  cr_assert_eq(state.hallDrains().version(), version, "sent again, it changes nothing");
+  state.apply(12, actOnHall(schema::Resume, "hall-2"));
+  ClusterState restored;
+  cr_assert(static_cast<bool>(restored.load(state.save())));
+  cr_assert(restored.hallDrains().contains("hall-1"));
+  const schema::HallDrain& drain = restored.hallDrains().drains().at("hall-1");
+  cr_assert(drain.revision() == 10 && drain.since_ms() == 1000 && drain.operator_name() == "ana");
+  restored.apply(13, actOnHall(schema::Resume, "hall-1"));
+  cr_assert(restored.hallDrains().halls().empty());
+  ClusterState returned;
+  cr_assert(static_cast<bool>(returned.load(restored.save())));
+  cr_assert(returned.hallDrains().halls().empty(), "given back, it stays so");
+}
+
+// The leader fills in the halls that it knows; a resent command may meet another leader, which knows others.
+Test(cluster_state, a_resent_drain_gets_its_first_answer_whatever_halls_are_known_then) {
+  ClusterState state;
+  state.apply(10, actOnHall(schema::Drain, "hall-1", "c1"));
+  schema::Command resent = actOnHall(schema::Drain, "hall-1", "c1");
+  resent.mutable_action()->clear_halls();
+  const schema::CommandReply reply = state.apply(11, resent);
+  cr_assert(reply.replayed());
+  cr_assert_not(reply.has_failure());
+}
+
+Test(cluster_state, what_names_a_data_hall) {
+  cr_assert(isHallName("surquillo-a") && isHallName("H_1.2"));
+  for (const std::string& wrong : {std::string(), std::string("a/b"), std::string("a b"), std::string(65, 'x')}) {
+    cr_assert_not(isHallName(wrong), "'%s'", wrong.c_str());
+  }
+}
--- a/test/node_table.cpp
+++ b/test/node_table.cpp
@@ -86,3 +86,20 @@
   table.heard(agent(5, 0, true), Now);
   cr_assert(table.targets()[0].leaving());
 }
+
+Test(node_table, targets_in_a_drained_hall_are_leaving_until_it_is_given_back) {
+  NodeTable table(Lease);
+  schema::NodeStatus inHall = agent(5, 1);
+  inHall.set_data_hall("hall-1");
+  table.heard(inHall, Now);
+  schema::NodeStatus entry = inHall;
+  entry.set_name("entry-1");
+  entry.set_role(schema::EntryRole);
+  const std::uint64_t version = table.version();
+  table.setDrainedHalls({"hall-1"});
+  cr_assert(table.targets()[0].leaving());
+  cr_assert(table.version() > version, "entries hear of it");
+  cr_assert_not(table.isLeaving(entry), "an entry there serves on");
+  table.setDrainedHalls({});
+  cr_assert_not(table.targets()[0].leaving());
+}
--- a/test/standins/runner.cpp
+++ b/test/standins/runner.cpp
@@ -61,6 +61,7 @@
   std::string agent;
   std::string name = "m";
   std::string service = "s";
+  std::string hall = "hall-1";
   std::string events;           ///< file for events; empty is none
   unsigned clockPercent = 100;  ///< speed of its clock
   std::uint64_t seed = 1;       ///< of what it draws
@@ -146,15 +147,12 @@
       while (BootClock::now() < m_hushUntil) co_await sleepFor(Look);
       HttpRequest request(http::verb::post, "/-/Instances.Heartbeat/" + id(), 11);
       request.set(http::field::content_type, "application/json");
-      const json::object body{{"service", m_options.service},
-                              {"address", m_options.address},
-                              {"zone", "hall-1"},
-                              {"state", m_draining ? "draining" : "ready"},
-                              {"remaining_ms", 400},
-                              {"capacity", {{"cpu", 64000}, {"mem_mb", 64000}, {"gpu", 8}}},
-                              {"labels", {"a", "r1"}},
-                              {"clock_ms", clockMs()},
-                              {"seq", ++m_sequence}};
+      const json::object body{
+          {"service", m_options.service}, {"address", m_options.address},
+          {"zone", m_options.hall},       {"state", m_draining ? "draining" : "ready"},
+          {"remaining_ms", 400},          {"capacity", {{"cpu", 64000}, {"mem_mb", 64000}, {"gpu", 8}}},
+          {"labels", {"a", "r1"}},        {"clock_ms", clockMs()},
+          {"seq", ++m_sequence}};
       request.body() = json::serialize(body);
       m_heartbeats.push_back(request);
       if (m_heartbeats.size() > KeptHeartbeats) m_heartbeats.pop_front();
@@ -404,6 +402,7 @@
   app.add_option("--agent", options.agent, "Where it registers")->required();
   app.add_option("--name", options.name, "Name, part of its identities");
   app.add_option("--service", options.service, "Its service");
+  app.add_option("--hall", options.hall, "Its data hall");
   app.add_option("--events", options.events, "File for events");
   app.add_option("--clock-percent", options.clockPercent, "Speed of its clock, percent");
   app.add_option("--seed", options.seed, "Of what it draws");
--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -123,3 +123,32 @@
   test.process("entry-1").signal(SIGTERM);
   cr_assert_eq(test.process("entry-1").wait(milliseconds(40000)), 0);
 }
+
+// A drained hall gets nothing new, through the loss of the leader and of a disk, until it is given back.
+Test(workflows_processes, a_drained_data_hall_gets_no_new_work_until_it_is_given_back) {
+  WorkflowDeployment test;
+  test.setUp();
+  cr_assert_eq(test.order("/-/Evacuations.Start/no/hall"), 400);
+  cr_assert_eq(test.call("POST", "/q/00000000000000f0", job(12, "1500")).status, 200);
+  for (int wait = 0; wait < 200 && !test.runner(2, "GET", "/starts").has("00000000000000f0"); ++wait) pause(20);
+  cr_assert(test.runner(2, "GET", "/starts").has("00000000000000f0"));
+  cr_assert_eq(test.order("/-/Evacuations.Start/hall-2"), 200);
+  cr_assert_eq(test.order("/-/Evacuations.Start/hall-2"), 200, "the same again");
+  cr_assert_eq(test.call("POST", "/q/00000000000000f1", job(4, "100")).status, 200);
+  cr_assert(test.until(200, "GET", "/q/00000000000000f1", "", "completed"));
+  cr_assert(test.until(200, "GET", "/q/00000000000000f0", "", "completed"), "what runs there ends by itself");
+  const unsigned leader = test.leader();
+  test.kill("control-" + std::to_string(leader));
+  test.wipe(leader);
+  test.control(leader, false);
+  cr_assert(test.until(200, "POST", "/q/00000000000000f2", job(4, "100")));
+  cr_assert(test.until(200, "GET", "/q/00000000000000f2", "", "completed"));
+  const std::string drained = test.runner(2, "GET", "/starts").body;
+  cr_assert(drained.find("00000000000000f1") == std::string::npos, "started in a drained hall: %s", drained.c_str());
+  cr_assert(drained.find("00000000000000f2") == std::string::npos, "a new leader forgot the drain: %s",
+            drained.c_str());
+  cr_assert_eq(test.order("/-/Evacuations.Finish/hall-2"), 200);
+  cr_assert(test.until(200, "POST", "/q/00000000000000f3", job(16, "300")));
+  cr_assert(test.until(200, "GET", "/q/00000000000000f3", "", "completed"));
+  cr_assert(test.runner(2, "GET", "/starts").has("00000000000000f3"), "its targets are used again");
+}
