A gang leaves a target that goes before its slowest member is done

Ruled out: the planner (the gang was not waiting for room, a member's run was still active). Change: whether a target goes too early is judged by the gang's slowest member. Test: objective, a_gang_needs_as_long_as_its_slowest_member (new).

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -309,7 +309,12 @@
   if (step.long_running()) return true;
   const double leftMs =
       static_cast<double>(target.report.remaining_ms()) - toMilliseconds(BootClock::now() - target.heard);
-  return remainingMs(key, track) + internal::LeaveMarginMs > leftMs;
+  // A member that is done sooner waits for the others, and its target's end breaks them all.
+  const double wholeMs = expectedMs(table().find(key.workflow)->record.queue(), step);
+  const auto remaining = [&](const RunTrack& run) { return remainingMs(run, wholeMs); };
+  const double neededMs =
+      step.gang() ? gangRemainingMs(m_ledger.runs(), key, step.count(), remaining) : remaining(track);
+  return neededMs + internal::LeaveMarginMs > leftMs;
 }
 
 /** A gang works only while all its members do, so it stands still for as long as the last one of them. Silence of an
@@ -366,11 +371,6 @@
   return learns() ? m_runTimes.expectedMs(queue, estimateMs) : estimateMs;
 }
 
-double WorkflowRunner::remainingMs(const RunKey& key, const RunTrack& track) const {
-  const schema::Workflow& record = table().find(key.workflow)->record;
-  return remainingMs(track, expectedMs(record.queue(), record.spec().steps(static_cast<int>(key.task.step))));
-}
-
 /** \returns the time that a run still needs, ms. \param wholeMs run time to be expected of its task */
 double WorkflowRunner::remainingMs(const RunTrack& track, double wholeMs) const {
   const double leftMs = wholeMs * (1.0 - track.percent / internal::WholePercent);
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -104,7 +104,6 @@
   bool standsStill(const RunKey& key, const RunTrack& track) const;
   bool learns() const { return m_context.settings.policy().learn_run_times(); }
   double expectedMs(const std::string& queue, const schema::StepSpec& step) const;
-  double remainingMs(const RunKey& key, const RunTrack& track) const;
   double remainingMs(const RunTrack& track, double wholeMs) const;
   void learnFrom(const RunChange& change);
   void stopWhole(const RunKey& key, const char* reason);
--- a/Courseloom/src/Scheduling/RunTimes.cpp
+++ b/Courseloom/src/Scheduling/RunTimes.cpp
@@ -49,6 +49,16 @@
   return std::exp(x + trust * (meanY - meanX + (slope - 1.0) * (x - meanX)));
 }
 
+double gangRemainingMs(const std::map<RunKey, RunTrack>& runs, const RunKey& member, std::uint32_t count,
+                       const std::function<double(const RunTrack&)>& remainingMs) {
+  double longest = 0.0;
+  for (std::uint32_t index = 0; index < count; ++index) {
+    const auto found = runs.find({member.workflow, {member.task.occurrence, member.task.step, index}, member.run});
+    if (found != runs.end()) longest = std::max(longest, remainingMs(found->second));
+  }
+  return longest;
+}
+
 std::optional<double> remainingByPaceMs(const RunTrack& track, Time now) {
   const bool seen = track.firstSeen != Time{} && track.percent >= track.firstPercent + internal::TellingPercent;
   const double tookMs = toMilliseconds(track.percentChanged - track.firstSeen);
--- a/test/objective.cpp
+++ b/test/objective.cpp
@@ -94,3 +94,18 @@
   cr_assert_float_eq(*remainingByPaceMs(track, begin + milliseconds(1400)), 600.0, 1.0, "it goes on while unseen");
   cr_assert_eq(*remainingByPaceMs(track, begin + milliseconds(9000)), 0.0);
 }
+
+// A target that goes before the slowest member of a gang is done breaks the gang, however far its own member is.
+Test(objective, a_gang_needs_as_long_as_its_slowest_member) {
+  std::map<RunKey, RunTrack> runs;
+  for (std::uint32_t index = 0; index < 3; ++index) {
+    runs[{"w", {0, 0, index}, 2}].percent = 90 - 30 * index;
+  }
+  runs[{"w", {0, 0, 0}, 1}].percent = 0;  // a former run of the gang
+  runs[{"w", {0, 1, 0}, 2}].percent = 0;  // another step
+  const auto remaining = [](const RunTrack& run) { return 10.0 * (100 - run.percent); };
+  cr_assert_eq(gangRemainingMs(runs, {"w", {0, 0, 0}, 2}, 3, remaining), 700.0);
+  runs.erase({"w", {0, 0, 2}, 2});
+  cr_assert_eq(gangRemainingMs(runs, {"w", {0, 0, 0}, 2}, 3, remaining), 400.0,
+               "a member that has ended needs nothing");
+}
