--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -387,11 +387,11 @@
     if (!leads()) continue;
     const Time before = BootClock::now();
     schema::RecordRuns runs = co_await makePlan();
-    const Duration took = BootClock::now() - before;
-    m_context.metrics.record("plan_ms", "all", "all", toMilliseconds(took));
+    m_planTook = BootClock::now() - before;
+    m_context.metrics.record("plan_ms", "all", "all", toMilliseconds(m_planTook));
     if (runs.starts_size() > 0) co_await commitRuns(std::move(runs));
-    if (took >= internal::ShortPlan)
-      co_await sleepFor(std::min(internal::LongestPlanPause, internal::PausePerPlan * took));
+    if (m_planTook >= internal::ShortPlan)
+      co_await sleepFor(std::min(internal::LongestPlanPause, internal::PausePerPlan * m_planTook));
   }
 }
 
@@ -443,8 +443,10 @@
   if (!m_ledger.isCurrent(request)) co_return makeReply(request.agent());
   if (runs.ends_size() > 0 && !co_await commitRuns(std::move(runs))) co_return fail(m_driver.noLeader("attend"));
   notifyAgent(request.agent());  // a report that is held back has been overtaken
-  // Ends wake the planner when they are applied, progress counts at the next tick; most reports change no decision.
-  if (wasAsked || m_ledger.open(request.agent(), received) != wasOpen) wake();
+  // Ends wake the planner when they are applied; what else a report brings changes few decisions, and where plans take
+  // their time it counts at the next tick.
+  const bool cheap = m_planTook < internal::ShortPlan;
+  if (cheap || wasAsked || m_ledger.open(request.agent(), received) != wasOpen) wake();
   const Time end = received + milliseconds(request.wait_ms());
   const bool hasNews = request.ends_size() > 0 || request.started_size() > 0;
   while (leads() && !hasNews && !m_released && BootClock::now() < end) {
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -138,6 +138,7 @@
   std::map<std::string, std::vector<std::string>> m_openTargets;  ///< by service, as of this plan
   double m_urgentPeak = 0.0;  ///< accelerators that priority 0 lately needed at once
   Time m_urgentSeen{};        ///< when the peak was last brought up to date
+  Duration m_planTook{};      ///< by the last plan
   bool m_leads = false;
   bool m_dirty = false;
   bool m_released = false;
