--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -15,6 +15,7 @@
 #include "Courseloom/src/Scheduling/RunPlanner.h"
 #include "Courseloom/src/Scheduling/RunTimes.h"
 #include "Courseloom/src/Scheduling/TargetHealth.h"
+#include "generated/rpc.pb.h"
 
 namespace courseloom {
 
