Read once more: room is taken in one place, targets are found by ids in one place

Cause: reading the change. RunPlanner took a target's room out of three books in two places, looked ids up and sorted them in two, and chose the estimate that a vain question is remembered by in two; a pass copied the ids of all waiting workflows although they are needed only when something was committed meanwhile. Change: occupy(), TargetIndex::findAll(), heldUpMs(); the ids are copied only then. Nothing is decided differently. Left as found: dropOutdated asks whether the table moved on, not whether the pass yielded, so it misses a drain that was committed meanwhile; HallDrains::version is read by tests only.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -66,10 +66,11 @@
     co_await boost::asio::post(boost::asio::bind_executor(m_strand, boost::asio::use_awaitable));
     shareEnds = BootClock::now() + share;
   }
-  const std::vector<std::string> owners = m_planner.workflowsOfSteps();
+  const bool hasMovedOn = table().version() != version;
+  const std::vector<std::string> owners = hasMovedOn ? m_planner.workflowsOfSteps() : std::vector<std::string>();
   RunPlan plan = m_planner.finish();
   if (!leads() || m_driver.replica().term() != term) co_return schema::RecordRuns();
-  if (table().version() != version) {
+  if (hasMovedOn) {
     for (std::size_t i = 0; i < steps.size(); ++i) steps[i].workflow = table().find(owners[i]);
     dropOutdated(plan, steps, [&](std::size_t target) { return takesStarts(targets[target]); });
   }
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -97,19 +97,11 @@
   std::vector<unsigned> nominations(m_pass->targets.size(), 0);
   if (!m_options.nominations || m_nominated.empty()) return nominations;
   for (const auto& [name, ids] : m_nominated) {
-    for (const std::string& id : ids) {
-      const std::optional<std::size_t> target = m_pass->targets.find(id);
-      if (target) ++nominations[*target];
-    }
+    for (const std::size_t target : m_pass->targets.findAll(ids)) ++nominations[target];
   }
   for (StepDemand& demand : m_pass->demands) {
     const auto own = m_nominated.find(m_pass->names[demand.step]);
-    if (own == m_nominated.end()) continue;
-    for (const std::string& id : own->second) {
-      const std::optional<std::size_t> target = m_pass->targets.find(id);
-      if (target) demand.nominated.push_back(*target);
-    }
-    std::sort(demand.nominated.begin(), demand.nominated.end());
+    if (own != m_nominated.end()) demand.nominated = m_pass->targets.findAll(own->second);
   }
   return nominations;
 }
@@ -201,11 +193,15 @@
   return !demand.isUrgent() && demand.waitedMs > m_options.spreadAfterEstimates * demand.estimateMs;
 }
 
+/** \returns the estimate by which reservations would be held up, ms; without any, all estimates ask the same. */
+double RunPlanner::heldUpMs(const StepDemand& demand) const {
+  return m_pass->placer->reservations() == 0 ? 0.0 : demand.estimateMs;
+}
+
 /** \returns places for a step, of a gang for all of it, or nothing. */
 std::optional<StepPlacement> RunPlanner::placeNow(const StepDemand& demand) {
   ShapeMemory::Entry* memory = memoryOf(demand);
-  const double estimateMs = m_pass->placer->reservations() == 0 ? 0.0 : demand.estimateMs;
-  const ShapeMemory::Vain question{demand.gang ? demand.tasks : 1, estimateMs, 0.0, 0};
+  const ShapeMemory::Vain question{demand.gang ? demand.tasks : 1, heldUpMs(demand), 0.0, 0};
   if (memory != nullptr && memory->place && memory->place->covers(question)) return std::nullopt;
   std::optional<StepPlacement> placement;
   if (demand.gang) {
@@ -244,15 +240,20 @@
   return groups;
 }
 
+/** Takes room of a target now and for all that comes later in the pass. */
+void RunPlanner::occupy(std::size_t target, const Room& need) {
+  for (Rooms* rooms : {&m_pass->free, &m_pass->later, &m_pass->sure}) {
+    m_pass->placer->occupy((*rooms)[target], target, need);
+  }
+}
+
 void RunPlanner::take(StepDemand& demand, const StepPlacement& placement) {
   const PlannedStep& step = m_pass->steps[demand.step];
   const std::size_t first = step.tasks.size() - demand.tasks;
   for (std::size_t i = 0; i < placement.targets.size(); ++i) {
     const std::size_t target = placement.targets[i];
     m_pass->plan.starts.push_back({demand.step, step.tasks[first + i], target});
-    m_pass->placer->occupy(m_pass->free[target], target, demand.need);
-    m_pass->placer->occupy(m_pass->later[target], target, demand.need);
-    m_pass->placer->occupy(m_pass->sure[target], target, demand.need);
+    occupy(target, demand.need);
     demand.addTo(target);
   }
   demand.tasks -= placement.targets.size();
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -92,6 +92,8 @@
   std::optional<StepPlacement> placeNow(const StepDemand& demand);
   const TargetGroups& groupsFor(const StepDemand& demand);
   TargetGroups makeGroups(const StepDemand& demand) const;
+  double heldUpMs(const StepDemand& demand) const;
+  void occupy(std::size_t target, const Room& need);
   void take(StepDemand& demand, const StepPlacement& placement);
   void setAside(const StepDemand& demand, const StepPlacement& placement);
   bool waitsInPeace(const StepDemand& demand);
--- a/Courseloom/src/Scheduling/RunPlannerWaiting.cpp
+++ b/Courseloom/src/Scheduling/RunPlannerWaiting.cpp
@@ -14,9 +14,7 @@
 /** Keeps room that is being freed from later steps. */
 void RunPlanner::setAside(const StepDemand& demand, const StepPlacement& placement) {
   for (const std::size_t target : placement.targets) {
-    m_pass->placer->occupy(m_pass->free[target], target, demand.need);
-    m_pass->placer->occupy(m_pass->later[target], target, demand.need);
-    m_pass->placer->occupy(m_pass->sure[target], target, demand.need);
+    occupy(target, demand.need);
     m_pass->nominating[m_pass->names[demand.step]].insert(m_pass->targets[target].id);
   }
 }
@@ -30,8 +28,7 @@
                               ? std::min(m_options.patienceShare * slackMs, m_options.patienceLimitMs - demand.waitedMs)
                               : m_options.urgentPatienceShare * slackMs;
   ShapeMemory::Entry* memory = memoryOf(demand);
-  const double estimateMs = m_pass->placer->reservations() == 0 ? 0.0 : demand.estimateMs;
-  const ShapeMemory::Vain question{demand.tasks, estimateMs, budgetMs, 0};
+  const ShapeMemory::Vain question{demand.tasks, heldUpMs(demand), budgetMs, 0};
   if (memory != nullptr && memory->wait && memory->wait->covers(question)) return false;
   const std::optional<EndForecast::Wait> wait =
       m_pass->forecast->waitFor(demand, groupsFor(demand), m_pass->free, budgetMs);
--- a/Courseloom/src/Scheduling/TargetIndex.cpp
+++ b/Courseloom/src/Scheduling/TargetIndex.cpp
@@ -3,6 +3,8 @@
 
 #include "Courseloom/src/Scheduling/TargetIndex.h"
 
+#include <algorithm>
+
 namespace courseloom {
 
 TargetIndex::TargetIndex(const std::vector<PlannedTarget>& targets) : m_targets(&targets) {
@@ -27,6 +29,16 @@
   return found->second;
 }
 
+std::vector<std::size_t> TargetIndex::findAll(const std::set<std::string>& ids) const {
+  std::vector<std::size_t> found;
+  for (const std::string& id : ids) {
+    const std::optional<std::size_t> target = find(id);
+    if (target) found.push_back(*target);
+  }
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
 std::size_t TargetIndex::rackNamed(const std::string& name) const {
   const auto found = m_racks.find(name);
   return found == m_racks.end() ? m_racks.size() : found->second;
--- a/Courseloom/src/Scheduling/TargetIndex.h
+++ b/Courseloom/src/Scheduling/TargetIndex.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -31,6 +32,8 @@
   std::size_t size() const { return m_targets->size(); }
   const PlannedTarget& operator[](std::size_t target) const { return (*m_targets)[target]; }
   std::optional<std::size_t> find(std::string_view id) const;
+  /** \returns those of some targets that are there, ascending. */
+  std::vector<std::size_t> findAll(const std::set<std::string>& ids) const;
   /** \returns the rack of a target, by index; racks are numbered in the order of their names. */
   std::size_t rackOf(std::size_t target) const { return m_rackOf[target]; }
   std::size_t racks() const { return m_inRack.size(); }
