Sight: a target's own word on when it began is read and told

The logs cannot tell a new life under an identity that was used before (hypothesis 1) from an end that was lost on its way to the leader (2). What a target says of its start is decoded at the boundary, and an agent tells when it changes under one identity, with the clocks and the number of the newest end that was taken note of. Nothing is decided by it. run_agent, run_agent_fates, platform_formats: passed.

--- a/Courseloom/src/Agent/RunAgentLives.cpp
+++ b/Courseloom/src/Agent/RunAgentLives.cpp
@@ -36,6 +36,7 @@
 void RunAgentService::takeAnnouncement(const TargetAnnouncement& announcement) {
   const std::string& id = announcement.report.id();
   if (!isLife(id)) return takeOtherLife(announcement);
+  noteBirth(announcement.bornMs, announcement.clockMs);
   if (announcement.sequence <= m_life->sequence) return;
   const bool wasDraining = m_life->report.draining();
   takeWord(announcement);
@@ -54,6 +55,20 @@
   m_life->clockAt = BootClock::now();
 }
 
+/** Tells if a target that speaks as its present life says that it began at another time than before. */
+void RunAgentService::noteBirth(std::uint64_t bornMs, std::uint64_t clockMs) {
+  if (bornMs == 0 || bornMs == m_life->bornMs) return;
+  if (m_life->bornMs != 0) {
+    logEvent(schema::TargetBornAgain, {{"target", m_life->report.id()},
+                                       {"born", bornMs},
+                                       {"former", m_life->bornMs},
+                                       {"clockMs", clockMs},
+                                       {"formerClockMs", m_life->clockMs},
+                                       {"endsTaken", m_life->endsTaken}});
+  }
+  m_life->bornMs = bornMs;
+}
+
 void RunAgentService::takeOtherLife(const TargetAnnouncement& announcement) {
   const std::string& id = announcement.report.id();
   const auto found = m_announced.find(id);
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -287,6 +287,7 @@
   }
   m_life->failures = 0;
   m_life->report.set_reachable(true);
+  noteBirth(answer.bornMs, answer.clockMs);
   if (answer.clockMs > 0) {
     m_life->clockMs = answer.clockMs;
     m_life->clockAt = receivedAt;
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -62,6 +62,7 @@
   struct Life {
     schema::TargetReport report;
     std::uint64_t sequence = 0;
+    std::uint64_t bornMs = 0;   ///< when it says that it began, ms since 1970; 0 if it has not said
     std::uint64_t clockMs = 0;  ///< its clock ...
     Time clockAt{};             ///< ... at or before this instant
     bool left = false;          ///< it said that it ends
@@ -84,6 +85,7 @@
   Awaitable<void> confirm(std::string id);
   void beginLife(const TargetAnnouncement& announcement);
   void takeWord(const TargetAnnouncement& announcement);
+  void noteBirth(std::uint64_t bornMs, std::uint64_t clockMs);
 
   Awaitable<void> attendLoop();
   Awaitable<void> newsLoop();
--- a/Courseloom/src/Agent/TargetPort.h
+++ b/Courseloom/src/Agent/TargetPort.h
@@ -45,6 +45,7 @@
   TargetVerdict verdict = TargetVerdict::Refused;
   std::string reason;
   std::uint64_t clockMs = 0;  ///< the target's steady clock when it answered; 0 if it did not say
+  std::uint64_t bornMs = 0;   ///< when the life that answered began, ms since 1970; 0 if it did not say
   std::vector<schema::RunReport> running;
   std::vector<schema::EndReport> ends;
   bool moreEnds = false;  ///< the target lists no more ends at a time, and may have further ones
@@ -73,6 +74,7 @@
   schema::TargetReport report;
   std::uint64_t sequence = 0;  ///< rises with each call, so that a late one is recognised
   std::uint64_t clockMs = 0;   ///< the target's steady clock when it was sent
+  std::uint64_t bornMs = 0;    ///< when the life that announces itself began, ms since 1970; 0 if it did not say
 };
 
 /** \class TargetRegistry
