--- /dev/null
+++ b/test/standins/RunnerTarget.cpp
@@ -0,0 +1,321 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "test/standins/RunnerTarget.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "Courseloom/src/Runtime/OneShot.h"
+
+namespace courseloom::test {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration HeartbeatInterval = milliseconds(150);
+constexpr Duration Look = milliseconds(10);
+constexpr std::int64_t StopMs = 50;
+/** A late order is carried out this long after it came, ms. */
+constexpr unsigned ShortestLateMs = 300;
+constexpr unsigned LongestLateMs = 4000;
+/** No caller waits for an answer for as long as this. */
+constexpr Duration NoAnswer = milliseconds(20000);
+/** Heartbeats of a life that may arrive after its end. */
+constexpr std::size_t KeptHeartbeats = 8;
+constexpr unsigned AllPercent = 100;
+
+/** \returns the value of `NAME=` in a path's query, or an empty string. */
+std::string queryText(const std::string& path, const std::string& name) {
+  for (std::size_t at = path.find('?'); at != std::string::npos; at = path.find('&', at + 1)) {
+    if (path.compare(at + 1, name.size() + 1, name + "=") != 0) continue;
+    const std::size_t begin = at + 1 + name.size() + 1;
+    return path.substr(begin, path.find('&', begin) - begin);
+  }
+  return {};
+}
+
+unsigned queryNumber(const std::string& path, const std::string& name, unsigned standard) {
+  const std::string text = queryText(path, name);
+  return text.empty() ? standard : static_cast<unsigned>(std::stoul(text));
+}
+
+}  // namespace
+
+Trouble Trouble::asked(const std::string& path) {
+  return {BootClock::now() + milliseconds(queryNumber(path, "ms", 0)), queryNumber(path, "percent", AllPercent),
+          queryText(path, "of"), queryNumber(path, "after", 0)};
+}
+
+bool Trouble::befalls(const std::string& path, std::mt19937_64& random) const {
+  if (BootClock::now() >= until || (!of.empty() && path != "/-/" + of)) return false;
+  return std::uniform_int_distribution<unsigned>(1, AllPercent)(random) <= percent;
+}
+
+RunnerTarget::RunnerTarget(asio::io_context& io, RunnerOptions options)
+    : m_io(io),
+      m_options(std::move(options)),
+      m_random(m_options.seed),
+      m_agent(io, m_options.agent.substr(0, m_options.agent.find(':')),
+              static_cast<unsigned>(std::stoul(m_options.agent.substr(m_options.agent.find(':') + 1))), 1),
+      m_server(io, HttpLimits(), [this](HttpRequest request, std::string) { return answer(std::move(request)); }) {}
+
+unsigned RunnerTarget::start() {
+  m_lifePrefix = "i-" + m_options.name + "-" + std::to_string(m_lifeBegan.time_since_epoch().count());
+  m_bornMs = wallClockMs();
+  if (!m_options.events.empty()) m_events.open(m_options.events, std::ios::app);
+  Result<unsigned> bound = m_server.start(m_options.address, m_options.port);
+  asio::co_spawn(m_io, heartbeatLoop(), asio::detached);
+  asio::co_spawn(m_io, timeLoop(), asio::detached);
+  return bound ? *bound : 0;
+}
+
+std::int64_t RunnerTarget::clockMs() const {
+  constexpr std::int64_t Percent = 100;
+  constexpr std::int64_t MicrosecondsPerMillisecond = 1000;
+  const std::int64_t elapsed = (BootClock::now() - m_lifeBegan).count();
+  return elapsed * m_options.clockPercent / Percent / MicrosecondsPerMillisecond + m_clockBegins;
+}
+
+std::string RunnerTarget::id() const { return m_lifePrefix + "-" + std::to_string(m_identity); }
+
+std::string RunnerTarget::life() const { return id() + "@" + std::to_string(m_bornMs); }
+
+void RunnerTarget::tell(const char* kind, const std::string& task, std::int64_t run, const std::string& how) {
+  if (!m_events.is_open()) return;
+  m_events << BootClock::now().time_since_epoch().count() << " " << kind << " " << life() << " " << task << " " << run
+           << " " << how << std::endl;
+}
+
+Awaitable<void> RunnerTarget::heartbeatLoop() {
+  while (true) {
+    while (BootClock::now() < m_hushUntil) co_await sleepFor(Look);
+    HttpRequest request(http::verb::post, "/-/Instances.Heartbeat/" + id(), 11);
+    request.set(http::field::content_type, "application/json");
+    json::object body{
+        {"service", m_options.service}, {"address", m_options.address},
+        {"zone", m_options.hall},       {"state", m_draining ? "draining" : "ready"},
+        {"remaining_ms", 400},          {"capacity", {{"cpu", 64000}, {"mem_mb", 64000}, {"gpu", 8}}},
+        {"labels", {"a", "r1"}},        {"clock_ms", clockMs()},
+        {"seq", ++m_sequence}};
+    if (m_options.statesBirth) body["born"] = m_bornMs;
+    request.body() = json::serialize(body);
+    m_heartbeats.push_back(request);
+    if (m_heartbeats.size() > KeptHeartbeats) m_heartbeats.pop_front();
+    co_await m_agent.exchange("heartbeat", std::move(request), milliseconds(1000), 4096);
+    co_await sleepFor(HeartbeatInterval);
+  }
+}
+
+/** Delivers the last heartbeats of the former life as it made them. */
+Awaitable<void> RunnerTarget::deliverFormer(std::size_t times, Duration after) {
+  std::deque<HttpRequest> heartbeats = m_former;
+  while (heartbeats.size() > times) heartbeats.pop_front();
+  co_await sleepFor(after);
+  while (!heartbeats.empty()) {
+    co_await m_agent.exchange("late heartbeat", heartbeats.front(), milliseconds(1000), 4096);
+    heartbeats.pop_front();
+    if (!heartbeats.empty()) co_await sleepFor(HeartbeatInterval);
+  }
+}
+
+void RunnerTarget::beginLife(const std::string& path) {
+  tell("over", "-", 0, "crash");
+  ++m_life;
+  if (queryNumber(path, "same", 0) == 0) ++m_identity;
+  m_lifeBegan = BootClock::now();
+  m_bornMs = std::max(m_bornMs + 1, wallClockMs());
+  m_former = std::exchange(m_heartbeats, {});
+  const unsigned lateMs = queryNumber(path, "late", 0);
+  if (lateMs > 0) {
+    asio::co_spawn(m_io, deliverFormer(queryNumber(path, "times", 1), milliseconds(lateMs)), asio::detached);
+  }
+  m_sequence = 0;
+  m_running.clear();
+  m_over.clear();
+  m_ends.clear();
+  m_lastEnd = 0;
+  m_term = 0;
+  m_heldUntil = 0;
+  m_lapseTold = 0;
+  m_draining = false;
+}
+
+void RunnerTarget::end(const std::string& name, const char* how) {
+  const Task task = m_running.at(name);
+  m_running.erase(name);
+  m_over[name] = std::max(m_over[name], task.run);
+  if (std::string(how) == "done") ++m_done[name];
+  tell("ended", name, task.run, how);
+  m_ends.push_back(json::array{++m_lastEnd, name, task.run, how, "saved"});
+}
+
+Awaitable<void> RunnerTarget::timeLoop() {
+  while (true) {
+    const std::int64_t now = clockMs();
+    if (now >= m_heldUntil && m_lapseTold != m_heldUntil) {
+      m_lapseTold = m_heldUntil;
+      tell("lapsed", "-", 0, "-");
+    }
+    const std::map<std::string, Task> running = m_running;
+    for (const auto& [name, task] : running) {
+      if (now >= m_heldUntil) {
+        end(name, "lapsed");
+      } else if (task.stopAt != 0 && now >= task.stopAt) {
+        end(name, "stopped");
+      } else if (task.doneAt != 0 && now >= task.doneAt) {
+        end(name, task.fails ? "failed" : "done");
+      }
+    }
+    co_await sleepFor(Look);
+  }
+}
+
+Awaitable<HttpResponse> RunnerTarget::answer(HttpRequest request) {
+  const std::string path(request.target());
+  if (path == "/starts") co_return jsonResponse(200, counts());
+  if (path.rfind("/crash", 0) == 0) {
+    beginLife(path);
+    co_return jsonResponse(200, "{}");
+  }
+  if (path.rfind("/former", 0) == 0) {
+    co_await deliverFormer(queryNumber(path, "times", 1), Duration(0));
+    co_return jsonResponse(200, "{}");
+  }
+  if (path.rfind("/hush", 0) == 0) {
+    m_hushUntil = BootClock::now() + milliseconds(queryNumber(path, "ms", 0));
+    co_return jsonResponse(200, "{}");
+  }
+  if (path == "/drain") {
+    m_draining = true;
+    co_return jsonResponse(200, "{}");
+  }
+  if (path.rfind("/mute", 0) == 0) {
+    m_muteUntil = BootClock::now() + milliseconds(queryNumber(path, "ms", 0));
+    co_return jsonResponse(200, "{}");
+  }
+  if (path.rfind("/refuse", 0) == 0) {
+    m_refusing = Trouble::asked(path);
+    co_return jsonResponse(200, "{}");
+  }
+  if (path.rfind("/late", 0) == 0) {
+    m_late = Trouble::asked(path);
+    co_return jsonResponse(200, "{}");
+  }
+  if (m_refusing.befalls(path, m_random)) {
+    ++m_refused;
+    co_return jsonResponse(m_random() % 2 == 0 ? 429 : 503, "");
+  }
+  if (m_late.befalls(path, m_random)) co_return co_await carryOutLate(std::move(request));
+  while (BootClock::now() < m_muteUntil) co_await sleepFor(Look);
+  co_return co_await carryOut(std::move(request));
+}
+
+Awaitable<HttpResponse> RunnerTarget::carryOutLate(HttpRequest request) {
+  ++m_onTheirWay;
+  const unsigned drawnMs = std::uniform_int_distribution<unsigned>(ShortestLateMs, LongestLateMs)(m_random);
+  co_await sleepFor(milliseconds(m_late.afterMs > 0 ? m_late.afterMs : drawnMs));
+  --m_onTheirWay;
+  ++m_cameLate;
+  HttpResponse unsent = co_await carryOut(std::move(request));
+  co_await sleepFor(NoAnswer);
+  co_return unsent;
+}
+
+Awaitable<HttpResponse> RunnerTarget::carryOut(HttpRequest request) {
+  const std::string path(request.target());
+  if (headerValue(request, "X-Courseloom-Target-Instance") != id()) co_return jsonResponse(421, "{}");
+  co_return co_await order(path, json::parse(request.body()).as_object());
+}
+
+Awaitable<HttpResponse> RunnerTarget::order(std::string path, json::object body) {
+  const auto number = [&body](const char* name) -> std::int64_t {
+    return body.contains(name) ? body[name].to_number<std::int64_t>() : 0;
+  };
+  if (number("fencing_token") < m_term) co_return refuse("fence");
+  m_term = number("fencing_token");
+  m_heldUntil = std::max(m_heldUntil, std::min(number("deadline_ms"), clockMs() + 6000));
+  if (path == "/-/run-start") co_return startTask(body, number("run"), number("deadline_ms"));
+  if (path == "/-/run-stop") {
+    const std::string name(body["task"].as_string());
+    const auto found = m_running.find(name);
+    if (found != m_running.end() && found->second.run == number("run")) {
+      found->second.stopAt = clockMs() + StopMs;
+    } else {
+      m_over[name] = std::max(m_over[name], number("run"));
+    }
+    co_return plain();
+  }
+  forgetEnds(number("last_seen"));
+  const std::int64_t until = clockMs() + number("wait_ms");
+  const unsigned life = m_life;
+  while (m_ends.empty() && clockMs() < until && m_life == life) co_await sleepFor(Look);
+  if (m_life != life) co_return jsonResponse(503, "");  // the process that was asked is gone
+  json::array running;
+  for (const auto& [name, task] : m_running) {
+    const std::int64_t whole = std::max<std::int64_t>(1, task.doneAt - task.startedAt);
+    const std::int64_t percent =
+        task.doneAt == 0 ? (clockMs() / 100) % 100 : (clockMs() - task.startedAt) * 100 / whole;
+    running.push_back(json::array{name, task.run, "saved", percent});
+  }
+  json::array finished;
+  for (const json::array& row : m_ends) finished.push_back(row);
+  json::object lists{{"clock_ms", clockMs()}, {"running", running}, {"finished", finished}};
+  if (m_options.statesBirth) lists["born"] = m_bornMs;
+  co_return jsonResponse(200, json::serialize(lists));
+}
+
+void RunnerTarget::forgetEnds(std::int64_t seen) {
+  while (!m_ends.empty() && m_ends.front().at(0).as_int64() <= seen) {
+    const json::array& row = m_ends.front();
+    tell("noted", std::string(row.at(1).as_string()), row.at(2).as_int64(), std::string(row.at(3).as_string()));
+    m_ends.erase(m_ends.begin());
+  }
+}
+
+HttpResponse RunnerTarget::startTask(json::object& body, std::int64_t run, std::int64_t deadline) {
+  const std::string name(body["task"].as_string());
+  const auto found = m_running.find(name);
+  if (found != m_running.end() && found->second.run == run) return plain();
+  if (clockMs() >= deadline) return refuse("late");
+  if (m_over[name] >= run) return refuse("old");
+  if (found != m_running.end() || m_running.size() >= 8) return refuse("room");
+  const std::string spec(body["spec"].as_string());
+  Task task;
+  task.run = run;
+  task.startedAt = clockMs();
+  task.fails = spec.find("fail") != std::string::npos;
+  task.doneAt = spec == "forever" ? 0 : clockMs() + std::max(20, std::atoi(spec.c_str()));
+  m_running[name] = task;
+  ++m_starts[name];
+  tell("started", name, run, "-");
+  return plain();
+}
+
+HttpResponse RunnerTarget::plain() const {
+  return jsonResponse(200, json::serialize(json::object{{"clock_ms", clockMs()}}));
+}
+
+HttpResponse RunnerTarget::refuse(const char* reason) const {
+  return jsonResponse(409, json::serialize(json::object{{"clock_ms", clockMs()}, {"reason", reason}}));
+}
+
+std::string RunnerTarget::counts() const {
+  json::object starts;
+  for (const auto& [name, count] : m_starts) starts[name] = count;
+  json::object done;
+  for (const auto& [name, count] : m_done) done[name] = count;
+  return json::serialize(json::object{{"starts", starts},
+                                      {"done", done},
+                                      {"running", m_running.size()},
+                                      {"refused", m_refused},
+                                      {"onTheirWay", m_onTheirWay},
+                                      {"cameLate", m_cameLate}});
+}
+
+}  // namespace courseloom::test
