A life of a target is its identity and its birth, decoded once at the boundary

Cause: all that is remembered of a target went by its identity, which a restarted process may have again. Numbers of ends, heartbeats, the clock and the runs of the former life were carried into the next. Ruled out: ends lost between agent and leader (targets that never crashed would be hit), ends lost in the list (no failed look, far fewer than 500). Change: TargetLife, named ID@BORN; heartbeats, looks, farewells, the log, orders, grants, health and tickets go by that name. An agent takes a look only from the life that it asked, and believes another life once that life has answered a look that was sent after its announcement came, which holds whatever its clock says. After a silence the target is not told to forget ends. The leader calls runs of a former life over unless the present one lists them; those it has stopped there first.

--- a/Courseloom/src/Agent/RunAgentLives.cpp
+++ b/Courseloom/src/Agent/RunAgentLives.cpp
@@ -34,9 +34,8 @@
 }
 
 void RunAgentService::takeAnnouncement(const TargetAnnouncement& announcement) {
-  const std::string& id = announcement.report.id();
-  if (!isLife(id)) return takeOtherLife(announcement);
-  noteBirth(announcement.bornMs, announcement.clockMs);
+  const std::string& life = announcement.report.id();
+  if (!isLife(life)) return takeOtherLife(announcement);
   if (announcement.sequence <= m_life->sequence) return;
   const bool wasDraining = m_life->report.draining();
   takeWord(announcement);
@@ -55,30 +54,16 @@
   m_life->clockAt = BootClock::now();
 }
 
-/** Tells if a target that speaks as its present life says that it began at another time than before. */
-void RunAgentService::noteBirth(std::uint64_t bornMs, std::uint64_t clockMs) {
-  if (bornMs == 0 || bornMs == m_life->bornMs) return;
-  if (m_life->bornMs != 0) {
-    logEvent(schema::TargetBornAgain, {{"target", m_life->report.id()},
-                                       {"born", bornMs},
-                                       {"former", m_life->bornMs},
-                                       {"clockMs", clockMs},
-                                       {"formerClockMs", m_life->clockMs},
-                                       {"endsTaken", m_life->endsTaken}});
-  }
-  m_life->bornMs = bornMs;
-}
-
 void RunAgentService::takeOtherLife(const TargetAnnouncement& announcement) {
-  const std::string& id = announcement.report.id();
-  const auto found = m_announced.find(id);
+  const std::string& life = announcement.report.id();
+  const auto found = m_announced.find(life);
   if (found != m_announced.end() && announcement.sequence <= found->second.sequence) return;
   if (found == m_announced.end()) {
     if (m_announced.size() >= internal::MostAnnounced) return;
     logEvent(schema::TargetAnnounced,
-             {{"target", id}, {"present", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
+             {{"target", life}, {"present", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
   }
-  m_announced[id] = announcement;
+  m_announced[life] = announcement;
   m_announcedSignal.notify();
 }
 
@@ -87,35 +72,37 @@
 Awaitable<void> RunAgentService::confirmLoop() {
   while (true) {
     while (m_announced.empty()) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
-    std::vector<std::string> ids;
-    for (const auto& [id, announcement] : m_announced) ids.push_back(id);
-    for (const std::string& id : ids) co_await confirm(id);
+    std::vector<std::string> lives;
+    for (const auto& [life, announcement] : m_announced) lives.push_back(life);
+    for (const std::string& life : lives) co_await confirm(life);
     if (!m_announced.empty()) co_await sleepFor(internal::ConfirmPause);
   }
 }
 
-/** A refusal does not say which life refuses, and silence says nothing: the life is asked for again. */
-Awaitable<void> RunAgentService::confirm(std::string id) {
+/** A refusal does not say which life refuses, and silence says nothing: the life is asked for again. Whichever life
+ * answers was there after the announcement had come, so that an announced one that does not answer is over, whatever
+ * the clocks say that their births were set by. */
+Awaitable<void> RunAgentService::confirm(std::string life) {
   TargetHold hold;
   hold.term = m_term;
   Result<TargetAnswer> answer =
-      co_await m_port->hold(id, hold, milliseconds(m_context.settings.runner().order_limit_ms()));
-  const auto found = m_announced.find(id);
+      co_await m_port->hold(life, hold, milliseconds(m_context.settings.runner().order_limit_ms()));
+  const auto found = m_announced.find(life);
   if (!answer || answer->verdict == TargetVerdict::Refused || found == m_announced.end()) co_return;
-  if (answer->verdict == TargetVerdict::Taken) {
+  if (answer->verdict == TargetVerdict::Taken && answer->life == life) {
     beginLife(found->second);
-    takeLook(id, *answer, BootClock::now());
+    takeLook(*answer, BootClock::now());
   } else {
-    logEvent(schema::TargetDisowned, {{"target", id}, {"present", m_life ? m_life->report.id() : ""}});
+    logEvent(schema::TargetDisowned, {{"target", life}, {"present", m_life ? m_life->report.id() : ""}});
   }
   m_announced.erase(found);
 }
 
-/** What ran in the former life ended with it; the leader concludes that from the new identity. */
+/** What ran in the former life ended with it; the leader concludes that from the new life's name and lists. */
 void RunAgentService::beginLife(const TargetAnnouncement& announcement) {
-  const std::string& id = announcement.report.id();
+  const std::string& life = announcement.report.id();
   logEvent(schema::TargetRegistered,
-           {{"target", id}, {"former", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
+           {{"target", life}, {"former", m_life ? m_life->report.id() : ""}, {"sequence", announcement.sequence}});
   m_life = Life();
   takeWord(announcement);
   m_runs.clear();
@@ -128,13 +115,13 @@
   m_lifeSignal.notify();
 }
 
-Awaitable<void> RunAgentService::leave(std::string id) {
-  co_await asio::co_spawn(m_strand, leaveOnStrand(std::move(id)), asio::use_awaitable);
+Awaitable<void> RunAgentService::leave(std::string life) {
+  co_await asio::co_spawn(m_strand, leaveOnStrand(std::move(life)), asio::use_awaitable);
 }
 
-Awaitable<void> RunAgentService::leaveOnStrand(std::string id) {
-  if (isLife(id)) m_life->left = true;
-  m_announced.erase(id);
+Awaitable<void> RunAgentService::leaveOnStrand(std::string life) {
+  if (isLife(life)) m_life->left = true;
+  m_announced.erase(life);
   co_return;
 }
 
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -264,15 +264,18 @@
   TargetHold hold;
   hold.deadlineMs = holdDeadline();
   hold.term = m_term;
-  hold.lastSeen = m_life->endsTaken;
+  // After silence another life may answer, whose first ends have the same numbers; it must not forget them.
+  hold.lastSeen = m_life->failures > 0 ? 0 : m_life->endsTaken;
   hold.waitMs = waitMs;
   const Duration limit = milliseconds(waitMs) + milliseconds(m_context.settings.runner().order_limit_ms());
   Result<TargetAnswer> answer = co_await m_port->hold(life, hold, limit);
   if (!isLife(life)) co_return false;
-  if (answer && answer->verdict == TargetVerdict::Taken) {
-    takeLook(life, *answer, BootClock::now());
+  const bool taken = answer && answer->verdict == TargetVerdict::Taken;
+  if (taken && answer->life == life) {
+    takeLook(*answer, BootClock::now());
     co_return true;
   }
+  if (taken) takeSuccessor(*answer);
   if (answer && answer->verdict == TargetVerdict::OtherLife) {
     settleAll(schema::RunTargetLost, "another life answers");
   }
@@ -280,14 +283,24 @@
   co_return false;
 }
 
-void RunAgentService::takeLook(const std::string& life, const TargetAnswer& answer, Time receivedAt) {
+/** Another life answers under the same identity, so that the present one is over; but it may have begun runs that were
+ * meant for the present one. It is taken in once it has announced itself. */
+void RunAgentService::takeSuccessor(const TargetAnswer& answer) {
+  if (std::exchange(m_life->successor, answer.life) == answer.life) return;
+  logEvent(schema::TargetBornAgain, {{"target", m_life->report.id()},
+                                     {"answers", answer.life},
+                                     {"clockMs", answer.clockMs},
+                                     {"formerClockMs", m_life->clockMs},
+                                     {"endsTaken", m_life->endsTaken}});
+}
+
+void RunAgentService::takeLook(const TargetAnswer& answer, Time receivedAt) {
   if (m_life->failures >= FailuresUnreachable) {
-    logEvent(schema::TargetRegained, {{"target", life}});
+    logEvent(schema::TargetRegained, {{"target", answer.life}});
     news();
   }
   m_life->failures = 0;
   m_life->report.set_reachable(true);
-  noteBirth(answer.bornMs, answer.clockMs);
   if (answer.clockMs > 0) {
     m_life->clockMs = answer.clockMs;
     m_life->clockAt = receivedAt;
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -33,8 +33,8 @@
  * It follows the control leader, carries out its orders under the leader's term, and holds what runs for as long as the
  * leader's grants last. A start without an answer is stopped until the target confirms that, and its fate is read from
  * the target's lists afterwards. Ends are reported until the leader has committed them; only then may the target forget
- * them. A heartbeat may have been long on its way: another life of the target is believed once the target answers to
- * its identity, which a former life's is refused. Everything runs on one strand. \sa RunLedger
+ * them. A heartbeat may have been long on its way: another life of the target is believed once it has answered a look.
+ * Everything runs on one strand. \sa RunLedger TargetLife
  */
 class RunAgentService : public Service, private TargetRegistry {
  public:
@@ -62,11 +62,11 @@
   struct Life {
     schema::TargetReport report;
     std::uint64_t sequence = 0;
-    std::uint64_t bornMs = 0;   ///< when it says that it began, ms since 1970; 0 if it has not said
     std::uint64_t clockMs = 0;  ///< its clock ...
     Time clockAt{};             ///< ... at or before this instant
     bool left = false;          ///< it said that it ends
     unsigned failures = 0;      ///< looks in a row without answer
+    std::string successor;      ///< life that answered a look in its place; empty is none
     std::uint64_t endsTaken = 0;
     std::map<std::uint64_t, schema::EndReport> ends;  ///< not committed yet, by number
     bool moreEnds = false;                            ///< the newest look left ends out
@@ -76,16 +76,15 @@
   };
 
   Awaitable<void> announce(TargetAnnouncement announcement) override;
-  Awaitable<void> leave(std::string id) override;
+  Awaitable<void> leave(std::string life) override;
   Awaitable<void> announceOnStrand(TargetAnnouncement announcement);
-  Awaitable<void> leaveOnStrand(std::string id);
+  Awaitable<void> leaveOnStrand(std::string life);
   void takeAnnouncement(const TargetAnnouncement& announcement);
   void takeOtherLife(const TargetAnnouncement& announcement);
   Awaitable<void> confirmLoop();
-  Awaitable<void> confirm(std::string id);
+  Awaitable<void> confirm(std::string life);
   void beginLife(const TargetAnnouncement& announcement);
   void takeWord(const TargetAnnouncement& announcement);
-  void noteBirth(std::uint64_t bornMs, std::uint64_t clockMs);
 
   Awaitable<void> attendLoop();
   Awaitable<void> newsLoop();
@@ -105,11 +104,12 @@
 
   Awaitable<void> lookLoop();
   Awaitable<bool> look(std::uint32_t waitMs);
-  void takeLook(const std::string& life, const TargetAnswer& answer, Time receivedAt);
+  void takeLook(const TargetAnswer& answer, Time receivedAt);
+  void takeSuccessor(const TargetAnswer& answer);
   void takeSilence();
   bool inTouch() const;
   bool granted() const { return BootClock::now() < m_grantUntil; }
-  bool isLife(const std::string& id) const { return m_life && m_life->report.id() == id; }
+  bool isLife(const std::string& life) const { return m_life && m_life->report.id() == life; }
   std::uint64_t deadlineOnTarget(Time until) const;
   Time longestHold() const;
   std::optional<std::uint64_t> holdDeadline();
@@ -138,7 +138,7 @@
   /** When control last answered without a relay, since the clock's beginning; the relay asks from any thread. */
   std::atomic<Duration::rep> m_directAt{0};
   std::optional<Life> m_life;
-  /** Newest heartbeats of other lives than the present one, by identity; believed once the target answers to it. */
+  /** Newest heartbeats of other lives than the present one, by name; believed once that life answers. */
   std::map<std::string, TargetAnnouncement> m_announced;
   std::map<RunKey, LocalRun> m_runs;
   std::map<RunKey, RunTraits> m_traits;  ///< of runs whose order this agent has seen
--- a/Courseloom/src/Agent/TargetPort.h
+++ b/Courseloom/src/Agent/TargetPort.h
@@ -46,6 +46,7 @@
   std::string reason;
   std::uint64_t clockMs = 0;  ///< the target's steady clock when it answered; 0 if it did not say
   std::uint64_t bornMs = 0;   ///< when the life that answered began, ms since 1970; 0 if it did not say
+  std::string life;           ///< the life that answered, from the lists of a look; empty in other answers
   std::vector<schema::RunReport> running;
   std::vector<schema::EndReport> ends;
   bool moreEnds = false;  ///< the target lists no more ends at a time, and may have further ones
@@ -57,7 +58,8 @@
 class TargetPort {
  public:
   virtual ~TargetPort() = default;
-  /** \param life identity of the life that is meant \param limit time for the whole exchange */
+  /** \param life the life that is meant; another one under its identity may take the call all the same, and says so in
+   * a look \param limit time for the whole exchange */
   virtual Awaitable<Result<TargetAnswer>> start(std::string life, TargetStart start, Duration limit) = 0;
   virtual Awaitable<Result<TargetAnswer>> stop(std::string life, schema::TaskId task, std::uint32_t run,
                                                std::uint64_t term, Duration limit) = 0;
@@ -72,9 +74,8 @@
  */
 struct TargetAnnouncement {
   schema::TargetReport report;
-  std::uint64_t sequence = 0;  ///< rises with each call, so that a late one is recognised
+  std::uint64_t sequence = 0;  ///< rises with each call of one life, so that a late one is recognised
   std::uint64_t clockMs = 0;   ///< the target's steady clock when it was sent
-  std::uint64_t bornMs = 0;    ///< when the life that announces itself began, ms since 1970; 0 if it did not say
 };
 
 /** \class TargetRegistry
@@ -84,7 +85,7 @@
  public:
   virtual ~TargetRegistry() = default;
   virtual Awaitable<void> announce(TargetAnnouncement announcement) = 0;
-  virtual Awaitable<void> leave(std::string id) = 0;
+  virtual Awaitable<void> leave(std::string life) = 0;
 };
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -3,6 +3,8 @@
 
 #include "Courseloom/src/Scheduling/RunLedger.h"
 
+#include "Courseloom/src/Core/TargetLife.h"
+
 namespace courseloom {
 
 namespace internal {
@@ -14,6 +16,19 @@
  * which about half had passed when the first replica was back. */
 constexpr Duration ElectionAllowance = milliseconds(2000);
 
+/** \returns runs that a report's lists show at the target that it tells of. */
+std::set<RunKey> shown_in(const schema::AttendRequest& report) {
+  std::set<RunKey> shown;
+  for (const schema::RunReport& row : report.running()) shown.insert(runKeyOf(row.task(), row.run()));
+  for (const schema::EndReport& row : report.ends()) shown.insert(runKeyOf(row.task(), row.run()));
+  return shown;
+}
+
+/** \returns whether a life can have taken an order that was meant for another: they share an identity. */
+bool shares_identity(const std::string& life, const std::string& meant) {
+  return !life.empty() && TargetLife::named(life).id == TargetLife::named(meant).id;
+}
+
 bool is_over(const WorkflowTable& table, const RunKey& key) {
   const WorkflowState* workflow = table.find(key.workflow);
   if (workflow == nullptr || workflow->ended()) return true;
@@ -124,6 +139,7 @@
   target.heard = now;
   target.askedAt = Time{};
   std::vector<schema::RunEnd> ends;
+  const std::set<RunKey> shown = internal::shown_in(report);
   for (const RunKey& key : keys) {
     RunTrack& track = m_runs.at(key);
     if (newAgent) {
@@ -132,14 +148,16 @@
       track.stopDelivered = Time{};
     }
     const bool otherLife = !report.target().id().empty() && track.target != report.target().id();
-    if (otherLife) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
+    // An order meant for the former life may have begun the run in this one, which has to end it first.
+    const bool begun = shown.count(key) > 0 && internal::shares_identity(report.target().id(), track.target);
+    if (otherLife && !begun) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
   }
   takeRows(report, now);
   for (const schema::EndReport& row : report.ends()) {
     const RunKey key = runKeyOf(row.task(), row.run());
     const auto found = m_runs.find(key);
     if (found == m_runs.end() || found->second.agent != report.agent()) continue;
-    if (found->second.target != report.target().id()) continue;
+    if (!internal::shares_identity(report.target().id(), found->second.target)) continue;
     ends.push_back(makeEnd(key, row.kind(), row.checkpoint().empty() ? found->second.checkpoint : row.checkpoint()));
   }
   return ends;
@@ -152,7 +170,7 @@
   for (const schema::RunReport& row : report.running()) {
     const RunKey key = runKeyOf(row.task(), row.run());
     const auto found = m_runs.find(key);
-    if (found == m_runs.end()) {
+    if (found == m_runs.end() || found->second.target != report.target().id()) {
       target.strays.push_back(key);
       continue;
     }
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -76,7 +76,7 @@
   Time grantUntil{};
   Time heard{};
   Time askedAt{};              ///< when a sign of life was first asked for since it was heard; zero is not
-  std::vector<RunKey> strays;  ///< reported as running, but not active in the log
+  std::vector<RunKey> strays;  ///< reported as running, but not active in the log, or meant for a former life
 };
 
 /** \class RelayAgent
--- a/test/AgentStage.cpp
+++ b/test/AgentStage.cpp
@@ -89,6 +89,7 @@
   if (life != m_script.life) co_return answerOf(TargetVerdict::OtherLife);
   ++m_script.looks;
   TargetAnswer answer = answerOf(TargetVerdict::Taken);
+  answer.life = m_script.life;
   answer.ends = m_script.ends;
   answer.moreEnds = m_script.moreEnds;
   if (m_script.standsStill) {
--- a/test/platform_formats.cpp
+++ b/test/platform_formats.cpp
@@ -110,6 +110,30 @@
   cr_assert_not(bool(readAnnouncement("i-1", R"({"seq":"four"})")));
 }
 
+Test(platform_formats, a_life_is_an_identity_and_its_birth) {
+  Result<TargetAnnouncement> first = readAnnouncement("i-1", R"({"born":1780703512345,"seq":1})");
+  cr_assert(first && first->report.id() == "i-1@1780703512345");
+  Result<TargetAnnouncement> silent = readAnnouncement("i-1", R"({"seq":1})");
+  cr_assert(silent && silent->report.id() == "i-1", "a platform without births has one life an identity");
+  for (const char* born : {R"("1780703512345")", "1780703512345.5", "-5", "true", "[]", "{}"}) {
+    const std::string body = std::string(R"({"seq":1,"born":)") + born + "}";
+    cr_expect_not(bool(readAnnouncement("i-1", body)), "%s", born);
+    cr_expect_not(bool(readFarewell("i-1", body)), "%s", born);
+    const std::string look = std::string(R"({"clock_ms":5,"running":[],"finished":[],"born":)") + born + "}";
+    cr_expect_not(bool(readTargetLook(200, look)), "%s", born);
+  }
+  cr_assert_not(bool(readAnnouncement("i-1@1780703512345", R"({"seq":1})")), "an identity that poses as a life");
+  cr_assert_not(bool(readAnnouncement("", R"({"seq":1})")));
+  Result<TargetLife> farewell = readFarewell("i-1", R"({"born":7})");
+  cr_assert(farewell && farewell->name() == "i-1@7");
+  Result<TargetLife> bare = readFarewell("i-1", "");
+  cr_assert(bare && bare->name() == "i-1");
+  const TargetLife life = TargetLife::named("i-1@7");
+  cr_assert(life.id == "i-1" && life.bornMs == 7);
+  Result<TargetAnswer> look = readTargetLook(200, R"({"clock_ms":5,"running":[],"finished":[],"born":7})");
+  cr_assert(look && look->bornMs == 7);
+}
+
 Test(platform_formats, names_of_tasks) {
   schema::TaskId task;
   cr_assert(readTaskName("5c0e7a21d94b36f8.0.1.17", task));
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -425,6 +425,36 @@
   cr_assert(test.attend(withEnd(test.report(), 0, 1, schema::RunDone)).empty(), "the same end may come twice");
 }
 
+Test(run_ledger, what_ran_in_a_former_life_under_the_same_identity_is_lost_with_it) {
+  LedgerTable test;
+  test.start(0, 1, "i-1@1000");
+  test.attend(withRunning(test.report("i-1@1000"), 0, 1));
+  test.attend(test.report("i-1@2000"));
+  cr_assert(test.ledger.runs().empty());
+}
+
+// The target began again between the order and its start: the run is where the leader meant it to be, but in a life
+// that was not meant. It is over only once that life has ended it.
+Test(run_ledger, a_run_that_a_later_life_began_is_stopped_there_before_it_is_over) {
+  LedgerTable test;
+  test.start(0, 1, "i-1@1000");
+  test.attend(test.report("i-1@1000"));
+  const std::vector<schema::RunOrder> orders = test.attend(withRunning(test.report("i-1@2000"), 0, 1));
+  cr_assert_eq(test.ledger.runs().size(), 1, "called over while it runs");
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind(), schema::OrderStop);
+  cr_assert(orders[0].target() == "i-1@2000");
+  test.attend(withEnd(test.report("i-1@2000"), 0, 1, schema::RunDone));
+  cr_assert_eq(test.table.find("w")->record.phase(), schema::WorkflowCompleted, "it was done before the stop came");
+}
+
+Test(run_ledger, another_identity_cannot_have_begun_what_was_meant_for_this_one) {
+  LedgerTable test;
+  test.start(0, 1, "i-1@1000");
+  test.attend(withRunning(test.report("i-2@2000"), 0, 1));
+  cr_assert(test.ledger.runs().empty());
+}
+
 Test(run_ledger, other_members_of_a_gang_that_is_done_get_time_to_end) {
   LedgerTable test(2, true);
   test.start(0, 1);
