Fencing tokens rise with each life of a target

Cause: a call that was meant for a former life and is carried out late is taken by the next life under the same identity, which has seen neither the stop nor the end of that run, and whose clock has not come to its deadline. Ruled out: stopping each known run in the new life (an agent and a leader no longer know runs that were settled before the crash). Change: an agent's tokens are (term, step); a step begins with each life that answers, and is counted from the time of day, so that a restarted agent's are higher too.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -263,7 +263,7 @@
   const std::string life = m_life->report.id();
   TargetHold hold;
   hold.deadlineMs = holdDeadline();
-  hold.term = m_term;
+  hold.token = token();
   // After silence another life may answer, whose first ends have the same numbers; it must not forget them.
   hold.lastSeen = m_life->failures > 0 ? 0 : m_life->endsTaken;
   hold.waitMs = waitMs;
@@ -276,6 +276,7 @@
     co_return true;
   }
   if (taken) takeSuccessor(*answer);
+  if (answer && answer->fenced) m_fence.overtake();
   if (answer && answer->verdict == TargetVerdict::OtherLife) {
     settleAll(schema::RunTargetLost, "another life answers");
   }
@@ -287,6 +288,7 @@
  * meant for the present one. It is taken in once it has announced itself. */
 void RunAgentService::takeSuccessor(const TargetAnswer& answer) {
   if (std::exchange(m_life->successor, answer.life) == answer.life) return;
+  m_fence.raise(wallClockMs());
   logEvent(schema::TargetBornAgain, {{"target", m_life->report.id()},
                                      {"answers", answer.life},
                                      {"clockMs", answer.clockMs},
@@ -333,8 +335,9 @@
 Awaitable<void> RunAgentService::paceRun(PaceChange change) {
   const schema::TaskId task = makeTaskId(change.run.workflow, change.run.task);
   logEvent(schema::RunPaced, {{"task", taskText(task)}, {"percent", std::uint64_t{change.percent}}});
-  Result<TargetAnswer> answer = co_await m_port->pace(m_life->report.id(), task, change.run.run, change.percent, m_term,
-                                                      milliseconds(m_context.settings.runner().order_limit_ms()));
+  Result<TargetAnswer> answer =
+      co_await m_port->pace(m_life->report.id(), task, change.run.run, change.percent, token(),
+                            milliseconds(m_context.settings.runner().order_limit_ms()));
   // A pace that did not arrive shows in the next tails, and is changed again then.
   if (!answer) logFailure(schema::PeerFailed, takeFailure(answer));
 }
@@ -429,7 +432,7 @@
   }
   const Time until = longestHold();
   m_heldUntil = std::max(m_heldUntil, until);
-  const TargetStart start{order, deadlineOnTarget(until), m_term};
+  const TargetStart start{order, deadlineOnTarget(until), token()};
   Result<TargetAnswer> answer =
       co_await m_port->start(life, start, milliseconds(m_context.settings.runner().order_limit_ms()));
   if (!isLife(life)) co_return;
@@ -463,7 +466,7 @@
   const Duration limit = milliseconds(m_context.settings.runner().order_limit_ms());
   Duration refusedPause = internal::RefusedPause;
   while (true) {
-    Result<TargetAnswer> answer = co_await m_port->stop(life, order.task(), order.run(), m_term, limit);
+    Result<TargetAnswer> answer = co_await m_port->stop(life, order.task(), order.run(), token(), limit);
     if (!isOpen(life, key)) co_return;
     if (answer && answer->verdict == TargetVerdict::OtherLife) {
       settle(order.task(), order.run(), schema::RunTargetLost, "another life answers");
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 
+#include "Courseloom/src/Agent/Fence.h"
 #include "Courseloom/src/Agent/FillerPacer.h"
 #include "Courseloom/src/Agent/ProgressWatch.h"
 #include "Courseloom/src/Agent/TargetPort.h"
@@ -110,6 +111,8 @@
   bool inTouch() const;
   bool granted() const { return BootClock::now() < m_grantUntil; }
   bool isLife(const std::string& life) const { return m_life && m_life->report.id() == life; }
+  std::uint64_t token() const { return m_fence.token(m_term); }
+  Awaitable<Result<TargetAnswer>> askWhoLives(std::string life);
   std::uint64_t deadlineOnTarget(Time until) const;
   Time longestHold() const;
   std::optional<std::uint64_t> holdDeadline();
@@ -146,6 +149,7 @@
   std::map<RunKey, Fate> m_fates;                   ///< of runs that this life of the target is not to begin any more
   std::map<RunKey, schema::StartReport> m_started;  ///< not reported yet
   std::uint64_t m_term = 0;
+  Fence m_fence;
   Time m_grantUntil{};
   Duration m_longestGrant{};  ///< that any leader has given
   Time m_leaderHeard{};       ///< when a leader last answered
--- a/Courseloom/src/Agent/TargetPort.h
+++ b/Courseloom/src/Agent/TargetPort.h
@@ -25,7 +25,7 @@
 struct TargetStart {
   schema::RunOrder order;
   std::uint64_t deadlineMs = 0;  ///< on the target's clock: everything there ends then unless the hold is renewed
-  std::uint64_t term = 0;        ///< fencing token; the target does nothing for a lower one than it has seen
+  std::uint64_t token = 0;       ///< fencing token; the target does nothing for a lower one than it has seen
 };
 
 /** \class TargetHold
@@ -33,7 +33,7 @@
  */
 struct TargetHold {
   std::optional<std::uint64_t> deadlineMs;  ///< on the target's clock
-  std::uint64_t term = 0;
+  std::uint64_t token = 0;
   std::uint64_t lastSeen = 0;  ///< ends up to this number may be forgotten
   std::uint32_t waitMs = 0;    ///< the target may wait this long for an end
 };
@@ -44,6 +44,7 @@
 struct TargetAnswer {
   TargetVerdict verdict = TargetVerdict::Refused;
   std::string reason;
+  bool fenced = false;        ///< refused because the target has seen a higher fencing token
   std::uint64_t clockMs = 0;  ///< the target's steady clock when it answered; 0 if it did not say
   std::uint64_t bornMs = 0;   ///< when the life that answered began, ms since 1970; 0 if it did not say
   std::string life;           ///< the life that answered, from the lists of a look; empty in other answers
@@ -62,11 +63,11 @@
    * a look \param limit time for the whole exchange */
   virtual Awaitable<Result<TargetAnswer>> start(std::string life, TargetStart start, Duration limit) = 0;
   virtual Awaitable<Result<TargetAnswer>> stop(std::string life, schema::TaskId task, std::uint32_t run,
-                                               std::uint64_t term, Duration limit) = 0;
+                                               std::uint64_t token, Duration limit) = 0;
   virtual Awaitable<Result<TargetAnswer>> hold(std::string life, TargetHold hold, Duration limit) = 0;
   /** Lets a run work at a share of its speed, percent. */
   virtual Awaitable<Result<TargetAnswer>> pace(std::string life, schema::TaskId task, std::uint32_t run,
-                                               std::uint32_t percent, std::uint64_t term, Duration limit) = 0;
+                                               std::uint32_t percent, std::uint64_t token, Duration limit) = 0;
 };
 
 /** \class TargetAnnouncement
--- a/test/platform_formats.cpp
+++ b/test/platform_formats.cpp
@@ -154,7 +154,9 @@
   cr_assert_eq(held->ends.size(), 2);
   cr_assert_eq(held->ends[1].kind(), schema::RunAlone);
   Result<TargetAnswer> refused = readTargetAnswer(409, R"({"clock_ms":5,"reason":"room"})");
-  cr_assert(refused && refused->verdict == TargetVerdict::Refused && refused->reason == "room");
+  cr_assert(refused && refused->verdict == TargetVerdict::Refused && refused->reason == "room" && !refused->fenced);
+  Result<TargetAnswer> fenced = readTargetAnswer(409, R"({"clock_ms":5,"reason":"fence"})");
+  cr_assert(fenced && fenced->verdict == TargetVerdict::Refused && fenced->fenced);
   Result<TargetAnswer> other = readTargetAnswer(421, "");
   cr_assert(other && other->verdict == TargetVerdict::OtherLife);
   Result<TargetAnswer> unhealthy = readTargetAnswer(503, "<html>");
@@ -194,13 +196,13 @@
   start.order.set_run(3);
   start.order.set_payload("text");
   start.deadlineMs = 9;
-  start.term = 7;
+  start.token = 7;
   cr_assert(writeStart(start) == R"({"task":"ab.0.1.2","run":3,"spec":"text","deadline_ms":9,"fencing_token":7})");
   start.order.set_checkpoint("c");
   start.order.set_ticket("t");
   cr_assert(writeStart(start).find(R"("checkpoint":"c","ticket":"t")") != std::string::npos);
   TargetHold hold;
-  hold.term = 7;
+  hold.token = 7;
   cr_assert(writeHold(hold) == R"({"fencing_token":7,"last_seen":0})");
 }
 
