The ledger's seeded runs begin lives again under their identities; a target is taken in only under a leader's term

The model's targets begin again under the identity that they had in half of the crashes, and calls for a former life reach the next. Two mechanisms more can be switched off, names of lives and fences: the checker finds violations without either. With an agent that was restarted beside it the model showed a hole: an agent that knows no leader has a lower token than its own former life.

--- a/Courseloom/src/Agent/RunAgentLives.cpp
+++ b/Courseloom/src/Agent/RunAgentLives.cpp
@@ -71,7 +71,8 @@
  * which the target has had them. */
 Awaitable<void> RunAgentService::confirmLoop() {
   while (true) {
-    while (m_announced.empty()) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
+    // Without a leader's term the agent's token is lower than those of calls that its own former life may have made.
+    while (m_announced.empty() || m_term == 0) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
     std::vector<std::string> lives;
     for (const auto& [life, announcement] : m_announced) lives.push_back(life);
     for (const std::string& life : lives) co_await confirm(life);
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -138,6 +138,7 @@
 }
 
 Awaitable<RunAgentService::Heard> RunAgentService::tellLeader(std::uint32_t waitMs) {
+  if (m_term == 0) waitMs = 0;  // the target waits for the leader's term
   schema::AttendRequest request = makeReport();
   request.set_wait_ms(waitMs);
   request.set_sequence(++m_sequence);
@@ -189,6 +190,7 @@
   if (!m_following || reply.term() != m_term) logEvent(schema::LeaderFound, {{"term", reply.term()}});
   m_following = true;
   m_leaderHeard = BootClock::now();
+  if (m_term == 0) m_announcedSignal.notify();
   m_term = reply.term();
   // Counted from the sending of the request plus the time that the leader held it: never later than its own count.
   const Time until = sentAt + milliseconds(reply.held_ms()) + milliseconds(reply.grant_ms());
--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -34,19 +34,24 @@
   bool readEndsAfterStop = true;  ///< what the target lists after the stop decides
   bool doubtRefusals = true;      ///< a stop that the target refused is sent again
   bool rememberFates = true;      ///< a run whose fate was told is not begun by an order that was given before
+  bool fenceLives = true;         ///< tokens rise with each life of a target, so that calls for a former one do nothing
+  bool nameLives = true;          ///< a life goes by its identity and its birth, not by its identity alone
 };
 
 /** \class ModelTarget
  * \brief One life after another of a target: runs, ends, a hold that lapses.
  */
 struct ModelTarget {
-  std::string id;
+  std::string id;                             ///< identity; another life may have it again
+  std::string life;                           ///< name of the life
   std::map<RunKey, Time> running;             ///< with the time at which it will be done
   std::map<std::string, std::uint32_t> over;  ///< highest run that ended or was stopped, by task
   std::vector<schema::EndReport> ends;
   std::uint64_t nextEnd = 1;
   Time heldUntil{};
   Time lapsedAt{};  ///< when its hold last ran out
+  std::uint64_t seenToken = 0;
+  bool fenced = false;  ///< it has been asked by an agent that knew a leader
   bool silent = false;
   bool refusing = false;  ///< answers part of its calls without doing anything
 };
@@ -66,7 +71,7 @@
     m_options.slack = milliseconds(100);
     m_options.redeliverAfter = milliseconds(300);
     m_agents.resize(Targets);
-    for (std::size_t i = 0; i < Targets; ++i) newLife(i);
+    for (std::size_t i = 0; i < Targets; ++i) newLife(i, false);
     for (unsigned i = 0; i < Workflows; ++i) {
       schema::Workflow workflow;
       workflow.set_id("w" + std::to_string(i));
@@ -93,6 +98,7 @@
     std::uint64_t incarnation = 1;
     std::uint64_t sequence = 0;
     std::uint64_t term = 0;  ///< of the newest leader that has answered
+    std::uint64_t step = 0;  ///< of its tokens
     std::uint64_t endsTaken = 0;
     Time grantUntil{};
     Time heldUntil{};
@@ -118,7 +124,8 @@
   struct Late {
     Time at;
     std::size_t agent = 0;
-    std::string life;
+    std::string id;  ///< identity that it was meant for
+    std::uint64_t token = 0;
     std::function<void(ModelTarget&)> apply;
   };
 
@@ -138,7 +145,7 @@
       letTimePass(agent.target);
     }
     for (std::size_t i = 0; i < m_agents.size(); ++i) {
-      if (faults && chance(0.002)) newLife(i);
+      if (faults && chance(0.002)) newLife(i, chance(0.5));
       if (faults && chance(0.003)) restartAgent(m_agents[i]);
     }
     if (faults && chance(0.005)) newLeader();
@@ -163,10 +170,17 @@
     commit(std::exchange(m_expiring, {}), {});
   }
 
-  void newLife(std::size_t i) {
+  /** \param same under the identity that it had. The agent fences what is still on its way to the former life off when
+   * it hears the new one's first heartbeat, or its first leader; calls that arrive before that are not modelled. */
+  void newLife(std::size_t i, bool same) {
     Agent& agent = m_agents[i];
+    const std::string id = same ? agent.target.id : "target-" + std::to_string(++m_lives);
     agent.target = ModelTarget();
-    agent.target.id = "life-" + std::to_string(++m_lives);
+    agent.target.id = id;
+    agent.target.life = m_mechanisms.nameLives ? id + "@" + std::to_string(++m_lives) : id;
+    ++agent.step;
+    if (agent.term > 0 || !same) fence(agent, token(agent));
+    if (!agent.target.fenced) agent.found = false;
     agent.seenEnds.clear();
     agent.endsTaken = 0;
     agent.heldUntil = Time{};
@@ -251,6 +265,17 @@
     if (m_doneNoted.count(taskText(key)) > 0) m_violation = "a start after a noted end of " + taskText(key);
   }
 
+  /** A restarted agent's steps are counted on from the former one's by the time of day. */
+  std::uint64_t token(const Agent& agent) const {
+    constexpr unsigned StepBits = 20;
+    return m_mechanisms.fenceLives ? (agent.term << StepBits) + agent.step : 0;
+  }
+
+  static void fence(Agent& agent, std::uint64_t token) {
+    agent.target.seenToken = token;
+    agent.target.fenced = true;
+  }
+
   bool refuses(const ModelTarget& target) { return target.refusing && chance(0.5); }
 
   /** An agent that is there and heard must be the one that the leader believes in. */
@@ -274,7 +299,7 @@
       apply(target);
       return CallAnswer::Done;
     }
-    if (chance(0.5)) m_late.push_back({m_now + upTo(4000), i, target.id, std::move(apply)});
+    if (chance(0.5)) m_late.push_back({m_now + upTo(4000), i, target.id, token(m_agents[i]), std::move(apply)});
     return CallAnswer::None;
   }
 
@@ -287,7 +312,7 @@
       const Late late = m_late[i];
       m_late.erase(m_late.begin() + static_cast<std::ptrdiff_t>(i));
       ModelTarget& target = m_agents[late.agent].target;
-      if (target.id == late.life) late.apply(target);
+      if (target.id == late.id && target.fenced && late.token >= target.seenToken) late.apply(target);
     }
   }
 
@@ -296,7 +321,9 @@
   /** A restarted agent hears of its target after a while. It does not know what its former life sent, and takes the
    * longest hold there may be. */
   bool finds(Agent& agent) {
-    if (agent.found || (m_faults && !chance(0.03))) return agent.found;
+    if (agent.found || agent.term == 0 || (m_faults && !chance(0.03))) return agent.found;
+    ++agent.step;
+    fence(agent, std::max(agent.target.seenToken, token(agent)));
     agent.heldUntil = m_now + Grant;
     return agent.found = true;
   }
@@ -349,7 +376,7 @@
     schema::AttendRequest request;
     request.set_agent("agent-" + std::to_string(i));
     request.set_incarnation(agent.incarnation);
-    if (agent.found) request.mutable_target()->set_id(agent.target.id);
+    if (agent.found) request.mutable_target()->set_id(agent.target.life);
     request.mutable_target()->set_reachable(!agent.target.silent);
     if (agent.found && !agent.target.silent) {
       for (const auto& [key, until] : agent.target.running) {
@@ -409,7 +436,7 @@
     for (const schema::EndReport& end : reply.ends) {
       if (end.number() == 0) agent.fates.erase(runKeyOf(end.task(), end.run()));
     }
-    if (agent.found && reply.endsTarget == agent.target.id) {
+    if (agent.found && reply.endsTarget == agent.target.life) {
       for (const schema::EndReport& end : reply.ends) noteEnd(agent, end);
     }
     if (m_now >= reply.grantUntil) return;
@@ -454,7 +481,7 @@
 
   void takeOrder(std::size_t i, const schema::RunOrder& order) {
     Agent& agent = m_agents[i];
-    if (!agent.found || order.target() != agent.target.id) return;
+    if (!agent.found || order.target() != agent.target.life) return;
     const RunKey key = runKeyOf(order.task(), order.run());
     if (agent.inDoubt.count(key) > 0) return;
     const auto settled = agent.settled.find(key);
@@ -590,6 +617,18 @@
   cr_assert_not(firstViolation(2000, {}, mechanisms, "two runs at once").empty());
 }
 
+Test(run_ledger_seeded, fails_if_calls_for_a_former_life_reach_the_next_one) {
+  AgentMechanisms mechanisms;
+  mechanisms.fenceLives = false;
+  cr_assert_not(firstViolation(400, {}, mechanisms).empty());
+}
+
+Test(run_ledger_seeded, fails_if_a_life_goes_by_its_identity_alone) {
+  AgentMechanisms mechanisms;
+  mechanisms.nameLives = false;
+  cr_assert_not(firstViolation(100, {}, mechanisms).empty());
+}
+
 Test(run_ledger_seeded, fails_without_the_deadline_of_an_order) {
   AgentMechanisms mechanisms;
   mechanisms.deadlines = false;
