--- a/Courseloom/src/Agent/RunAgentLives.cpp
+++ b/Courseloom/src/Agent/RunAgentLives.cpp
@@ -84,18 +84,16 @@
  * answers was there after the announcement had come, so that an announced one that does not answer is over, whatever
  * the clocks say that their births were set by. */
 Awaitable<void> RunAgentService::confirm(std::string life) {
-  Result<TargetAnswer> answer = co_await askWhoLives(life);
-  if (!answer || answer->verdict == TargetVerdict::Refused) co_return;
-  const bool lives = answer->verdict == TargetVerdict::Taken && answer->life == life;
-  if (lives) {
-    // What this answers is after all that the life can have been told in place of a former one.
-    m_fence.raise(wallClockMs());
-    answer = co_await askWhoLives(life);
-    if (!answer || answer->verdict != TargetVerdict::Taken || answer->life != life) co_return;
-  }
+  // The answer's lists then hold all that calls for a former life can ever have begun in this one.
+  m_fence.raise(wallClockMs());
+  TargetHold hold;
+  hold.token = token();
+  Result<TargetAnswer> answer =
+      co_await m_port->hold(life, hold, milliseconds(m_context.settings.runner().order_limit_ms()));
+  if (answer && answer->fenced) m_fence.overtake();
   const auto found = m_announced.find(life);
-  if (found == m_announced.end()) co_return;
-  if (lives) {
+  if (!answer || answer->verdict == TargetVerdict::Refused || found == m_announced.end()) co_return;
+  if (answer->verdict == TargetVerdict::Taken && answer->life == life) {
     beginLife(found->second);
     takeLook(*answer, BootClock::now());
   } else {
@@ -104,15 +102,6 @@
   m_announced.erase(found);
 }
 
-/** Looks at the target without holding or forgetting anything there. */
-Awaitable<Result<TargetAnswer>> RunAgentService::askWhoLives(std::string life) {
-  TargetHold hold;
-  hold.token = token();
-  Result<TargetAnswer> answer =
-      co_await m_port->hold(std::move(life), hold, milliseconds(m_context.settings.runner().order_limit_ms()));
-  if (answer && answer->fenced) m_fence.overtake();
-  co_return answer;
-}
 
 /** What ran in the former life ended with it; the leader concludes that from the new life's name and lists. */
 void RunAgentService::beginLife(const TargetAnnouncement& announcement) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -112,7 +112,6 @@
   bool granted() const { return BootClock::now() < m_grantUntil; }
   bool isLife(const std::string& life) const { return m_life && m_life->report.id() == life; }
   std::uint64_t token() const { return m_fence.token(m_term); }
-  Awaitable<Result<TargetAnswer>> askWhoLives(std::string life);
   std::uint64_t deadlineOnTarget(Time until) const;
   Time longestHold() const;
   std::optional<std::uint64_t> holdDeadline();
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -61,7 +61,13 @@
     more.push_back({4, &SoakFaults::crashWithLateHeartbeats});
     return more;
   }();
-  const std::vector<Kind>& kinds = m_draw == FaultDraw::First ? first : orders;
+  static const std::vector<Kind> lives = [] {
+    std::vector<Kind> more = orders;
+    more.push_back({6, &SoakFaults::beginAgain});
+    more.push_back({4, &SoakFaults::beginAgainUnderLateOrders});
+    return more;
+  }();
+  const std::vector<Kind>& kinds = m_draw == FaultDraw::First ? first : m_draw == FaultDraw::Orders ? orders : lives;
   const unsigned all =
       std::accumulate(kinds.begin(), kinds.end(), 0U, [](unsigned sum, const Kind& kind) { return sum + kind.weight; });
   unsigned drawn = pick(1, all);
@@ -311,4 +317,28 @@
   later(pickMs(200, 1500), [this, target, crash] { tellTarget(target, crash); });
 }
 
+/** A new life under the former one's identity, with its agent alive or killed, beside the former one's heartbeats. */
+void SoakFaults::beginAgain() {
+  const unsigned target = pick(1, m_cluster.size().targets);
+  const std::string after = std::to_string(pick(50, 2000));
+  const std::string times = std::to_string(pick(1, 3));
+  note("target " + std::to_string(target) + " begins again under its identity, " + times +
+       " heartbeats of the former life arrive " + after + " ms later");
+  if (pick(1, 3) == 1) kill("agent-" + std::to_string(target), pickMs(0, 1000));
+  tellTarget(target, "/crash?same=1&late=" + after + "&times=" + times);
+}
+
+/** Orders to a life are carried out by the next ones, which come twice in a second at times. */
+void SoakFaults::beginAgainUnderLateOrders() {
+  const unsigned target = pick(1, m_cluster.size().targets);
+  delay(target);
+  for (unsigned lives = pick(1, 2); lives > 0; --lives) {
+    later(pickMs(100, 2000), [this, target] {
+      if (m_healing) return;
+      note("target " + std::to_string(target) + " begins again under its identity");
+      tellTarget(target, "/crash?same=1");
+    });
+  }
+}
+
 }  // namespace courseloom::test
--- a/test/soak/SoakFaults.h
+++ b/test/soak/SoakFaults.h
@@ -19,8 +19,9 @@
 enum class FaultDraw {
   First = 1,   ///< processes, disks, links; back ends that crash, fall silent, leave
   Orders = 2,  ///< as well: orders that are refused or carried out late, heartbeats that outlive their sender
+  Lives = 3,   ///< as well: back ends that begin again under the identity that they had
 };
-constexpr FaultDraw NewestDraw = FaultDraw::Orders;
+constexpr FaultDraw NewestDraw = FaultDraw::Lives;
 
 /** \class SoakFaults
  * \brief Draws faults from a seed and brings them about: signals in series, kills, lost and torn disks, harmed links,
@@ -64,6 +65,8 @@
   void lateOrders();
   void refuseAndLate();
   void crashWithLateHeartbeats();
+  void beginAgain();
+  void beginAgainUnderLateOrders();
   void refuse(unsigned target);
   void delay(unsigned target);
 
--- a/test/standins/RunnerTarget.cpp
+++ b/test/standins/RunnerTarget.cpp
@@ -94,21 +94,20 @@
 
 Awaitable<void> RunnerTarget::heartbeatLoop() {
   while (true) {
-    while (BootClock::now() < m_hushUntil) co_await sleepFor(Look);
+    while (BootClock::now() < std::max(m_hushUntil, m_nextHeartbeat)) co_await sleepFor(Look);
+    m_nextHeartbeat = BootClock::now() + HeartbeatInterval;
     HttpRequest request(http::verb::post, "/-/Instances.Heartbeat/" + id(), 11);
     request.set(http::field::content_type, "application/json");
-    json::object body{
-        {"service", m_options.service}, {"address", m_options.address},
-        {"zone", m_options.hall},       {"state", m_draining ? "draining" : "ready"},
-        {"remaining_ms", 400},          {"capacity", {{"cpu", 64000}, {"mem_mb", 64000}, {"gpu", 8}}},
-        {"labels", {"a", "r1"}},        {"clock_ms", clockMs()},
-        {"seq", ++m_sequence}};
+    json::object body{{"service", m_options.service}, {"address", m_options.address},
+                      {"zone", m_options.hall},       {"state", m_draining ? "draining" : "ready"},
+                      {"remaining_ms", 400},          {"capacity", {{"cpu", 64000}, {"mem_mb", 64000}, {"gpu", 8}}},
+                      {"labels", {"a", "r1"}},        {"clock_ms", clockMs()},
+                      {"seq", ++m_sequence}};
     if (m_options.statesBirth) body["born"] = m_bornMs;
     request.body() = json::serialize(body);
     m_heartbeats.push_back(request);
     if (m_heartbeats.size() > KeptHeartbeats) m_heartbeats.pop_front();
     co_await m_agent.exchange("heartbeat", std::move(request), milliseconds(1000), 4096);
-    co_await sleepFor(HeartbeatInterval);
   }
 }
 
@@ -141,6 +140,7 @@
   m_ends.clear();
   m_lastEnd = 0;
   m_term = 0;
+  m_nextHeartbeat = Time{};  // a process registers when it begins
   m_heldUntil = 0;
   m_lapseTold = 0;
   m_draining = false;
@@ -218,8 +218,11 @@
 
 Awaitable<HttpResponse> RunnerTarget::carryOutLate(HttpRequest request) {
   ++m_onTheirWay;
+  const unsigned life = m_life;
   const unsigned drawnMs = std::uniform_int_distribution<unsigned>(ShortestLateMs, LongestLateMs)(m_random);
   co_await sleepFor(milliseconds(m_late.afterMs > 0 ? m_late.afterMs : drawnMs));
+  // Before a new life has been asked by its agent nothing of courseloom's can keep a call for the former one off.
+  while (m_life != life && m_term == 0) co_await sleepFor(Look);
   --m_onTheirWay;
   ++m_cameLate;
   HttpResponse unsent = co_await carryOut(std::move(request));
--- a/test/standins/RunnerTarget.h
+++ b/test/standins/RunnerTarget.h
@@ -103,6 +103,7 @@
   std::deque<HttpRequest> m_heartbeats;  ///< the last ones of the present life
   std::deque<HttpRequest> m_former;      ///< the last ones of the former life
   Time m_hushUntil{};
+  Time m_nextHeartbeat{};
   std::int64_t m_term = 0;
   std::int64_t m_heldUntil = 0;
   std::int64_t m_lapseTold = 0;  ///< end of the hold whose lapse was told last
