--- a/spec/run.pml
+++ b/spec/run.pml
@@ -1,5 +1,6 @@
 /* The life of a run: one task, two targets with their agents, leaders that change. A start is committed, then ordered;
- * an order may be lost, be refused, or be carried out later; a stop may be refused; a target may crash; an agent may fall
+ * an order may be lost, be refused, or be carried out later; a stop may be refused; a target may crash and begin again
+ * under another identity or under the one that it had, its clock and its counts anew; an agent may fall
  * silent or restart blank; a grant may run out at any time; a former leader may still have granted up to the moment at
  * which the next one began.
  *
@@ -13,7 +14,8 @@
  * -DNOTE_FIRST (an end is noted before it is committed), -DFORMER_RENEWS (a former leader goes on renewing grants),
  * -DREFUSAL_ENDS (a refused start counts as never begun, although a copy of its order may still reach the agent),
  * -DREFUSED_STOP (a refused stop counts as done, although the start may still be on its way), -DSTALE_ORDER (an agent
- * carries out an order after the grant that came with it, under a later grant).
+ * carries out an order after the grant that came with it, under a later grant), -DNO_FENCE (calls for a former life reach
+ * the next one under its identity), -DID_ALONE (a new life under the same identity is taken for the former one).
  */
 #define TARGETS 2
 #define MAXRUN 4
@@ -40,6 +42,7 @@
 
 /* Agents. */
 bool doubt[TARGETS];
+bool blind[TARGETS];   /* ID_ALONE: it tells the target to forget ends that it has not read */
 bool stopAnswered[TARGETS];
 
 /* The leader. */
@@ -122,8 +125,9 @@
 #endif
        copy[t] = 0 }
   /* The task ends, and the target lists that. */
-  :: atomic { running[0] != 0 -> ended[0] = running[0]; fresh[0] = true; overtaken[0] = false; finish(0) }
-  :: atomic { running[1] != 0 -> ended[1] = running[1]; fresh[1] = true; overtaken[1] = false; finish(1) }
+  :: atomic { if :: running[0] != 0 -> t = 0 :: running[1] != 0 -> t = 1 fi;
+       ended[t] = running[t]; fresh[t] = true; overtaken[t] = false; finish(t);
+       if :: blind[t] -> ended[t] = 0; noted = true :: else -> skip fi }
   /* A grant runs out: the target ends what runs, orders given under it are past their deadline. */
   :: atomic { if :: grant[0] -> t = 0 :: grant[1] -> t = 1 fi; grant[t] = false; lateAlive[t] = false; copyAlive[t] = false; fresh[t] = false; overtaken[t] = false;
        if :: running[t] != 0 -> finish(t) :: else -> skip fi;
@@ -193,6 +197,21 @@
   :: atomic { crashes < MAXCRASHES -> crashes++; if :: t = 0 :: t = 1 fi;
        running[t] = 0; over[t] = 0; ended[t] = 0; overtaken[t] = false; late[t] = 0; copy[t] = 0; doubt[t] = false;
        if :: logRun != 0 && logTarget == t -> logRun = 0 :: else -> skip fi }
+  /* A target crashes and begins again under its identity. What is on its way to the former life finds a clock that has
+   * not come to its deadline, but a higher token; the agent drops orders that name the former life. */
+  :: atomic { crashes < MAXCRASHES -> crashes++; if :: t = 0 :: t = 1 fi;
+       running[t] = 0; over[t] = 0; ended[t] = 0; overtaken[t] = false; copy[t] = 0; doubt[t] = false;
+#ifdef NO_FENCE
+       lateAlive[t] = (late[t] != 0);
+#else
+       late[t] = 0;
+#endif
+#ifdef ID_ALONE
+       blind[t] = true
+#else
+       if :: logRun != 0 && logTarget == t -> logRun = 0 :: else -> skip fi
+#endif
+     }
   :: atomic { done && logRun == 0 -> break }
   :: atomic { lastRun == MAXRUN && logRun == 0 && !done -> break }  /* the bound of this model */
   od
