A call for a life never carries a token that a successor was asked with

A start for a target's former life left while the look at the next life was on its way; both carried the agent's newest token, so the start was carried out 5 ms after the look's answer, which had not shown its run: 21.064 TargetRegistered next life 21.064 RunEnded run=1 RunTargetLost 21.07 run 1 begins 21.834 run 2 placed Change: each life has its own step, brought higher only by the answer to a look; a step goes before the term, since an order for the former life may be given under a newer leader.

--- a/Courseloom/src/Agent/Fence.cpp
+++ b/Courseloom/src/Agent/Fence.cpp
@@ -10,19 +10,22 @@
 namespace internal {
 namespace {
 
+/** Steps are tenths of a second, counted from 2026-01-01. 33 bits count them for 27 years, so that tokens with 20 bits
+ * of a term stay exact as floating-point numbers, as JSON readers may take them. */
 constexpr std::uint64_t StepMs = 100;
-/** Steps are counted from here, 2026-01-01, ms since 1970. */
 constexpr std::uint64_t EpochMs = 1767225600000;
-/** A refusal that no day's step of a clock explains, in steps, comes from a higher term, which no step overtakes. */
+constexpr unsigned TermBits = 20;
+constexpr std::uint64_t HighestTerm = (1ULL << TermBits) - 1;
+/** Steps of a day, about: a refusal that no clock's step back by less explains is not overtaken. */
 constexpr std::uint64_t LongestLeap = 1ULL << 20U;
 
 }  // namespace
 }  // namespace internal
 
-void Fence::raise(std::uint64_t nowMs) {
+std::uint64_t Fence::raise(std::uint64_t nowMs) {
   const std::uint64_t now = nowMs > internal::EpochMs ? (nowMs - internal::EpochMs) / internal::StepMs : 0;
   m_step = std::max(m_step + 1, now);
-  m_leap = 1;
+  return m_step;
 }
 
 void Fence::overtake() {
@@ -31,4 +34,8 @@
   m_leap *= 2;
 }
 
+std::uint64_t Fence::token(std::uint64_t step, std::uint64_t term) {
+  return (step << internal::TermBits) + std::min(term, internal::HighestTerm);
+}
+
 }  // namespace courseloom
--- a/Courseloom/src/Agent/RunAgentLives.cpp
+++ b/Courseloom/src/Agent/RunAgentLives.cpp
@@ -71,8 +71,7 @@
  * which the target has had them. */
 Awaitable<void> RunAgentService::confirmLoop() {
   while (true) {
-    // Without a leader's term the agent's token is lower than those of calls that its own former life may have made.
-    while (m_announced.empty() || m_term == 0) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
+    while (m_announced.empty()) co_await m_announcedSignal.wait(BootClock::now() + milliseconds(60000));
     std::vector<std::string> lives;
     for (const auto& [life, announcement] : m_announced) lives.push_back(life);
     for (const std::string& life : lives) co_await confirm(life);
@@ -85,24 +84,26 @@
  * the clocks say that their births were set by. */
 Awaitable<void> RunAgentService::confirm(std::string life) {
   // The answer's lists then hold all that calls for a former life can ever have begun in this one.
-  m_fence.raise(wallClockMs());
+  const std::uint64_t step = raiseFence();
   TargetHold hold;
-  hold.token = token();
+  hold.token = Fence::token(step, m_term);
   Result<TargetAnswer> answer =
       co_await m_port->hold(life, hold, milliseconds(m_context.settings.runner().order_limit_ms()));
   if (answer && answer->fenced) m_fence.overtake();
   const auto found = m_announced.find(life);
   if (!answer || answer->verdict == TargetVerdict::Refused || found == m_announced.end()) co_return;
-  if (answer->verdict == TargetVerdict::Taken && answer->life == life) {
+  const bool taken = answer->verdict == TargetVerdict::Taken;
+  if (taken && answer->life == life) {
     beginLife(found->second);
+    m_life->step = step;
     takeLook(*answer, BootClock::now());
   } else {
+    if (taken && isLife(answer->life)) m_life->step = std::max(m_life->step, step);
     logEvent(schema::TargetDisowned, {{"target", life}, {"present", m_life ? m_life->report.id() : ""}});
   }
   m_announced.erase(found);
 }
 
-
 /** What ran in the former life ended with it; the leader concludes that from the new life's name and lists. */
 void RunAgentService::beginLife(const TargetAnnouncement& announcement) {
   const std::string& life = announcement.report.id();
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -138,7 +138,6 @@
 }
 
 Awaitable<RunAgentService::Heard> RunAgentService::tellLeader(std::uint32_t waitMs) {
-  if (m_term == 0) waitMs = 0;  // the target waits for the leader's term
   schema::AttendRequest request = makeReport();
   request.set_wait_ms(waitMs);
   request.set_sequence(++m_sequence);
@@ -190,7 +189,6 @@
   if (!m_following || reply.term() != m_term) logEvent(schema::LeaderFound, {{"term", reply.term()}});
   m_following = true;
   m_leaderHeard = BootClock::now();
-  if (m_term == 0) m_announcedSignal.notify();
   m_term = reply.term();
   // Counted from the sending of the request plus the time that the leader held it: never later than its own count.
   const Time until = sentAt + milliseconds(reply.held_ms()) + milliseconds(reply.grant_ms());
@@ -265,7 +263,10 @@
   const std::string life = m_life->report.id();
   TargetHold hold;
   hold.deadlineMs = holdDeadline();
-  hold.token = token();
+  // A call for this life must not carry a token that a successor may have been asked with, and a refusal does not say
+  // which life refuses: only the answer to a look brings the life a higher one.
+  const std::uint64_t step = m_life->fenced ? raiseFence() : m_life->step;
+  hold.token = Fence::token(step, m_term);
   // After silence another life may answer, whose first ends have the same numbers; it must not forget them.
   hold.lastSeen = m_life->failures > 0 ? 0 : m_life->endsTaken;
   hold.waitMs = waitMs;
@@ -273,12 +274,14 @@
   Result<TargetAnswer> answer = co_await m_port->hold(life, hold, limit);
   if (!isLife(life)) co_return false;
   const bool taken = answer && answer->verdict == TargetVerdict::Taken;
+  m_life->fenced = answer && answer->fenced;
+  if (m_life->fenced) m_fence.overtake();
   if (taken && answer->life == life) {
+    m_life->step = std::max(m_life->step, step);
     takeLook(*answer, BootClock::now());
     co_return true;
   }
   if (taken) takeSuccessor(*answer);
-  if (answer && answer->fenced) m_fence.overtake();
   if (answer && answer->verdict == TargetVerdict::OtherLife) {
     settleAll(schema::RunTargetLost, "another life answers");
   }
@@ -290,7 +293,6 @@
  * meant for the present one. It is taken in once it has announced itself. */
 void RunAgentService::takeSuccessor(const TargetAnswer& answer) {
   if (std::exchange(m_life->successor, answer.life) == answer.life) return;
-  m_fence.raise(wallClockMs());
   logEvent(schema::TargetBornAgain, {{"target", m_life->report.id()},
                                      {"answers", answer.life},
                                      {"clockMs", answer.clockMs},
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -68,6 +68,8 @@
     bool left = false;          ///< it said that it ends
     unsigned failures = 0;      ///< looks in a row without answer
     std::string successor;      ///< life that answered a look in its place; empty is none
+    std::uint64_t step = 0;     ///< of the newest token under which it has answered a look
+    bool fenced = false;        ///< it, or a successor, refused the newest look for a higher token
     std::uint64_t endsTaken = 0;
     std::map<std::uint64_t, schema::EndReport> ends;  ///< not committed yet, by number
     bool moreEnds = false;                            ///< the newest look left ends out
@@ -111,7 +113,9 @@
   bool inTouch() const;
   bool granted() const { return BootClock::now() < m_grantUntil; }
   bool isLife(const std::string& life) const { return m_life && m_life->report.id() == life; }
-  std::uint64_t token() const { return m_fence.token(m_term); }
+  /** \returns the token of calls to the present life. */
+  std::uint64_t token() const { return Fence::token(m_life->step, m_term); }
+  std::uint64_t raiseFence() { return m_fence.raise(wallClockMs()); }
   std::uint64_t deadlineOnTarget(Time until) const;
   Time longestHold() const;
   std::optional<std::uint64_t> holdDeadline();
--- a/test/AgentStage.h
+++ b/test/AgentStage.h
@@ -34,12 +34,15 @@
   bool busy = false;                    ///< answers looks with 429, whatever life they are meant for
   bool standsStill = false;             ///< lists a run that does not move
   std::vector<schema::EndReport> ends;  ///< what it lists as ended
+  Duration answersAfter{};              ///< looks are answered this late
   bool moreEnds = false;                ///< it has further ends than it lists
   // What it was asked.
   unsigned starts = 0;
   unsigned stops = 0;
   unsigned stopsTaken = 0;
-  unsigned looks = 0;  ///< answered ones
+  unsigned looks = 0;                                ///< answered ones
+  std::map<std::string, std::uint64_t> startTokens;  ///< highest token of a start, by the life that was meant
+  std::map<std::string, std::uint64_t> lookTokens;   ///< token of the first answered look, by life
 };
 
 /** \class FakeTarget
--- a/test/run_agent_fates.cpp
+++ b/test/run_agent_fates.cpp
@@ -56,6 +56,19 @@
   std::vector<std::string> lives;
 };
 
+/** Orders one run of life i-1 once it is told to, in terms that rise. */
+class OrderingLeader : public FakeLeader {
+ public:
+  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
+    co_await sleepFor(milliseconds(20));
+    schema::AttendReply answer = grantReply(LongGrantMs);
+    if (orders) answer.set_term(2);
+    if (orders) orderOnce(request, answer);
+    co_return answer;
+  }
+  bool orders = false;
+};
+
 /** Orders one run; a copy of the order goes out before the leader is told of the run's end, and arrives after that. */
 class CopyLeader : public FakeLeader {
  public:
@@ -235,6 +248,22 @@
   cr_assert(leader.lives.back() == "i-2", "its one heartbeat must do, however late it answers");
 }
 
+// The next life has been asked, and its answer is on its way, when an order for the former one comes. If both carried
+// the same token, the order would be carried out after the answer, whose lists do not show its run.
+Test(run_agent_fates, an_order_for_the_present_life_has_a_lower_token_than_the_look_at_the_next) {
+  OrderingLeader ordering;
+  Stage stage(ordering);
+  stage.run(milliseconds(300));
+  stage.target.answersAfter = milliseconds(300);
+  stage.beginNextLife();
+  stage.run(milliseconds(50));
+  ordering.orders = true;
+  stage.run(milliseconds(800));
+  cr_assert(stage.target.startTokens.count("i-1") > 0, "the order did not come");
+  cr_assert(stage.target.lookTokens.count("i-2") > 0, "the next life was not found");
+  cr_assert_lt(stage.target.startTokens["i-1"], stage.target.lookTokens["i-2"]);
+}
+
 Test(run_agent_fates, a_refusal_confirms_no_life) {
   LivesLeader leader;
   Stage stage(leader);
