--- a/test/run_agent_rebirth.cpp
+++ b/test/run_agent_rebirth.cpp
@@ -283,6 +283,19 @@
   cr_assert_eq(stage.starts("a.0.0.1") + stage.starts("b.0.0.1"), 2);
 }
 
+Test(run_agent_rebirth, a_late_farewell_of_a_former_life_does_not_shut_the_present_one) {
+  RebirthStage stage;
+  const std::string born = stage.leader.lives[0].substr(stage.leader.lives[0].find('@') + 1);
+  stage.tell("/crash?same=1");
+  cr_assert(stage.waitFor([&] { return stage.leader.lives.size() == 2; }));
+  const std::string path = "/-/Instances.Deregister/" + stage.identity();
+  cr_assert_eq(stage.deliver(path, R"({"born":)" + born + "}"), 200);
+  cr_assert_eq(stage.deliver(path, ""), 200);
+  cr_assert_eq(stage.deliver(path, R"({"born":"then"})"), 400);
+  stage.leader.submit("a", "30");
+  cr_assert(stage.waitForDone("a"), "the present life gets no starts");
+}
+
 Test(run_agent_rebirth, a_target_that_begins_again_twice_in_a_second) {
   RebirthStage stage;
   stage.leader.submit("a", "30", 4);
