--- a/test/run_history.cpp
+++ b/test/run_history.cpp
@@ -3,12 +3,16 @@
 
 // The fault soak's checker: each kind of broken promise is found, and sound histories pass.
 
-#include "test/soak/RunHistory.h"
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
-#include <sstream>
+#include "test/soak/RunHistory.h"
 
 #include "test/main.h"
-#include "test/soak/FaultProxy.h"
+#include "test/soak/SocketOwner.h"
 
 using namespace courseloom;
 using namespace courseloom::test;
@@ -126,20 +130,31 @@
   cr_assert(test.finds("accepted and never ended", true));
 }
 
-// A closed connection without an owner, listed after the open one, must not hide who calls.
-Test(run_history, the_owner_of_a_port_is_found_beside_closed_connections_of_the_same_port) {
-  const std::string rows =
-      "  sl  local_address rem_address   st tx_queue rx_queue tr tm->when retrnsmt   uid  timeout inode\n"
-      "   0: 0100007F:8001 0100007F:5014 06 00000000:00000000 03:00000BD1 00000000     0        0 0 3 "
-      "0000000000000000\n"
-      "   1: 0100007F:8001 0100007F:5015 01 00000000:00000000 00:00000000 00000000     0        0 4242 1 "
-      "0000000000000000\n"
-      "   2: 0100007F:8001 0100007F:5016 06 00000000:00000000 03:00000BD1 00000000     0        0 0 3 "
-      "0000000000000000\n"
-      "   3: 0100007F:5014 0100007F:8002 01 00000000:00000000 00:00000000 00000000     0        0 77 1 "
-      "0000000000000000\n";
-  std::istringstream table(rows);
-  cr_assert_str_eq(inodeOfPort(0x8001, table).c_str(), "4242");
-  std::istringstream again(rows);
-  cr_assert_str_eq(inodeOfPort(0x8002, again).c_str(), "", "a port at the far end is nobody's here");
+// Each end of a connection is told apart from the other, and from closed connections that had one of its ports.
+Test(run_history, the_owner_of_a_connection_is_found_beside_closed_ones_of_the_same_port) {
+  namespace asio = boost::asio;
+  using Tcp = asio::ip::tcp;
+  asio::io_context io;
+  Tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.9.7"), 0});
+  const Tcp::endpoint proxy = acceptor.local_endpoint();
+  Tcp::socket first(io);
+  first.connect(proxy);
+  Tcp::socket firstAccepted = acceptor.accept();
+  const Tcp::endpoint closed = first.local_endpoint();
+  first.close();
+  firstAccepted.close();
+  Tcp::socket second(io);
+  second.connect(proxy);
+  Tcp::socket secondAccepted = acceptor.accept();
+  const Tcp::endpoint caller = second.local_endpoint();
+  const auto inodeOf = [](Tcp::socket& socket) {
+    struct stat status {};
+    fstat(socket.native_handle(), &status);
+    return static_cast<std::uint32_t>(status.st_ino);
+  };
+  cr_assert_eq(inodeOfConnection(caller, proxy), inodeOf(second));
+  cr_assert_eq(inodeOfConnection(proxy, caller), inodeOf(secondAccepted), "the far end is another's");
+  cr_assert_eq(inodeOfConnection(closed, proxy), 0, "a closed connection has no owner");
+  cr_assert_eq(ownerOfConnection(caller, proxy, {getpid()}), getpid());
+  cr_assert_eq(ownerOfConnection(caller, proxy, {}), 0);
 }
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -9,9 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 
 namespace courseloom::test {
 
@@ -20,9 +17,6 @@
 namespace {
 constexpr Duration SilencePoll = milliseconds(10);
 constexpr std::size_t ChunkBytes = 16384;
-/** Column of /proc/net/tcp that holds the socket's inode. */
-constexpr unsigned LocalColumn = 1;
-constexpr unsigned InodeColumn = 9;
 }  // namespace
 
 LinkRule LinkRules::get(const std::string& from, const std::string& to) const {
@@ -83,7 +77,7 @@
     auto connection = std::make_shared<Connection>(m_io, std::move(socket));
     boost::system::error_code gone;
     const Tcp::endpoint peer = connection->caller.remote_endpoint(gone);
-    connection->from = gone ? std::string() : m_callerOf(peer.port());
+    connection->from = gone ? std::string() : m_callerOf(peer, listen);
     connection->to = server;
     connection->resets = m_rules.get(connection->from, server).resets;
     asio::co_spawn(m_io, serve(connection, target), asio::detached);
@@ -135,36 +129,4 @@
   }
 }
 
-std::string inodeOfPort(unsigned port, std::istream& table) {
-  std::ostringstream wanted;
-  wanted << "0100007F:" << std::uppercase << std::hex;
-  wanted.width(4);
-  wanted.fill('0');
-  wanted << port;
-  for (std::string line; std::getline(table, line);) {
-    if (line.find(" " + wanted.str() + " ") == std::string::npos) continue;
-    std::istringstream words(line);
-    std::vector<std::string> columns;
-    for (std::string word; words >> word;) columns.push_back(word);
-    const bool owned = columns.size() > InodeColumn && columns[InodeColumn] != "0";
-    if (owned && columns[LocalColumn] == wanted.str()) return columns[InodeColumn];
-  }
-  return {};
-}
-
-int ownerOfPort(unsigned port, const std::vector<int>& pids) {
-  std::ifstream table("/proc/net/tcp");
-  const std::string inode = inodeOfPort(port, table);
-  if (inode.empty()) return 0;
-  const std::string socketName = "socket:[" + inode + "]";
-  for (const int pid : pids) {
-    std::error_code error;
-    const std::string folder = "/proc/" + std::to_string(pid) + "/fd";
-    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
-      if (std::filesystem::read_symlink(entry.path(), error) == socketName) return pid;
-    }
-  }
-  return 0;
-}
-
 }  // namespace courseloom::test
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -51,15 +51,16 @@
  */
 class FaultProxy {
  public:
-  /** \param callerOf names the process that owns a local port, or is empty */
-  FaultProxy(boost::asio::io_context& io, LinkRules& rules, std::function<std::string(unsigned)> callerOf)
+  using Tcp = boost::asio::ip::tcp;
+  /** Names the process at the first end of a connection, whose other end is the second; empty if it is unknown. */
+  using CallerOf = std::function<std::string(const Tcp::endpoint&, const Tcp::endpoint&)>;
+  FaultProxy(boost::asio::io_context& io, LinkRules& rules, CallerOf callerOf)
       : m_io(io), m_rules(rules), m_callerOf(std::move(callerOf)) {}
 
   /** Listens on an address and forwards to a port of the same address. \param server name in the rules */
   void forward(const std::string& server, const std::string& address, unsigned listenPort, unsigned serverPort);
 
  private:
-  using Tcp = boost::asio::ip::tcp;
   struct Connection;
   Awaitable<void> acceptLoop(std::string server, Tcp::endpoint listen, Tcp::endpoint target);
   Awaitable<void> serve(std::shared_ptr<Connection> connection, Tcp::endpoint target);
@@ -67,16 +68,7 @@
 
   boost::asio::io_context& m_io;
   LinkRules& m_rules;
-  std::function<std::string(unsigned)> m_callerOf;
+  CallerOf m_callerOf;
 };
 
-/** Looks a local port on loopback up in the kernel's table of TCP sockets, as /proc/net/tcp prints it.
- *
- * The table may hold tens of thousands of closed connections, which have no owner and may share the port with an open
- * one: rows are only taken apart where the local end fits, and those without an owner are passed over.
- * \returns the inode of the socket that owns the port, or an empty string */
-std::string inodeOfPort(unsigned port, std::istream& table);
-/** \returns the process, of those given by id, whose socket has a local port on loopback; 0 if none. */
-int ownerOfPort(unsigned port, const std::vector<int>& pids);
-
 }  // namespace courseloom::test
--- a/test/soak/SoakCluster.cpp
+++ b/test/soak/SoakCluster.cpp
@@ -11,6 +11,8 @@
 #include <fstream>
 #include <random>
 
+#include "test/soak/SocketOwner.h"
+
 namespace courseloom::test {
 
 namespace {
@@ -27,7 +29,7 @@
       // Address and ports follow from this process, so that runs beside each other do not meet.
       m_base(21000 + static_cast<unsigned>(::getpid()) % 400 * PortStep),
       m_net(10 + static_cast<unsigned>(::getpid()) / 400 % 200),
-      m_proxy(m_io, m_rules, [this](unsigned port) { return callerOf(port); }) {
+      m_proxy(m_io, m_rules, [this](const auto& caller, const auto& proxy) { return callerOf(caller, proxy); }) {
   std::string pattern = "/tmp/courseloom-soak-XXXXXX";
   m_folder = mkdtemp(pattern.data());
   std::mt19937_64 random(seed);
@@ -160,7 +162,7 @@
   for (unsigned i = 0; i < 1 + random() % 64; ++i) file.put(static_cast<char>(random()));
 }
 
-std::string SoakCluster::callerOf(unsigned port) {
+std::string SoakCluster::callerOf(const FaultProxy::Tcp::endpoint& caller, const FaultProxy::Tcp::endpoint& proxy) {
   std::map<int, std::string> names;
   std::vector<int> pids;
   {
@@ -170,7 +172,7 @@
       pids.push_back(pid);
     }
   }
-  const int owner = ownerOfPort(port, pids);
+  const int owner = ownerOfConnection(caller, proxy, pids);
   return owner == 0 ? std::string() : names.at(owner);
 }
 
--- a/test/soak/SoakCluster.h
+++ b/test/soak/SoakCluster.h
@@ -78,7 +78,7 @@
   std::string at(unsigned host, unsigned port) const { return address(host) + ":" + std::to_string(m_base + port); }
   void addDaemon(const std::string& name, unsigned host, const std::string& extra);
   void addRunner(unsigned target, unsigned clockPercent, std::uint64_t seed);
-  std::string callerOf(unsigned port);
+  std::string callerOf(const FaultProxy::Tcp::endpoint& caller, const FaultProxy::Tcp::endpoint& proxy);
 
   SoakSize m_size;
   unsigned m_base = 0;
