A pass that has yielded is always checked again before its starts are committed

Cause: the check ran only if the table of workflows had moved on, so that starts of a pass that was yielding when a data hall was drained, or a target began another life, were still committed for it (the order is then dropped or stopped, and the task waits for a report more). Change: each pass that has yielded is checked; WorkflowTable::version, which nothing else read, goes.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -56,21 +56,22 @@
   const std::vector<PlannedTarget> targets = planTargets();
   const std::vector<PlannedRun> active = planRuns(targets);
   const unsigned keepWhole = wholeTargetsToKeep(active, steps);
-  const std::uint64_t version = table().version();
   const Term term = m_driver.replica().term();
   const Duration share = milliseconds(m_context.settings.control().plan_share_ms());
   m_planner.begin(targets, active, steps, keepWhole, static_cast<double>(wallClockMs()));
   Time shareEnds = BootClock::now() + share;
+  bool yielded = false;
   while (!m_planner.advance([&shareEnds] { return BootClock::now() >= shareEnds; })) {
+    yielded = true;
     m_context.metrics.count("plan_yields", "all");
     co_await boost::asio::post(boost::asio::bind_executor(m_strand, boost::asio::use_awaitable));
     shareEnds = BootClock::now() + share;
   }
-  const bool hasMovedOn = table().version() != version;
-  const std::vector<std::string> owners = hasMovedOn ? m_planner.workflowsOfSteps() : std::vector<std::string>();
+  // Workflows, drained data halls and the lives of targets may all have changed while the pass let others go on.
+  const std::vector<std::string> owners = yielded ? m_planner.workflowsOfSteps() : std::vector<std::string>();
   RunPlan plan = m_planner.finish();
   if (!leads() || m_driver.replica().term() != term) co_return schema::RecordRuns();
-  if (hasMovedOn) {
+  if (yielded) {
     for (std::size_t i = 0; i < steps.size(); ++i) steps[i].workflow = table().find(owners[i]);
     dropOutdated(plan, steps, [&](std::size_t target) { return takesStarts(targets[target]); });
   }
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -94,7 +94,6 @@
 void WorkflowTable::putConfiguration(const schema::QueueConfiguration& configuration) {
   if (configuration.version() <= m_configuration.version()) return;
   m_configuration = configuration;
-  ++m_version;
 }
 
 const WorkflowState* WorkflowTable::find(const std::string& id) const {
@@ -111,7 +110,6 @@
   state.record.set_phase(schema::WorkflowQueued);
   state.record.set_submitted_ms(timeMs);
   m_open.insert(workflow.id());
-  ++m_version;
   return true;
 }
 
@@ -125,7 +123,6 @@
 void WorkflowTable::record(const schema::RecordRuns& runs, std::uint64_t timeMs) {
   for (const schema::RunEnd& end : runs.ends()) recordEnd(end, timeMs);
   for (const schema::RunStart& start : runs.starts()) recordStart(start, timeMs);
-  ++m_version;
 }
 
 void WorkflowTable::recordStart(const schema::RunStart& start, std::uint64_t timeMs) {
@@ -209,7 +206,6 @@
   workflow.record.set_reason(reason);
   workflow.record.set_ended_ms(timeMs);
   m_ended.emplace_back(timeMs, workflow.record.id());
-  ++m_version;
   m_justEnded.push_back(workflow.record.id());
   review(workflow);
 }
@@ -275,7 +271,6 @@
     review(workflow);
   }
   m_ended.assign(ended.begin(), ended.end());
-  ++m_version;
 }
 
 }  // namespace courseloom
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -121,8 +121,6 @@
   std::vector<RunChange> takeRunChanges();
   /** \returns workflows that ended since the last call; some may still have active runs. */
   std::vector<std::string> takeEnded();
-  /** \returns a number that grows with each change. */
-  std::uint64_t version() const { return m_version; }
 
   void save(schema::StateSnapshot& snapshot) const;
   void load(const schema::StateSnapshot& snapshot);
@@ -138,7 +136,6 @@
   void review(const WorkflowState& workflow);
 
   std::uint64_t m_retentionMs;
-  std::uint64_t m_version = 1;
   schema::QueueConfiguration m_configuration;
   std::map<std::string, WorkflowState> m_workflows;
   std::set<std::string> m_open;
