--- a/Courseloom/src/Transport/Http2Connection.cpp
+++ b/Courseloom/src/Transport/Http2Connection.cpp
@@ -196,6 +196,8 @@
   } else {
     failure.detail = "the stream ended before its answer was whole";
   }
+  // A peer handles a call once it has the whole of it; a caller that knows that it did not run may send it elsewhere.
+  if (!stream.whole) failure.ran = Ran::No;
   return fail(std::move(failure));
 }
 
@@ -262,7 +264,8 @@
   const std::size_t part = std::min(length, stream.outgoing.size() - stream.sent);
   std::memcpy(buffer, stream.outgoing.data() + stream.sent, part);
   stream.sent += part;
-  if (stream.sent == stream.outgoing.size()) *flags |= NGHTTP2_DATA_FLAG_EOF;
+  stream.whole = stream.sent == stream.outgoing.size();
+  if (stream.whole) *flags |= NGHTTP2_DATA_FLAG_EOF;
   return static_cast<ssize_t>(part);
 }
 
--- a/Courseloom/src/Transport/Http2Connection.h
+++ b/Courseloom/src/Transport/Http2Connection.h
@@ -76,6 +76,7 @@
     std::string body;      ///< received
     std::string outgoing;  ///< to be sent
     std::size_t sent = 0;
+    bool whole = false;  ///< the end of what is to be sent was handed to the connection
     unsigned status = 0;
     bool done = false;
     bool refused = false;
