--- a/test/replica_proofs.cpp
+++ b/test/replica_proofs.cpp
@@ -95,13 +95,16 @@
 
 namespace {
 
-/** Commits beside followers whose syncs take 1.9 s each. \returns whether the leader could read all the time */
-bool readsBesideSlowDisks(const ReplicaMechanisms& mechanisms) {
+enum class SlowDisks { Followers, Leader, All };
+
+/** Commits beside disks whose syncs take 1.9 s each. \returns whether the leader stayed leader all the time */
+bool leadsBesideSlowDisks(SlowDisks slow, const ReplicaMechanisms& mechanisms) {
   ReplicaCluster cluster(3, 11, {0, 0, false, false, false, false, false}, mechanisms);
   cluster.advance(milliseconds(2000));
   const int leader = cluster.leader();
   for (std::size_t node = 0; node < 3; ++node) {
-    if (static_cast<int>(node) != leader) cluster.slowDisk(node, milliseconds(1900));
+    const bool leads = static_cast<int>(node) == leader;
+    if (slow == SlowDisks::All || leads == (slow == SlowDisks::Leader)) cluster.slowDisk(node, milliseconds(1900));
   }
   bool reads = true;
   for (int i = 0; i < 100; ++i) {
@@ -117,10 +120,15 @@
 
 // Entries refused requests as not fresh beside syncs of 0.4 to 1.9 s: followers answered heartbeats only after them.
 Test(replica_proofs, followers_with_slow_disks_leave_the_leader_its_lease) {
-  cr_assert(readsBesideSlowDisks({}));
+  cr_assert(leadsBesideSlowDisks(SlowDisks::Followers, {}));
   ReplicaMechanisms silent;
   silent.contactWhileStoring = false;
-  cr_assert(!readsBesideSlowDisks(silent));
+  cr_assert(!leadsBesideSlowDisks(SlowDisks::Followers, silent));
+}
+
+Test(replica_proofs, a_leader_with_a_slow_disk_keeps_its_lease) {
+  cr_assert(leadsBesideSlowDisks(SlowDisks::Leader, {}));
+  cr_assert(leadsBesideSlowDisks(SlowDisks::All, {}), "one machine's disks are slow together");
 }
 
 Test(replica_proofs, a_standby_takes_the_place_of_a_silent_voter_which_follows_when_it_returns) {
