A call that fails over a kept connection drops the others that were kept before it

Cause: a cut that silences connections for good silences all that are open, without a reset; a client of a target kept up to eight and lost a call to each in turn, so that a target that answers on new connections counted as lost for seconds.

--- a/Courseloom/src/Transport/HttpClient.cpp
+++ b/Courseloom/src/Transport/HttpClient.cpp
@@ -41,13 +41,21 @@
 
 void HttpClient::putIdle(ConnectionPointer connection) {
   const std::lock_guard lock(m_mutex);
+  connection->idleSince = BootClock::now();
   if (m_idle.size() < m_maxIdle) m_idle.push_back(std::move(connection));
 }
 
+/** A cut that silences connections for good silences all that were open: each of them that is kept costs a call. */
+void HttpClient::dropIdleSince(Time before) {
+  const std::lock_guard lock(m_mutex);
+  std::erase_if(m_idle, [before](const ConnectionPointer& connection) { return connection->idleSince <= before; });
+}
+
 Awaitable<Result<HttpResponse>> HttpClient::exchange(std::string step, HttpRequest request, Duration limit,
                                                      std::uint64_t maxBodyBytes) {
   ConnectionPointer connection = takeIdle();
-  const Time deadline = BootClock::now() + limit;
+  const Time sentAt = BootClock::now();
+  const Time deadline = sentAt + limit;
   if (!connection) {
     connection = std::make_unique<Connection>(m_io);
     connection->stream.expires_after(limit);
@@ -65,6 +73,7 @@
   const auto [writeError, written] =
       co_await http::async_write(connection->stream, request, asio::as_tuple(asio::use_awaitable));
   if (writeError) {
+    dropIdleSince(sentAt);
     co_return fail(Failure{FailureCode::TargetFailed, Ran::Unknown, step, m_peer, writeError.message(), 0});
   }
   http::response_parser<http::string_body> parser;
@@ -72,6 +81,7 @@
   const auto [readError, readBytes] =
       co_await http::async_read(connection->stream, connection->buffer, parser, asio::as_tuple(asio::use_awaitable));
   if (readError) {
+    dropIdleSince(sentAt);
     Failure failure{FailureCode::TargetFailed, Ran::Unknown, step, m_peer, readError.message(), 0};
     if (readError == http::error::partial_message || parser.got_some()) failure.code = FailureCode::AnswerIncomplete;
     if (readError == http::error::body_limit) failure.code = FailureCode::BodyTooLarge;
--- a/Courseloom/src/Transport/HttpClient.h
+++ b/Courseloom/src/Transport/HttpClient.h
@@ -35,11 +35,13 @@
     explicit Connection(boost::asio::io_context& io);
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    Time idleSince{};
   };
   using ConnectionPointer = std::unique_ptr<Connection>;
 
   ConnectionPointer takeIdle();
   void putIdle(ConnectionPointer connection);
+  void dropIdleSince(Time before);
 
   boost::asio::io_context& m_io;
   boost::asio::ip::tcp::endpoint m_endpoint;
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -29,6 +29,8 @@
     all.silentToServer |= found->second.silentToServer;
     all.silentToCaller |= found->second.silentToCaller;
     all.resets += found->second.resets;
+    all.silencesToServer += found->second.silencesToServer;
+    all.silencesToCaller += found->second.silencesToCaller;
   }
   return all;
 }
@@ -44,13 +46,17 @@
 }
 
 struct FaultProxy::Connection {
-  Connection(asio::io_context& io, Tcp::socket accepted) : caller(std::move(accepted)), server(io) {}
+  Connection(asio::io_context& io, Tcp::socket socket) : caller(std::move(socket)), server(io) {}
   Tcp::socket caller;
   Tcp::socket server;
   std::string from;
   std::string to;
-  std::uint64_t resets = 0;
+  LinkRule accepted;  ///< as it was when the connection came
 
+  bool isSilenced(const LinkRule& rule, bool toServer) const {
+    return toServer ? rule.silencesToServer != accepted.silencesToServer
+                    : rule.silencesToCaller != accepted.silencesToCaller;
+  }
   void reset() {
     boost::system::error_code ignored;
     for (Tcp::socket* socket : {&caller, &server}) {
@@ -79,7 +85,7 @@
     const Tcp::endpoint peer = connection->caller.remote_endpoint(gone);
     connection->from = gone ? std::string() : m_callerOf(peer, listen);
     connection->to = server;
-    connection->resets = m_rules.get(connection->from, server).resets;
+    connection->accepted = m_rules.get(connection->from, server);
     asio::co_spawn(m_io, serve(connection, target), asio::detached);
   }
 }
@@ -109,9 +115,16 @@
     while (toServer ? rule.silentToServer : rule.silentToCaller) {
       co_await sleepFor(SilencePoll);
       rule = ruled();
-      if (rule.resets != connection->resets) break;
+      if (rule.resets != connection->accepted.resets) break;
+    }
+    if (connection->isSilenced(rule, toServer)) {
+      // Neither bytes nor the end of the connection get through; the far end has to notice by itself.
+      boost::system::error_code ignored;
+      if (readError) source.close(ignored);
+      if (readError) co_return;
+      continue;
     }
-    if (rule.resets != connection->resets || (readError && readError != asio::error::eof)) {
+    if (rule.resets != connection->accepted.resets || (readError && readError != asio::error::eof)) {
       connection->reset();
       co_return;
     }
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -23,9 +23,12 @@
   bool silentToServer = false;  ///< bytes of the caller are held back
   bool silentToCaller = false;  ///< bytes of the server are held back
   std::uint64_t resets = 0;     ///< raised to reset all connections of the link
+  /** Raised to silence the connections that there are, one way, for good; new ones work. */
+  std::uint64_t silencesToServer = 0;
+  std::uint64_t silencesToCaller = 0;
 
   /** Ends delay and silence. */
-  void heal() { *this = LinkRule{Duration(0), false, false, resets}; }
+  void heal() { *this = LinkRule{Duration(0), false, false, resets, silencesToServer, silencesToCaller}; }
 };
 
 /** \class LinkRules
--- a/test/soak/SoakFaults.cpp
+++ b/test/soak/SoakFaults.cpp
@@ -67,7 +67,16 @@
     more.push_back({4, &SoakFaults::beginAgainUnderLateOrders});
     return more;
   }();
-  const std::vector<Kind>& kinds = m_draw == FaultDraw::First ? first : m_draw == FaultDraw::Orders ? orders : lives;
+  static const std::vector<Kind> silence = [] {
+    std::vector<Kind> more = lives;
+    more.push_back({6, &SoakFaults::silenceConnections});
+    return more;
+  }();
+  static const std::map<FaultDraw, const std::vector<Kind>*> draws{{FaultDraw::First, &first},
+                                                                   {FaultDraw::Orders, &orders},
+                                                                   {FaultDraw::Lives, &lives},
+                                                                   {FaultDraw::Silence, &silence}};
+  const std::vector<Kind>& kinds = *draws.at(m_draw);
   const unsigned all =
       std::accumulate(kinds.begin(), kinds.end(), 0U, [](unsigned sum, const Kind& kind) { return sum + kind.weight; });
   unsigned drawn = pick(1, all);
@@ -251,6 +260,19 @@
   m_cluster.links().change("*", to, [](LinkRule& rule) { ++rule.resets; });
 }
 
+/** No reset tells the ends, and new connections work: only a time-out or a probe of their own shows it. */
+void SoakFaults::silenceConnections() {
+  const std::string to = pick(1, 3) == 1 ? anyOf("runner") : anyOf("control");
+  const std::string from = pick(1, 2) == 1 ? "*" : anyDaemon();
+  const unsigned how = pick(1, 3);
+  note("connections from " + from + " to " + to + " fall silent for good, way " + std::to_string(how));
+  if (to.rfind("control", 0) == 0) m_controlHarmed = std::max(m_controlHarmed, BootClock::now());
+  m_cluster.links().change(from, to, [how](LinkRule& rule) {
+    if (how != 2) ++rule.silencesToServer;
+    if (how != 1) ++rule.silencesToCaller;
+  });
+}
+
 // ---- targets
 
 void SoakFaults::tellTarget(unsigned target, const std::string& path) {
--- a/test/soak/SoakFaults.h
+++ b/test/soak/SoakFaults.h
@@ -20,8 +20,9 @@
   First = 1,   ///< processes, disks, links; back ends that crash, fall silent, leave
   Orders = 2,  ///< as well: orders that are refused or carried out late, heartbeats that outlive their sender
   Lives = 3,   ///< as well: back ends that begin again under the identity that they had
+  Silence = 4  ///< as well: connections that fall silent for good while new ones work
 };
-constexpr FaultDraw NewestDraw = FaultDraw::Lives;
+constexpr FaultDraw NewestDraw = FaultDraw::Silence;
 
 /** \class SoakFaults
  * \brief Draws faults from a seed and brings them about: signals in series, kills, lost and torn disks, harmed links,
@@ -65,6 +66,7 @@
   void lateOrders();
   void refuseAndLate();
   void crashWithLateHeartbeats();
+  void silenceConnections();
   void beginAgain();
   void beginAgainUnderLateOrders();
   void refuse(unsigned target);
