A report is searched for a run only when it comes from another life of the run's target

Found in reading the change again: each report of each agent built a set of all runs that it lists, a copy of every workflow's name included, and nothing but a report from another life under the same identity ever looked into it; the leader's processor is what ends first with size. The lists are now searched in place, for the runs that need it. No behaviour changes, no test changes.

--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -3,6 +3,8 @@
 
 #include "Courseloom/src/Scheduling/RunLedger.h"
 
+#include <algorithm>
+
 #include "Courseloom/src/Core/TargetLife.h"
 
 namespace courseloom {
@@ -16,12 +18,11 @@
  * which about half had passed when the first replica was back. */
 constexpr Duration ElectionAllowance = milliseconds(2000);
 
-/** \returns runs that a report's lists show at the target that it tells of. */
-std::set<RunKey> shown_in(const schema::AttendRequest& report) {
-  std::set<RunKey> shown;
-  for (const schema::RunReport& row : report.running()) shown.insert(runKeyOf(row.task(), row.run()));
-  for (const schema::EndReport& row : report.ends()) shown.insert(runKeyOf(row.task(), row.run()));
-  return shown;
+/** \returns whether a report's lists show a run at the target that it tells of. */
+bool shows(const schema::AttendRequest& report, const RunKey& key) {
+  const auto isKey = [&key](const auto& row) { return runKeyOf(row.task(), row.run()) == key; };
+  return std::any_of(report.running().begin(), report.running().end(), isKey) ||
+         std::any_of(report.ends().begin(), report.ends().end(), isKey);
 }
 
 /** \returns whether a life can have taken an order that was meant for another: they share an identity. */
@@ -139,7 +140,6 @@
   target.heard = now;
   target.askedAt = Time{};
   std::vector<schema::RunEnd> ends;
-  const std::set<RunKey> shown = internal::shown_in(report);
   for (const RunKey& key : keys) {
     RunTrack& track = m_runs.at(key);
     if (newAgent) {
@@ -148,9 +148,10 @@
       track.stopDelivered = Time{};
     }
     const bool otherLife = !report.target().id().empty() && track.target != report.target().id();
+    if (!otherLife) continue;
     // An order meant for the former life may have begun the run in this one, which has to end it first.
-    const bool begun = shown.count(key) > 0 && internal::shares_identity(report.target().id(), track.target);
-    if (otherLife && !begun) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
+    const bool begun = internal::shares_identity(report.target().id(), track.target) && internal::shows(report, key);
+    if (!begun) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
   }
   takeRows(report, now);
   for (const schema::EndReport& row : report.ends()) {
