Targets' speeds are learnt from what runs on them, kept in the replicated state, and decide where work goes

Urgent work leaves out targets on which it would probably end late, if others could hold it; other work takes slow ones first. RunTimes moved to State; the paces of tracks to RunPace.

--- a/Courseloom/src/Client/Tables.cpp
+++ b/Courseloom/src/Client/Tables.cpp
@@ -40,6 +40,12 @@
   return text;
 }
 
+std::string hundredths(double value) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.2f", value);
+  return text;
+}
+
 struct Series {
   std::map<double, double> buckets;  ///< upper bound to cumulative count
   double count = 0;
@@ -175,6 +181,16 @@
   return text.str();
 }
 
+std::string targetTable(const schema::ClusterStatus& status) {
+  internal::Rows rows{{"TARGET", "SERVICE", "DATA HALL", "RACK", "OPEN", "RUNS", "TIME FACTOR", "OFF BY UP TO"}};
+  for (const schema::TargetStatus& target : status.targets()) {
+    rows.push_back({target.id(), target.service(), target.data_hall(), target.rack(), target.open() ? "yes" : "no",
+                    std::to_string(target.runs()), internal::hundredths(target.time_factor()),
+                    internal::hundredths(target.uncertainty())});
+  }
+  return formatTable(rows);
+}
+
 std::string histogramTable(const std::string& prometheus) {
   std::map<std::vector<std::string>, internal::Series> all;
   std::istringstream lines(prometheus);
--- a/Courseloom/src/Client/Tables.h
+++ b/Courseloom/src/Client/Tables.h
@@ -14,6 +14,8 @@
 std::string formatTable(const std::vector<std::vector<std::string>>& rows);
 std::string objectTable(const schema::QueryReply& reply);
 std::string jobTable(const schema::QueryReply& reply);
+/** Targets of workflows, with the run time of a task on each against that on a usual one. */
+std::string targetTable(const schema::ClusterStatus& status);
 std::string statusTables(const schema::ClusterStatus& status);
 /** Sums Prometheus histograms into a table: family, workspace, class, count, mean and quantiles in ms. */
 std::string histogramTable(const std::string& prometheus);
--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -307,6 +307,7 @@
     row->set_leader(member.id() == replica.leader());
   }
   for (schema::HallDrainStatus& drain : m_workflows.hallDrainStatus()) *status.add_hall_drains() = std::move(drain);
+  for (schema::TargetStatus& target : m_workflows.targetStatus()) *status.add_targets() = std::move(target);
   const Scheduler& scheduler = m_jobs.scheduler();
   const std::vector<schema::Worker>& workers = scheduler.topology().workers();
   for (std::size_t i = 0; i < workers.size(); ++i) {
--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -50,6 +50,7 @@
 
 /** Reports, votes and commits go on while a long pass yields; what it decides is checked against what they changed. */
 Awaitable<schema::RecordRuns> WorkflowRunner::makePlan() {
+  learnFromRuns();
   markGuaranteed();
   std::vector<PlannedStep> steps = planSteps();
   if (steps.empty()) co_return schema::RecordRuns();
@@ -205,6 +206,7 @@
     target.open = m_ledger.open(agent, now) && !closed;
     target.single = trusted && m_health.onProbation(report.id(), now);
     target.penalty = m_health.penalty(report.id(), now);
+    if (learns()) target.pace = m_outlook.paceOf(report.id());
   }
   return targets;
 }
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -12,8 +12,8 @@
 #include "Courseloom/src/Control/ReplicaDriver.h"
 #include "Courseloom/src/Membership/RelayDirectory.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
+#include "Courseloom/src/Scheduling/RunPace.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
-#include "Courseloom/src/Scheduling/RunTimes.h"
 #include "Courseloom/src/Scheduling/TargetHealth.h"
 #include "generated/rpc.pb.h"
 
@@ -63,6 +63,8 @@
   std::set<std::string> dataHalls() const;
   /** \returns each drained data hall with the targets and runs that are still there. */
   std::vector<schema::HallDrainStatus> hallDrainStatus() const;
+  /** \returns each target with what is believed of it. */
+  std::vector<schema::TargetStatus> targetStatus() const;
   /** Lets waiting agents go, so that they look for another leader. */
   void release();
   /** \returns control replicas, for agents that follow them. */
@@ -105,8 +107,12 @@
   bool standsStill(const RunKey& key, const RunTrack& track) const;
   bool learns() const { return m_context.settings.policy().learn_run_times(); }
   double expectedMs(const std::string& queue, const schema::StepSpec& step) const;
-  double remainingMs(const RunTrack& track, double wholeMs) const;
-  void learnFrom(const RunChange& change);
+  double timeFactor(const std::string& target) const;
+  double remainingMs(const RunTrack& track, double usualMs) const;
+  std::optional<double> wholeMs(const RunKey& key, const RunTrack& track) const;
+  void noteWholeTime(schema::RunEnd& end, Time now) const;
+  void learnFromRuns();
+  void notePaces();
   void stopWhole(const RunKey& key, const char* reason);
   std::vector<PlannedTarget> planTargets() const;
   static void endGangsTogether(std::vector<PlannedRun>& runs);
@@ -128,7 +134,9 @@
   RelayDirectory m_relays;  ///< as of the last tick
   RunPlanner m_planner;
   TargetHealth m_health;
-  RunTimes m_runTimes;
+  RunOutlook m_outlook;                         ///< of the log, and of what active runs show by now
+  std::map<std::string, TargetSpeed> m_speeds;  ///< by target's life, as last told
+  Time m_learntAt{};                            ///< when the outlook was last brought up to date
   ChangeSignal m_planWanted;
   std::map<std::string, ChangeSignal> m_agentSignals;
   std::map<StepName, Time> m_readySince;
--- a/Courseloom/src/Scheduling/Placer.cpp
+++ b/Courseloom/src/Scheduling/Placer.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "Courseloom/src/Scheduling/Lateness.h"
+
 namespace courseloom {
 
 namespace internal {
@@ -52,6 +54,17 @@
   return m_targets[target].penalty + (forOther ? internal::NominatedPenalty : 0.0);
 }
 
+double Placer::lateChance(const StepDemand& demand, std::size_t target) const {
+  return m_options.speeds ? addedLateChance(demand.slownessLimit, m_targets[target].pace) : 0.0;
+}
+
+/** Urgent work goes where it ends in time; other work, which has more time, leaves the fast targets to it. */
+double Placer::speedCost(const StepDemand& demand, std::size_t target) const {
+  if (!m_options.speeds) return 0.0;
+  const double slope = demand.isUrgent() ? m_options.fastGain : -m_options.slowFirst;
+  return m_options.lateCost * lateChance(demand, target) + slope * m_targets[target].pace.slowness;
+}
+
 /** \returns the room of a target less what is kept there for gangs that would be held up by the step. */
 Room Placer::spareFor(const StepDemand& demand, std::size_t target, const Room& room) const {
   Room spare = room;
@@ -74,7 +87,8 @@
   return static_cast<double>(room.accelerators - demand.need.accelerators) +
          internal::CpuWeight * static_cast<double>(room.cpuMilli - demand.need.cpuMilli) / internal::MilliPerCore +
          internal::OrderWeight * static_cast<double>(place) +
-         (demand.isAway(m_targets.rackOf(target)) ? internal::AwayFromData : 0.0) + penaltyOf(demand, target);
+         (demand.isAway(m_targets.rackOf(target)) ? internal::AwayFromData : 0.0) + penaltyOf(demand, target) +
+         speedCost(demand, target);
 }
 
 bool Placer::obeysHeadroom(const StepDemand& demand) const {
@@ -109,7 +123,7 @@
     if (opens && whole <= m_keepWhole) continue;
     const std::size_t count = std::min(capacity, demand.tasks - placement.targets.size());
     placement.targets.insert(placement.targets.end(), count, target);
-    placement.cost += static_cast<double>(count) * penaltyOf(demand, target);
+    placement.cost += static_cast<double>(count) * (penaltyOf(demand, target) + speedCost(demand, target));
     if (opens && demand.need.accelerators > 0) --whole;
   }
   return placement;
--- a/Courseloom/src/Scheduling/Placer.h
+++ b/Courseloom/src/Scheduling/Placer.h
@@ -69,11 +69,14 @@
   unsigned keepWhole() const { return m_keepWhole; }
   /** \returns cost of a target that comes late in the order for the step, whatever its room. */
   double penaltyOf(const StepDemand& demand, std::size_t target) const;
+  /** \returns how likely it is that the step ends late on a target, 0 to 1, though it would not on a usual one. */
+  double lateChance(const StepDemand& demand, std::size_t target) const;
   /** Takes room of a target; all of it where one run at a time is the limit. */
   void occupy(Room& room, std::size_t target, const Room& need) const;
 
  private:
   Room spareFor(const StepDemand& demand, std::size_t target, const Room& room) const;
+  double speedCost(const StepDemand& demand, std::size_t target) const;
   double costOf(const StepDemand& demand, std::size_t target, const Room& room) const;
   double freeAfter(const StepPlacement& placement, const StepDemand& demand, std::size_t rack,
                    const Rooms& rooms) const;
--- a/Courseloom/src/Scheduling/RoomMaker.cpp
+++ b/Courseloom/src/Scheduling/RoomMaker.cpp
@@ -153,7 +153,9 @@
   std::optional<double> clearing(std::size_t place, std::vector<std::size_t>* victims) const {
     const std::size_t target = m_among[place];
     Room room = m_rooms[place];
-    double price = m_maker.m_placer.penaltyOf(m_demand, target);
+    // A place where the step ends late is worth as little as one where its own work is lost.
+    double price = m_maker.m_placer.penaltyOf(m_demand, target) +
+                   m_maker.m_placer.lateChance(m_demand, target) * m_demand.taskWork;
     std::vector<std::size_t> gangs;
     for (const std::size_t r : m_stoppable.byTarget[target]) {
       if (room.holds(m_demand.need)) break;
--- /dev/null
+++ b/Courseloom/src/Scheduling/RunPace.cpp
@@ -0,0 +1,44 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Scheduling/RunPace.h"
+
+#include <algorithm>
+
+namespace courseloom {
+
+namespace internal {
+namespace {
+
+/** Share of a task, percent, that has to be seen before its pace tells when it ends: ten steps of its gauge. */
+constexpr std::uint32_t TellingPercent = 10;
+constexpr double WholePercent = 100.0;
+
+}  // namespace
+}  // namespace internal
+
+double gangRemainingMs(const std::map<RunKey, RunTrack>& runs, const RunKey& member, std::uint32_t count,
+                       const std::function<double(const RunTrack&)>& remainingMs) {
+  double longest = 0.0;
+  for (std::uint32_t index = 0; index < count; ++index) {
+    const auto found = runs.find({member.workflow, {member.task.occurrence, member.task.step, index}, member.run});
+    if (found != runs.end()) longest = std::max(longest, remainingMs(found->second));
+  }
+  return longest;
+}
+
+std::optional<double> wholeByPaceMs(const RunTrack& track) {
+  const bool seen = track.firstSeen != Time{} && track.percent >= track.firstPercent + internal::TellingPercent;
+  const double tookMs = toMilliseconds(track.percentChanged - track.firstSeen);
+  if (!seen || tookMs <= 0.0) return std::nullopt;
+  return internal::WholePercent * tookMs / (track.percent - track.firstPercent);
+}
+
+std::optional<double> remainingByPaceMs(const RunTrack& track, Time now) {
+  const std::optional<double> wholeMs = wholeByPaceMs(track);
+  if (!wholeMs) return std::nullopt;
+  const double leftMs = *wholeMs * (internal::WholePercent - track.percent) / internal::WholePercent;
+  return std::max(0.0, leftMs - toMilliseconds(now - track.percentChanged));
+}
+
+}  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunPlan.h
+++ b/Courseloom/src/Scheduling/RunPlan.h
@@ -13,6 +13,7 @@
 
 #include "Courseloom/src/Scheduling/Room.h"
 #include "Courseloom/src/Scheduling/RunLedger.h"
+#include "Courseloom/src/State/RunOutlook.h"
 
 namespace courseloom {
 
@@ -37,7 +38,8 @@
   Room capacity;
   bool open = false;     ///< may be given new runs
   bool single = false;   ///< may have one run at a time: it has yet to show that it works
-  double penalty = 0.0;  ///< added to its cost: slow or failing targets come last
+  double penalty = 0.0;  ///< added to its cost: failing targets come last
+  TargetPace pace;       ///< how slow it is
 };
 
 /** \class PlannedRun
@@ -143,8 +145,16 @@
   unsigned gangStopsAtOnce = 4;      ///< such gangs that make room for themselves in one plan
   bool nominations = true;           ///< a target that is being freed for a step is the last choice of others
   bool yields = true;                ///< urgent work that is late already stops nothing outside its guarantee
-  bool headroom = true;              ///< whole targets are kept free for priority 0
-  double headroomWaitMs = 4000.0;    ///< wait after which other work may take them all the same
+  bool speeds = true;                ///< urgent work goes to targets on which it ends in time, other work to slow ones
+  /** Cost of a place where work is sure to end late that would be in time on a usual target, in the accelerators that
+   * packing leaves free. */
+  double lateCost = 30.0;
+  double fastGain = 2.0;    ///< cost of a place for urgent work for each unit of its target's slowness
+  double slowFirst = 10.0;  ///< the same for other work, taken off: fast targets stay free for urgent work
+  /** Guaranteed work that has waited this long begins wherever there is room: its promise is when it begins. */
+  double guaranteedChoiceMs = 500.0;
+  bool headroom = true;            ///< whole targets are kept free for priority 0
+  double headroomWaitMs = 4000.0;  ///< wait after which other work may take them all the same
 };
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -64,7 +64,8 @@
   m_pass->names.reserve(m_pass->steps.size());
   for (std::size_t i = 0; i < m_pass->steps.size(); ++i) {
     const PlannedStep& step = m_pass->steps[i];
-    m_pass->demands.push_back(makeDemand(step, i, m_pass->targets, m_pass->nowMs));
+    const bool bound = step.rank == GuaranteedRank && step.waitedMs >= m_options.guaranteedChoiceMs;
+    m_pass->demands.push_back(makeDemand(step, i, m_pass->targets, m_pass->nowMs, m_options.speeds && !bound));
     m_pass->names.emplace_back(step.workflow->record.id(), step.key);
     age(m_pass->demands.back());
   }
--- a/Courseloom/src/Scheduling/StepDemand.h
+++ b/Courseloom/src/Scheduling/StepDemand.h
@@ -31,6 +31,7 @@
   double waitedMs = 0.0;
   double objectiveMs = 0.0;
   double taskWork = 0.0;
+  double slownessLimit = 0.0;                               ///< at which a task ends just in time; \sa TargetPace
   TargetList serving;                                       ///< targets that may have it once they are open
   bool shared = true;                                       ///< other steps of the same needs may use the same targets
   std::vector<std::pair<std::size_t, std::size_t>> placed;  ///< its tasks by target, in ascending order of targets
@@ -46,8 +47,9 @@
 };
 
 /** \returns what a step asks for. Targets on which it has failed are left out if others could hold it.
- * \param nowMs wall clock, ms since 1970 */
-StepDemand makeDemand(const PlannedStep& step, std::size_t index, TargetIndex& targets, double nowMs);
+ * \param nowMs wall clock, ms since 1970 \param choosesFast whether an urgent step leaves out targets on which it would
+ * end late, if others could hold it */
+StepDemand makeDemand(const PlannedStep& step, std::size_t index, TargetIndex& targets, double nowMs, bool choosesFast);
 
 /** \returns whether targets could hold so many tasks of a step if nothing else ran there, open to new runs now or not.
  */
--- a/Courseloom/src/Scheduling/RunTimes.cpp
+++ b/Courseloom/src/State/RunTimes.cpp
@@ -1,7 +1,7 @@
 // This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
 // SPDX-License-Identifier: MPL-2.0
 
-#include "Courseloom/src/Scheduling/RunTimes.h"
+#include "Courseloom/src/State/RunTimes.h"
 
 #include <algorithm>
 #include <cmath>
@@ -15,23 +15,20 @@
 constexpr double PriorRuns = 10.0;
 /** Variance of the logarithms of estimates that goes with that belief: estimates that differ by half. */
 constexpr double PriorVariance = 0.25;
-/** Share of a task, percent, that has to be seen before its pace tells when it ends: ten steps of its gauge. */
-constexpr std::uint32_t TellingPercent = 10;
-constexpr double WholePercent = 100.0;
 
 }  // namespace
 }  // namespace internal
 
-void RunTimes::ended(const std::string& queue, double estimateMs, double tookMs) {
+void RunTimes::ended(const std::string& queue, double estimateMs, double tookMs, double weight) {
   if (estimateMs <= 0.0 || tookMs <= 0.0) return;
   const double x = std::log(estimateMs);
   const double y = std::log(tookMs);
   Sums& sums = m_queues[queue];
-  sums.count += 1.0;
-  sums.x += x;
-  sums.y += y;
-  sums.xx += x * x;
-  sums.xy += x * y;
+  sums.count += weight;
+  sums.x += weight * x;
+  sums.y += weight * y;
+  sums.xx += weight * x * x;
+  sums.xy += weight * x * y;
 }
 
 double RunTimes::expectedMs(const std::string& queue, double estimateMs) const {
@@ -49,23 +46,23 @@
   return std::exp(x + trust * (meanY - meanX + (slope - 1.0) * (x - meanX)));
 }
 
-double gangRemainingMs(const std::map<RunKey, RunTrack>& runs, const RunKey& member, std::uint32_t count,
-                       const std::function<double(const RunTrack&)>& remainingMs) {
-  double longest = 0.0;
-  for (std::uint32_t index = 0; index < count; ++index) {
-    const auto found = runs.find({member.workflow, {member.task.occurrence, member.task.step, index}, member.run});
-    if (found != runs.end()) longest = std::max(longest, remainingMs(found->second));
+void RunTimes::save(schema::StateSnapshot& snapshot) const {
+  for (const auto& [queue, sums] : m_queues) {
+    schema::QueueTimes* row = snapshot.add_queue_times();
+    row->set_queue(queue);
+    row->set_count(sums.count);
+    row->set_x(sums.x);
+    row->set_y(sums.y);
+    row->set_xx(sums.xx);
+    row->set_xy(sums.xy);
   }
-  return longest;
 }
 
-std::optional<double> remainingByPaceMs(const RunTrack& track, Time now) {
-  const bool seen = track.firstSeen != Time{} && track.percent >= track.firstPercent + internal::TellingPercent;
-  const double tookMs = toMilliseconds(track.percentChanged - track.firstSeen);
-  if (!seen || tookMs <= 0.0) return std::nullopt;
-  const double pace = (track.percent - track.firstPercent) / tookMs;
-  const double leftMs = (internal::WholePercent - track.percent) / pace;
-  return std::max(0.0, leftMs - toMilliseconds(now - track.percentChanged));
+void RunTimes::load(const schema::StateSnapshot& snapshot) {
+  m_queues.clear();
+  for (const schema::QueueTimes& row : snapshot.queue_times()) {
+    if (row.count() > 0.0) m_queues[row.queue()] = {row.count(), row.x(), row.y(), row.xx(), row.xy()};
+  }
 }
 
 }  // namespace courseloom
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -36,6 +36,12 @@
          std::to_string(id.index());
 }
 
+StepOfRuns stepOfRuns(const WorkflowState& workflow, const StepKey& key) {
+  const schema::StepSpec& step = workflow.step(key.step);
+  const std::string name = workflow.record.id() + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step);
+  return {name, workflow.record.queue(), static_cast<double>(step.estimate_ms()), step.gang()};
+}
+
 schema::TaskId makeTaskId(const std::string& workflow, const TaskKey& key) {
   schema::TaskId id;
   id.set_workflow(workflow);
@@ -155,8 +161,10 @@
   const auto run = std::find_if(active.begin(), active.end(), [&](const auto& r) { return r.number() == end.run(); });
   if (run == active.end()) return;
   m_runChanges.push_back({end.task(), *run, false, end.kind(), timeMs});
+  const schema::ActiveRun ended = *run;
   active.erase(run);
   --workflow.activeRuns;
+  learnFrom(workflow, ended, end, timeMs);
   if (!end.checkpoint().empty()) workflow.tasks[internal::lead_of(workflow, key)].checkpoint = end.checkpoint();
   if (!workflow.ended() && end.kind() == schema::RunDone && !workflow.step(key.step).long_running()) {
     markDone(workflow, key);
@@ -166,6 +174,23 @@
   review(workflow);
 }
 
+void WorkflowTable::learnFrom(const WorkflowState& workflow, const schema::ActiveRun& run, const schema::RunEnd& end,
+                              std::uint64_t timeMs) {
+  if (end.kind() == schema::RunTargetLost) return m_outlook.forget(run.target());
+  const StepKey step = keyOf(end.task()).stepKey();
+  m_outlook.ran(stepOfRuns(workflow, step), run.target(), static_cast<double>(end.whole_ms()), timeMs);
+  if (workflow.ended() && workflow.activeRuns == 0) closeSteps(workflow);
+}
+
+/** Nothing more is to be learnt of the steps of a workflow that has ended. */
+void WorkflowTable::closeSteps(const WorkflowState& workflow) {
+  for (std::uint32_t occurrence = 0; occurrence < workflow.occurrences(); ++occurrence) {
+    for (int step = 0; step < workflow.record.spec().steps_size(); ++step) {
+      m_outlook.close(stepOfRuns(workflow, {occurrence, static_cast<std::uint32_t>(step)}).name);
+    }
+  }
+}
+
 /** A gang ends together: one member's end counts for all. */
 void WorkflowTable::markDone(WorkflowState& workflow, const TaskKey& key) {
   const bool gang = workflow.step(key.step).gang();
@@ -230,6 +255,7 @@
 // ---- snapshots
 
 void WorkflowTable::save(schema::StateSnapshot& snapshot) const {
+  m_outlook.save(snapshot);
   *snapshot.mutable_configuration() = m_configuration;
   for (const auto& [id, workflow] : m_workflows) {
     schema::Workflow* saved = snapshot.add_workflows();
@@ -248,6 +274,7 @@
 }
 
 void WorkflowTable::load(const schema::StateSnapshot& snapshot) {
+  m_outlook.load(snapshot);
   m_configuration = snapshot.configuration();
   std::multimap<std::uint64_t, std::string> ended;
   for (const schema::Workflow& saved : snapshot.workflows()) {
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Courseloom/src/Core/Failure.h"
+#include "Courseloom/src/State/RunOutlook.h"
 #include "generated/state.pb.h"
 #include "generated/workflow.pb.h"
 
@@ -73,6 +74,9 @@
   bool ended() const;
 };
 
+/** \returns what run times of a step are known by. */
+StepOfRuns stepOfRuns(const WorkflowState& workflow, const StepKey& key);
+
 /** \class RunChange
  * \brief One run that was committed as started, or as ended.
  */
@@ -117,6 +121,8 @@
   /** \returns ids of workflows that have not ended or still have runs. */
   const std::set<std::string>& open() const { return m_open; }
   std::size_t size() const { return m_workflows.size(); }
+  /** \returns what the log tells of run times. */
+  const RunOutlook& outlook() const { return m_outlook; }
   /** \returns runs that started or ended since the last call, in order. */
   std::vector<RunChange> takeRunChanges();
   /** \returns workflows that ended since the last call; some may still have active runs. */
@@ -128,6 +134,9 @@
  private:
   void recordEnd(const schema::RunEnd& end, std::uint64_t timeMs);
   void recordStart(const schema::RunStart& start, std::uint64_t timeMs);
+  void learnFrom(const WorkflowState& workflow, const schema::ActiveRun& run, const schema::RunEnd& end,
+                 std::uint64_t timeMs);
+  void closeSteps(const WorkflowState& workflow);
   void markDone(WorkflowState& workflow, const TaskKey& key);
   void countFailure(WorkflowState& workflow, const TaskKey& key, std::uint32_t run, std::uint64_t timeMs);
   void finishIfDone(WorkflowState& workflow, std::uint64_t timeMs);
@@ -139,6 +148,7 @@
   schema::QueueConfiguration m_configuration;
   std::map<std::string, WorkflowState> m_workflows;
   std::set<std::string> m_open;
+  RunOutlook m_outlook;
   std::vector<RunChange> m_runChanges;
   std::vector<std::string> m_justEnded;
   std::deque<std::pair<std::uint64_t, std::string>> m_ended;  ///< time and id, oldest first
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -39,6 +39,16 @@
     return variants.emplace_back(ReplayVariant{name, {}}).planner;
   };
   add("present");
+  add("speeds-unknown").speeds = false;
+  variants.back().speeds = SpeedsKnown::Nothing;
+  add("speeds-from-ends");
+  variants.back().speeds = SpeedsKnown::FromEnds;
+  add("speeds-all-known");
+  variants.back().speeds = SpeedsKnown::All;
+  add("speeds-not-used").speeds = false;
+  add("no-slow-first").slowFirst = 0.0;
+  add("slow-first-3").slowFirst = 3.0;
+  add("slow-first-30").slowFirst = 30.0;
   add("no-patience").patience = false;
   add("no-nominations").nominations = false;
   add("no-prospects").prospects = false;
--- a/daemons/cli.cpp
+++ b/daemons/cli.cpp
@@ -104,6 +104,7 @@
 
   int get() {
     schema::QueryReply reply;
+    if (m_options.kind == "targets") return getTargets();
     const std::string query = m_options.selector.empty() ? "" : "?selector=" + urlEscape(m_options.selector);
     const bool jobs = m_options.kind == "jobs";
     if (const std::optional<int> code = call("GET", (jobs ? "/v1/jobs" : "/v1/objects") + query, "", reply))
@@ -112,6 +113,13 @@
     return CliOk;
   }
 
+  int getTargets() {
+    schema::QueryReply reply;
+    if (const std::optional<int> code = call("GET", "/v1/status", "", reply)) return *code;
+    print(m_options, reply, targetTable(reply.status()));
+    return CliOk;
+  }
+
   int remove() {
     schema::CommandReply reply;
     const std::string path = "/v1/objects/" + urlEscape(m_options.kind) + "/" + urlEscape(m_options.name);
@@ -300,8 +308,9 @@
   apply->add_option("-f,--file", options.file, "YAML file")->required();
   apply->add_flag("--wait", options.wait, "Return once the change is in force on every live process");
   choose(apply, [](Cli& cli) { return cli.apply(); });
-  CLI::App* get = app.add_subcommand("get", "List objects or jobs");
-  get->add_option("what", options.kind, "objects or jobs")->check(CLI::IsMember({"objects", "jobs"}));
+  CLI::App* get = app.add_subcommand("get", "List objects, jobs or targets");
+  get->add_option("what", options.kind, "objects, jobs or targets")
+      ->check(CLI::IsMember({"objects", "jobs", "targets"}));
   get->add_option("--selector", options.selector, "Only what matches");
   choose(get, [](Cli& cli) { return cli.get(); });
   CLI::App* remove = app.add_subcommand("delete", "Delete an object");
--- a/test/LoadReplay.cpp
+++ b/test/LoadReplay.cpp
@@ -20,6 +20,8 @@
 constexpr double WorthlessAfter = 3.0;
 constexpr double ClockStartMs = 1e6;  ///< wall clock at the beginning
 constexpr double CheckpointLossMs = 300.0;
+constexpr double TellingShare = 0.1;  ///< of a task that has to be seen before its pace tells
+constexpr double LearnMs = 250.0;     ///< between two fits
 constexpr Room Capacity = {128000, 524288, 8};
 
 /** What workflows of one kind ask for. */
@@ -47,6 +49,8 @@
   return shapes[static_cast<std::size_t>(kind)];
 }
 
+std::string targetName(std::size_t target) { return "t" + std::to_string(target); }
+
 bool within(const std::vector<ReplayTrouble>& troubles, double nowMs) {
   return std::any_of(troubles.begin(), troubles.end(), [nowMs](const ReplayTrouble& trouble) {
     return nowMs >= trouble.fromMs && nowMs < trouble.untilMs;
@@ -66,7 +70,7 @@
 }
 
 LoadReplay::LoadReplay(const ReplayPattern& pattern, const ReplayVariant& variant, std::uint64_t seed)
-    : m_pattern(pattern), m_random(seed), m_planner(variant.planner) {
+    : m_pattern(pattern), m_random(seed), m_planner(variant.planner), m_speeds(variant.speeds) {
   m_targets.resize(pattern.targets);
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
     m_targets[i].timeFactor = pattern.timeFactors[i % pattern.timeFactors.size()];
@@ -177,6 +181,8 @@
     const Job& job = m_jobs[run.job];
     const bool whole = run.gang.empty() || there[run.gang] == job.done.size();
     if (!whole || m_nowMs < run.fromMs) continue;
+    run.heldMs += StepMs;
+    if (run.share >= 1.0) continue;  // waits for the rest of its gang
     run.workedMs += StepMs;
     run.share = std::min(1.0, run.share + StepMs / (job.taskMs[run.task] * timeFactor(run.target)));
   }
@@ -193,12 +199,14 @@
   Job& job = m_jobs[run.job];
   --job.active[run.task];
   const double cores = static_cast<double>(shapeOf(job.kind).cores);
-  m_result.worked += cores * run.workedMs / 1000.0;
+  m_result.worked += cores * run.heldMs / 1000.0;
   job.done[run.task] = true;
-  const auto estimateMs = static_cast<double>(job.workflow.step(0).estimate_ms());
-  if (run.began == 0.0) m_times.ended(job.workflow.record.queue(), estimateMs, m_nowMs - run.fromMs);
+  if (run.share > run.began)
+    m_ended.ran(stepOf(run), targetName(run.target), run.workedMs / (run.share - run.began), 0);
   const bool ended = std::all_of(job.done.begin(), job.done.end(), [](bool done) { return done; });
-  if (ended) job.endedMs = m_nowMs;
+  if (!ended) return;
+  job.endedMs = m_nowMs;
+  m_ended.close(job.workflow.record.id());
 }
 
 /** Ends a run before it is done. \param lost with its target, so that nothing is saved at the end */
@@ -208,7 +216,7 @@
   const double cores = static_cast<double>(shapeOf(job.kind).cores) + 8.0 * job.workflow.step(0).need().accelerators();
   const bool keeps = job.saves && !lost;
   if (keeps) job.saved[run.task] = std::max(job.saved[run.task], run.share);
-  if (!keeps) m_result.thrownAway += cores * run.workedMs / 1000.0;
+  if (!keeps) m_result.thrownAway += cores * run.heldMs / 1000.0;
   job.readyMs = m_nowMs;
 }
 
@@ -242,26 +250,50 @@
 
 // ---- planning
 
+StepOfRuns LoadReplay::stepOf(const Run& run) const {
+  const schema::Workflow& record = m_jobs[run.job].workflow.record;
+  const auto estimateMs = static_cast<double>(record.spec().steps(0).estimate_ms());
+  return {record.id(), record.queue(), estimateMs, !run.gang.empty()};
+}
+
+/** Brings what is expected of run times up to date. */
+void LoadReplay::learn() {
+  m_outlook = m_ended;
+  for (const Run& run : m_runs) {
+    const double seen = run.share - run.began;
+    if (m_speeds != SpeedsKnown::FromRuns || seen < TellingShare) continue;
+    m_outlook.ran(stepOf(run), targetName(run.target), run.workedMs / seen, 0);
+  }
+  m_outlook.closeAll();
+}
+
+TargetPace LoadReplay::paceOf(std::size_t target) const {
+  if (m_speeds == SpeedsKnown::Nothing) return {};
+  if (m_speeds == SpeedsKnown::All) return {std::log(timeFactor(target)), 0.0};
+  return m_outlook.paceOf(targetName(target));
+}
+
 double LoadReplay::expectedMs(const Job& job) const {
-  return m_times.expectedMs(job.workflow.record.queue(), static_cast<double>(job.workflow.step(0).estimate_ms()));
+  return m_outlook.expectedMs(job.workflow.record.queue(), static_cast<double>(job.workflow.step(0).estimate_ms()));
 }
 
 double LoadReplay::remainingMs(const Run& run) const {
   const double seen = run.share - run.began;
-  if (seen >= 0.1) return (1.0 - run.share) * run.workedMs / seen;
-  return (1.0 - run.share) * expectedMs(m_jobs[run.job]);
+  if (seen >= TellingShare) return (1.0 - run.share) * run.workedMs / seen;
+  return (1.0 - run.share) * expectedMs(m_jobs[run.job]) * std::exp(paceOf(run.target).slowness);
 }
 
 std::vector<PlannedTarget> LoadReplay::planTargets() const {
   std::vector<PlannedTarget> targets;
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
     PlannedTarget& target = targets.emplace_back();
-    target.id = "t" + std::to_string(i);
+    target.id = targetName(i);
     target.agent = target.id;
     target.service = "s";
     target.rack = "r" + std::to_string(i / m_pattern.perRack);
     target.capacity = Capacity;
     target.open = isOpen(i);
+    target.pace = paceOf(i);
   }
   return targets;
 }
@@ -282,7 +314,7 @@
     planned.gang = run.gang;
     planned.remainingMs = run.gang.empty() ? remainingMs(run) : gangMs[run.gang];
     const double cores = shapeOf(job.kind).cores + 8.0 * spec.need().accelerators();
-    const double lostMs = job.saves ? std::min(run.workedMs, CheckpointLossMs) : run.workedMs;
+    const double lostMs = job.saves ? std::min(run.heldMs, CheckpointLossMs) : run.heldMs;
     planned.lostWork = cores * (lostMs + (run.gang.empty() ? 0.0 : RestartMs)) / 1000.0;
   }
   return runs;
@@ -326,6 +358,7 @@
 }
 
 void LoadReplay::plan() {
+  if (std::fmod(m_nowMs, LearnMs) == 0.0) learn();
   const std::vector<PlannedStep> steps = planSteps();
   if (steps.empty()) return;
   const std::vector<PlannedTarget> targets = planTargets();
--- a/test/LoadReplay.h
+++ b/test/LoadReplay.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "Courseloom/src/Scheduling/RunPlanner.h"
-#include "Courseloom/src/Scheduling/RunTimes.h"
+#include "Courseloom/src/State/RunOutlook.h"
 
 namespace courseloom::test {
 
@@ -51,12 +51,21 @@
 /** \returns the patterns of the bench, drawn from a seed: bursts, targets of different speeds, outages, withdrawals. */
 std::vector<ReplayPattern> replayPatterns(std::uint64_t seed);
 
+/** What is known of the targets' speeds. */
+enum class SpeedsKnown : std::uint8_t {
+  Nothing,
+  FromEnds,  ///< learnt from runs that have ended
+  FromRuns,  ///< and from those that run
+  All,       ///< known from the beginning: a bound that nothing can reach
+};
+
 /** \class ReplayVariant
  * \brief Ways to decide that are compared on the same load.
  */
 struct ReplayVariant {
   std::string name;
   RunPlannerOptions planner;
+  SpeedsKnown speeds = SpeedsKnown::FromRuns;
 };
 
 /** \class ReplayResult
@@ -121,6 +130,7 @@
     double stopAtMs = 0.0;  ///< when a stop that was asked for is carried out; 0 is none
     double began = 0.0;     ///< share at its start
     double workedMs = 0.0;
+    double heldMs = 0.0;  ///< beside its work the time for which it waited for its gang to end
     std::string gang;
   };
 
@@ -132,6 +142,9 @@
   void finish(const Run& run);
   void stopRun(Run& run, bool lost);
   void plan();
+  StepOfRuns stepOf(const Run& run) const;
+  void learn();
+  TargetPace paceOf(std::size_t target) const;
   std::vector<PlannedTarget> planTargets() const;
   std::vector<PlannedRun> planRuns() const;
   std::vector<PlannedStep> planSteps();
@@ -153,7 +166,9 @@
   std::size_t m_arrived = 0;
   double m_nowMs = 0.0;
   RunPlanner m_planner;
-  RunTimes m_times;
+  SpeedsKnown m_speeds;
+  RunOutlook m_ended;    ///< learnt from runs that have ended
+  RunOutlook m_outlook;  ///< and from those that run
   ReplayResult m_result;
 };
 
--- a/test/load_replay.cpp
+++ b/test/load_replay.cpp
@@ -44,6 +44,13 @@
   cr_assert(meanWorth("equal targets", {}, 4) > 0.8);
 }
 
+Test(load_replay, urgent_work_is_in_time_where_a_third_of_the_targets_is_slow) {
+  RunPlannerOptions without;
+  without.speeds = false;
+  const double gain = meanWorth("speeds 0.7 0.7 1.7", {}, 4) - meanWorth("speeds 0.7 0.7 1.7", without, 4);
+  cr_assert(gain > 0.1, "%.3f", gain);
+}
+
 Test(load_replay, urgent_bursts_are_served_worse_without_stops) {
   RunPlannerOptions without;
   without.preemption = false;
--- a/test/objective.cpp
+++ b/test/objective.cpp
@@ -4,7 +4,8 @@
 // When a workflow should be done: chains, waves, and run times that are learnt.
 
 #include "Courseloom/src/Scheduling/Objective.h"
-#include "Courseloom/src/Scheduling/RunTimes.h"
+#include "Courseloom/src/Scheduling/RunPace.h"
+#include "Courseloom/src/State/RunTimes.h"
 
 #include "test/main.h"
 
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -457,3 +457,58 @@
   cr_assert(plan.starts.empty());
   cr_assert(plan.stops.empty(), "nothing is stopped for work that is gone");
 }
+
+// ---- targets of different speed
+
+namespace {
+
+/** Slowness of a target on which a task takes 1.7 times as long, known well. */
+const TargetPace Slow = {0.53, 0.05};
+const TargetPace Fast = {-0.36, 0.05};
+
+bool startsOn(const RunPlan& plan, std::size_t target) { return targetsOf(plan).count(target) > 0; }
+
+}  // namespace
+
+Test(run_planner, an_urgent_gang_leaves_out_the_target_that_would_make_it_late) {
+  PlannerTable table(4);
+  table.target(1).pace = Slow;
+  table.waits(3, 8, UrgentRank, true).objectiveMs = NowMs + 3250.0;
+  const RunPlan plan = table.plan();
+  cr_assert_eq(plan.starts.size(), 3);
+  cr_assert_not(startsOn(plan, 1));
+}
+
+Test(run_planner, an_urgent_gang_that_only_slow_targets_can_complete_takes_them) {
+  PlannerTable table(4);
+  table.target(1).pace = Slow;
+  table.waits(4, 8, UrgentRank, true).objectiveMs = NowMs + 3250.0;
+  cr_assert_eq(table.plan().starts.size(), 4);
+}
+
+Test(run_planner, urgent_work_that_is_late_anyway_takes_what_is_free) {
+  PlannerTable table(2);
+  table.target(0).pace = Slow;
+  table.runs(1, 8, GuaranteedRank);
+  table.waits(1, 8, UrgentRank).objectiveMs = NowMs - 5000.0;
+  cr_assert(startsOn(table.plan(), 0));
+}
+
+Test(run_planner, guaranteed_work_that_waited_begins_on_a_slow_target) {
+  PlannerTable table(2);
+  table.target(0).pace = Slow;
+  table.runs(1, 8, GuaranteedRank);
+  PlannedStep& step = table.waits(1, 8, GuaranteedRank);
+  step.objectiveMs = NowMs + 3250.0;
+  cr_assert(table.plan().starts.empty(), "it waits a moment for a fast one");
+  step.waitedMs = 600.0;
+  cr_assert(startsOn(table.plan(), 0), "its promise is when it begins");
+}
+
+Test(run_planner, other_work_takes_slow_targets_and_leaves_the_fast_ones) {
+  PlannerTable table(4);
+  for (const std::size_t fast : {0, 1, 3}) table.target(fast).pace = Fast;
+  table.target(2).pace = Slow;
+  table.waits(1, 8, rankOf(1, false)).objectiveMs = NowMs + 20000.0;
+  cr_assert(startsOn(table.plan(), 2));
+}
