Slow targets are those that urgent work would be late on; a stop after which it would be late is not made

Cause: slow-first counted every difference of speed, so that on targets of 0.8 to 1.25, where urgent work is in time anywhere, other work was scattered over the slow targets of all racks; and urgent gangs stopped runs though the stop alone (up to 900 ms) used up what time they had left.

--- a/Courseloom/src/Scheduling/Placer.cpp
+++ b/Courseloom/src/Scheduling/Placer.cpp
@@ -37,8 +37,13 @@
 }  // namespace internal
 
 Placer::Placer(const TargetIndex& targets, const RunPlannerOptions& options, std::vector<unsigned> nominations,
-               unsigned keepWhole)
-    : m_targets(targets), m_options(options), m_nominations(std::move(nominations)), m_keepWhole(keepWhole) {}
+               unsigned keepWhole, double urgentLimit)
+    : m_targets(targets), m_options(options), m_nominations(std::move(nominations)), m_keepWhole(keepWhole) {
+  m_slowForUrgent.reserve(targets.size());
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    m_slowForUrgent.push_back(addedLateChance(urgentLimit, targets[i].pace));
+  }
+}
 
 void Placer::occupy(Room& room, std::size_t target, const Room& need) const {
   if (m_targets[target].single) {
@@ -61,8 +66,10 @@
 /** Urgent work goes where it ends in time; other work, which has more time, leaves the fast targets to it. */
 double Placer::speedCost(const StepDemand& demand, std::size_t target) const {
   if (!m_options.speeds) return 0.0;
-  const double slope = demand.isUrgent() ? m_options.fastGain : -m_options.slowFirst;
-  return m_options.lateCost * lateChance(demand, target) + slope * m_targets[target].pace.slowness;
+  const double late = m_options.lateCost * lateChance(demand, target);
+  const double slowness = m_targets[target].pace.slowness;
+  if (demand.isUrgent()) return late + m_options.fastGain * slowness;
+  return late - m_options.slowFirst * (m_options.slowByNeed ? m_slowForUrgent[target] : slowness);
 }
 
 /** \returns the room of a target less what is kept there for gangs that would be held up by the step. */
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "Courseloom/src/Scheduling/Lateness.h"
+
 namespace courseloom {
 
 RunPlanner::Pass::Pass(const std::vector<PlannedTarget>& givenTargets, const std::vector<PlannedRun>& givenRuns,
@@ -24,13 +26,15 @@
   m_pass = std::make_unique<Pass>(targets, runs, steps);
   m_pass->nowMs = nowMs;
   readSteps();
+  learnUrgentLimit();
   orderSteps();
   const unsigned whole = m_options.headroom ? keepWhole : 0;
-  m_pass->placer = std::make_unique<Placer>(m_pass->targets, m_options, readNominations(), whole);
+  m_pass->placer = std::make_unique<Placer>(m_pass->targets, m_options, readNominations(), whole, m_urgentLimit);
   findEndsSoon();
   fillRooms();
   m_pass->forecast = std::make_unique<EndForecast>(runs, m_pass->targets, *m_pass->placer);
-  m_pass->roomMaker = std::make_unique<RoomMaker>(runs, m_pass->targets, *m_pass->placer, m_pass->endsSoon);
+  m_pass->roomMaker =
+      std::make_unique<RoomMaker>(runs, m_pass->targets, *m_pass->placer, m_pass->endsSoon, m_options.stopsByStep);
 }
 
 bool RunPlanner::advance(const std::function<bool()>& timeIsUp) {
@@ -71,6 +75,16 @@
   }
 }
 
+/** Follows what urgent work bears when it has just come, so that other work can leave it the targets that it needs. */
+void RunPlanner::learnUrgentLimit() {
+  constexpr double Weight = 0.02;  // of one step in one pass: a second of planning with one that waits
+  for (const StepDemand& demand : m_pass->demands) {
+    if (!demand.isUrgent() || demand.objectiveMs <= 0.0) continue;
+    const double freshMs = demand.objectiveMs - m_pass->nowMs + demand.waitedMs;
+    m_urgentLimit += Weight * (slownessLimit(freshMs, demand.estimateMs) - m_urgentLimit);
+  }
+}
+
 /** Strict ranks under lasting overload would never serve the lowest class. */
 void RunPlanner::age(StepDemand& demand) const {
   if (m_options.ageAfterEstimates == 0.0) return;
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -48,6 +48,8 @@
   RunPlan finish();
 
  private:
+  /** Slowness that urgent work is taken to bear before any was seen: half as long again as usual. */
+  static constexpr double FirstUrgentLimit = 0.4;
   using StepName = std::pair<std::string, StepKey>;
   using TargetIds = std::map<StepName, std::set<std::string>>;
 
@@ -80,6 +82,7 @@
 
   void readSteps();
   void age(StepDemand& demand) const;
+  void learnUrgentLimit();
   void orderSteps();
   std::vector<unsigned> readNominations();
   void findEndsSoon();
@@ -107,10 +110,11 @@
 
   RunPlannerOptions m_options;
   std::unique_ptr<Pass> m_pass;
-  TargetGroups m_ownGroups;              ///< of a step that shares its targets with no other
-  TargetIds m_nominated;                 ///< as of the last pass
-  TargetIds m_waitedFor;                 ///< as of the last pass
-  std::map<RunKey, double> m_soonSince;  ///< wall clock from which a run is expected to end soon
+  TargetGroups m_ownGroups;                 ///< of a step that shares its targets with no other
+  TargetIds m_nominated;                    ///< as of the last pass
+  TargetIds m_waitedFor;                    ///< as of the last pass
+  double m_urgentLimit = FirstUrgentLimit;  ///< slowness that fresh urgent work lately bore
+  std::map<RunKey, double> m_soonSince;     ///< wall clock from which a run is expected to end soon
 };
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunPlannerWaiting.cpp
+++ b/Courseloom/src/Scheduling/RunPlannerWaiting.cpp
@@ -53,7 +53,9 @@
 /** \returns the work of others, core-seconds, that may be lost for one task of a step. */
 double RunPlanner::worthStopping(const StepDemand& demand) const {
   if (demand.rank == GuaranteedRank) return std::numeric_limits<double>::max();
-  if (m_options.yields && demand.prospect != Prospect::InTime) return 0.0;
+  const double leftMs = demand.objectiveMs - m_pass->nowMs - m_options.stopMs;
+  const bool late = demand.prospect != Prospect::InTime || leftMs < demand.estimateMs;
+  if (m_options.yields && late) return 0.0;
   return (demand.isUrgent() ? m_options.lossRatio : m_options.gangLossRatio) * demand.taskWork;
 }
 
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -47,16 +47,15 @@
   variants.back().speeds = SpeedsKnown::All;
   add("speeds-not-used").speeds = false;
   add("no-slow-first").slowFirst = 0.0;
-  add("slow-first-3").slowFirst = 3.0;
-  add("slow-first-30").slowFirst = 30.0;
-  add("no-patience").patience = false;
-  add("no-nominations").nominations = false;
-  add("no-prospects").prospects = false;
-  add("no-yields").yields = false;
-  add("no-headroom").headroom = false;
-  add("no-reservations").reservations = 0;
-  add("no-preemption").preemption = false;
-  add("loss-ratio-0.3").lossRatio = 0.3;
+  add("slow-below-mean").slowByNeed = false;
+  add("stops-by-step").stopsByStep = true;
+  add("stops-in-time").stopMs = 500.0;
+  RunPlannerOptions both;
+  both.stopMs = 500.0;
+  both.stopsByStep = true;
+  add("by-step-in-time") = both;
+  both.lossRatio = 0.4;
+  add("by-step-in-time-half") = both;
   return variants;
 }
 
--- a/test/LoadReplay.cpp
+++ b/test/LoadReplay.cpp
@@ -144,7 +144,7 @@
   schema::StepSpec* spec = record.mutable_spec()->add_steps();
   spec->set_count(count);
   spec->set_gang(shape.gang);
-  spec->set_same_rack(shape.gang && count * accelerators <= 8 * m_pattern.perRack / 2 && between(0, 1) < 0.7);
+  spec->set_same_rack(shape.gang && count * accelerators <= 8 * m_pattern.perRack && between(0, 1) < 0.7);
   spec->mutable_need()->set_accelerators(accelerators);
   spec->mutable_need()->set_cpu_milli(1000 * shape.cores);
   spec->mutable_need()->set_memory_mb(1000);
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -512,3 +512,30 @@
   table.waits(1, 8, rankOf(1, false)).objectiveMs = NowMs + 20000.0;
   cr_assert(startsOn(table.plan(), 2));
 }
+
+// Urgent work bears a quarter more time: slow targets are no reason to scatter other work over all racks.
+Test(run_planner, other_work_is_packed_where_urgent_work_would_be_in_time_anywhere) {
+  PlannerTable table(4);
+  table.target(3).pace = {0.1, 0.02};
+  table.runs(0, 4, rankOf(1, false));
+  table.waits(1, 4, rankOf(1, false)).objectiveMs = NowMs + 20000.0;
+  cr_assert(startsOn(table.plan(), 0));
+  RunPlannerOptions belowMean;
+  belowMean.slowByNeed = false;
+  belowMean.slowFirst = 60.0;
+  cr_assert(startsOn(table.plan(0, belowMean), 3), "the variant scatters it");
+}
+
+// Stopped runs hold their targets for up to 900 ms more; a gang that is late after that gains nothing by the stop.
+Test(run_planner, urgent_work_stops_nothing_if_it_would_be_late_once_the_stop_is_done) {
+  PlannerTable table(1);
+  table.runs(0, 8, LowRank).lostWork = 1.0;
+  PlannedStep& step = table.waits(1, 8, UrgentRank);
+  step.objectiveMs = NowMs + step.estimateMs + 400.0;
+  RunPlannerOptions inTime;
+  inTime.stopMs = 900.0;
+  cr_assert(table.plan(0, inTime).stops.empty());
+  cr_assert_eq(table.plan().stops.size(), 1, "the variant without it stops the run");
+  step.rank = GuaranteedRank;
+  cr_assert_eq(table.plan(0, inTime).stops.size(), 1, "guaranteed work has a promise to begin");
+}
