Chances to be late are worked out once a pass for limits that are about alike; learning takes a hundredth of the leader's time

Cause: a chance for each step and target cost an error function each time a place was looked at: a pass with 300 full targets and 50 steps took 3.5 ms and one with 900 and 2,400 steps 208 ms, beside load, where 1.0 and 28 ms were known; and a fit each 250 ms has no bound at size. Change: TargetIndex keeps the chances by limits in tenths, and the lists of fast targets; a look at the runs pauses for a hundred times what it took. Metric learn_ms, bench planning measures it.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -35,8 +35,10 @@
  * every hundredth of its work; the share bears a target that is six times too slow and looks that are 250 ms apart. */
 constexpr double StallMs = 700.0;
 constexpr double StallShare = 0.15;
-/** Pause between two fits of run times: reports come that often, and a fit of 55 targets takes about a millisecond. */
+/** Pause between two looks at what active runs show: a run tells its pace by then or not, looks are 250 ms apart. */
 constexpr Duration LearnInterval = milliseconds(250);
+/** The same in times that a look takes: learning takes at most a hundredth of the leader's time. */
+constexpr int PausePerLearning = 100;
 /** Longest run time that is told, ms; a run that stands still would say more than its field holds. */
 constexpr double LongestWholeMs = 1e9;
 
@@ -404,8 +406,7 @@
 /** Brings what is expected of run times up to date, with what active runs show by now. */
 void WorkflowRunner::learnFromRuns() {
   const Time now = BootClock::now();
-  if (m_learntAt != Time{} && now < m_learntAt + internal::LearnInterval) return;
-  m_learntAt = now;
+  if (now < m_learnAgainAt) return;
   m_outlook = table().outlook();
   for (const auto& [key, track] : m_ledger.runs()) {
     const WorkflowState* workflow = table().find(key.workflow);
@@ -414,6 +415,9 @@
   }
   m_outlook.closeAll();
   notePaces();
+  const Duration took = BootClock::now() - now;
+  m_context.metrics.record("learn_ms", "all", "all", toMilliseconds(took));
+  m_learnAgainAt = now + std::max(internal::LearnInterval, internal::PausePerLearning * took);
 }
 
 /** Tells of targets that are taken to be of another speed than before. */
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -136,7 +136,7 @@
   TargetHealth m_health;
   RunOutlook m_outlook;                         ///< of the log, and of what active runs show by now
   std::map<std::string, TargetSpeed> m_speeds;  ///< by target's life, as last told
-  Time m_learntAt{};                            ///< when the outlook was last brought up to date
+  Time m_learnAgainAt{};                        ///< when the outlook is next brought up to date
   ChangeSignal m_planWanted;
   std::map<std::string, ChangeSignal> m_agentSignals;
   std::map<StepName, Time> m_readySince;
--- a/Courseloom/src/Scheduling/Placer.cpp
+++ b/Courseloom/src/Scheduling/Placer.cpp
@@ -60,7 +60,7 @@
 }
 
 double Placer::lateChance(const StepDemand& demand, std::size_t target) const {
-  return m_options.speeds ? addedLateChance(demand.slownessLimit, m_targets[target].pace) : 0.0;
+  return demand.lateChances == nullptr ? 0.0 : (*demand.lateChances)[target];
 }
 
 /** Urgent work goes where it ends in time; other work, which has more time, leaves the fast targets to it. */
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -69,7 +69,9 @@
   for (std::size_t i = 0; i < m_pass->steps.size(); ++i) {
     const PlannedStep& step = m_pass->steps[i];
     const bool bound = step.rank == GuaranteedRank && step.waitedMs >= m_options.guaranteedChoiceMs;
-    m_pass->demands.push_back(makeDemand(step, i, m_pass->targets, m_pass->nowMs, m_options.speeds && !bound));
+    const SpeedUse choice = bound ? SpeedUse::Order : SpeedUse::Choice;
+    const SpeedUse use = m_options.speeds ? choice : SpeedUse::None;
+    m_pass->demands.push_back(makeDemand(step, i, m_pass->targets, m_pass->nowMs, use));
     m_pass->names.emplace_back(step.workflow->record.id(), step.key);
     age(m_pass->demands.back());
   }
@@ -184,6 +186,7 @@
 ShapeMemory::Shape shape_of(const StepDemand& demand, const Placer& placer, bool spreads) {
   ShapeMemory::Shape shape;
   shape.serving = demand.serving.get();
+  shape.lateChances = demand.lateChances;
   shape.need = demand.need;
   shape.gang = demand.gang;
   shape.urgent = demand.isUrgent();
--- a/Courseloom/src/Scheduling/ShapeMemory.h
+++ b/Courseloom/src/Scheduling/ShapeMemory.h
@@ -22,6 +22,7 @@
   /** What makes two steps ask the same question. */
   struct Shape {
     const void* serving = nullptr;
+    const void* lateChances = nullptr;
     Room need;
     bool gang = false;
     bool urgent = false;
--- a/Courseloom/src/Scheduling/StepDemand.cpp
+++ b/Courseloom/src/Scheduling/StepDemand.cpp
@@ -33,17 +33,6 @@
   return list_of(std::move(left));
 }
 
-/** Chance beyond which a target is not used for an urgent step: more likely late there than not. */
-constexpr double MostLateChance = 0.5;
-
-TargetList fast_enough(const StepDemand& demand, const TargetIndex& targets) {
-  std::vector<std::size_t> left;
-  for (const std::size_t i : *demand.serving) {
-    if (addedLateChance(demand.slownessLimit, targets[i].pace) <= MostLateChance) left.push_back(i);
-  }
-  return list_of(std::move(left));
-}
-
 /** \returns whether the step could be served by its targets, or a task of it. */
 bool has_others(const StepDemand& demand, const TargetIndex& targets) {
   if (demand.gang) return couldHold(demand, targets, *demand.serving);
@@ -84,8 +73,9 @@
   return held >= demand.tasks;
 }
 
-StepDemand makeDemand(const PlannedStep& step, std::size_t index, TargetIndex& targets, double nowMs,
-                      bool choosesFast) {
+StepDemand makeDemand(const PlannedStep& step, std::size_t index, TargetIndex& targets, double nowMs, SpeedUse speeds) {
+  const bool usesSpeeds = speeds != SpeedUse::None;
+  const bool begins = speeds == SpeedUse::Order;
   const schema::StepSpec& spec = step.workflow->step(step.key.step);
   StepDemand demand;
   demand.step = index;
@@ -103,7 +93,6 @@
   demand.waitedMs = step.waitedMs;
   demand.objectiveMs = step.objectiveMs;
   demand.taskWork = step.taskWork;
-  demand.slownessLimit = slownessLimit(step.objectiveMs - nowMs, step.estimateMs);
   demand.serving = targets.serving(step.workflow->record.service(), spec.required_label());
   demand.shared = !step.tickets && step.avoided.empty() && spec.max_per_target() == 0;
   if (step.tickets) demand.serving = internal::with_tickets(step, targets, demand.serving);
@@ -112,14 +101,11 @@
     demand.serving = internal::without_avoided(step, targets, whole);
     if (!internal::has_others(demand, targets)) demand.serving = whole;
   }
-  if (choosesFast && demand.isUrgent()) {
+  if (usesSpeeds) demand.lateChances = &targets.lateChances(slownessLimit(step.objectiveMs - nowMs, step.estimateMs));
+  if (demand.lateChances != nullptr && demand.isUrgent() && !begins) {
     const TargetList whole = demand.serving;
-    demand.serving = internal::fast_enough(demand, targets);
-    if (demand.serving->size() == whole->size() || !internal::has_others(demand, targets)) {
-      demand.serving = whole;
-    } else {
-      demand.shared = false;
-    }
+    demand.serving = targets.fastEnough(whole, *demand.lateChances);
+    if (!internal::has_others(demand, targets)) demand.serving = whole;
   }
   for (const auto& [id, count] : step.placedOn) {
     const std::optional<std::size_t> target = targets.find(id);
--- a/Courseloom/src/Scheduling/StepDemand.h
+++ b/Courseloom/src/Scheduling/StepDemand.h
@@ -10,6 +10,13 @@
 
 namespace courseloom {
 
+/** What targets' speeds decide for a step. */
+enum class SpeedUse : std::uint8_t {
+  None,
+  Order,   ///< which targets come first
+  Choice,  ///< and of urgent work which are left out, if others could hold it: those on which it would end late
+};
+
 /** \class StepDemand
  * \brief What one waiting step asks of targets, in numbers; it refers to nothing outside the pass.
  */
@@ -31,7 +38,8 @@
   double waitedMs = 0.0;
   double objectiveMs = 0.0;
   double taskWork = 0.0;
-  double slownessLimit = 0.0;                               ///< at which a task ends just in time; \sa TargetPace
+  /** By target the chance that a task ends late there though it would not on a usual one; null is not asked for. */
+  const std::vector<double>* lateChances = nullptr;
   TargetList serving;                                       ///< targets that may have it once they are open
   bool shared = true;                                       ///< other steps of the same needs may use the same targets
   std::vector<std::pair<std::size_t, std::size_t>> placed;  ///< its tasks by target, in ascending order of targets
@@ -47,9 +55,8 @@
 };
 
 /** \returns what a step asks for. Targets on which it has failed are left out if others could hold it.
- * \param nowMs wall clock, ms since 1970 \param choosesFast whether an urgent step leaves out targets on which it would
- * end late, if others could hold it */
-StepDemand makeDemand(const PlannedStep& step, std::size_t index, TargetIndex& targets, double nowMs, bool choosesFast);
+ * \param nowMs wall clock, ms since 1970 \param speeds what the targets' speeds decide for it */
+StepDemand makeDemand(const PlannedStep& step, std::size_t index, TargetIndex& targets, double nowMs, SpeedUse speeds);
 
 /** \returns whether targets could hold so many tasks of a step if nothing else ran there, open to new runs now or not.
  */
--- a/Courseloom/src/Scheduling/TargetIndex.cpp
+++ b/Courseloom/src/Scheduling/TargetIndex.cpp
@@ -4,9 +4,26 @@
 #include "Courseloom/src/Scheduling/TargetIndex.h"
 
 #include <algorithm>
+#include <cmath>
+
+#include "Courseloom/src/Scheduling/Lateness.h"
 
 namespace courseloom {
 
+namespace internal {
+namespace {
+
+/** Limits of slowness that are taken as one: a tenth of a run time. Chances of each step and target apart took 3.5 ms a
+ * pass at 300 full targets and 50 steps, and so 1.0 ms. */
+constexpr double LimitStep = 0.1;
+/** Beyond these no target, or every one, is late: a fifth and five times the usual run time. */
+constexpr double MostLimit = 1.6;
+/** Chance beyond which a target is not used for an urgent step: more likely late there than not. */
+constexpr double MostLateChance = 0.5;
+
+}  // namespace
+}  // namespace internal
+
 TargetIndex::TargetIndex(const std::vector<PlannedTarget>& targets) : m_targets(&targets) {
   m_byId.reserve(targets.size());
   for (std::size_t i = 0; i < targets.size(); ++i) {
@@ -57,4 +74,27 @@
   return known;
 }
 
+const std::vector<double>& TargetIndex::lateChances(double limit) {
+  const double bounded = std::clamp(limit, -internal::MostLimit, internal::MostLimit);
+  const int step = static_cast<int>(std::lround(bounded / internal::LimitStep));
+  std::vector<double>& chances = m_lateChances[step];
+  if (!chances.empty()) return chances;
+  chances.reserve(size());
+  for (const PlannedTarget& target : *m_targets) {
+    chances.push_back(addedLateChance(step * internal::LimitStep, target.pace));
+  }
+  return chances;
+}
+
+TargetList TargetIndex::fastEnough(const TargetList& among, const std::vector<double>& lateChances) {
+  TargetList& known = m_fastEnough[{among.get(), &lateChances}];
+  if (known) return known;
+  std::vector<std::size_t> left;
+  for (const std::size_t i : *among) {
+    if (lateChances[i] <= internal::MostLateChance) left.push_back(i);
+  }
+  known = left.size() == among->size() ? among : std::make_shared<const std::vector<std::size_t>>(std::move(left));
+  return known;
+}
+
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/TargetIndex.h
+++ b/Courseloom/src/Scheduling/TargetIndex.h
@@ -42,6 +42,11 @@
   std::size_t rackNamed(const std::string& name) const;
   /** \returns targets of a service that carry a label, open or not. \param label empty for any */
   TargetList serving(const std::string& service, const std::string& label);
+  /** \returns by target the chance, 0 to 1, that a task ends late there though it would not on a usual target; worked
+   * out once a pass for limits that are about alike. \param limit slowness at which the task ends just in time */
+  const std::vector<double>& lateChances(double limit);
+  /** \returns those of some targets on which a task is more likely in time than late. */
+  TargetList fastEnough(const TargetList& among, const std::vector<double>& lateChances);
 
  private:
   const std::vector<PlannedTarget>* m_targets;
@@ -50,6 +55,8 @@
   std::vector<std::size_t> m_rackOf;
   std::vector<std::vector<std::size_t>> m_inRack;
   std::map<std::pair<std::string, std::string>, TargetList> m_serving;
+  std::map<int, std::vector<double>> m_lateChances;  ///< by limit, in steps
+  std::map<std::pair<const void*, const void*>, TargetList> m_fastEnough;
 };
 
 }  // namespace courseloom
--- a/bench/planning.cpp
+++ b/bench/planning.cpp
@@ -1,7 +1,8 @@
 // This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
 // SPDX-License-Identifier: MPL-2.0
 
-// Time of one pass of the planner with every target full and a backlog in proportion, from 30 to 900 targets.
+// Time of one pass of the planner with every target full and a backlog in proportion, from 30 to 900 targets, and of
+// learning from what runs.
 
 #include <cstdio>
 #include <string>
@@ -39,9 +40,35 @@
   return median;
 }
 
+/** Time in which a leader looks at what its active runs show: each target has runs of some steps. */
+void measureLearning(std::size_t targets, std::size_t runsEach) {
+  std::vector<double> times;
+  RunOutlook log;
+  for (int round = 0; round < Rounds; ++round) {
+    const Time before = BootClock::now();
+    RunOutlook outlook = log;
+    for (std::size_t t = 0; t < targets; ++t) {
+      for (std::size_t r = 0; r < runsEach; ++r) {
+        const StepOfRuns step{"workflow-" + std::to_string((t + r) / 20) + ".0.0", "queue", 8000.0, r % 2 == 0};
+        outlook.ran(step, "target-" + std::to_string(t) + "@1790000000000", 7000.0 + static_cast<double>(t), 0);
+      }
+    }
+    outlook.closeAll();
+    times.push_back(toMilliseconds(BootClock::now() - before));
+    log = std::move(outlook);
+  }
+  const std::string name =
+      "learning, " + std::to_string(targets) + " targets, " + std::to_string(targets * runsEach) + " runs";
+  figure(name.c_str(), quantile(times, 0.5), "ms");
+}
+
 }  // namespace
 
 int main() {
+  measureLearning(55, 8);
+  measureLearning(300, 8);
+  measureLearning(740, 15);
+
   double at300 = 0.0;
   for (const std::size_t targets : {30, 100, 300, 900}) {
     for (const unsigned backlog : {1, 4, 16}) {
