Steps are learnt from when their workflow ends, whatever ended last; a process test of what a new leader knows

A cancelled workflow without runs kept its steps as well. Also: a task that ended before it was seen twice taught nothing once its run had told a checkpoint, though it began anew. Change: steps are closed where a workflow leaves the table of open ones; a whole run counts by the checkpoint it began from. The stand-in of targets can be made slow (/slow?percent=N).

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -389,6 +389,15 @@
   return wholeByPaceMs(track);
 }
 
+/** \returns whether an active run began its task from the beginning, rather than from a checkpoint. */
+bool WorkflowRunner::beganAnew(const RunKey& key) const {
+  const TaskState* task = table().find(key.workflow)->task(key.task);
+  if (task == nullptr) return false;
+  return std::any_of(task->active.begin(), task->active.end(), [&key](const schema::ActiveRun& run) {
+    return run.number() == key.run && run.checkpoint().empty();
+  });
+}
+
 /** The end takes along what its run showed, so that each replica learns it from the log. */
 void WorkflowRunner::noteWholeTime(schema::RunEnd& end, Time now) const {
   const RunKey key = runKeyOf(end.task(), end.run());
@@ -399,7 +408,7 @@
   std::optional<double> whole = wholeMs(key, track);
   // A short task may end before it was seen twice; a gang's would tell of its slowest member only.
   const bool counts = end.kind() == schema::RunDone && !step.gang() && step.preferred_rack().empty();
-  if (!whole && counts && track.checkpoint.empty()) whole = toMilliseconds(now - track.startedAt);
+  if (!whole && counts && beganAnew(key)) whole = toMilliseconds(now - track.startedAt);
   if (whole) end.set_whole_ms(static_cast<std::uint32_t>(std::clamp(*whole, 1.0, internal::LongestWholeMs)));
 }
 
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -110,6 +110,7 @@
   double timeFactor(const std::string& target) const;
   double remainingMs(const RunTrack& track, double usualMs) const;
   std::optional<double> wholeMs(const RunKey& key, const RunTrack& track) const;
+  bool beganAnew(const RunKey& key) const;
   void noteWholeTime(schema::RunEnd& end, Time now) const;
   void learnFromRuns();
   void notePaces();
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -179,7 +179,6 @@
   if (end.kind() == schema::RunTargetLost) return m_outlook.forget(run.target());
   const StepKey step = keyOf(end.task()).stepKey();
   m_outlook.ran(stepOfRuns(workflow, step), run.target(), static_cast<double>(end.whole_ms()), timeMs);
-  if (workflow.ended() && workflow.activeRuns == 0) closeSteps(workflow);
 }
 
 /** Nothing more is to be learnt of the steps of a workflow that has ended. */
@@ -240,7 +239,8 @@
 std::vector<std::string> WorkflowTable::takeEnded() { return std::exchange(m_justEnded, {}); }
 
 void WorkflowTable::review(const WorkflowState& workflow) {
-  if (workflow.ended() && workflow.activeRuns == 0) m_open.erase(workflow.record.id());
+  if (!workflow.ended() || workflow.activeRuns > 0) return;
+  if (m_open.erase(workflow.record.id()) > 0) closeSteps(workflow);
 }
 
 void WorkflowTable::expire(std::uint64_t nowMs) {
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -13,6 +13,9 @@
 #include <thread>
 #include <vector>
 
+#include <google/protobuf/util/json_util.h>
+
+#include "generated/rpc.pb.h"
 #include "generated/settings.pb.h"
 #include "test/Processes.h"
 #include "test/main.h"
@@ -151,6 +154,17 @@
     for (unsigned i = 1; i <= 2; ++i) count += runner(i, "GET", "/starts").has(text) ? 1 : 0;
     return count;
   }
+  /** \returns the run time of a task on a back end against that on a usual one, as the leader believes; 0 if it does
+   * not tell. */
+  double timeFactor(unsigned i) {
+    const HttpReply reply = send({at(20, HttpPort), "GET", "/v1/status", "", {}, milliseconds(3000)});
+    schema::QueryReply status;
+    if (!google::protobuf::util::JsonStringToMessage(reply.body, &status).ok()) return 0.0;
+    for (const schema::TargetStatus& target : status.status().targets()) {
+      if (target.agent() == "agent-" + std::to_string(i)) return target.time_factor();
+    }
+    return 0.0;
+  }
   void setUp() {
     cr_assert_eq(configure(configuration(1)), 200);
     cr_assert(until(200, "GET", "/q/", "", "pending"));
--- a/test/run_outlook.cpp
+++ b/test/run_outlook.cpp
@@ -151,7 +151,7 @@
 namespace {
 
 /** Commits one workflow of a gang of two, whose members run at different speeds on two targets. */
-void runGang(ClusterState& state, LogIndex& index, const std::string& id, bool finish) {
+void runGang(ClusterState& state, LogIndex& index, const std::string& id, bool finish, bool gang = true) {
   const std::uint64_t timeMs = 1000 * (index + 1);
   schema::Command submit;
   submit.set_time_ms(timeMs);
@@ -161,7 +161,7 @@
   workflow.set_max_attempts(1);
   schema::StepSpec& step = *workflow.mutable_spec()->add_steps();
   step.set_count(2);
-  step.set_gang(true);
+  step.set_gang(gang);
   step.set_estimate_ms(1000);
   state.apply(++index, submit);
   schema::Command starts;
@@ -201,3 +201,32 @@
   cr_assert_eq(again.openSteps(), known.openSteps());
   cr_assert_eq(restored.save(), state.save());
 }
+
+// Steps of tasks of their own are learnt from, and forgotten, when the last task is done, and when a workflow is
+// cancelled.
+Test(run_outlook, nothing_is_kept_of_a_workflow_that_has_ended) {
+  for (const bool cancelled : {false, true}) {
+    ClusterState state;
+    LogIndex index = 0;
+    runGang(state, index, "w", false, false);
+    if (cancelled) {
+      schema::Command cancel;
+      cancel.set_time_ms(5000);
+      cancel.mutable_cancel_workflow()->set_id("w");
+      state.apply(++index, cancel);
+    }
+    for (std::uint32_t i = 0; i < 2; ++i) {
+      schema::Command ends;
+      ends.set_time_ms(6000 + i);
+      schema::RunEnd& end = *ends.mutable_record_runs()->add_ends();
+      *end.mutable_task() = makeTaskId("w", {0, 0, i});
+      end.set_run(1);
+      end.set_kind(cancelled ? schema::RunStopped : schema::RunDone);
+      end.set_whole_ms(i == 0 ? 800 : 1900);
+      state.apply(++index, ends);
+    }
+    cr_assert(state.workflows().find("w")->ended());
+    cr_assert_eq(state.workflows().outlook().openSteps(), 0);
+    cr_assert(state.workflows().outlook().timeFactor("slow") > state.workflows().outlook().timeFactor("fast"));
+  }
+}
--- a/test/standins/RunnerTarget.cpp
+++ b/test/standins/RunnerTarget.cpp
@@ -201,6 +201,10 @@
     m_hushUntil = BootClock::now() + milliseconds(queryNumber(path, "ms", 0));
     co_return jsonResponse(200, "{}");
   }
+  if (path.rfind("/slow", 0) == 0) {
+    m_timePercent = queryNumber(path, "percent", AllPercent);
+    co_return jsonResponse(200, "{}");
+  }
   if (path == "/drain") {
     m_draining = true;
     co_return jsonResponse(200, "{}");
@@ -305,7 +309,10 @@
   task.run = run;
   task.startedAt = clockMs();
   task.fails = spec.find("fail") != std::string::npos;
-  task.doneAt = spec == "forever" ? 0 : clockMs() + std::max(20, std::atoi(spec.c_str()));
+  task.doneAt =
+      spec == "forever"
+          ? 0
+          : clockMs() + std::max<std::int64_t>(20, std::int64_t{std::atoi(spec.c_str())} * m_timePercent / AllPercent);
   m_running[name] = task;
   ++m_starts[name];
   tell("started", name, run, "-");
--- a/test/standins/runner.cpp
+++ b/test/standins/runner.cpp
@@ -13,6 +13,7 @@
 //   POST /crash?late=MS&times=N        so, and the last N heartbeats of the former life arrive MS later
 //   POST /former?times=N               the last N heartbeats of the former life arrive now
 //   POST /hush?ms=N                    sends no heartbeat of its own for a while
+//   POST /slow?percent=N               what starts from now on takes N percent of its time
 //   POST /drain                        announces that it leaves
 //   POST /mute?ms=N                    carries no order out for a while, then all that came meanwhile
 //   POST /refuse?ms=N&percent=P&of=X   answers a share of the orders 429 or 503 for a while, and does nothing
--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -152,3 +152,25 @@
   cr_assert(test.until(200, "GET", "/q/00000000000000f3", "", "completed"));
   cr_assert(test.runner(2, "GET", "/starts").has("00000000000000f3"), "its targets are used again");
 }
+
+// What ran tells how slow a target is, and a new leader knows it without another run.
+Test(workflows_processes, a_new_leader_knows_which_target_is_slow) {
+  WorkflowDeployment test;
+  test.setUp();
+  cr_assert_eq(test.runner(2, "POST", "/slow?percent=300").status, 200);
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = "00000000000001a" + std::to_string(i);
+    cr_assert_eq(test.call("POST", "/q/" + id, job(14, "400")).status, 200);
+    cr_assert(test.until(200, "GET", "/q/" + id, "", "completed"));
+  }
+  const double before = test.timeFactor(2) / test.timeFactor(1);
+  cr_assert(before > 1.5, "%.2f of 3", before);
+  test.kill("control-" + std::to_string(test.leader()));
+  cr_assert(test.until(200, "GET", "/q/", "", "pending"));
+  double after = 0.0;
+  for (int wait = 0; wait < 200 && !(after > 1.5); ++wait) {
+    pause(20);
+    after = test.timeFactor(2) / test.timeFactor(1);
+  }
+  cr_assert(after > 1.5, "%.2f at the new leader", after);
+}
