--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -83,7 +83,6 @@
   options.prospects = policy.prospects();
   options.nominations = policy.nominations();
   options.yields = policy.yields();
-  options.stopsByStep = policy.stops_by_step();
   if (policy.stops_in_time()) options.stopMs = settings.control().stop_ms();
   return options;
 }
--- a/Courseloom/src/Scheduling/RoomMaker.cpp
+++ b/Courseloom/src/Scheduling/RoomMaker.cpp
@@ -19,8 +19,8 @@
 }  // namespace internal
 
 RoomMaker::RoomMaker(const std::vector<PlannedRun>& runs, const TargetIndex& targets, const Placer& placer,
-                     const std::vector<bool>& endsSoon, bool stopsByStep)
-    : m_runs(runs), m_targets(targets), m_placer(placer), m_endsSoon(endsSoon), m_stopsByStep(stopsByStep) {
+                     const std::vector<bool>& endsSoon)
+    : m_runs(runs), m_targets(targets), m_placer(placer), m_endsSoon(endsSoon) {
   std::unordered_map<std::string_view, std::size_t> numbers;
   m_gangOf.reserve(runs.size());
   for (const PlannedRun& run : runs) {
@@ -198,10 +198,7 @@
   while (cleared.placement.targets.size() < demand.tasks) {
     const std::optional<double> price = group.leastPrice();
     // Tasks of their own take what is worth it; a gang needs room for all.
-    const bool whole = demand.gang && m_stopsByStep;
-    const double tasks = static_cast<double>(demand.tasks);
-    const bool tooDear = price && (whole ? cleared.placement.cost + *price > worth * tasks : *price > worth);
-    if (!price || tooDear) {
+    if (!price || *price > worth) {
       if (demand.gang) return std::nullopt;
       break;
     }
--- a/Courseloom/src/Scheduling/RoomMaker.h
+++ b/Courseloom/src/Scheduling/RoomMaker.h
@@ -27,7 +27,7 @@
 
   /** \param endsSoon by run: expected to end soon, and not for too long */
   RoomMaker(const std::vector<PlannedRun>& runs, const TargetIndex& targets, const Placer& placer,
-            const std::vector<bool>& endsSoon, bool stopsByStep);
+            const std::vector<bool>& endsSoon);
 
   /** \returns how room is made within one group at the least cost, or nothing if that is not worth it: for a gang as a
    * whole, otherwise for as many tasks as are worth it.
@@ -57,7 +57,6 @@
   const TargetIndex& m_targets;
   const Placer& m_placer;
   const std::vector<bool>& m_endsSoon;
-  bool m_stopsByStep;                 ///< a gang weighs all its stops together
   std::vector<std::size_t> m_gangOf;  ///< by run; the number of gangs for a task of its own
   std::size_t m_gangs = 0;
   std::vector<bool> m_gone;  ///< by run: chosen as victim
--- a/Courseloom/src/Scheduling/RunPlan.h
+++ b/Courseloom/src/Scheduling/RunPlan.h
@@ -153,8 +153,7 @@
   double slowFirst = 10.0;  ///< the same for other work, taken off: fast targets stay free for urgent work
   /** Guaranteed work that has waited this long begins wherever there is room: its promise is when it begins. */
   double guaranteedChoiceMs = 500.0;
-  bool slowByNeed = true;    ///< slow is what urgent work would be late on, rather than what is below the mean
-  bool stopsByStep = false;  ///< what a gang stops is weighed against all its work, rather than task by task
+  bool slowByNeed = true;  ///< slow is what urgent work would be late on, rather than what is below the mean
   /** Time after which a stopped run is gone, ms: urgent work outside guarantees that would be late after it stops
    * nothing; 0 leaves it out of account. */
   double stopMs = 0.0;
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -33,8 +33,7 @@
   findEndsSoon();
   fillRooms();
   m_pass->forecast = std::make_unique<EndForecast>(runs, m_pass->targets, *m_pass->placer);
-  m_pass->roomMaker =
-      std::make_unique<RoomMaker>(runs, m_pass->targets, *m_pass->placer, m_pass->endsSoon, m_options.stopsByStep);
+  m_pass->roomMaker = std::make_unique<RoomMaker>(runs, m_pass->targets, *m_pass->placer, m_pass->endsSoon);
 }
 
 bool RunPlanner::advance(const std::function<bool()>& timeIsUp) {
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -48,14 +48,7 @@
   add("speeds-not-used").speeds = false;
   add("no-slow-first").slowFirst = 0.0;
   add("slow-below-mean").slowByNeed = false;
-  add("stops-by-step").stopsByStep = true;
   add("stops-in-time").stopMs = 500.0;
-  RunPlannerOptions both;
-  both.stopMs = 500.0;
-  both.stopsByStep = true;
-  add("by-step-in-time") = both;
-  both.lossRatio = 0.4;
-  add("by-step-in-time-half") = both;
   return variants;
 }
 
