--- /dev/null
+++ b/Courseloom/src/Control/WorkflowRunTimes.cpp
@@ -0,0 +1,150 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// The part of WorkflowRunner that learns from runs how long tasks take and how fast targets are.
+
+#include <algorithm>
+#include <cmath>
+
+#include "Courseloom/src/Control/WorkflowRunner.h"
+#include "Courseloom/src/Core/Log.h"
+
+namespace courseloom {
+
+namespace internal {
+namespace {
+
+/** Pause between two looks at what active runs show: a run tells its pace by then or not, looks are 250 ms apart. */
+constexpr Duration LearnInterval = milliseconds(250);
+/** The same in times that a look takes: learning takes at most a hundredth of the leader's time. */
+constexpr int PausePerLearning = 100;
+/** Longest run time that is told, ms; a run that stands still would say more than its field holds. */
+constexpr double LongestWholeMs = 1e9;
+constexpr double WholePercent = 100.0;
+
+const char* name_of(TargetSpeed speed) {
+  switch (speed) {
+    case TargetSpeed::Slow:
+      return "slow";
+    case TargetSpeed::Fast:
+      return "fast";
+    case TargetSpeed::Usual:
+      break;
+  }
+  return "usual";
+}
+
+}  // namespace
+}  // namespace internal
+
+/** \returns the time that a run's task takes on its target from its beginning to its end, ms, by the run's pace, or
+ * nothing where that would not tell of the target: too little was seen, or the data is elsewhere. */
+std::optional<double> WorkflowRunner::wholeMs(const RunKey& key, const RunTrack& track) const {
+  const schema::StepSpec& step = table().find(key.workflow)->step(key.task.step);
+  const auto target = m_ledger.targets().find(track.agent);
+  if (target == m_ledger.targets().end() || step.long_running()) return std::nullopt;
+  if (!step.preferred_rack().empty() && step.preferred_rack() != target->second.report.rack()) return std::nullopt;
+  return wholeByPaceMs(track);
+}
+
+/** \returns whether an active run began its task from the beginning, rather than from a checkpoint. */
+bool WorkflowRunner::beganAnew(const RunKey& key) const {
+  const TaskState* task = table().find(key.workflow)->task(key.task);
+  if (task == nullptr) return false;
+  return std::any_of(task->active.begin(), task->active.end(), [&key](const schema::ActiveRun& run) {
+    return run.number() == key.run && run.checkpoint().empty();
+  });
+}
+
+/** The end takes along what its run showed, so that each replica learns it from the log. */
+void WorkflowRunner::noteWholeTime(schema::RunEnd& end, Time now) const {
+  const RunKey key = runKeyOf(end.task(), end.run());
+  const auto run = m_ledger.runs().find(key);
+  if (run == m_ledger.runs().end() || table().find(key.workflow) == nullptr) return;
+  const RunTrack& track = run->second;
+  const schema::StepSpec& step = table().find(key.workflow)->step(key.task.step);
+  std::optional<double> whole = wholeMs(key, track);
+  // A short task may end before it was seen twice; a gang's would tell of its slowest member only.
+  const bool counts = end.kind() == schema::RunDone && !step.gang() && step.preferred_rack().empty();
+  if (!whole && counts && beganAnew(key)) whole = toMilliseconds(now - track.startedAt);
+  if (whole) end.set_whole_ms(static_cast<std::uint32_t>(std::clamp(*whole, 1.0, internal::LongestWholeMs)));
+}
+
+/** Brings what is expected of run times up to date, with what active runs show by now. */
+void WorkflowRunner::learnFromRuns() {
+  const Time now = BootClock::now();
+  if (now < m_learnAgainAt) return;
+  m_outlook = table().outlook();
+  for (const auto& [key, track] : m_ledger.runs()) {
+    const WorkflowState* workflow = table().find(key.workflow);
+    const std::optional<double> whole = workflow == nullptr ? std::nullopt : wholeMs(key, track);
+    if (whole) m_outlook.ran(stepOfRuns(*workflow, key.task.stepKey()), track.target, *whole, wallClockMs());
+  }
+  m_outlook.closeAll();
+  notePaces();
+  const Duration took = BootClock::now() - now;
+  m_context.metrics.record("learn_ms", "all", "all", toMilliseconds(took));
+  m_learnAgainAt = now + std::max(internal::LearnInterval, internal::PausePerLearning * took);
+}
+
+/** Tells of targets that are taken to be of another speed than before. */
+void WorkflowRunner::notePaces() {
+  std::map<std::string, TargetSpeed> speeds;
+  double slow = 0.0;
+  for (const auto& [agent, track] : m_ledger.targets()) {
+    const std::string& target = track.report.id();
+    const TargetPace pace = m_outlook.paceOf(target);
+    const TargetSpeed speed = speeds[target] = speedOf(pace);
+    slow += speed == TargetSpeed::Slow ? 1.0 : 0.0;
+    const auto before = m_speeds.find(target);
+    const bool changed = speed != (before == m_speeds.end() ? TargetSpeed::Usual : before->second);
+    if (!changed) continue;
+    const auto factor = static_cast<std::uint64_t>(std::lround(internal::WholePercent * std::exp(pace.slowness)));
+    const auto error = static_cast<std::uint64_t>(std::lround(internal::WholePercent * pace.error));
+    logEvent(schema::TargetPaceChanged,
+             {{"target", target}, {"pace", internal::name_of(speed)}, {"timeFactor", factor}, {"error", error}});
+  }
+  m_speeds = std::move(speeds);
+  m_context.metrics.set("targets_slow", slow);
+}
+
+std::vector<schema::TargetStatus> WorkflowRunner::targetStatus() const {
+  std::map<std::string, std::uint32_t> runs;
+  for (const auto& [key, track] : m_ledger.runs()) ++runs[track.agent];
+  std::vector<schema::TargetStatus> statuses;
+  for (const auto& [agent, track] : m_ledger.targets()) {
+    schema::TargetStatus& status = statuses.emplace_back();
+    const TargetPace pace = m_outlook.paceOf(track.report.id());
+    status.set_id(track.report.id());
+    status.set_agent(agent);
+    status.set_service(track.report.service());
+    status.set_data_hall(track.report.data_hall());
+    status.set_rack(track.report.rack());
+    status.set_open(m_ledger.open(agent, BootClock::now()) && !isDrained(track));
+    status.set_runs(runs[agent]);
+    status.set_time_factor(std::exp(pace.slowness));
+    status.set_uncertainty(std::exp(pace.error));
+  }
+  return statuses;
+}
+
+/** \returns the run time of a step's task to be expected on a usual target, ms. */
+double WorkflowRunner::expectedMs(const std::string& queue, const schema::StepSpec& step) const {
+  const auto estimateMs = static_cast<double>(step.estimate_ms());
+  return learns() ? m_outlook.expectedMs(queue, estimateMs) : estimateMs;
+}
+
+/** \returns how many times as long as on a usual target a task takes on one. */
+double WorkflowRunner::timeFactor(const std::string& target) const {
+  return learns() ? m_outlook.timeFactor(target) : 1.0;
+}
+
+/** \returns the time that a run still needs, ms. \param usualMs run time to be expected of its task on a usual target
+ */
+double WorkflowRunner::remainingMs(const RunTrack& track, double usualMs) const {
+  const double leftMs = usualMs * timeFactor(track.target) * (1.0 - track.percent / internal::WholePercent);
+  const std::optional<double> byPace = learns() ? remainingByPaceMs(track, BootClock::now()) : std::nullopt;
+  return byPace ? *byPace : std::max(0.0, leftMs);
+}
+
+}  // namespace courseloom
