Lists of fast targets are held while they are known; steps are closed by the workflow's name

Found in reading: the fast targets of a list were remembered by the list's address, and a list made for one step (tickets, targets it has failed on) goes with it, so that the next one may lie at the same address: a step was given another's fast targets, and a start without a ticket. Test run_planner fast_targets_of_one_step..., which fails without the mend (fewer starts than steps). Also: closing the steps of a workflow made a name for each step of each of its times; it now looks by the beginning of the name.

--- a/Courseloom/src/Scheduling/TargetIndex.cpp
+++ b/Courseloom/src/Scheduling/TargetIndex.cpp
@@ -87,7 +87,7 @@
 }
 
 TargetList TargetIndex::fastEnough(const TargetList& among, const std::vector<double>& lateChances) {
-  TargetList& known = m_fastEnough[{among.get(), &lateChances}];
+  TargetList& known = m_fastEnough[{among, &lateChances}];
   if (known) return known;
   std::vector<std::size_t> left;
   for (const std::size_t i : *among) {
--- a/Courseloom/src/Scheduling/TargetIndex.h
+++ b/Courseloom/src/Scheduling/TargetIndex.h
@@ -56,7 +56,8 @@
   std::vector<std::vector<std::size_t>> m_inRack;
   std::map<std::pair<std::string, std::string>, TargetList> m_serving;
   std::map<int, std::vector<double>> m_lateChances;  ///< by limit, in steps
-  std::map<std::pair<const void*, const void*>, TargetList> m_fastEnough;
+  /** By list and chances. The lists are held, so that no other one comes to lie at an address that is known here. */
+  std::map<std::pair<TargetList, const std::vector<double>*>, TargetList> m_fastEnough;
 };
 
 }  // namespace courseloom
--- a/Courseloom/src/State/RunOutlook.cpp
+++ b/Courseloom/src/State/RunOutlook.cpp
@@ -60,11 +60,12 @@
   if (logs.size() < internal::MostLogs) logs.push_back(std::log(wholeMs));
 }
 
-void RunOutlook::close(const std::string& step) {
-  const auto found = m_open.find(step);
-  if (found == m_open.end()) return;
-  learn(found->second);
-  m_open.erase(found);
+void RunOutlook::closeWorkflow(const std::string& workflow) {
+  const std::string prefix = workflow + ".";
+  for (auto step = m_open.lower_bound(prefix); step != m_open.end() && step->first.starts_with(prefix);) {
+    learn(step->second);
+    step = m_open.erase(step);
+  }
 }
 
 void RunOutlook::closeAll() {
@@ -176,6 +177,7 @@
     m_beliefs[row.target()] = {row.slowness(), row.variance(), row.seen_ms()};
   }
   for (const schema::StepSightRecord& row : snapshot.step_sights()) {
+    if (row.logs_size() == 0 || row.estimate_ms() <= 0.0) continue;
     OpenStep& open = m_open[row.step()];
     open.step = {row.step(), row.queue(), row.estimate_ms(), row.gang()};
     open.logs[row.target()].assign(row.logs().begin(), row.logs().end());
--- a/Courseloom/src/State/RunOutlook.h
+++ b/Courseloom/src/State/RunOutlook.h
@@ -32,7 +32,7 @@
  * \brief Whose tasks ran, as far as it matters to their run times.
  */
 struct StepOfRuns {
-  std::string name;
+  std::string name;  ///< "WORKFLOW.OCCURRENCE.STEP"
   std::string queue;
   double estimateMs = 0.0;
   bool gang = false;  ///< all its tasks do the same work
@@ -43,8 +43,9 @@
  *
  * The logarithm of a run's time is taken as the sum of what its step asks for and how slow its target is. What runs of
  * one step show on several targets tells these apart: the members of a gang do the same work, so that one gang tells
- * its targets' speeds to a few hundredths; other tasks of a step differ by about a seventh. When a step is done, the
- * belief in each of its targets is renewed, and what the step asked for, free of its targets, goes to its queue.
+ * its targets' speeds to a few hundredths; other tasks of a step differ by about a seventh. When its workflow has
+ * ended, the belief in each of its targets is renewed, and what the step asked for, free of its targets, goes to its
+ * queue.
  *
  * It is part of the replicated state, so that a new leader, also one that began from a snapshot, knows what the former
  * one knew. Source of the idea: throughputs of work on unlike machines as in Gavel (Narayanan et al., OSDI 2020); the
@@ -58,8 +59,8 @@
   /** Takes in what a run showed. \param wholeMs time that a task takes there from its beginning to its end
    * \param nowMs wall clock */
   void ran(const StepOfRuns& step, const std::string& target, double wholeMs, std::uint64_t nowMs);
-  /** Learns from a step that is done or given up. */
-  void close(const std::string& step);
+  /** Learns from the steps of a workflow that has ended, and forgets them. */
+  void closeWorkflow(const std::string& workflow);
   /** Learns from all steps as they are by now; for a copy that is used for a moment. */
   void closeAll();
   /** Forgets a target whose life is over. */
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -181,15 +181,6 @@
   m_outlook.ran(stepOfRuns(workflow, step), run.target(), static_cast<double>(end.whole_ms()), timeMs);
 }
 
-/** Nothing more is to be learnt of the steps of a workflow that has ended. */
-void WorkflowTable::closeSteps(const WorkflowState& workflow) {
-  for (std::uint32_t occurrence = 0; occurrence < workflow.occurrences(); ++occurrence) {
-    for (int step = 0; step < workflow.record.spec().steps_size(); ++step) {
-      m_outlook.close(stepOfRuns(workflow, {occurrence, static_cast<std::uint32_t>(step)}).name);
-    }
-  }
-}
-
 /** A gang ends together: one member's end counts for all. */
 void WorkflowTable::markDone(WorkflowState& workflow, const TaskKey& key) {
   const bool gang = workflow.step(key.step).gang();
@@ -240,7 +231,7 @@
 
 void WorkflowTable::review(const WorkflowState& workflow) {
   if (!workflow.ended() || workflow.activeRuns > 0) return;
-  if (m_open.erase(workflow.record.id()) > 0) closeSteps(workflow);
+  if (m_open.erase(workflow.record.id()) > 0) m_outlook.closeWorkflow(workflow.record.id());
 }
 
 void WorkflowTable::expire(std::uint64_t nowMs) {
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -136,7 +136,6 @@
   void recordStart(const schema::RunStart& start, std::uint64_t timeMs);
   void learnFrom(const WorkflowState& workflow, const schema::ActiveRun& run, const schema::RunEnd& end,
                  std::uint64_t timeMs);
-  void closeSteps(const WorkflowState& workflow);
   void markDone(WorkflowState& workflow, const TaskKey& key);
   void countFailure(WorkflowState& workflow, const TaskKey& key, std::uint32_t run, std::uint64_t timeMs);
   void finishIfDone(WorkflowState& workflow, std::uint64_t timeMs);
--- a/test/LoadReplay.cpp
+++ b/test/LoadReplay.cpp
@@ -206,7 +206,7 @@
   const bool ended = std::all_of(job.done.begin(), job.done.end(), [](bool done) { return done; });
   if (!ended) return;
   job.endedMs = m_nowMs;
-  m_ended.close(job.workflow.record.id());
+  m_ended.closeWorkflow(job.workflow.record.id());
 }
 
 /** Ends a run before it is done. \param lost with its target, so that nothing is saved at the end */
@@ -253,7 +253,7 @@
 StepOfRuns LoadReplay::stepOf(const Run& run) const {
   const schema::Workflow& record = m_jobs[run.job].workflow.record;
   const auto estimateMs = static_cast<double>(record.spec().steps(0).estimate_ms());
-  return {record.id(), record.queue(), estimateMs, !run.gang.empty()};
+  return {record.id() + ".0.0", record.queue(), estimateMs, !run.gang.empty()};
 }
 
 /** Brings what is expected of run times up to date. */
--- a/test/run_outlook.cpp
+++ b/test/run_outlook.cpp
@@ -31,7 +31,7 @@
     const double workMs = UsualMs * logNormal(0.5);
     const StepOfRuns step{nextStep(), "urgent", workMs * logNormal(0.5), true};
     for (const std::size_t t : targets) outlook.ran(step, name(t), workMs * factors[t] * logNormal(0.02), ++m_nowMs);
-    outlook.close(step.name);
+    outlook.closeWorkflow(std::to_string(m_steps));
   }
   /** Single tasks of one step, one in thirty of them a straggler. */
   void pieces(const std::vector<std::size_t>& targets, std::size_t each) {
@@ -43,7 +43,7 @@
         outlook.ran(step, name(t), straggles * workMs * factors[t] * logNormal(0.15), ++m_nowMs);
       }
     }
-    outlook.close(step.name);
+    outlook.closeWorkflow(std::to_string(m_steps));
   }
   std::vector<std::size_t> some(std::size_t count) {
     std::vector<std::size_t> targets;
@@ -59,7 +59,7 @@
   RunOutlook outlook;
 
  private:
-  std::string nextStep() { return "step" + std::to_string(++m_steps); }
+  std::string nextStep() { return std::to_string(++m_steps) + ".0.0"; }
   double logNormal(double spread) { return std::exp(std::normal_distribution<double>(0.0, spread)(m_random)); }
 
   std::mt19937_64 m_random{1};
@@ -100,11 +100,11 @@
 Test(run_outlook, one_straggler_does_not_make_its_target_slow) {
   Fleet fleet({1.0, 1.0, 1.0, 1.0});
   for (int round = 0; round < 5; ++round) fleet.gang({0, 1, 2, 3});
-  const StepOfRuns step{"straggling", "bulk", 4000.0, false};
+  const StepOfRuns step{"straggling.0.0", "bulk", 4000.0, false};
   for (const char* target : {"t0", "t1", "t2", "t3"}) {
     fleet.outlook.ran(step, target, std::string(target) == "t3" ? 28000.0 : 4000.0, 100);
   }
-  fleet.outlook.close("straggling");
+  fleet.outlook.closeWorkflow("straggling");
   cr_assert(fleet.ratio(3, 0) < 1.35, "%.2f", fleet.ratio(3, 0));
 }
 
@@ -131,9 +131,9 @@
 Test(run_outlook, what_is_remembered_is_bounded) {
   RunOutlook outlook;
   for (std::size_t t = 0; t < RunOutlook::MostTargets + 100; ++t) {
-    const std::string step = "s" + std::to_string(t);
-    outlook.ran({step, "q", 1000.0, false}, "t" + std::to_string(t), 1500.0, t);
-    outlook.close(step);
+    const std::string workflow = "w" + std::to_string(t);
+    outlook.ran({workflow + ".0.0", "q", 1000.0, false}, "t" + std::to_string(t), 1500.0, t);
+    outlook.closeWorkflow(workflow);
   }
   cr_assert_eq(outlook.targets(), RunOutlook::MostTargets);
   cr_assert(outlook.paceOf("t0").slowness == 0.0, "the one not seen for the longest time went first");
@@ -141,6 +141,26 @@
   cr_assert_eq(outlook.targets(), RunOutlook::MostTargets - 1);
 }
 
+Test(run_outlook, a_workflow_that_ends_leaves_others_whose_names_begin_alike_open) {
+  RunOutlook outlook;
+  outlook.ran({"w1.0.0", "q", 1000.0, false}, "t", 1500.0, 1);
+  outlook.ran({"w10.0.0", "q", 1000.0, false}, "t", 1500.0, 1);
+  outlook.closeWorkflow("w1");
+  cr_assert_eq(outlook.openSteps(), 1);
+}
+
+// A snapshot of another writer may hold rows that say nothing.
+Test(run_outlook, rows_of_a_snapshot_that_say_nothing_are_passed_over) {
+  schema::StateSnapshot snapshot;
+  snapshot.add_step_sights()->set_step("w.0.0");
+  snapshot.add_queue_times()->set_queue("q");
+  RunOutlook outlook;
+  outlook.load(snapshot);
+  outlook.closeAll();
+  cr_assert_eq(outlook.targets(), 0);
+  cr_assert_eq(outlook.expectedMs("q", 1000.0), 1000.0);
+}
+
 Test(run_outlook, values_that_say_nothing_are_passed_over) {
   RunOutlook outlook;
   outlook.ran({"s", "q", 0.0, false}, "t", 1500.0, 1);
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -539,3 +539,21 @@
   step.rank = GuaranteedRank;
   cr_assert_eq(table.plan(0, inTime).stops.size(), 1, "guaranteed work has a promise to begin");
 }
+
+// Lists of targets with tickets belong to one step each, and the next one may lie where the last one lay.
+Test(run_planner, fast_targets_of_one_step_are_never_taken_for_those_of_another) {
+  PlannerTable table(20);
+  for (std::size_t i = 0; i < 20; i += 2) table.target(i).pace = Slow;
+  for (std::size_t i = 0; i < 10; ++i) {
+    PlannedStep& step = table.waits(1, 8, UrgentRank);
+    step.objectiveMs = NowMs + 3250.0;
+    step.tickets.emplace();
+    step.tickets->emplace("t" + std::to_string(2 * i), "slow");
+    step.tickets->emplace("t" + std::to_string(2 * i + 1), "fast");
+  }
+  const RunPlan plan = table.plan();
+  cr_assert_eq(plan.starts.size(), 10);
+  for (const RunPlan::Start& start : plan.starts) {
+    cr_assert_eq(start.target, 2 * start.step + 1, "step %zu on target %zu", start.step, start.target);
+  }
+}
