--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -65,6 +65,7 @@
   options.prospects = policy.prospects();
   options.nominations = policy.nominations();
   options.yields = policy.yields();
+  options.speeds = policy.speeds();
   if (policy.stops_in_time()) options.stopMs = settings.control().stop_ms();
   return options;
 }
--- a/Courseloom/src/Scheduling/StepDemand.cpp
+++ b/Courseloom/src/Scheduling/StepDemand.cpp
@@ -74,8 +74,6 @@
 }
 
 StepDemand makeDemand(const PlannedStep& step, std::size_t index, TargetIndex& targets, double nowMs, SpeedUse speeds) {
-  const bool usesSpeeds = speeds != SpeedUse::None;
-  const bool begins = speeds == SpeedUse::Order;
   const schema::StepSpec& spec = step.workflow->step(step.key.step);
   StepDemand demand;
   demand.step = index;
@@ -101,8 +99,10 @@
     demand.serving = internal::without_avoided(step, targets, whole);
     if (!internal::has_others(demand, targets)) demand.serving = whole;
   }
-  if (usesSpeeds) demand.lateChances = &targets.lateChances(slownessLimit(step.objectiveMs - nowMs, step.estimateMs));
-  if (demand.lateChances != nullptr && demand.isUrgent() && !begins) {
+  if (speeds != SpeedUse::None) {
+    demand.lateChances = &targets.lateChances(slownessLimit(step.objectiveMs - nowMs, step.estimateMs));
+  }
+  if (speeds == SpeedUse::Choice && demand.isUrgent()) {
     const TargetList whole = demand.serving;
     demand.serving = targets.fastEnough(whole, *demand.lateChances);
     if (!internal::has_others(demand, targets)) demand.serving = whole;
