A gang that fails is not kept waiting for a target on probation, or for one that is gone

A gang leaves out targets on which it has failed if the others could hold it; a target on probation counted there with all its room, though it takes one run at a time until one is done there. Where no other work comes, none is, so the gang waited for good. The same for a target that is gone: it counted as one that could hold the gang as long as the leader lasted.

Change: has_others counts one run for a target on probation; probation ends 15 s after the suspicion; PlannedTarget has awaited, true while a closed target has been out of reach for no longer than its runs may last and does not leave, and what could hold a gang counts only open and awaited targets, also in the choice of racks.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -204,6 +204,7 @@
     target.capacity = roomOf(report.capacity());
     const bool closed = m_health.paused(report.id(), now) || (trusted && m_health.suspect(report.id(), now));
     target.open = m_ledger.open(agent, now) && !closed;
+    target.awaited = m_ledger.awaited(agent, now);
     target.single = trusted && m_health.onProbation(report.id(), now);
     target.penalty = m_health.penalty(report.id(), now);
     if (learns()) target.pace = m_outlook.paceOf(report.id());
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -138,6 +138,8 @@
   target.relayed = report.relayed();
   target.report = report.target();
   target.heard = now;
+  const bool inReach = report.target().reachable() && !report.target().id().empty();
+  if (inReach || target.reached == Time{}) target.reached = now;
   target.askedAt = Time{};
   std::vector<schema::RunEnd> ends;
   for (const RunKey& key : keys) {
@@ -237,6 +239,12 @@
   return heardLately && !owes && !report.id().empty() && report.reachable() && !report.draining();
 }
 
+bool RunLedger::awaited(const std::string& agent, Time now) const {
+  const auto found = m_targets.find(agent);
+  if (found == m_targets.end() || found->second.report.draining()) return false;
+  return now < found->second.reached + m_options.grant + m_options.slack;
+}
+
 bool RunLedger::fresh(const std::string& agent, Time now) const {
   const auto found = m_targets.find(agent);
   return found != m_targets.end() && now <= found->second.heard + m_options.fresh;
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -75,6 +75,7 @@
   bool relayed = false;        ///< its newest report came through another node
   Time grantUntil{};
   Time heard{};
+  Time reached{};              ///< when its target was last in reach; at first when it was met
   Time askedAt{};              ///< when a sign of life was first asked for since it was heard; zero is not
   std::vector<RunKey> strays;  ///< reported as running, but not active in the log, or meant for a former life
 };
@@ -127,6 +128,9 @@
   const std::map<std::string, TargetTrack>& targets() const { return m_targets; }
   /** \returns whether an agent may be given new runs now. */
   bool open(const std::string& agent, Time now) const;
+  /** \returns whether an agent that may not be given new runs now is expected to be soon: its target does not leave,
+   * and has not been out of reach for longer than its runs would outlast. */
+  bool awaited(const std::string& agent, Time now) const;
   /** \returns whether an agent was heard so lately that a start will reach it. */
   bool fresh(const std::string& agent, Time now) const;
   /** Wants a sign of life from an agent: its report is not to be held back any longer. */
--- a/Courseloom/src/Scheduling/RunPlan.h
+++ b/Courseloom/src/Scheduling/RunPlan.h
@@ -37,6 +37,7 @@
   std::set<std::string> labels;
   Room capacity;
   bool open = false;     ///< may be given new runs
+  bool awaited = true;   ///< if it is not open, it is expected to be soon
   bool single = false;   ///< may have one run at a time: it has yet to show that it works
   double penalty = 0.0;  ///< added to its cost: failing targets come last
   TargetPace pace;       ///< how slow it is
--- a/Courseloom/src/Scheduling/StepDemand.cpp
+++ b/Courseloom/src/Scheduling/StepDemand.cpp
@@ -33,9 +33,10 @@
   return list_of(std::move(left));
 }
 
-/** \returns whether the step could be served by its targets, or a task of it. */
+/** \returns whether the step could be served by its targets, or a task of it. A gang does not wait for one on
+ * probation to take several of its tasks: that needs other work to be done there first. */
 bool has_others(const StepDemand& demand, const TargetIndex& targets) {
-  if (demand.gang) return couldHold(demand, targets, *demand.serving);
+  if (demand.gang) return couldHold(demand, targets, *demand.serving, OnProbation::TakesOne);
   return std::any_of(demand.serving->begin(), demand.serving->end(),
                      [&](std::size_t i) { return targets[i].open && targets[i].capacity.holds(demand.need); });
 }
@@ -64,10 +65,14 @@
   return std::binary_search(nominated.begin(), nominated.end(), target);
 }
 
-bool couldHold(const StepDemand& demand, const TargetIndex& targets, const std::vector<std::size_t>& among) {
+bool couldHold(const StepDemand& demand, const TargetIndex& targets, const std::vector<std::size_t>& among,
+               OnProbation onProbation) {
   std::size_t held = 0;
   for (const std::size_t i : among) {
-    held += targets[i].capacity.fits(demand.need, std::min(demand.maxPerTarget, demand.tasks));
+    const PlannedTarget& target = targets[i];
+    if (!target.open && !target.awaited) continue;
+    const bool takesOne = target.single && onProbation == OnProbation::TakesOne;
+    held += target.capacity.fits(demand.need, std::min(demand.maxPerTarget, takesOne ? 1 : demand.tasks));
     if (held >= demand.tasks) return true;
   }
   return held >= demand.tasks;
--- a/Courseloom/src/Scheduling/StepDemand.h
+++ b/Courseloom/src/Scheduling/StepDemand.h
@@ -58,8 +58,15 @@
  * \param nowMs wall clock, ms since 1970 \param speeds what the targets' speeds decide for it */
 StepDemand makeDemand(const PlannedStep& step, std::size_t index, TargetIndex& targets, double nowMs, SpeedUse speeds);
 
-/** \returns whether targets could hold so many tasks of a step if nothing else ran there, open to new runs now or not.
- */
-bool couldHold(const StepDemand& demand, const TargetIndex& targets, const std::vector<std::size_t>& among);
+/** What a target that has yet to show that it works counts for. */
+enum class OnProbation : std::uint8_t {
+  WillPass,  ///< as a sound one
+  TakesOne,  ///< one run
+};
+
+/** \returns whether targets could hold all tasks of a step if nothing else ran there. Those that are closed count while
+ * they are expected back: one that is gone for good would be waited for in vain. */
+bool couldHold(const StepDemand& demand, const TargetIndex& targets, const std::vector<std::size_t>& among,
+               OnProbation onProbation = OnProbation::WillPass);
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/TargetHealth.cpp
+++ b/Courseloom/src/Scheduling/TargetHealth.cpp
@@ -85,7 +85,9 @@
 
 bool TargetHealth::onProbation(const std::string& target, Time now) const {
   const auto found = m_targets.find(target);
-  return found != m_targets.end() && found->second.suspicion > Duration(0) && now >= found->second.suspectUntil;
+  if (found == m_targets.end() || found->second.suspicion == Duration(0)) return false;
+  const Time until = found->second.suspectUntil;
+  return now >= until && now < until + m_options.longestProbation;
 }
 
 bool TargetHealth::tooManySuspect(const std::vector<std::string>& targets, Time now) const {
--- a/Courseloom/src/Scheduling/TargetHealth.h
+++ b/Courseloom/src/Scheduling/TargetHealth.h
@@ -20,6 +20,9 @@
   unsigned failuresSuspect = 2;                  ///< failed runs of different workflows without one that was done
   Duration firstSuspicion = milliseconds(4000);  ///< doubles with each further one
   Duration longestSuspicion = milliseconds(32000);
+  /** Time after a suspicion for which the target has to show that it works; a gang that needs more of it than one run
+   * would wait for good where no other work comes. Longer than most tasks run, so that one that is tried may end. */
+  Duration longestProbation = milliseconds(15000);
   Duration failureCaution = milliseconds(3000);  ///< after one failure others are preferred for this long
   double suspectPenalty = 500.0;                 ///< cost of a suspect target where suspicion does not close it
   double cautionPenalty = 50.0;                  ///< of a target on which anything has failed lately
@@ -31,8 +34,8 @@
  * \brief Tells failing, hanging and slow targets from tasks that fail by their own fault.
  *
  * A target is suspect when runs of several workflows failed or stalled on it with none done in between. It gets nothing
- * for a while, then one run at a time until one is done. A workflow that fails on one target after another is at fault
- * itself, and what it said against targets is taken back.
+ * for a while, then one run at a time until one is done or a while has passed. A workflow that fails on one target
+ * after another is at fault itself, and what it said against targets is taken back.
  * \sa RunPlanner
  */
 class TargetHealth {
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -483,6 +483,41 @@
   cr_assert(health.paused("t", now));
 }
 
+// A gang that needed several places of a target on probation waited for good, since no other work came to be tried
+// there.
+Test(run_ledger, a_target_to_which_nothing_comes_is_on_probation_for_a_while_only) {
+  TargetHealth health;
+  health.stalled("t", Time(milliseconds(0)));
+  const Time afterSuspicion = Time(TargetHealthOptions().firstSuspicion);
+  cr_assert(health.onProbation("t", afterSuspicion));
+  cr_assert(health.onProbation("t", afterSuspicion + milliseconds(10000)), "longer than most tasks run");
+  cr_assert_not(health.onProbation("t", afterSuspicion + milliseconds(30000)));
+  health.stalled("t", afterSuspicion + milliseconds(30000));
+  cr_assert(health.suspect("t", afterSuspicion + milliseconds(37000)), "a second suspicion lasts longer all the same");
+}
+
+// What is waited for beyond this is gone for good, as far as anybody can tell.
+Test(run_ledger, a_target_is_awaited_until_its_runs_would_be_over) {
+  LedgerTable test;
+  cr_assert_not(test.ledger.awaited("agent", test.now), "nothing is known of it");
+  schema::AttendRequest silent = test.report();
+  silent.mutable_target()->set_reachable(false);
+  test.attend(test.report());
+  test.pass(5000);
+  test.attend(silent);
+  cr_assert_not(test.ledger.open("agent", test.now));
+  cr_assert(test.ledger.awaited("agent", test.now));
+  test.pass(1000);
+  test.attend(silent);
+  cr_assert_not(test.ledger.awaited("agent", test.now), "its agent is there, the target is not");
+  test.attend(test.report());
+  cr_assert(test.ledger.awaited("agent", test.now));
+  schema::AttendRequest leaving = test.report();
+  leaving.mutable_target()->set_draining(true);
+  test.attend(leaving);
+  cr_assert_not(test.ledger.awaited("agent", test.now));
+}
+
 Test(run_ledger, no_start_is_ordered_while_its_end_is_on_its_way_into_the_log) {
   LedgerTable test;
   test.attend(test.report());
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -363,6 +363,39 @@
   cr_assert_eq(test.plan().starts.size(), 1, "no other target could hold it");
 }
 
+// A job whose gang failed on three of four targets waited for good for the last one, which was on probation and took
+// one run at a time: nothing else was left to show that it works.
+Test(run_planner, a_gang_that_failed_elsewhere_does_not_wait_for_a_target_on_probation) {
+  PlannerTable table;
+  PlannedStep& step = table.waits(4, 1, UrgentRank, true);
+  step.avoided = {"t0", "t1", "t2"};
+  table.target(3).single = true;
+  cr_assert_eq(table.plan().starts.size(), 4);
+}
+
+Test(run_planner, a_gang_that_failed_elsewhere_does_not_wait_for_a_target_that_is_gone) {
+  PlannerTable table;
+  PlannedStep& step = table.waits(4, 1, UrgentRank, true);
+  step.avoided = {"t0", "t1", "t2"};
+  table.target(3).open = false;
+  cr_assert(table.plan().starts.empty(), "it is back in a moment, and sound as far as is known");
+  table.target(3).awaited = false;
+  cr_assert_eq(table.plan().starts.size(), 4);
+}
+
+Test(run_planner, an_urgent_gang_does_not_wait_for_a_rack_that_has_lost_a_target) {
+  PlannerTable table;
+  table.runs(2, 8, GuaranteedRank);
+  PlannedStep& step = table.waits(2, 8, UrgentRank, true);
+  table.specOf(step).set_same_rack(true);
+  table.target(0).open = false;
+  cr_assert(table.plan().starts.empty(), "one rack will be whole again, the other free");
+  table.target(0).awaited = false;
+  table.target(2).awaited = false;
+  table.target(2).open = false;
+  cr_assert((targetsOf(table.plan()) == std::set<std::size_t>{1, 3}));
+}
+
 Test(run_planner, a_target_that_has_yet_to_show_that_it_works_gets_one_run_at_a_time) {
   PlannerTable test(1);
   test.target(0).single = true;
--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -174,3 +174,19 @@
   }
   cr_assert(after > 1.5, "%.2f at the new leader", after);
 }
+
+// The soak's case 5117 left one job open for good: its gang had failed on all targets but one, which was on probation
+// and would have taken one run at a time, and no other work came to be tried there. Fails without
+// OnProbation::TakesOne.
+Test(workflows_processes, a_gang_that_fails_ends_beside_a_target_on_probation) {
+  WorkflowDeployment test;
+  test.setUp();
+  cr_assert_eq(test.order("/-/Evacuations.Start/hall-1"), 200);
+  for (const char* id : {"00000000000001b1", "00000000000001b2"}) {
+    cr_assert_eq(test.call("POST", std::string("/q/") + id, job(1, "fail")).status, 200);
+    cr_assert(test.until(200, "GET", std::string("/q/") + id, "", "failed"));
+  }
+  cr_assert_eq(test.order("/-/Evacuations.Finish/hall-1"), 200);
+  cr_assert_eq(test.call("POST", "/q/00000000000001b3", gang(4, "fail")).status, 200);
+  cr_assert(test.until(200, "GET", "/q/00000000000001b3", "", "failed"));
+}
