--- a/Courseloom/src/State/RunOutlook.cpp
+++ b/Courseloom/src/State/RunOutlook.cpp
@@ -164,6 +164,7 @@
       row->set_estimate_ms(open.step.estimateMs);
       row->set_gang(open.step.gang);
       row->set_target(target);
+      row->set_seen_ms(open.seenMs);
       for (const double log : logs) row->add_logs(log);
     }
   }
@@ -180,6 +181,7 @@
     if (row.logs_size() == 0 || row.estimate_ms() <= 0.0) continue;
     OpenStep& open = m_open[row.step()];
     open.step = {row.step(), row.queue(), row.estimate_ms(), row.gang()};
+    open.seenMs = row.seen_ms();
     open.logs[row.target()].assign(row.logs().begin(), row.logs().end());
   }
 }
--- a/test/run_outlook.cpp
+++ b/test/run_outlook.cpp
@@ -149,6 +149,24 @@
   cr_assert_eq(outlook.openSteps(), 1);
 }
 
+// Which target is forgotten first goes by when it was seen; a replica that did not know would forget another one.
+Test(run_outlook, a_snapshot_in_the_middle_of_a_step_changes_nothing_that_follows) {
+  RunOutlook before;
+  before.ran({"w.0.0", "q", 1000.0, true}, "t1", 1500.0, 7000);
+  schema::StateSnapshot snapshot;
+  before.save(snapshot);
+  RunOutlook after;
+  after.load(snapshot);
+  schema::StateSnapshot ofBefore;
+  schema::StateSnapshot ofAfter;
+  before.closeWorkflow("w");
+  before.save(ofBefore);
+  after.closeWorkflow("w");
+  after.save(ofAfter);
+  cr_assert_eq(ofBefore.target_paces(0).seen_ms(), 7000);
+  cr_assert(ofBefore.SerializeAsString() == ofAfter.SerializeAsString());
+}
+
 // A snapshot of another writer may hold rows that say nothing.
 Test(run_outlook, rows_of_a_snapshot_that_say_nothing_are_passed_over) {
   schema::StateSnapshot snapshot;
