--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -49,6 +49,25 @@
   add("no-slow-first").slowFirst = 0.0;
   add("slow-below-mean").slowByNeed = false;
   add("stops-in-time").stopMs = 500.0;
+  add("no-ageing").ageAfterEstimates = 0.0;
+  add("no-prospects").prospects = false;
+  add("no-reservations").reservations = 0;
+  add("no-patience").patience = false;
+  add("no-nominations").nominations = false;
+  add("no-yields").yields = false;
+  add("no-headroom").headroom = false;
+  add("headroom-waits-8s").headroomWaitMs = 8000.0;
+  add("headroom-waits-16s").headroomWaitMs = 16000.0;
+  add("loss-ratio-0.4").lossRatio = 0.4;
+  add("urgent-patience-0.5").urgentPatienceShare = 0.5;
+  add("ends-soon-1s").endsSoonMs = 1000.0;
+  add("ends-soon-0.2s").endsSoonMs = 200.0;
+  add("reserves-at-once").reserveAfterMs = 0.0;
+  add("reservations-16").reservations = 16;
+  add("backfill-margin-1").backfillMargin = 1.0;
+  add("spreads-after-1").spreadAfterEstimates = 1.0;
+  add("gang-loss-ratio-0.3").gangLossRatio = 0.3;
+  add("loss-ratio-1.5").lossRatio = 1.5;
   return variants;
 }
 
--- a/test/LoadReplay.cpp
+++ b/test/LoadReplay.cpp
@@ -293,6 +293,7 @@
     target.rack = "r" + std::to_string(i / m_pattern.perRack);
     target.capacity = Capacity;
     target.open = isOpen(i);
+    target.awaited = target.open;
     target.pace = paceOf(i);
   }
   return targets;
