A last attempt keeps away from targets on which others have just failed

Change: TargetHealth::doubted, WorkflowState::onLastAttempt, WorkflowRunner::targetsToAvoid; a switch policy.lastAttempts; the stand-in's targets can fail what starts at once. If no other target could hold the step, all may have it, as before. Before and after: the process test failed 2 of 2 without it (25 s each) and passes.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -308,7 +308,7 @@
       const bool partOfGang = spec.gang() && step.tasks.size() < spec.count();
       if (step.tasks.empty() || partOfGang) continue;
       step.rank = rankOfWorkflow(workflow);
-      step.avoided = m_health.failedOn(record.id());
+      step.avoided = targetsToAvoid(workflow, step);
       step.estimateMs = expectedMs(record.queue(), spec);
       step.taskWork = internal::cores_of(spec) * step.estimateMs / internal::MillisecondsPerSecond;
       step.objectiveMs =
@@ -327,6 +327,18 @@
   }
 }
 
+/** Work whose next failure ends its workflow keeps away from where anything failed lately too: where one failed at
+ * once, two of three that follow fail as well. */
+std::set<std::string> WorkflowRunner::targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const {
+  std::set<std::string> avoided = m_health.failedOn(workflow.record.id());
+  if (!m_context.settings.policy().last_attempts()) return avoided;
+  const bool last = std::any_of(step.tasks.begin(), step.tasks.end(), [&](std::uint32_t index) {
+    return workflow.onLastAttempt({step.key.occurrence, step.key.step, index});
+  });
+  if (last) avoided.merge(m_health.doubted(BootClock::now()));
+  return avoided;
+}
+
 /** \returns run time of a workflow's longest chain of steps, ms, as its objective counts it. */
 double WorkflowRunner::objectiveChainMs(const WorkflowState& workflow) const {
   const auto found = m_serviceRooms.find(workflow.record.service());
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -123,6 +123,7 @@
   void addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
   double objectiveChainMs(const WorkflowState& workflow) const;
   std::map<std::string, Room> serviceRooms() const;
+  std::set<std::string> targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const;
   const std::vector<std::string>& openTargets(const std::string& service);
   const schema::Queue* queueNamed(const std::string& name) const;
   void notifyAgent(const std::string& agent);
--- a/Courseloom/src/Scheduling/TargetHealth.cpp
+++ b/Courseloom/src/Scheduling/TargetHealth.cpp
@@ -54,6 +54,7 @@
     found->second.stalled = false;
     trust(found->second);
     found->second.cautionUntil = Time{};
+    found->second.doubtedUntil = Time{};
     return;
   }
   if (kind == schema::RunVoided) return refused(target, now);
@@ -64,6 +65,7 @@
   Score& score = m_targets[target];
   score.cautionUntil = now + m_options.failureCaution;
   score.failed.insert(workflow);
+  score.doubtedUntil = now + m_options.doubt;
   // Several runs that began together fail together; only what began after the suspicion deepens it.
   const bool deepens = score.failed.size() >= m_options.failuresSuspect && now >= score.suspectUntil;
   if (deepens) suspectNow(score, now);
@@ -71,6 +73,7 @@
 
 void TargetHealth::stalled(const std::string& target, Time now) {
   m_targets[target].stalled = true;
+  m_targets[target].doubtedUntil = now + m_options.doubt;
   suspectNow(m_targets[target], now);
 }
 
@@ -96,6 +99,14 @@
   return static_cast<double>(suspects) > m_options.mostSuspects * static_cast<double>(targets.size());
 }
 
+std::set<std::string> TargetHealth::doubted(Time now) const {
+  std::set<std::string> found;
+  for (const auto& [target, score] : m_targets) {
+    if (now < score.doubtedUntil && (score.stalled || !score.failed.empty())) found.insert(target);
+  }
+  return found;
+}
+
 bool TargetHealth::paused(const std::string& target, Time now) const {
   const auto found = m_targets.find(target);
   return found != m_targets.end() && now < found->second.pausedUntil;
--- a/Courseloom/src/Scheduling/TargetHealth.h
+++ b/Courseloom/src/Scheduling/TargetHealth.h
@@ -24,10 +24,12 @@
    * would wait for good where no other work comes. Longer than most tasks run, so that one that is tried may end. */
   Duration longestProbation = milliseconds(15000);
   Duration failureCaution = milliseconds(3000);  ///< after one failure others are preferred for this long
-  double suspectPenalty = 500.0;                 ///< cost of a suspect target where suspicion does not close it
-  double cautionPenalty = 50.0;                  ///< of a target on which anything has failed lately
-  double mostSuspects = 0.5;                     ///< share of the targets beyond which suspicion closes none
-  Duration refusalPause = milliseconds(400);     ///< no new runs after the target refused one
+  /** Time after a failure or a standstill for which a target without anything done since is doubted. */
+  Duration doubt = milliseconds(15000);
+  double suspectPenalty = 500.0;              ///< cost of a suspect target where suspicion does not close it
+  double cautionPenalty = 50.0;               ///< of a target on which anything has failed lately
+  double mostSuspects = 0.5;                  ///< share of the targets beyond which suspicion closes none
+  Duration refusalPause = milliseconds(400);  ///< no new runs after the target refused one
 };
 
 /** \class TargetHealth
@@ -62,6 +64,9 @@
   double penalty(const std::string& target, Time now) const;
   /** \returns the targets on which a workflow has failed. */
   const std::set<std::string>& failedOn(const std::string& workflow) const;
+  /** \returns targets on which what ended last has failed or stood still, a while ago at most: not for a task whose
+   * next failure ends its workflow. */
+  std::set<std::string> doubted(Time now) const;
   /** \returns whether the target should get nothing for a moment. */
   bool paused(const std::string& target, Time now) const;
 
@@ -72,6 +77,7 @@
     Time suspectUntil{};
     Duration suspicion{};
     Time cautionUntil{};
+    Time doubtedUntil{};
     Time pausedUntil{};
   };
   void suspectNow(Score& score, Time now);
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -81,6 +81,11 @@
   return state == nullptr ? std::string() : state->checkpoint;
 }
 
+bool WorkflowState::onLastAttempt(const TaskKey& key) const {
+  const TaskState* state = task(internal::lead_of(*this, key));
+  return (state == nullptr ? 0 : state->failures) + 1 >= record.max_attempts();
+}
+
 std::uint32_t WorkflowState::nextRun(const TaskKey& key) const {
   const TaskState* own = task(key);
   std::uint32_t last = own == nullptr ? 0 : own->lastRun;
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -71,6 +71,8 @@
   std::string checkpointOf(const TaskKey& key) const;
   /** \returns the number that the next run of a task, or of its gang, must have. */
   std::uint32_t nextRun(const TaskKey& key) const;
+  /** \returns whether the next failure of a task, or of its gang, ends the workflow. */
+  bool onLastAttempt(const TaskKey& key) const;
   bool ended() const;
 };
 
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -496,6 +496,19 @@
   cr_assert(health.suspect("t", afterSuspicion + milliseconds(37000)), "a second suspicion lasts longer all the same");
 }
 
+Test(run_ledger, a_target_is_doubted_from_a_failure_until_something_is_done_there) {
+  TargetHealth health;
+  const Time now{milliseconds(1000)};
+  health.ended("t1", "w1", schema::RunFailed, now);
+  health.stalled("t2", now);
+  cr_assert((health.doubted(now) == std::set<std::string>{"t1", "t2"}));
+  health.ended("t1", "w2", schema::RunDone, now);
+  cr_assert((health.doubted(now) == std::set<std::string>{"t2"}));
+  cr_assert(health.doubted(now + milliseconds(16000)).empty(), "it would be kept from work for good");
+  for (const char* target : {"t3", "t4", "t5"}) health.ended(target, "w3", schema::RunFailed, now);
+  cr_assert((health.doubted(now) == std::set<std::string>{"t2"}), "w3 is at fault itself");
+}
+
 // What is waited for beyond this is gone for good, as far as anybody can tell.
 Test(run_ledger, a_target_is_awaited_until_its_runs_would_be_over) {
   LedgerTable test;
--- a/test/standins/RunnerTarget.cpp
+++ b/test/standins/RunnerTarget.cpp
@@ -21,6 +21,7 @@
 constexpr Duration HeartbeatInterval = milliseconds(150);
 constexpr Duration Look = milliseconds(10);
 constexpr std::int64_t StopMs = 50;
+constexpr std::int64_t ShortestTaskMs = 20;
 /** A late order is carried out this long after it came, ms. */
 constexpr unsigned ShortestLateMs = 300;
 constexpr unsigned LongestLateMs = 4000;
@@ -205,6 +206,10 @@
     m_timePercent = queryNumber(path, "percent", AllPercent);
     co_return jsonResponse(200, "{}");
   }
+  if (path.rfind("/fail", 0) == 0) {
+    m_failUntil = BootClock::now() + milliseconds(queryNumber(path, "ms", 0));
+    co_return jsonResponse(200, "{}");
+  }
   if (path == "/drain") {
     m_draining = true;
     co_return jsonResponse(200, "{}");
@@ -308,11 +313,11 @@
   Task task;
   task.run = run;
   task.startedAt = clockMs();
-  task.fails = spec.find("fail") != std::string::npos;
-  task.doneAt =
-      spec == "forever"
-          ? 0
-          : clockMs() + std::max<std::int64_t>(20, std::int64_t{std::atoi(spec.c_str())} * m_timePercent / AllPercent);
+  const bool atOnce = BootClock::now() < m_failUntil;
+  const bool endless = spec == "forever" && !atOnce;
+  const std::int64_t wholeMs = atOnce ? 0 : std::int64_t{std::atoi(spec.c_str())} * m_timePercent / AllPercent;
+  task.fails = atOnce || spec.find("fail") != std::string::npos;
+  task.doneAt = endless ? 0 : clockMs() + std::max(ShortestTaskMs, wholeMs);
   m_running[name] = task;
   ++m_starts[name];
   tell("started", name, run, "-");
--- a/test/standins/RunnerTarget.h
+++ b/test/standins/RunnerTarget.h
@@ -110,6 +110,7 @@
   std::int64_t m_heldUntil = 0;
   std::int64_t m_lapseTold = 0;  ///< end of the hold whose lapse was told last
   unsigned m_timePercent = 100;  ///< run time of what starts now against what it asks for
+  Time m_failUntil{};
   Time m_muteUntil{};
   Trouble m_refusing;
   Trouble m_late;
--- a/test/standins/runner.cpp
+++ b/test/standins/runner.cpp
@@ -14,6 +14,7 @@
 //   POST /former?times=N               the last N heartbeats of the former life arrive now
 //   POST /hush?ms=N                    sends no heartbeat of its own for a while
 //   POST /slow?percent=N               what starts from now on takes N percent of its time
+//   POST /fail?ms=N                    what starts within this time fails at once
 //   POST /drain                        announces that it leaves
 //   POST /mute?ms=N                    carries no order out for a while, then all that came meanwhile
 //   POST /refuse?ms=N&percent=P&of=X   answers a share of the orders 429 or 503 for a while, and does nothing
--- a/test/workflow_table.cpp
+++ b/test/workflow_table.cpp
@@ -132,6 +132,20 @@
   }
 }
 
+Test(workflow_table, the_last_attempt_is_known_for_a_task_and_for_a_whole_gang) {
+  WorkflowTable table;
+  table.submit(makeWorkflow("gang", 2, true), 10);
+  table.submit(makeWorkflow("pieces", 2), 10);
+  for (const char* id : {"gang", "pieces"}) {
+    cr_assert_not(table.find(id)->onLastAttempt({0, 0, 0}));
+    start(table, id, {0, 0, 0}, 1);
+    end(table, id, {0, 0, 0}, 1, schema::RunFailed);
+    cr_assert(table.find(id)->onLastAttempt({0, 0, 0}));
+  }
+  cr_assert(table.find("gang")->onLastAttempt({0, 0, 1}));
+  cr_assert_not(table.find("pieces")->onLastAttempt({0, 0, 1}), "it has not failed");
+}
+
 Test(workflow_table, what_lasts_is_neither_done_nor_failed) {
   WorkflowTable table;
   schema::Workflow workflow = makeWorkflow("w", 1);
--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -190,3 +190,27 @@
   cr_assert_eq(test.call("POST", "/q/00000000000001b3", gang(4, "fail")).status, 200);
   cr_assert(test.until(200, "GET", "/q/00000000000001b3", "", "failed"));
 }
+
+// An accepted job was given up on, though a sound target was there: its second and last attempt went to a target where
+// another one had failed 10 ms before.
+Test(workflows_processes, the_last_attempt_keeps_away_from_where_others_failed) {
+  WorkflowDeployment test(3);
+  test.setUp();
+  cr_assert_eq(test.call("POST", "/q/00000000000001c0", job(8, "14000")).status, 200);
+  cr_assert(test.until(200, "GET", "/q/00000000000001c0", "", "running"));
+  pause(300);
+  unsigned full = 0;
+  for (unsigned i = 1; i <= 3; ++i) {
+    if (test.runner(i, "GET", "/starts").has("00000000000001c0")) {
+      full = i;
+    } else {
+      test.runner(i, "POST", "/fail?ms=30000");
+    }
+  }
+  cr_assert_neq(full, 0);
+  cr_assert_eq(test.call("POST", "/q/00000000000001c1", job(1, "50")).status, 200);
+  cr_assert(test.until(200, "GET", "/q/00000000000001c1", "", "failed"), "nothing told that both targets fail");
+  cr_assert_eq(test.call("POST", "/q/00000000000001c2", job(1, "50")).status, 200);
+  cr_assert(test.until(200, "GET", "/q/00000000000001c2", "", "completed"));
+  cr_assert(test.runner(full, "GET", "/starts").has("00000000000001c2"));
+}
