Doubted targets are asked for before each task of a step is looked up

Cause, found by reading the change once more: a pass looked up every waiting task of every step to see whether it is on its last attempt, also while no target is doubted, when the answer decides nothing. Ruled out: another decision: with no doubted target the avoided ones are those of the workflow either way. Change: the doubted targets first, and only where there are any the tasks. Not measured; no behaviour changes.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -332,10 +332,13 @@
 std::set<std::string> WorkflowRunner::targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const {
   std::set<std::string> avoided = m_health.failedOn(workflow.record.id());
   if (!m_context.settings.policy().last_attempts()) return avoided;
+  // Mostly none is, and then no task has to be looked up.
+  std::set<std::string> doubted = m_health.doubted(BootClock::now());
+  if (doubted.empty()) return avoided;
   const bool last = std::any_of(step.tasks.begin(), step.tasks.end(), [&](std::uint32_t index) {
     return workflow.onLastAttempt({step.key.occurrence, step.key.step, index});
   });
-  if (last) avoided.merge(m_health.doubted(BootClock::now()));
+  if (last) avoided.merge(doubted);
   return avoided;
 }
 
