Test deployments share no ports: workflows_processes is no longer known red

Cause: WorkflowDeployment drew one of 400 runs of ports by lot and neither locked nor looked at them, so that two test programs at one time could draw the same; all processes of the second then ended with 'Address already in use'.

--- a/test/Processes.cpp
+++ b/test/Processes.cpp
@@ -4,7 +4,6 @@
 #include "test/Processes.h"
 
 #include <fcntl.h>
-#include <sys/file.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -18,7 +17,6 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <sstream>
 #include <thread>
 
@@ -32,46 +30,17 @@
 namespace {
 
 /** Control at +1, platform at +40, targets after it. */
-constexpr unsigned PortsEach = 100;
+constexpr PortRange Ports{20000, 116, 100};
+/** Of a process that does not become ready, so many bytes of its log are shown. */
+constexpr std::streamoff ShownOfLog = 2000;
 constexpr Duration ReadyLimit = milliseconds(20000);
 const std::string BuildFolder = COURSELOOM_BUILD_DIR;
 
 void pause(std::int64_t ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
 
-/** \returns whether nobody listens on a run of ports now, nor has until just now. */
-bool portsAreFree(unsigned base) {
-  for (unsigned port = base; port < base + PortsEach; ++port) {
-    asio::io_context io;
-    asio::ip::tcp::acceptor acceptor(io);
-    boost::system::error_code error;
-    acceptor.open(asio::ip::tcp::v4(), error);
-    acceptor.bind({asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)}, error);
-    if (error) return false;
-  }
-  return true;
-}
-
-/** Takes a free run of ports, kept from other test programs by a lock that the kernel drops when this one ends. */
-bool claimPorts(unsigned base) {
-  const std::string name = "/tmp/courseloom-ports-" + std::to_string(base);
-  const int file = ::open(name.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
-  if (file < 0) return portsAreFree(base);
-  if (::flock(file, LOCK_EX | LOCK_NB) == 0 && portsAreFree(base)) return true;
-  ::close(file);
-  return false;
-}
-
-unsigned freePortBase() {
-  std::mt19937 random(std::random_device{}());
-  while (true) {
-    const unsigned base = 20000 + std::uniform_int_distribution<unsigned>(0, 115)(random) * PortsEach;
-    if (claimPorts(base)) return base;
-  }
-}
-
 }  // namespace
 
-Process::Process(const std::vector<std::string>& arguments, const std::string& log) {
+Process::Process(const std::vector<std::string>& arguments, const std::string& log) : m_log(log) {
   std::ifstream before(log, std::ios::ate);
   const std::streamoff begin = before ? static_cast<std::streamoff>(before.tellg()) : 0;
   m_pid = ::fork();
@@ -89,6 +58,15 @@
   awaitReadyLine(log, begin);
 }
 
+void Process::tellIfNotReady() const {
+  if (m_ready) return;
+  std::ifstream file(m_log, std::ios::ate);
+  file.seekg(std::max(std::streamoff{0}, static_cast<std::streamoff>(file.tellg()) - ShownOfLog));
+  std::ostringstream text;
+  text << file.rdbuf();
+  std::fprintf(stderr, "not ready, %s ends with:\n%s\n", m_log.c_str(), text.str().c_str());
+}
+
 /** Looks for the ready line among the lines of the log that this life has written. */
 void Process::awaitReadyLine(const std::string& log, std::streamoff begin) {
   const Time end = BootClock::now() + ReadyLimit;
@@ -175,7 +153,7 @@
   return answer;
 }
 
-Deployment::Deployment(Size size) : m_size(std::move(size)), m_base(freePortBase()) {
+Deployment::Deployment(Size size) : m_size(std::move(size)), m_ports(Ports), m_base(m_ports.base()) {
   std::string pattern = "/tmp/courseloom-test-XXXXXX";
   m_folder = mkdtemp(pattern.data());
   const std::string standins = BuildFolder + "/test/";
@@ -243,7 +221,7 @@
 
 void Deployment::start(const std::string& name) {
   m_processes[name] = std::make_unique<Process>(m_commands.at(name), m_folder + "/" + name + ".log");
-  if (!m_processes[name]->ready()) std::fprintf(stderr, "%s did not become ready; see its log\n", name.c_str());
+  m_processes[name]->tellIfNotReady();
 }
 
 void Deployment::restart(const std::string& name) {
--- a/test/Processes.h
+++ b/test/Processes.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Courseloom/src/Core/Clock.h"
+#include "test/PortClaim.h"
 
 namespace courseloom::test {
 
@@ -33,11 +34,14 @@
   void kill();
   const std::string& http() const { return m_http; }
   bool ready() const { return m_ready; }
+  /** Shows the end of the log of a process that did not become ready. */
+  void tellIfNotReady() const;
   pid_t pid() const { return m_pid; }
 
  private:
   void awaitReadyLine(const std::string& log, std::streamoff begin);
 
+  std::string m_log;
   pid_t m_pid = -1;
   std::string m_http;
   bool m_ready = false;
@@ -125,6 +129,7 @@
 
   std::string m_folder;
   Size m_size;
+  PortClaim m_ports;
   unsigned m_base = 0;
   std::map<std::string, std::vector<std::string>> m_commands;
   std::map<std::string, std::unique_ptr<Process>> m_processes;
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -8,7 +8,6 @@
 #include <fstream>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -17,6 +16,7 @@
 
 #include "generated/rpc.pb.h"
 #include "generated/settings.pb.h"
+#include "test/PortClaim.h"
 #include "test/Processes.h"
 #include "test/main.h"
 
@@ -52,7 +52,7 @@
  */
 class WorkflowDeployment {
  public:
-  explicit WorkflowDeployment(unsigned agents = 2) : m_base(freePorts()) {
+  explicit WorkflowDeployment(unsigned agents = 2) : m_ports({21000, 400, 10}), m_base(m_ports.base()) {
     std::string pattern = "/tmp/courseloom-test-XXXXXX";
     m_folder = mkdtemp(pattern.data());
     for (unsigned i = 1; i <= 3; ++i) control(i, true);
@@ -188,8 +188,6 @@
   /** The second agent's hall is hall-2; all else is in hall-1. */
   static std::string hallOf(unsigned host) { return host == 12 ? "hall-2" : "hall-1"; }
 
-  static unsigned freePorts() { return 21000 + std::random_device()() % 400 * 10; }
-
   void start(const std::string& name, const std::string& program, unsigned host, const std::string& extra) {
     std::ofstream file(m_folder + "/" + name + ".yaml");
     file << "node: {name: " << name << ", address: " << address(host) << ", dataHall: " << hallOf(host)
@@ -204,10 +202,11 @@
     m_processes[name] = std::make_unique<Process>(
         std::vector<std::string>{BuildFolder + "/daemons/" + program, "--settings", m_folder + "/" + name + ".yaml"},
         m_folder + "/" + name + ".log");
-    if (!m_processes[name]->ready()) std::fprintf(stderr, "%s did not become ready\n", name.c_str());
+    m_processes[name]->tellIfNotReady();
   }
 
   std::string m_folder;
+  PortClaim m_ports;
   unsigned m_base;
   std::map<std::string, std::unique_ptr<Process>> m_processes;
 };
--- a/test/soak/SoakCluster.cpp
+++ b/test/soak/SoakCluster.cpp
@@ -20,14 +20,15 @@
 const std::string BuildFolder = COURSELOOM_BUILD_DIR;
 /** A target's clock may run this much slow, percent. */
 constexpr unsigned SlowestClock = 98;
-constexpr unsigned PortStep = 10;
+constexpr PortRange Ports{21000, 400, 10};
 
 }  // namespace
 
 SoakCluster::SoakCluster(SoakSize size, std::uint64_t seed)
     : m_size(size),
-      // Address and ports follow from this process, so that runs beside each other do not meet.
-      m_base(21000 + static_cast<unsigned>(::getpid()) % 400 * PortStep),
+      m_ports(Ports),
+      m_base(m_ports.base()),
+      // Addresses follow from this process, so that runs beside each other do not meet.
       m_net(10 + static_cast<unsigned>(::getpid()) / 400 % 200),
       m_proxy(m_io, m_rules, [this](const auto& caller, const auto& proxy) { return callerOf(caller, proxy); }) {
   std::string pattern = "/tmp/courseloom-soak-XXXXXX";
@@ -107,8 +108,7 @@
 
 void SoakCluster::start(const std::string& name) {
   auto process = std::make_unique<Process>(m_commands.at(name), m_folder + "/" + name + ".log");
-  if (!process->ready())
-    std::fprintf(stderr, "%s did not become ready; see its log in %s\n", name.c_str(), m_folder.c_str());
+  process->tellIfNotReady();
   const std::lock_guard lock(m_mutex);
   m_pids[name] = process->pid();
   m_processes[name] = std::move(process);
--- a/test/soak/SoakCluster.h
+++ b/test/soak/SoakCluster.h
@@ -9,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include "test/PortClaim.h"
 #include "test/Processes.h"
 #include "test/soak/FaultProxy.h"
 
@@ -81,6 +82,7 @@
   std::string callerOf(const FaultProxy::Tcp::endpoint& caller, const FaultProxy::Tcp::endpoint& proxy);
 
   SoakSize m_size;
+  PortClaim m_ports;
   unsigned m_base = 0;
   unsigned m_net = 0;
   std::string m_folder;
