tools/bench fleet: what a leader costs with 300, 900 and 1,800 agents

Agents are played in one process against three real replicas, every second one with a run, reports held 300 ms as deployed; processor time and memory from /proc, reports and bytes counted at the agents, the time from the kill of the leader to its successor's first answer and until that has granted all agents. Plain table, or JSON with -o json. The crowd of the tests names relays, as agents do.

--- a/bench/Figures.h
+++ b/bench/Figures.h
@@ -3,8 +3,13 @@
 
 #pragma once
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <string>
 #include <vector>
 
 namespace courseloom::bench {
@@ -22,4 +27,31 @@
   return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
 }
 
+/** What a process has used so far. */
+struct ProcessUsage {
+  double cpuSeconds = 0;
+  double residentMb = 0;
+};
+
+/** \returns what a process has used, from /proc; nothing where it has ended. */
+inline ProcessUsage usageOf(pid_t pid) {
+  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+  std::string text;
+  std::getline(stat, text);
+  const std::size_t name = text.rfind(')');
+  if (name == std::string::npos) return {};
+  std::istringstream fields(text.substr(name + 2));
+  std::vector<std::string> words;
+  for (std::string word; fields >> word;) words.push_back(word);
+  constexpr std::size_t UserTime = 11;
+  constexpr std::size_t SystemTime = 12;
+  constexpr std::size_t ResidentPages = 21;
+  ProcessUsage usage;
+  if (words.size() <= ResidentPages) return usage;
+  const double ticks = std::stod(words[UserTime]) + std::stod(words[SystemTime]);
+  usage.cpuSeconds = ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+  usage.residentMb = std::stod(words[ResidentPages]) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+  return usage;
+}
+
 }  // namespace courseloom::bench
--- /dev/null
+++ b/bench/fleet.cpp
@@ -0,0 +1,120 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// What a leader costs with hundreds of agents: reports and bytes a second, processor time, memory, and the time until a
+// new leader has heard them all. Real control replicas; the agents are played in one process.
+//
+//   bench_fleet [--agents N,N,...] [--seconds N] [-o table|json]
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <thread>
+
+#include "bench/Figures.h"
+#include "test/AgentCrowd.h"
+#include "test/WorkflowDeployment.h"
+
+using namespace courseloom;
+using namespace courseloom::bench;
+using namespace courseloom::test;
+
+namespace {
+
+constexpr Duration HeardLimit = milliseconds(30000);
+constexpr const char* LongRunMs = "120000";
+
+/** What one number of agents came to. */
+struct FleetRow {
+  std::size_t agents = 0;
+  double reportsEachSecond = 0.0;
+  double kbEachSecond = 0.0;  ///< messages only, both ways
+  double cpuPercent = 0.0;    ///< of one core, the leader
+  double leaderMb = 0.0;
+  double followerMb = 0.0;
+  double electedMs = 0.0;  ///< from the kill of the leader to the first answer of its successor
+  double heardMs = 0.0;    ///< from that kill until the successor has granted all agents
+};
+
+/** \returns how long a condition took to hold, ms. */
+template <class Condition>
+double waitFor(Condition condition) {
+  const Time began = BootClock::now();
+  while (!condition() && BootClock::now() < began + HeardLimit) pause(1);
+  return toMilliseconds(BootClock::now() - began);
+}
+
+/** A run at every second agent, as on a day with some load. */
+void addRuns(WorkflowDeployment& deployment, const AgentCrowd& crowd, std::size_t agents) {
+  const std::size_t wanted = agents / 2;
+  const auto count = static_cast<unsigned>(wanted);
+  const std::string body = R"({"spec":")" + std::string(LongRunMs) + R"(","steps":[{"count":)" + std::to_string(count) +
+                           R"(,"cpu":1000,"mem_mb":100,"gpu":8,"estimate_ms":)" + LongRunMs +
+                           R"(,"checkpointing":true}]})";
+  deployment.until(200, "POST", "/q/00000000feed0001", body);
+  waitFor([&] { return crowd.running() >= wanted; });
+}
+
+FleetRow measure(std::size_t agents, unsigned seconds) {
+  FleetRow row;
+  row.agents = agents;
+  WorkflowDeployment deployment(0);
+  deployment.setUp();
+  AgentCrowd crowd(deployment.cluster(), agents);
+  waitFor([&] { return crowd.attendedSince(1) == agents; });
+  addRuns(deployment, crowd, agents);
+  const unsigned leader = deployment.leader();
+  const auto pidOf = [&](unsigned replica) { return deployment.process("control-" + std::to_string(replica)).pid(); };
+  const ProcessUsage before = usageOf(pidOf(leader));
+  const std::size_t reports = crowd.reports();
+  const std::size_t bytes = crowd.bytes();
+  std::this_thread::sleep_for(std::chrono::seconds(seconds));
+  const ProcessUsage after = usageOf(pidOf(leader));
+  row.reportsEachSecond = static_cast<double>(crowd.reports() - reports) / seconds;
+  row.kbEachSecond = static_cast<double>(crowd.bytes() - bytes) / 1000.0 / seconds;
+  row.cpuPercent = (after.cpuSeconds - before.cpuSeconds) / seconds * 100.0;
+  row.leaderMb = after.residentMb;
+  row.followerMb = usageOf(pidOf(leader % 3 + 1)).residentMb;
+  const std::uint64_t term = *crowd.terms().rbegin();
+  deployment.kill("control-" + std::to_string(leader));
+  row.electedMs = waitFor([&] { return *crowd.terms().rbegin() > term; });
+  row.heardMs = row.electedMs + waitFor([&] { return crowd.attendedSince(term + 1) == agents; });
+  return row;
+}
+
+void printTable(const std::vector<FleetRow>& rows) {
+  std::printf("%8s %10s %8s %8s %10s %12s %10s %10s\n", "agents", "reports/s", "KB/s", "cpu %", "leader MB",
+              "follower MB", "elected ms", "heard ms");
+  for (const FleetRow& row : rows) {
+    std::printf("%8zu %10.0f %8.0f %8.1f %10.1f %12.1f %10.0f %10.0f\n", row.agents, row.reportsEachSecond,
+                row.kbEachSecond, row.cpuPercent, row.leaderMb, row.followerMb, row.electedMs, row.heardMs);
+  }
+}
+
+void printJson(const std::vector<FleetRow>& rows) {
+  std::printf("[");
+  for (const FleetRow& row : rows) {
+    std::printf(
+        "%s{\"agents\":%zu,\"reportsEachSecond\":%.0f,\"kbEachSecond\":%.0f,\"cpuPercent\":%.1f,"
+        "\"leaderMb\":%.1f,\"followerMb\":%.1f,\"electedMs\":%.0f,\"heardMs\":%.0f}",
+        &row == &rows.front() ? "" : ",", row.agents, row.reportsEachSecond, row.kbEachSecond, row.cpuPercent,
+        row.leaderMb, row.followerMb, row.electedMs, row.heardMs);
+  }
+  std::printf("]\n");
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::vector<std::size_t> agents{300, 900, 1800};
+  unsigned seconds = 8;
+  std::string output = "table";
+  CLI::App app("what a leader costs with hundreds of agents");
+  app.add_option("--agents", agents, "numbers of agents")->delimiter(',')->check(CLI::Range(1, 5000));
+  app.add_option("--seconds", seconds, "time for which each is measured, s")->check(CLI::Range(1, 600));
+  app.add_option("-o,--output", output, "table or json")->check(CLI::IsMember({"table", "json"}));
+  CLI11_PARSE(app, argc, argv);
+  std::vector<FleetRow> rows;
+  for (const std::size_t number : agents) rows.push_back(measure(number, seconds));
+  output == "json" ? printJson(rows) : printTable(rows);
+  return 0;
+}
--- a/bench/idle.cpp
+++ b/bench/idle.cpp
@@ -3,10 +3,6 @@
 
 // What each role costs while nothing is asked of it, at two numbers of agents: processor time and memory, from /proc.
 
-#include <unistd.h>
-
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 #include "bench/Figures.h"
@@ -19,29 +15,6 @@
 
 constexpr int MeasureSeconds = 8;
 
-struct Usage {
-  double cpuSeconds = 0;
-  double residentMb = 0;
-};
-
-Usage usageOf(pid_t pid) {
-  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-  std::string text;
-  std::getline(stat, text);
-  std::istringstream fields(text.substr(text.rfind(')') + 2));
-  std::vector<std::string> words;
-  for (std::string word; fields >> word;) words.push_back(word);
-  constexpr std::size_t UserTime = 11;
-  constexpr std::size_t SystemTime = 12;
-  constexpr std::size_t ResidentPages = 21;
-  Usage usage;
-  if (words.size() <= ResidentPages) return usage;
-  const double ticks = std::stod(words[UserTime]) + std::stod(words[SystemTime]);
-  usage.cpuSeconds = ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-  usage.residentMb = std::stod(words[ResidentPages]) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
-  return usage;
-}
-
 void measure(unsigned targets) {
   test::Deployment deployment({3, 2, targets, "", "", ""});
   deployment.setUp();
@@ -49,11 +22,11 @@
   const std::string follower = leader == "control-1" ? "control-2" : "control-1";
   const std::vector<std::pair<std::string, std::string>> roles{
       {"leader", leader}, {"follower", follower}, {"agent", "agent-1"}, {"entry", "entry-1"}};
-  std::vector<Usage> before;
+  std::vector<ProcessUsage> before;
   for (const auto& [role, name] : roles) before.push_back(usageOf(deployment.process(name).pid()));
   std::this_thread::sleep_for(std::chrono::seconds(MeasureSeconds));
   for (std::size_t i = 0; i < roles.size(); ++i) {
-    const Usage after = usageOf(deployment.process(roles[i].second).pid());
+    const ProcessUsage after = usageOf(deployment.process(roles[i].second).pid());
     const std::string prefix = roles[i].first + "_with_" + std::to_string(targets) + "_agents";
     const double percent = (after.cpuSeconds - before[i].cpuSeconds) / MeasureSeconds * 100;
     figure((prefix + "_cpu").c_str(), percent, "percent_of_a_core");
--- a/test/AgentCrowd.cpp
+++ b/test/AgentCrowd.cpp
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr std::size_t TargetsPerRack = 8;
-constexpr std::uint32_t WaitMs = 400;
+constexpr std::uint32_t WaitMs = 300;
+/** Numbers of the agents as relays; nobody goes there. */
+constexpr std::uint32_t FirstRelay = 0x7f0a0001;
 constexpr Duration ReportLimit = milliseconds(5000);
 
 schema::TargetReport targetOf(std::size_t number) {
@@ -57,6 +59,13 @@
   m_terms.clear();
 }
 
+std::size_t AgentCrowd::attendedSince(std::uint64_t term) const {
+  const std::lock_guard lock(m_mutex);
+  std::size_t attended = 0;
+  for (auto granted = m_granted.lower_bound(term); granted != m_granted.end(); ++granted) attended += granted->second;
+  return attended;
+}
+
 std::vector<double> AgentCrowd::takeDelays() {
   const std::lock_guard lock(m_mutex);
   return std::move(m_delays);
@@ -72,12 +81,15 @@
   while (true) {
     endRuns(agent);
     const Time sent = BootClock::now();
-    Result<schema::AttendReply> reply = co_await agent.control->attend(report(agent), sent + ReportLimit);
+    const schema::AttendRequest request = report(agent);
+    Result<schema::AttendReply> reply = co_await agent.control->attend(request, sent + ReportLimit);
     if (!reply) {
       takeFailure(reply);
       co_await sleepFor(milliseconds(50));
       continue;
     }
+    ++m_reports;
+    m_bytes += request.ByteSizeLong() + reply->ByteSizeLong();
     note(reply->term(), toMilliseconds(BootClock::now() - sent) - reply->held_ms());
     take(agent, *reply);
   }
@@ -91,6 +103,7 @@
   request.set_wait_ms(WaitMs);
   request.set_term(agent.term);
   request.set_sequence(++agent.sequence);
+  request.set_relay(FirstRelay + static_cast<std::uint32_t>(agent.number));
   const Time now = BootClock::now();
   for (const auto& [key, run] : agent.running) {
     schema::RunReport* row = request.add_running();
@@ -125,6 +138,11 @@
 
 void AgentCrowd::take(Agent& agent, const schema::AttendReply& reply) {
   agent.term = reply.term();
+  if (reply.grant_ms() > 0 && reply.term() > agent.grantedIn) {
+    const std::lock_guard lock(m_mutex);
+    if (agent.grantedIn != 0) --m_granted[agent.grantedIn];
+    ++m_granted[agent.grantedIn = reply.term()];
+  }
   std::erase_if(agent.ended, [&reply](const auto& end) { return end.first <= reply.ends_taken(); });
   const Time now = BootClock::now();
   for (const schema::RunOrder& order : reply.orders()) {
--- a/test/AgentCrowd.h
+++ b/test/AgentCrowd.h
@@ -33,6 +33,12 @@
   std::size_t running() const { return m_running; }
   /** \returns the time that each report took beyond what the leader held it back, ms. */
   std::vector<double> takeDelays();
+  /** \returns reports that were answered so far. */
+  std::size_t reports() const { return m_reports; }
+  /** \returns bytes of all reports and answers so far, as messages. */
+  std::size_t bytes() const { return m_bytes; }
+  /** \returns how many agents a leader of this term, or of a later one, has granted anything. */
+  std::size_t attendedSince(std::uint64_t term) const;
 
  private:
   struct Run {
@@ -47,6 +53,7 @@
     std::map<std::uint64_t, std::pair<RunKey, schema::RunEndKind>> ended;  ///< by number, not taken yet
     std::uint64_t lastEnd = 0;
     std::uint64_t term = 0;
+    std::uint64_t grantedIn = 0;  ///< newest term whose leader has granted it anything
     std::uint64_t sequence = 0;
   };
 
@@ -61,6 +68,9 @@
   std::vector<std::unique_ptr<Agent>> m_agents;
   std::atomic<std::size_t> m_started{0};
   std::atomic<std::size_t> m_running{0};
+  std::atomic<std::size_t> m_reports{0};
+  std::atomic<std::size_t> m_bytes{0};
+  std::map<std::uint64_t, std::size_t> m_granted;  ///< agents by the newest term whose leader has granted them anything
   mutable std::mutex m_mutex;
   std::set<std::uint64_t> m_terms;
   std::vector<double> m_delays;
