A report plans nothing unless it changes what a target offers

What grew faster than the fleet: each report woke the planner as long as the last pass had taken less than 1 ms, so passes came as often as reports, and each looks at all tasks that are open: agents times tasks. Seen: a profile of a leader with 900 agents, every second one with a run: a third of its time in passes. Ruled out: that progress told by reports needs a pass at once: the tick plans each 100 ms, ends and starts wake the planner when they are committed, an agent that was asked when it answers. Change: a report wakes the planner if its agent was asked, or if what its target offers (life, open, room) is another than before.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -204,7 +204,7 @@
     target.labels.insert(report.labels().begin(), report.labels().end());
     target.capacity = roomOf(report.capacity());
     const bool closed = m_health.paused(report.id(), now) || (trusted && m_health.suspect(report.id(), now));
-    target.open = m_ledger.open(agent, now) && !closed && m_trialAgents.count(agent) == 0;
+    target.open = m_ledger.open(track, now) && !closed && m_trialAgents.count(agent) == 0;
     target.awaited = m_ledger.awaited(agent, now);
     target.single = trusted && m_health.onProbation(report.id(), now);
     target.penalty = m_health.penalty(report.id(), now);
@@ -368,7 +368,7 @@
   std::vector<std::string>& open = m_openTargets[service];
   const Time now = BootClock::now();
   for (const auto& [agent, track] : m_ledger.targets()) {
-    const bool fits = track.report.service() == service && !isDrained(track) && m_ledger.open(agent, now);
+    const bool fits = track.report.service() == service && !isDrained(track) && m_ledger.open(track, now);
     if (fits) open.push_back(track.report.id());
   }
   return open;
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -246,7 +246,8 @@
 
 void WorkflowRunner::showGauges() {
   std::size_t openTargets = 0;
-  for (const auto& [agent, track] : m_ledger.targets()) openTargets += m_ledger.open(agent, BootClock::now()) ? 1 : 0;
+  const Time now = BootClock::now();
+  for (const auto& [agent, track] : m_ledger.targets()) openTargets += m_ledger.open(track, now) ? 1 : 0;
   m_context.metrics.set("leader", m_leads ? 1.0 : 0.0);
   m_context.metrics.set("term", static_cast<double>(m_driver.replica().term()));
   m_context.metrics.set("configuration_version", static_cast<double>(table().configuration().version()));
@@ -263,8 +264,9 @@
   std::uint64_t guaranteed = 0;
   for (const schema::Tenant& tenant : table().configuration().tenants()) guaranteed += tenant.guaranteed_accelerators();
   std::uint64_t accelerators = 0;
+  const Time now = BootClock::now();
   for (const auto& [agent, track] : m_ledger.targets()) {
-    const bool counts = m_ledger.open(agent, BootClock::now()) && !isDrained(track);
+    const bool counts = m_ledger.open(track, now) && !isDrained(track);
     accelerators += counts ? track.report.capacity().accelerators() : 0;
   }
   m_context.metrics.set("accelerators_in_reach", static_cast<double>(accelerators));
@@ -447,16 +449,14 @@
   }
   const std::uint64_t term = m_driver.replica().term();
   const bool wasAsked = m_ledger.asked(request.agent());
-  const bool wasOpen = m_ledger.open(request.agent(), received);
+  const TargetOffer offered = m_ledger.offer(request.agent(), received);
   schema::RecordRuns runs = endsIn(request, received);
   // Answered at once: the agent's next report carries this term, and counts.
   if (!m_ledger.isCurrent(request)) co_return makeReply(request.agent());
   if (runs.ends_size() > 0 && !co_await commitRuns(std::move(runs))) co_return fail(m_driver.noLeader("attend"));
   notifyAgent(request.agent());  // a report that is held back has been overtaken
-  // Ends wake the planner when they are applied; what else a report brings changes few decisions, and where plans take
-  // their time it counts at the next tick.
-  const bool cheap = m_planTook < internal::ShortPlan;
-  if (cheap || wasAsked || m_ledger.open(request.agent(), received) != wasOpen) wake();
+  // Ends wake the planner when they are applied; how far runs have come counts at the next tick.
+  if (wasAsked || m_ledger.offer(request.agent(), received) != offered) wake();
   const Time end = received + milliseconds(request.wait_ms());
   const bool hasNews = request.ends_size() > 0 || request.started_size() > 0;
   while (leads() && !hasNews && !m_released && BootClock::now() < end) {
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -307,13 +307,23 @@
 
 bool RunLedger::open(const std::string& agent, Time now) const {
   const auto found = m_targets.find(agent);
-  if (found == m_targets.end()) return false;
-  const schema::TargetReport& report = found->second.report;
-  const bool heardLately = now < found->second.heard + m_options.silence;
-  const bool owes = found->second.askedAt != Time{} && now > found->second.askedAt + m_options.askLimit;
+  return found != m_targets.end() && open(found->second, now);
+}
+
+bool RunLedger::open(const TargetTrack& target, Time now) const {
+  const schema::TargetReport& report = target.report;
+  const bool heardLately = now < target.heard + m_options.silence;
+  const bool owes = target.askedAt != Time{} && now > target.askedAt + m_options.askLimit;
   return heardLately && !owes && !report.id().empty() && report.reachable() && !report.draining();
 }
 
+TargetOffer RunLedger::offer(const std::string& agent, Time now) const {
+  const auto found = m_targets.find(agent);
+  if (found == m_targets.end()) return {};
+  const schema::TargetReport& report = found->second.report;
+  return {report.id(), open(found->second, now), roomOf(report.capacity())};
+}
+
 bool RunLedger::awaited(const std::string& agent, Time now) const {
   const auto found = m_targets.find(agent);
   if (found == m_targets.end() || found->second.report.draining()) return false;
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Courseloom/src/Core/Clock.h"
+#include "Courseloom/src/Scheduling/Room.h"
 #include "Courseloom/src/State/WorkflowTable.h"
 #include "generated/settings.pb.h"
 
@@ -86,6 +87,16 @@
   std::vector<RunKey> strays;  ///< reported as running, but not active in the log, or meant for a former life
 };
 
+/** \class TargetOffer
+ * \brief What a plan may count on at one target.
+ */
+struct TargetOffer {
+  std::string life;
+  bool open = false;  ///< it may be given new runs
+  Room room;          ///< all of it, whatever runs there
+  bool operator==(const TargetOffer& other) const = default;
+};
+
 /** \class RelayAgent
  * \brief An agent that relays calls to control.
  */
@@ -137,6 +148,9 @@
   const std::map<std::string, TargetTrack>& targets() const { return m_targets; }
   /** \returns whether an agent may be given new runs now. */
   bool open(const std::string& agent, Time now) const;
+  bool open(const TargetTrack& target, Time now) const;
+  /** \returns what an agent's target offers now. */
+  TargetOffer offer(const std::string& agent, Time now) const;
   /** \returns whether an agent that may not be given new runs now is expected to be soon: its target does not leave,
    * and has not been out of reach for longer than its runs would outlast. */
   bool awaited(const std::string& agent, Time now) const;
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -167,6 +168,16 @@
     }
     return 0.0;
   }
+  /** \returns a figure of a replica's metrics page, all its lines added up. \param name with courseloom_ before it */
+  double metric(unsigned replica, const std::string& name) {
+    std::istringstream page(send({at(replica, HttpPort), "GET", "/metrics", "", {}, milliseconds(3000)}).body);
+    double sum = 0.0;
+    for (std::string line; std::getline(page, line);) {
+      const bool isIt = line.rfind(name, 0) == 0 && (line[name.size()] == '{' || line[name.size()] == ' ');
+      if (isIt) sum += std::strtod(line.c_str() + line.rfind(' '), nullptr);
+    }
+    return sum;
+  }
   void setUp() {
     cr_assert_eq(configure(configuration(1)), 200);
     cr_assert(until(200, "GET", "/q/", "", "pending"));
--- /dev/null
+++ b/test/leader_costs.cpp
@@ -0,0 +1,52 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// What a leader does for agents that have nothing to tell: work is counted, not timed.
+
+#include "test/AgentCrowd.h"
+#include "test/WorkflowDeployment.h"
+
+using namespace courseloom;
+using namespace courseloom::test;
+
+namespace {
+
+constexpr std::size_t Agents = 200;
+constexpr std::int64_t MeasuredMs = 3000;
+
+/** \class Followed
+ * \brief A deployment whose leader has heard many agents and grants them time.
+ */
+struct Followed {
+  WorkflowDeployment deployment{0};
+  std::unique_ptr<AgentCrowd> crowd;
+  unsigned leader = 0;
+
+  Followed() {
+    deployment.setUp();
+    crowd = std::make_unique<AgentCrowd>(deployment.cluster(), Agents);
+    for (int wait = 0; wait < 1000 && crowd->attendedSince(1) < Agents; ++wait) pause(10);
+    cr_assert_eq(crowd->attendedSince(1), Agents);
+    leader = deployment.leader();
+    cr_assert_neq(leader, 0);
+  }
+};
+
+}  // namespace
+
+// Each report woke the planner, so that passes came as often as reports did, hundreds a second.
+Test(leader_costs, reports_without_news_make_no_plans) {
+  Followed test;
+  // No target has so many accelerators: the step waits, and there is something to plan.
+  const std::string tooLarge =
+      R"({"spec":"100","steps":[{"count":1,"cpu":1000,"mem_mb":100,"gpu":64,"estimate_ms":200}]})";
+  cr_assert(test.deployment.until(200, "POST", "/q/00000000000002a0", tooLarge));
+  const double plans = test.deployment.metric(test.leader, "courseloom_plan_ms_count");
+  const std::size_t reports = test.crowd->reports();
+  pause(MeasuredMs);
+  const double made = test.deployment.metric(test.leader, "courseloom_plan_ms_count") - plans;
+  cr_assert_gt(test.crowd->reports() - reports, Agents, "the agents have stopped reporting");
+  cr_assert_gt(made, 0.0, "what waits is not planned at all");
+  const double ticks = static_cast<double>(MeasuredMs) / 100.0;
+  cr_assert_lt(made, 2.0 * ticks, "%.0f plans while nothing changed", made);
+}
