Whether a step waits, a service's room and a queue by name are known without walks of all

What grew with the fleet: a pass looked up every task of every open step to find the few that wait, added up the room of all targets whether a step waited or not, and searched all queues for each step.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -275,7 +275,7 @@
 
 std::vector<PlannedStep> WorkflowRunner::planSteps() {
   const std::uint64_t nowMs = wallClockMs();
-  m_serviceRooms = serviceRooms();
+  m_serviceRooms.reset();
   m_openTargets.clear();
   findTrials();
   std::vector<PlannedStep> steps;
@@ -294,7 +294,7 @@
     if (due > nowMs) break;
     for (int s = 0; s < record.spec().steps_size(); ++s) {
       const StepKey key{occurrence, static_cast<std::uint32_t>(s)};
-      if (workflow.stepDone(key) || !workflow.stepReady(key)) continue;
+      if (workflow.stepDone(key) || !workflow.stepWaits(key) || !workflow.stepReady(key)) continue;
       const schema::StepSpec& spec = record.spec().steps(s);
       PlannedStep step;
       step.workflow = &workflow;
@@ -345,9 +345,10 @@
 }
 
 /** \returns run time of a workflow's longest chain of steps, ms, as its objective counts it. */
-double WorkflowRunner::objectiveChainMs(const WorkflowState& workflow) const {
-  const auto found = m_serviceRooms.find(workflow.record.service());
-  const bool waves = m_context.settings.policy().waves() && found != m_serviceRooms.end();
+double WorkflowRunner::objectiveChainMs(const WorkflowState& workflow) {
+  if (!m_serviceRooms) m_serviceRooms = serviceRooms();
+  const auto found = m_serviceRooms->find(workflow.record.service());
+  const bool waves = m_context.settings.policy().waves() && found != m_serviceRooms->end();
   const TaskTime taskMs = [&](const schema::StepSpec& step) { return expectedMs(workflow.record.queue(), step); };
   return longestChainMs(workflow.record.spec(), taskMs, waves ? found->second : Room());
 }
@@ -374,11 +375,15 @@
   return open;
 }
 
-const schema::Queue* WorkflowRunner::queueNamed(const std::string& name) const {
-  for (const schema::Queue& queue : table().configuration().queues()) {
-    if (queue.name() == name) return &queue;
+const schema::Queue* WorkflowRunner::queueNamed(const std::string& name) {
+  const schema::QueueConfiguration& configuration = table().configuration();
+  if (configuration.version() != m_queuesOf) {
+    m_queues.clear();
+    for (const schema::Queue& queue : configuration.queues()) m_queues.emplace(queue.name(), &queue);
+    m_queuesOf = configuration.version();
   }
-  return nullptr;
+  const auto found = m_queues.find(name);
+  return found == m_queues.end() ? nullptr : found->second;
 }
 
 }  // namespace courseloom
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -90,6 +90,8 @@
 void WorkflowRunner::lead(bool leads) {
   m_leads = leads;
   m_leadsSince = BootClock::now();
+  m_queuesOf = 0;
+  m_queues.clear();
   m_advice.clear();
   m_readySince.clear();
   m_health.clear();
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -130,11 +130,11 @@
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
   std::vector<PlannedStep> planSteps();
   void addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
-  double objectiveChainMs(const WorkflowState& workflow) const;
+  double objectiveChainMs(const WorkflowState& workflow);
   std::map<std::string, Room> serviceRooms() const;
   std::set<std::string> targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const;
   const std::vector<std::string>& openTargets(const std::string& service);
-  const schema::Queue* queueNamed(const std::string& name) const;
+  const schema::Queue* queueNamed(const std::string& name);
   void notifyAgent(const std::string& agent);
 
   DaemonContext m_context;
@@ -152,11 +152,13 @@
   std::map<std::string, ChangeSignal> m_agentSignals;
   std::map<StepName, Time> m_readySince;
   std::function<std::vector<ReplicaId>()> m_membersSource;
-  std::set<std::string> m_drainedHalls;        ///< as last seen
-  std::set<std::string> m_guaranteed;          ///< workflows within their tenants' guarantees, as of this plan
-  std::set<std::string> m_trialAgents;         ///< whose targets try a task, as of this plan
-  std::size_t m_trialsLeft = 0;                ///< tasks that may be put on trial in this plan
-  std::map<std::string, Room> m_serviceRooms;  ///< by service, as of this plan
+  std::set<std::string> m_drainedHalls;  ///< as last seen
+  std::set<std::string> m_guaranteed;    ///< workflows within their tenants' guarantees, as of this plan
+  std::set<std::string> m_trialAgents;   ///< whose targets try a task, as of this plan
+  std::size_t m_trialsLeft = 0;          ///< tasks that may be put on trial in this plan
+  std::optional<std::map<std::string, Room>> m_serviceRooms;  ///< by service, as of this plan; nothing until asked for
+  std::map<std::string, const schema::Queue*> m_queues;       ///< by name, of the configuration of version m_queuesOf
+  std::uint64_t m_queuesOf = 0;
   std::map<std::string, std::vector<std::string>> m_openTargets;  ///< by service, as of this plan
   double m_urgentPeak = 0.0;    ///< accelerators that priority 0 lately needed at once
   Time m_urgentSeen{};          ///< when the peak was last brought up to date
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -11,6 +11,9 @@
 namespace internal {
 namespace {
 
+/** \returns whether a task counts among its step's active ones. */
+bool is_active(const TaskState& task) { return !task.done && !task.active.empty(); }
+
 /** The task that keeps what belongs to a whole gang. */
 TaskKey lead_of(const WorkflowState& workflow, const TaskKey& key) {
   const bool gang = workflow.step(key.step).gang();
@@ -63,6 +66,14 @@
   return found != doneCounts.end() && found->second >= step(key.step).count();
 }
 
+bool WorkflowState::stepWaits(const StepKey& key) const {
+  const auto done = doneCounts.find(key);
+  const auto active = activeCounts.find(key);
+  const std::uint32_t taken =
+      (done == doneCounts.end() ? 0 : done->second) + (active == activeCounts.end() ? 0 : active->second);
+  return taken < step(key.step).count();
+}
+
 bool WorkflowState::stepReady(const StepKey& key) const {
   const auto& after = step(key.step).after();
   return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
@@ -165,6 +176,7 @@
   task.active.push_back(start.run());
   task.active.back().set_started_ms(timeMs);
   ++workflow.activeRuns;
+  ++workflow.activeCounts[key.stepKey()];
   m_runChanges.push_back({start.task(), task.active.back(), true, schema::RunDone, timeMs});
   if (workflow.record.phase() == schema::WorkflowQueued) {
     workflow.record.set_phase(schema::WorkflowRunning);
@@ -184,7 +196,9 @@
   if (run == active.end()) return;
   m_runChanges.push_back({end.task(), *run, false, end.kind(), timeMs});
   const schema::ActiveRun ended = *run;
+  const bool wasActive = internal::is_active(taskFound->second);
   active.erase(run);
+  if (wasActive && active.empty()) --workflow.activeCounts[key.stepKey()];
   --workflow.activeRuns;
   learnFrom(workflow, ended, end, timeMs);
   if (!end.checkpoint().empty()) workflow.tasks[internal::lead_of(workflow, key)].checkpoint = end.checkpoint();
@@ -227,6 +241,7 @@
   const std::uint32_t last = gang ? workflow.step(key.step).count() - 1 : key.index;
   for (std::uint32_t index = first; index <= last; ++index) {
     TaskState& task = workflow.tasks[{key.occurrence, key.step, index}];
+    if (internal::is_active(task)) --workflow.activeCounts[key.stepKey()];
     if (!task.done) ++workflow.doneCounts[key.stepKey()];
     task.done = true;
     task.checkpoint.clear();
@@ -327,6 +342,7 @@
       task.active.assign(row.active().begin(), row.active().end());
       workflow.activeRuns += static_cast<unsigned>(task.active.size());
       if (task.done) ++workflow.doneCounts[key.stepKey()];
+      if (internal::is_active(task)) ++workflow.activeCounts[key.stepKey()];
     }
     if (workflow.ended()) ended.emplace(saved.ended_ms(), saved.id());
     m_open.insert(saved.id());
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -58,6 +58,7 @@
   schema::Workflow record;  ///< without its tasks
   std::map<TaskKey, TaskState> tasks;
   std::map<StepKey, std::uint32_t> doneCounts;
+  std::map<StepKey, std::uint32_t> activeCounts;  ///< tasks that are not done and have a run
   unsigned activeRuns = 0;
   unsigned accusedTasks = 0;  ///< tasks under which targets have crashed lately
 
@@ -66,6 +67,8 @@
   /** \returns the task's state, or nothing if it was never started. */
   const TaskState* task(const TaskKey& key) const;
   bool stepDone(const StepKey& key) const;
+  /** \returns whether any task of a step is neither done nor running. */
+  bool stepWaits(const StepKey& key) const;
   /** \returns whether all steps that a step waits for are done. */
   bool stepReady(const StepKey& key) const;
   /** \returns wall clock at which an occurrence is due, ms since 1970. */
--- a/test/workflow_table.cpp
+++ b/test/workflow_table.cpp
@@ -5,9 +5,12 @@
 
 #include "Courseloom/src/State/WorkflowTable.h"
 
+#include <random>
+
 #include "test/main.h"
 
 using namespace courseloom;
+using namespace courseloom::test;
 
 namespace {
 
@@ -46,6 +49,15 @@
   return table.find(id)->record.phase();
 }
 
+/** \returns whether a step waits, told from each of its tasks. */
+bool waitsByTasks(const WorkflowState& workflow, const StepKey& step) {
+  for (std::uint32_t i = 0; i < workflow.step(step.step).count(); ++i) {
+    const TaskState* task = workflow.task({step.occurrence, step.step, i});
+    if (task == nullptr || (!task->done && task->active.empty())) return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 Test(workflow_table, the_highest_version_holds) {
@@ -202,3 +214,29 @@
   table.expire(1051);
   cr_assert_eq(table.find("w"), nullptr);
 }
+
+// Each pass of the planner looked at every task of every open step to find those that wait.
+Test(workflow_table, whether_a_step_waits_is_known_without_a_look_at_its_tasks) {
+  for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seedCount(200); ++seed) {
+    std::mt19937_64 random(seed);
+    WorkflowTable table;
+    const bool gang = random() % 2 == 0;
+    const unsigned count = 1 + random() % 4;
+    table.submit(makeWorkflow("w", count, gang), 10);
+    for (int act = 0; act < 40; ++act) {
+      const TaskKey key{0, 0, static_cast<std::uint32_t>(random() % count)};
+      const auto run = static_cast<std::uint32_t>(1 + random() % 6);
+      const auto kind = static_cast<schema::RunEndKind>(random() % schema::RunEndKind_ARRAYSIZE);
+      random() % 2 == 0 ? start(table, "w", key, run) : end(table, "w", key, run, kind);
+      if (random() % 8 == 0) {
+        schema::StateSnapshot snapshot;
+        table.save(snapshot);
+        table = WorkflowTable();
+        table.load(snapshot);
+      }
+      const WorkflowState& workflow = *table.find("w");
+      cr_assert_eq(workflow.stepWaits({0, 0}), waitsByTasks(workflow, {0, 0}), "seed %llu, act %d",
+                   static_cast<unsigned long long>(seed), act);
+    }
+  }
+}
