A connection holds no buffer while nothing arrives

What grew with the fleet: each end of a connection kept 64 KiB to read into as long as it lived; 981 connections of a leader were 80 MB, and so were those of a replica that nodes had only asked for the leader. Change: a connection waits until something can be read and reads into a buffer of its thread, since the session takes all of what it is handed. What a large batch took to be written is given back.

--- a/Courseloom/src/Transport/Http2Connection.cpp
+++ b/Courseloom/src/Transport/Http2Connection.cpp
@@ -22,12 +22,20 @@
 
 constexpr std::size_t ReadBytes = 64U * 1024;
 constexpr std::size_t WriteBatchBytes = 256U * 1024;
+/** Of what was written, so much room is kept for the next batch. */
+constexpr std::size_t KeptWriteBytes = 4U * 1024;
 constexpr std::uint32_t StreamWindowBytes = 4U * 1024 * 1024;
 constexpr std::int32_t ConnectionWindowBytes = 64 * 1024 * 1024;
 constexpr std::uint32_t MaxStreams = 16384;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusFailed = 500;
 
+/** \returns a buffer that all connections of this thread read into, one after the other. */
+std::vector<std::uint8_t>& thread_buffer() {
+  thread_local std::vector<std::uint8_t> buffer(ReadBytes);
+  return buffer;
+}
+
 nghttp2_nv make_header(const char* name, const std::string& value) {
   nghttp2_nv header{};
   header.name = reinterpret_cast<std::uint8_t*>(const_cast<char*>(name));
@@ -88,21 +96,32 @@
   pump();
 }
 
+/** Most connections are silent most of the time: each waits without a buffer, and reads into its thread's. */
 Awaitable<void> Http2Connection::readLoop() {
   const auto self = shared_from_this();
-  std::vector<std::uint8_t> buffer(internal::ReadBytes);
-  while (m_open) {
-    const auto [error, length] =
-        co_await m_socket.async_read_some(asio::buffer(buffer), asio::as_tuple(asio::use_awaitable));
-    if (error || !m_open) break;
-    m_lastReceived = BootClock::now();
-    const ssize_t used = nghttp2_session_mem_recv(m_session, buffer.data(), length);
-    if (used < 0) break;
+  boost::system::error_code failed;
+  m_socket.non_blocking(true, failed);
+  while (m_open && !failed) {
+    const auto [error] =
+        co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, asio::as_tuple(asio::use_awaitable));
+    if (error || !m_open || !readArrived()) break;
     pump();
   }
   close();
 }
 
+/** Hands the session what has arrived, at most a buffer of it. \returns whether the connection is still sound */
+bool Http2Connection::readArrived() {
+  std::vector<std::uint8_t>& buffer = internal::thread_buffer();
+  boost::system::error_code error;
+  const std::size_t length = m_socket.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block) return true;
+  if (error) return false;
+  m_lastReceived = BootClock::now();
+  // The session takes all of it, so that the next connection may use the buffer.
+  return nghttp2_session_mem_recv(m_session, buffer.data(), length) >= 0;
+}
+
 void Http2Connection::pump() {
   writeMore();
   m_busy = m_open && (m_writeBusy || !m_streams.empty());
@@ -132,6 +151,7 @@
 
 void Http2Connection::onWritten(const boost::system::error_code& error) {
   m_writeBusy = false;
+  if (m_writing.capacity() > internal::KeptWriteBytes) std::string().swap(m_writing);
   if (error) return close();
   pump();
 }
--- a/Courseloom/src/Transport/Http2Connection.h
+++ b/Courseloom/src/Transport/Http2Connection.h
@@ -86,6 +86,7 @@
 
   void setUpSession();
   Awaitable<void> readLoop();
+  bool readArrived();
   void pump();
   void writeMore();
   void onWritten(const boost::system::error_code& error);
--- /dev/null
+++ b/test/idle_connections.cpp
@@ -0,0 +1,74 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// What connections hold while nothing is sent on them.
+
+#include <malloc.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <memory>
+#include <vector>
+
+#include "Courseloom/src/Transport/RpcClient.h"
+#include "Courseloom/src/Transport/RpcServer.h"
+#include "generated/rpc.pb.h"
+#include "test/main.h"
+
+using namespace courseloom;
+using namespace courseloom::test;
+
+namespace {
+
+const std::string Address = "127.0.9.41";
+
+schema::AttendReply inTerm(std::uint64_t term) {
+  schema::AttendReply reply;
+  reply.set_term(term);
+  return reply;
+}
+
+/** A replica that leads, or says that it does not. */
+struct FakeReplica {
+  FakeReplica(boost::asio::io_context& io, const std::string& address, unsigned atPort, bool leads) : server(io) {
+    server.handle<schema::AttendRequest>(
+        "attend", [this, leads](schema::AttendRequest, std::string) -> Awaitable<Result<schema::AttendReply>> {
+          ++asked;
+          if (!leads) co_return fail(Failure{FailureCode::NoLeader, Ran::No, "attend", "", "not the leader", 0});
+          co_return inTerm(1);
+        });
+    port = *server.start(address, atPort);
+  }
+  RpcServer server;
+  unsigned port = 0;
+  unsigned asked = 0;
+};
+
+Awaitable<void> callOnce(std::shared_ptr<RpcClient> client, std::size_t& answered) {
+  Result<schema::AttendReply> reply = co_await client->call<schema::AttendReply>("attend", schema::AttendRequest(),
+                                                                                 BootClock::now() + milliseconds(5000));
+  if (reply) ++answered;
+}
+
+std::size_t heldBytes() { return mallinfo2().uordblks; }
+
+}  // namespace
+
+// Each connection kept 64 KiB to read into for as long as it lived.
+Test(idle_connections, hold_no_buffer_to_read_into) {
+  constexpr std::size_t Connections = 100;
+  constexpr std::size_t ReadBytes = 64U * 1024;
+  boost::asio::io_context io;
+  FakeReplica replica(io, Address, 0, true);
+  const std::size_t before = heldBytes();
+  std::vector<std::shared_ptr<RpcClient>> clients;
+  std::size_t answered = 0;
+  for (std::size_t i = 0; i < Connections; ++i) {
+    clients.push_back(std::make_shared<RpcClient>(io, Address, replica.port));
+    boost::asio::co_spawn(io, callOnce(clients.back(), answered), boost::asio::detached);
+  }
+  for (int turn = 0; turn < 100 && answered < Connections; ++turn) io.run_for(milliseconds(50));
+  cr_assert_eq(answered, Connections);
+  const std::size_t held = (heldBytes() - before) / Connections;
+  cr_assert_lt(held, 2 * ReadBytes, "both ends of a connection hold %zu bytes", held);
+}
