A replica that does not lead is left once the leader answers; accepting walks no connections

What grew with the fleet: each node kept a connection to each replica that it had asked on its way to the leader, for good; and a server looked through all its connections at each new one, so that 800 nodes that reconnect made 320,000 looks. Change: a peer that answers after another one did is stayed with, and idle connections to the other replicas and relays are closed (one with a call in flight stays). Connections that are gone are forgotten when the known ones have doubled.

--- a/Courseloom/src/Membership/ControlClient.cpp
+++ b/Courseloom/src/Membership/ControlClient.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <cstdlib>
+#include <utility>
 
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Runtime/OneShot.h"
@@ -92,8 +93,25 @@
   m_relays = std::move(next);
 }
 
+/** A peer that answers after another one did is stayed with; connections to those that were asked on the way to it
+ * would burden them for nothing. */
+void ControlClient::leaveOthers(const Way& way) {
+  std::vector<std::shared_ptr<RpcClient>> others;
+  {
+    const std::lock_guard lock(m_mutex);
+    if (std::exchange(m_servedBy, way.peer.id) == way.peer.id) return;
+    for (const std::vector<Replica>* peers : {&m_replicas, &m_relays}) {
+      for (const Replica& peer : *peers) {
+        if (peer.client != way.peer.client) others.push_back(peer.client);
+      }
+    }
+  }
+  for (const std::shared_ptr<RpcClient>& other : others) other->closeIfIdle();
+}
+
 /** While a relay serves, the replicas are tried beside it. */
 void ControlClient::worked(const Way& way) {
+  leaveOthers(way);
   if (!way.relayed) return;
   const std::lock_guard lock(m_mutex);
   const Time now = BootClock::now();
--- a/Courseloom/src/Membership/ControlClient.h
+++ b/Courseloom/src/Membership/ControlClient.h
@@ -70,6 +70,7 @@
   Way current() const;
   Duration limitOf(const Way& way) const;
   void worked(const Way& way);
+  void leaveOthers(const Way& way);
   void failed(const Way& way, const Failure& failure);
   Awaitable<void> probeDirect(Replica replica);
   /** Moves on after a failure: to the leader that the failure names, unless that one has just refused, or to the next
@@ -86,6 +87,7 @@
   std::vector<Replica> m_replicas;
   std::vector<Replica> m_configured;     ///< of the settings
   std::vector<std::uint32_t> m_members;  ///< as the leader named them last
+  std::uint32_t m_servedBy = 0;          ///< peer that last answered
   std::size_t m_current = 0;
   std::vector<Replica> m_relays;
   std::size_t m_relay = 0;  ///< the relay to be used next
--- a/Courseloom/src/Transport/RpcClient.cpp
+++ b/Courseloom/src/Transport/RpcClient.cpp
@@ -84,4 +84,12 @@
   });
 }
 
+void RpcClient::closeIfIdle() {
+  asio::post(m_strand, [self = shared_from_this()] {
+    if (!self->m_connection || self->m_connecting || self->m_connection->busy()) return;
+    self->m_connection->close();
+    self->m_connection.reset();
+  });
+}
+
 }  // namespace courseloom
--- a/Courseloom/src/Transport/RpcClient.h
+++ b/Courseloom/src/Transport/RpcClient.h
@@ -35,6 +35,8 @@
 
   /** Closes the connection; calls in flight fail. */
   void close();
+  /** Closes the connection unless a call is in flight on it; the next call connects anew. */
+  void closeIfIdle();
   const std::string& peer() const { return m_peer; }
 
  private:
--- a/Courseloom/src/Transport/RpcServer.cpp
+++ b/Courseloom/src/Transport/RpcServer.cpp
@@ -18,6 +18,13 @@
 
 namespace asio = boost::asio;
 
+namespace internal {
+namespace {
+/** Fewer connections are not looked through for those that are gone. */
+constexpr std::size_t LeastToForget = 16;
+}  // namespace
+}  // namespace internal
+
 Result<unsigned> RpcServer::start(const std::string& address, unsigned port) {
   BOOST_LEAF_AUTO(bound, listenOn(m_acceptor, address, port));
   asio::co_spawn(m_io, acceptLoop(), asio::detached);
@@ -41,15 +48,21 @@
     const auto connection =
         std::make_shared<Http2Connection>(m_io, std::move(socket), Http2Connection::Side::Server, peer,
                                           [this](RpcCall call) { return dispatch(std::move(call)); });
-    {
-      const std::lock_guard lock(m_mutex);
-      std::erase_if(m_connections, [](const auto& weak) { return weak.expired(); });
-      m_connections.insert(connection);
-    }
+    remember(connection);
     asio::dispatch(connection->executor(), [connection] { connection->start(); });
   }
 }
 
+/** All are looked at only when their number has doubled since the last time: hundreds of peers may connect at once. */
+void RpcServer::remember(const std::shared_ptr<Http2Connection>& connection) {
+  const std::lock_guard lock(m_mutex);
+  if (m_connections.size() >= m_forgetAt) {
+    std::erase_if(m_connections, [](const auto& weak) { return weak.expired(); });
+    m_forgetAt = 2 * std::max(internal::LeastToForget, m_connections.size());
+  }
+  m_connections.insert(connection);
+}
+
 Awaitable<Result<std::string>> RpcServer::dispatch(RpcCall call) {
   const auto found = m_handlers.find(call.method);
   if (found == m_handlers.end()) {
@@ -83,6 +96,14 @@
   return m_inFlight.load() + m_farewells.load() + static_cast<std::size_t>(busy);
 }
 
+std::size_t RpcServer::connections() {
+  const std::lock_guard lock(m_mutex);
+  return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto& weak) {
+    const auto connection = weak.lock();
+    return connection && connection->isOpen();
+  }));
+}
+
 void RpcServer::close() {
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
--- a/Courseloom/src/Transport/RpcServer.h
+++ b/Courseloom/src/Transport/RpcServer.h
@@ -45,11 +45,14 @@
   /** \returns calls in flight, and connections with answers or a farewell that the socket has not taken yet: a process
    * that ended before would leave those calls in doubt. */
   std::size_t inFlight();
+  /** \returns connections that are open. */
+  std::size_t connections();
   /** Closes every connection. */
   void close();
 
  private:
   Awaitable<void> acceptLoop();
+  void remember(const std::shared_ptr<Http2Connection>& connection);
   Awaitable<Result<std::string>> dispatch(RpcCall call);
 
   boost::asio::io_context& m_io;
@@ -59,6 +62,7 @@
   std::atomic<std::size_t> m_farewells{0};  ///< connections that goAway() has not reached yet
   std::mutex m_mutex;
   std::set<std::weak_ptr<Http2Connection>, std::owner_less<>> m_connections;
+  std::size_t m_forgetAt = 0;  ///< so many connections are known when those that are gone are next forgotten
 };
 
 }  // namespace courseloom
--- a/test/idle_connections.cpp
+++ b/test/idle_connections.cpp
@@ -1,7 +1,7 @@
 // This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
 // SPDX-License-Identifier: MPL-2.0
 
-// What connections hold while nothing is sent on them.
+// What connections hold while nothing is sent on them, and which are kept.
 
 #include <malloc.h>
 
@@ -10,7 +10,7 @@
 #include <memory>
 #include <vector>
 
-#include "Courseloom/src/Transport/RpcClient.h"
+#include "Courseloom/src/Membership/ControlClient.h"
 #include "Courseloom/src/Transport/RpcServer.h"
 #include "generated/rpc.pb.h"
 #include "test/main.h"
@@ -50,6 +50,14 @@
   if (reply) ++answered;
 }
 
+Awaitable<void> attendTwice(ControlClient& client, unsigned& answered) {
+  while (answered < 2) {
+    Result<schema::AttendReply> reply =
+        co_await client.attend(schema::AttendRequest(), BootClock::now() + milliseconds(1000));
+    if (reply) ++answered;
+  }
+}
+
 std::size_t heldBytes() { return mallinfo2().uordblks; }
 
 }  // namespace
@@ -72,3 +80,23 @@
   const std::size_t held = (heldBytes() - before) / Connections;
   cr_assert_lt(held, 2 * ReadBytes, "both ends of a connection hold %zu bytes", held);
 }
+
+// Replicas that do not lead kept a connection of each node that had asked them for the leader.
+Test(idle_connections, a_replica_that_refused_is_left_once_the_leader_answers) {
+  boost::asio::io_context io;
+  FakeReplica follower(io, "127.0.9.42", 0, false);
+  FakeReplica leader(io, "127.0.9.43", follower.port, true);
+  schema::ClusterSettings cluster;
+  cluster.set_election_timeout_ms(400);
+  cluster.set_seed_rpc_port(follower.port);
+  for (const char* address : {"127.0.9.42", "127.0.9.43"}) cluster.add_seeds()->set_endpoint(address);
+  ControlClient client(io, cluster);
+  unsigned answered = 0;
+  boost::asio::co_spawn(io, attendTwice(client, answered), boost::asio::detached);
+  for (int turn = 0; turn < 100 && answered < 2; ++turn) io.run_for(milliseconds(20));
+  io.run_for(milliseconds(100));
+  cr_assert_eq(answered, 2);
+  cr_assert_eq(follower.asked, 1);
+  cr_assert_eq(follower.server.connections(), 0, "the follower keeps a connection that nobody uses");
+  cr_assert_eq(leader.server.connections(), 1);
+}
