What relays a node is told of is kept until relays change

What grew with the square of the fleet: each answer to each report and view hashed all relays for its node. Change: the directory keeps each node's choice, takes in relays that have come since, and works a choice out anew only where one of those that it rests on has gone or names another hall.

--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -404,7 +404,7 @@
   return request.revision() != m_driver.state().objects().revision() || hasNewTargets(request);
 }
 
-schema::WatchReply ControlService::makeWatchReply(const schema::WatchRequest& request) const {
+schema::WatchReply ControlService::makeWatchReply(const schema::WatchRequest& request) {
   const ObjectTable& objects = m_driver.state().objects();
   schema::WatchReply reply;
   reply.set_term(m_driver.replica().term());
--- a/Courseloom/src/Control/ControlService.h
+++ b/Courseloom/src/Control/ControlService.h
@@ -53,7 +53,7 @@
   Result<void> checkGuarantees(const schema::Command& command) const;
   schema::QueryReply answerQuery(const schema::QueryRequest& request) const;
   schema::ClusterStatus clusterStatus() const;
-  schema::WatchReply makeWatchReply(const schema::WatchRequest& request) const;
+  schema::WatchReply makeWatchReply(const schema::WatchRequest& request);
   bool hasNewTargets(const schema::WatchRequest& request) const;
   bool hasNews(const schema::WatchRequest& request) const;
   bool targetsSettled() const;
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -92,6 +92,7 @@
   m_leadsSince = BootClock::now();
   m_queuesOf = 0;
   m_queues.clear();
+  m_relays.clear();
   m_advice.clear();
   m_readySince.clear();
   m_health.clear();
@@ -284,7 +285,7 @@
     co_await sleepFor(internal::TickInterval);
     showGauges();
     if (!leads()) continue;
-    m_relays = RelayDirectory(m_ledger.relays(BootClock::now()));
+    m_relays.update(m_ledger.relays(BootClock::now()));
     co_await expireRuns();
     reviewRuns();
     reviewGuarantees();
@@ -408,12 +409,12 @@
 
 // ---- agents
 
-std::vector<std::uint32_t> WorkflowRunner::relaysFor(const std::string& asker) const {
+std::vector<std::uint32_t> WorkflowRunner::relaysFor(const std::string& asker) {
   return m_relays.relaysFor(asker, internal::RelaysNamed);
 }
 
 /** \returns what any agent may know: who leads, and the ways there. */
-schema::AttendReply WorkflowRunner::makeReply(const std::string& agent) const {
+schema::AttendReply WorkflowRunner::makeReply(const std::string& agent) {
   schema::AttendReply reply;
   reply.set_term(m_driver.replica().term());
   if (m_membersSource) {
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -58,7 +58,7 @@
 
   Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request);
   /** \returns nodes that relay calls for one that cannot reach control. \param asker name of that node */
-  std::vector<std::uint32_t> relaysFor(const std::string& asker) const;
+  std::vector<std::uint32_t> relaysFor(const std::string& asker);
   /** \returns data halls of the targets that are known. */
   std::set<std::string> dataHalls() const;
   /** \returns each drained data hall with the targets and runs that are still there. */
@@ -75,7 +75,7 @@
 
   Awaitable<void> tickLoop();
   Awaitable<void> planLoop();
-  schema::AttendReply makeReply(const std::string& agent) const;
+  schema::AttendReply makeReply(const std::string& agent);
   schema::RecordRuns endsIn(const schema::AttendRequest& report, Time received);
   Awaitable<bool> commitRuns(schema::RecordRuns runs);
   Awaitable<void> expireRuns();
--- a/Courseloom/src/Membership/RelayDirectory.cpp
+++ b/Courseloom/src/Membership/RelayDirectory.cpp
@@ -6,23 +6,16 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 
 namespace courseloom {
 
 namespace internal {
 namespace {
 
-/** A relay's place in the order of one node; the highest score goes first. */
-struct ScoredRelay {
-  std::uint64_t score = 0;
-  std::uint32_t number = 0;
-  bool operator<(const ScoredRelay& other) const {
-    return score != other.score ? score > other.score : number < other.number;
-  }
-};
-
 /** Keeps the best few of what is offered, in order. */
-void keep_best(std::vector<ScoredRelay>& best, const ScoredRelay& relay, std::size_t most) {
+template <class Scored>
+void keep_best(std::vector<Scored>& best, const Scored& relay, std::size_t most) {
   if (best.size() == most && !(relay < best.back())) return;
   best.insert(std::upper_bound(best.begin(), best.end(), relay), relay);
   if (best.size() > most) best.pop_back();
@@ -31,30 +24,70 @@
 }  // namespace
 }  // namespace internal
 
-RelayDirectory::RelayDirectory(const std::vector<RelayAgent>& relays) {
-  m_relays.reserve(relays.size());
+std::size_t RelayDirectory::hallNumber(const std::string& name) {
+  const auto known = std::find(m_halls.begin(), m_halls.end(), name);
+  const auto hall = static_cast<std::size_t>(known - m_halls.begin());
+  if (known == m_halls.end()) m_halls.push_back(name);
+  return hall;
+}
+
+void RelayDirectory::update(const std::vector<RelayAgent>& relays) {
   for (const RelayAgent& relay : relays) {
-    const auto known = std::find(m_halls.begin(), m_halls.end(), relay.dataHall);
-    const auto hall = static_cast<std::size_t>(known - m_halls.begin());
-    if (known == m_halls.end()) m_halls.push_back(relay.dataHall);
+    const std::size_t hall = hallNumber(relay.dataHall);
+    const auto [known, added] = m_places.try_emplace(relay.number, m_relays.size());
+    if (!added && m_relays[known->second].hall == hall) continue;
+    if (!added) m_relays[known->second].number = 0;
+    known->second = m_relays.size();
     m_relays.push_back({relay.number, hall});
   }
+  if (m_places.size() > relays.size()) dropGone(relays);
 }
 
-std::vector<std::uint32_t> RelayDirectory::relaysFor(const std::string& asker, std::size_t most) const {
+void RelayDirectory::dropGone(const std::vector<RelayAgent>& relays) {
+  std::set<std::uint32_t> present;
+  for (const RelayAgent& relay : relays) present.insert(relay.number);
+  for (Relay& relay : m_relays) {
+    if (relay.number == 0 || present.count(relay.number) > 0) continue;
+    m_places.erase(relay.number);
+    relay.number = 0;
+  }
+  if (m_relays.size() < 2 * m_places.size()) return;
+  std::erase_if(m_relays, [](const Relay& relay) { return relay.number == 0; });
+  for (std::size_t i = 0; i < m_relays.size(); ++i) m_places[m_relays[i].number] = i;
+  m_choices.clear();
+}
+
+/** \returns whether all relays that a choice rests on are there. */
+bool RelayDirectory::stands(const Choice& choice) const {
+  const auto isThere = [this](const Scored& relay) { return relay.number == 0 || m_relays[relay.place].number != 0; };
+  return std::all_of(choice.ofHall.begin(), choice.ofHall.end(), isThere) &&
+         std::all_of(choice.best.begin(), choice.best.end(), isThere);
+}
+
+void RelayDirectory::bringUpToDate(Choice& choice, const std::string& asker) {
+  choice.ofHall.resize(m_halls.size());
   const std::uint64_t seed = XXH64(asker.data(), asker.size(), 0);
-  std::vector<internal::ScoredRelay> ofHall(m_halls.size());
-  std::vector<internal::ScoredRelay> best;
-  for (const Relay& relay : m_relays) {
-    const internal::ScoredRelay scored{XXH64(&relay.number, sizeof relay.number, seed), relay.number};
-    internal::ScoredRelay& first = ofHall[relay.hall];
+  for (; choice.seen < m_relays.size(); ++choice.seen) {
+    const Relay& relay = m_relays[choice.seen];
+    if (relay.number == 0) continue;
+    const Scored scored{XXH64(&relay.number, sizeof relay.number, seed), relay.number, choice.seen};
+    ++m_scored;
+    Scored& first = choice.ofHall[relay.hall];
     if (first.number == 0 || scored < first) first = scored;
-    internal::keep_best(best, scored, most);
+    internal::keep_best(choice.best, scored, choice.most);
   }
+}
+
+std::vector<std::uint32_t> RelayDirectory::relaysFor(const std::string& asker, std::size_t most) {
+  Choice& choice = m_choices[asker];
+  if (choice.most != most || !stands(choice)) choice = Choice{most, 0, {}, {}};
+  if (choice.seen < m_relays.size()) bringUpToDate(choice, asker);
+  std::vector<Scored> ofHall = choice.ofHall;
+  std::erase_if(ofHall, [](const Scored& relay) { return relay.number == 0; });
   std::sort(ofHall.begin(), ofHall.end());
   std::vector<std::uint32_t> chosen;
-  for (const internal::ScoredRelay& relay : ofHall) chosen.push_back(relay.number);
-  for (const internal::ScoredRelay& relay : best) {
+  for (const Scored& relay : ofHall) chosen.push_back(relay.number);
+  for (const Scored& relay : choice.best) {
     if (std::find(chosen.begin(), chosen.end(), relay.number) == chosen.end()) chosen.push_back(relay.number);
   }
   if (chosen.size() > most) chosen.resize(most);
