Reports without news are short, and as many as the leader wants

What grew with the fleet: 810 agents reported each 300 ms, 2,700 times a second, with all that they knew of their targets, and each answer named all replicas and relays. Weighed: agents of a data hall that report through one of them (a hop and a relay's failure for each, holds and grants through a third process; not built); a longer attendMs (a constant, slow on small deployments too, and no answer at twice the size). Change: the leader tells how long the next report may be held back: its agents over reportsEachSecond (1,000), a second less than an agent may be silent at most, never less than the agent's own. A target's description is numbered and left out while the leader has it; one that doesn't fit is asked for again and counted (reports_incomplete), nothing of such a report is taken in or forgotten. Replicas and relays go out when the agent was told others last. The first report that a leader takes of an agent's life is answered at once, since little may be left of its predecessor's grant. An agent counts as in touch by the hold that it has. Old agents send whole reports, old leaders name no number: both are served.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -32,12 +32,18 @@
 constexpr Duration UncommittedPause = milliseconds(250);
 constexpr Duration AttendPause = milliseconds(50);
 constexpr Duration ReplyLimit = milliseconds(1500);
-/** After this long without an answer of control the agent relays nothing: two reports and their ways. */
-constexpr Duration InTouchFor = milliseconds(800);
+/** Beside the time for which two reports may be held back, after so long without an answer of control the agent relays
+ * nothing. */
+constexpr Duration InTouchSlack = milliseconds(200);
 constexpr Duration StopLimit = milliseconds(700);
 /** Longest wait of a look while fillers share the target with what serves, ms. */
 constexpr std::uint32_t SharingLookMs = 400;
 
+/** \returns whether the leader that answered has taken a report in. */
+bool is_taken(const schema::AttendRequest& request, const schema::AttendReply& reply) {
+  return reply.term() == request.term() && !reply.whole_wanted();
+}
+
 std::uint64_t random_incarnation() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -62,7 +68,8 @@
                if (admin) co_return std::move(*admin);
                co_return problemResponse(Failure{FailureCode::NotFound, Ran::No, "route", "", "no such path", 0});
              }),
-      m_incarnation(internal::random_incarnation()) {}
+      m_incarnation(internal::random_incarnation()),
+      m_waitMs(context.settings.runner().attend_ms()) {}
 
 Result<Listening> RunAgentService::start() {
   const schema::NodeSettings& node = m_context.settings.node();
@@ -101,14 +108,14 @@
   m_newsSignal.notify();
 }
 
-schema::AttendRequest RunAgentService::makeReport() const {
+schema::AttendRequest RunAgentService::makeReport() {
   schema::AttendRequest request;
   request.set_agent(m_context.settings.node().name());
   request.set_incarnation(m_incarnation);
   request.set_term(m_term);
   request.set_leaving(m_stopping);
   if (!m_life) return request;
-  *request.mutable_target() = m_life->report;
+  m_reported.put(request, m_life->report);
   for (const schema::RunReport& row : m_life->running) *request.add_running() = row;
   request.set_running_age_ms(static_cast<std::uint32_t>(toMilliseconds(BootClock::now() - m_life->lookedAt)));
   for (const schema::RunReport& row : m_life->running) {
@@ -128,7 +135,8 @@
 
 /** \returns whether this agent can relay calls of others. */
 bool RunAgentService::inTouch() const {
-  return BootClock::now() < Time(Duration(m_directAt.load())) + internal::InTouchFor;
+  const Duration twoReports = 2 * milliseconds(m_waitMs.load());
+  return BootClock::now() < Time(Duration(m_directAt.load())) + twoReports + internal::InTouchSlack;
 }
 
 /** \returns whether a leader has taken a report in. */
@@ -143,6 +151,7 @@
   request.set_wait_ms(waitMs);
   request.set_sequence(++m_sequence);
   request.set_relay(m_relay.number());
+  request.set_directory(m_directory);
   const Time sentAt = BootClock::now();
   const Time deadline = sentAt + milliseconds(waitMs) + internal::ReplyLimit;
   Result<schema::AttendReply> reply = co_await m_control.attend(request, deadline);
@@ -159,12 +168,12 @@
   }
   if (!m_control.relayed()) m_directAt = BootClock::now().time_since_epoch().count();
   takeReply(request, *reply, sentAt);
-  co_return reply->term() == request.term() ? Heard::Taken : Heard::Introduced;
+  co_return internal::is_taken(request, *reply) ? Heard::Taken : Heard::Introduced;
 }
 
 Awaitable<void> RunAgentService::attendLoop() {
   while (true) {
-    const bool reached = co_await exchange(m_context.settings.runner().attend_ms());
+    const bool reached = co_await exchange(m_waitMs);
     if (!reached) co_await sleepFor(internal::AttendPause);
   }
 }
@@ -182,11 +191,11 @@
 }
 
 void RunAgentService::takeReply(const schema::AttendRequest& request, const schema::AttendReply& reply, Time sentAt) {
-  m_control.setMembers({reply.members().begin(), reply.members().end()});
-  m_relay.setMembers({reply.members().begin(), reply.members().end()});
-  followRelays(reply);
+  followDirectory(reply);
   if (reply.term() < m_term) return;  // a former leader's word
-  const bool taken = reply.term() == request.term();
+  m_reported.answered(request, reply);
+  m_waitMs = std::max(m_context.settings.runner().attend_ms(), reply.wait_ms());
+  const bool taken = internal::is_taken(request, reply);
   if (!m_following || reply.term() != m_term) logEvent(schema::LeaderFound, {{"term", reply.term()}});
   m_following = true;
   m_leaderHeard = BootClock::now();
@@ -202,7 +211,12 @@
   for (const schema::RunOrder& order : reply.orders()) takeOrder(order, until);
 }
 
-void RunAgentService::followRelays(const schema::AttendReply& reply) {
+/** A reply without replicas and relays names what this agent was told last, or comes late and says nothing new. */
+void RunAgentService::followDirectory(const schema::AttendReply& reply) {
+  if (reply.members_size() == 0 && reply.relays_size() == 0) return;
+  m_directory = reply.directory();
+  m_control.setMembers({reply.members().begin(), reply.members().end()});
+  m_relay.setMembers({reply.members().begin(), reply.members().end()});
   std::vector<std::uint32_t> relays(reply.relays().begin(), reply.relays().end());
   std::erase(relays, m_relay.number());
   m_control.setRelays(relays);
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -12,6 +12,7 @@
 #include "Courseloom/src/Agent/Fence.h"
 #include "Courseloom/src/Agent/FillerPacer.h"
 #include "Courseloom/src/Agent/ProgressWatch.h"
+#include "Courseloom/src/Agent/ReportedTarget.h"
 #include "Courseloom/src/Agent/TargetPort.h"
 #include "Courseloom/src/Membership/ControlRelay.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
@@ -109,9 +110,9 @@
   };
   Awaitable<bool> exchange(std::uint32_t waitMs);
   Awaitable<Heard> tellLeader(std::uint32_t waitMs);
-  schema::AttendRequest makeReport() const;
+  schema::AttendRequest makeReport();
   void takeReply(const schema::AttendRequest& request, const schema::AttendReply& reply, Time sentAt);
-  void followRelays(const schema::AttendReply& reply);
+  void followDirectory(const schema::AttendReply& reply);
   void takeOrder(const schema::RunOrder& order, Time until);
   void news();
 
@@ -156,6 +157,9 @@
   HttpServer m_http;
   std::uint64_t m_incarnation;
   std::uint64_t m_sequence = 0;  ///< of the newest report
+  ReportedTarget m_reported;
+  std::uint64_t m_directory = 0;        ///< of the replicas and relays that it was told last
+  std::atomic<std::uint32_t> m_waitMs;  ///< for which reports may be held back; the relay asks from any thread
   /** When control last answered without a relay, since the clock's beginning; the relay asks from any thread. */
   std::atomic<Duration::rep> m_directAt{0};
   std::optional<Life> m_life;
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -3,6 +3,8 @@
 
 #include "Courseloom/src/Control/WorkflowRunner.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -46,10 +48,17 @@
   return "the agent reports another life of the target";
 }
 
+/** \returns a number of the replicas and relays that a reply names; never 0. */
+std::uint64_t directory_of(const schema::AttendReply& reply) {
+  const std::uint64_t members = XXH64(reply.members().data(), sizeof(std::uint32_t) * reply.members_size(), 0);
+  return XXH64(reply.relays().data(), sizeof(std::uint32_t) * reply.relays_size(), members) | 1U;
+}
+
 RunLedgerOptions ledger_options(const schema::Settings& settings) {
   RunLedgerOptions options;
   options.grant = grantLength(settings.control());
   options.leavingGrant = milliseconds(settings.control().run_grant_ms());
+  options.reportsEachSecond = settings.control().reports_each_second();
   return options;
 }
 
@@ -414,13 +423,26 @@
 }
 
 /** \returns what any agent may know: who leads, and the ways there. */
-schema::AttendReply WorkflowRunner::makeReply(const std::string& agent) {
+schema::AttendReply WorkflowRunner::makeReply(const schema::AttendRequest& request) {
   schema::AttendReply reply;
   reply.set_term(m_driver.replica().term());
+  reply.set_wait_ms(static_cast<std::uint32_t>(toMilliseconds(m_ledger.reportWait())));
   if (m_membersSource) {
     for (const ReplicaId id : m_membersSource()) reply.add_members(id);
   }
-  for (const std::uint32_t id : relaysFor(agent)) reply.add_relays(id);
+  for (const std::uint32_t id : relaysFor(request.agent())) reply.add_relays(id);
+  reply.set_directory(internal::directory_of(reply));
+  if (reply.directory() != request.directory()) return reply;
+  reply.clear_members();
+  reply.clear_relays();
+  return reply;
+}
+
+/** Nothing of the report is lost: its agent tells it again at once. */
+schema::AttendReply WorkflowRunner::askForWhole(const schema::AttendRequest& request) {
+  m_context.metrics.count("reports_incomplete", "all");
+  schema::AttendReply reply = makeReply(request);
+  reply.set_whole_wanted(true);
   return reply;
 }
 
@@ -450,18 +472,21 @@
     logEvent(schema::ReportRefused, {{"agent", request.agent()}, {"sequence", request.sequence()}});
     co_return fail(Failure{FailureCode::Fenced, Ran::No, "attend", request.agent(), "a newer report has come", 0});
   }
+  if (m_ledger.isCurrent(request) && !m_ledger.complete(request)) co_return askForWhole(request);
   const std::uint64_t term = m_driver.replica().term();
+  const bool wasKnown = m_ledger.isKnown(request);
   const bool wasAsked = m_ledger.asked(request.agent());
   const TargetOffer offered = m_ledger.offer(request.agent(), received);
   schema::RecordRuns runs = endsIn(request, received);
   // Answered at once: the agent's next report carries this term, and counts.
-  if (!m_ledger.isCurrent(request)) co_return makeReply(request.agent());
+  if (!m_ledger.isCurrent(request)) co_return makeReply(request);
   if (runs.ends_size() > 0 && !co_await commitRuns(std::move(runs))) co_return fail(m_driver.noLeader("attend"));
   notifyAgent(request.agent());  // a report that is held back has been overtaken
   // Ends wake the planner when they are applied; how far runs have come counts at the next tick.
   if (wasAsked || m_ledger.offer(request.agent(), received) != offered) wake();
   const Time end = received + milliseconds(request.wait_ms());
-  const bool hasNews = request.ends_size() > 0 || request.started_size() > 0;
+  // After an outage little is left of a former leader's grant.
+  const bool hasNews = !wasKnown || request.ends_size() > 0 || request.started_size() > 0;
   while (leads() && !hasNews && !m_released && BootClock::now() < end) {
     if (m_ledger.asked(request.agent()) || m_ledger.isOvertaken(request)) break;
     if (m_ledger.hasOrders(request.agent(), table(), BootClock::now())) break;
@@ -472,7 +497,8 @@
   const Time now = BootClock::now();
   const bool sameLeader = leads(now) && m_driver.replica().term() == term;
   if (!sameLeader || m_released) co_return fail(m_driver.noLeader("attend"));
-  schema::AttendReply reply = makeReply(request.agent());
+  schema::AttendReply reply = makeReply(request);
+  reply.set_target_version(request.target_version());
   reply.set_ends_target(request.target().id());
   for (const schema::EndReport& row : request.ends()) {
     reply.set_ends_taken(std::max<std::uint64_t>(reply.ends_taken(), row.number()));
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -75,7 +75,8 @@
 
   Awaitable<void> tickLoop();
   Awaitable<void> planLoop();
-  schema::AttendReply makeReply(const std::string& agent);
+  schema::AttendReply makeReply(const schema::AttendRequest& request);
+  schema::AttendReply askForWhole(const schema::AttendRequest& request);
   schema::RecordRuns endsIn(const schema::AttendRequest& report, Time received);
   Awaitable<bool> commitRuns(schema::RecordRuns runs);
   Awaitable<void> expireRuns();
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -18,6 +18,8 @@
 /** After an outage, until a leader is elected and has heard its agents. */
 constexpr Duration ElectionAllowance = milliseconds(2000);
 
+/** Of the time for which an agent may be silent, so much is left to a report and its answer on their ways. */
+constexpr Duration ReportWay = milliseconds(1000);
 /** Reports of targets that went at one moment come within this time of each other. */
 constexpr Duration GoneTogether = milliseconds(500);
 /** Targets that go away together for one cause: an eighth of all, and more than a few tasks on trial would crash. */
@@ -139,6 +141,26 @@
   return place == met->second.end() ? 0 : place->second;
 }
 
+bool RunLedger::complete(schema::AttendRequest& report) const {
+  if (report.has_target() || report.target_version() == 0) return true;
+  const auto found = m_targets.find(report.agent());
+  if (found == m_targets.end()) return false;
+  const TargetTrack& target = found->second;
+  if (target.incarnation != report.incarnation() || target.version != report.target_version()) return false;
+  *report.mutable_target() = target.report;
+  return true;
+}
+
+bool RunLedger::isKnown(const schema::AttendRequest& report) const {
+  const auto found = m_targets.find(report.agent());
+  return found != m_targets.end() && found->second.incarnation == report.incarnation();
+}
+
+Duration RunLedger::reportWait() const {
+  const auto wanted = milliseconds(1000) * static_cast<std::int64_t>(m_targets.size()) / m_options.reportsEachSecond;
+  return std::min(Duration(wanted), m_options.silence - internal::ReportWay);
+}
+
 std::vector<schema::RunEnd> RunLedger::takeReport(const schema::AttendRequest& report, Time now) {
   meet(report);
   if (!isCurrent(report) || isOvertaken(report)) return {};
@@ -147,6 +169,7 @@
   const bool newAgent = target.incarnation != report.incarnation();
   target.incarnation = report.incarnation();
   target.sequence = report.sequence();
+  target.version = report.target_version();
   target.relay = report.relay();
   target.relayed = report.relayed();
   const schema::TargetReport before = std::exchange(target.report, report.target());
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -38,6 +38,7 @@
   Duration silence = milliseconds(2500);         ///< an agent not heard for this long gets no new runs
   Duration redeliverAfter = milliseconds(1500);  ///< an order without result is given again after this
   Duration fresh = milliseconds(150);     ///< an agent heard within this time is sure to be there: many round trips
+  unsigned reportsEachSecond = 1000;      ///< wanted from all agents together while nothing happens
   Duration askLimit = milliseconds(150);  ///< an agent that was asked gets nothing new after this without an answer
   // Switches with which proofs turn one mechanism off; all on in production.
   bool waitForGrants = true;   ///< runs of a silent agent are over only when its grant has run out
@@ -77,6 +78,7 @@
   schema::TargetReport report;
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;  ///< of the newest report
+  std::uint64_t version = 0;   ///< of its description of the target; 0 is one that is told each time
   std::uint32_t relay = 0;     ///< number under which the agent relays calls; 0 is not
   bool relayed = false;        ///< its newest report came through another node
   Time grantUntil{};
@@ -126,6 +128,11 @@
   bool isCurrent(const schema::AttendRequest& report) const;
   /** \returns whether a report was overtaken by a newer one: on another connection, or through another node. */
   bool isOvertaken(const schema::AttendRequest& report) const;
+  /** Adds what a report leaves out because the leader has it. \returns false if it does not: the report tells too
+   * little to be taken in */
+  bool complete(schema::AttendRequest& report) const;
+  /** \returns whether this leader has taken a report of the same life of an agent in before. */
+  bool isKnown(const schema::AttendRequest& report) const;
   /** Takes an agent's report in; of one that does not count or was overtaken only that the agent was met. \returns ends
    * to commit; those of the target may be forgotten only afterwards */
   std::vector<schema::RunEnd> takeReport(const schema::AttendRequest& report, Time now);
@@ -146,6 +153,9 @@
 
   const std::map<RunKey, RunTrack>& runs() const { return m_runs; }
   const std::map<std::string, TargetTrack>& targets() const { return m_targets; }
+  /** \returns for how long reports may be held back, so that those without news are as many as wanted; always less than
+   * an agent may be silent. */
+  Duration reportWait() const;
   /** \returns whether an agent may be given new runs now. */
   bool open(const std::string& agent, Time now) const;
   bool open(const TargetTrack& target, Time now) const;
--- a/test/AgentCrowd.h
+++ b/test/AgentCrowd.h
@@ -12,6 +12,7 @@
 #include <thread>
 #include <vector>
 
+#include "Courseloom/src/Agent/ReportedTarget.h"
 #include "Courseloom/src/Membership/ControlClient.h"
 #include "Courseloom/src/Scheduling/RunLedger.h"
 
@@ -55,6 +56,9 @@
     std::uint64_t term = 0;
     std::uint64_t grantedIn = 0;  ///< newest term whose leader has granted it anything
     std::uint64_t sequence = 0;
+    ReportedTarget reported;
+    std::uint64_t directory = 0;
+    std::uint32_t waitMs = 0;  ///< for which the leader may hold its reports back
   };
 
   Awaitable<void> attend(Agent& agent);
