Targets that go together are judged by what they ran, not by their share of the fleet

Weighed: any three targets; others that ran nothing of the same workflow, two at least. Both hold at any size. The second is kept: tasks of one wide step that crash targets late cannot clear each other. Change: the ledger keeps when targets went and what ran there then, by time; a lost run looks at those of its half second instead of all targets.

--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -22,9 +22,8 @@
 constexpr Duration ReportWay = milliseconds(1000);
 /** Reports of targets that went at one moment come within this time of each other. */
 constexpr Duration GoneTogether = milliseconds(500);
-/** Targets that go away together for one cause: an eighth of all, and more than a few tasks on trial would crash. */
-constexpr std::size_t LeastAtOnce = 3;
-constexpr std::size_t TargetsPerOneAtOnce = 8;
+/** Two targets may well go at one moment for causes of their own. */
+constexpr std::size_t LeastOthers = 2;
 
 /** \returns whether a report's lists show a run at the target that it tells of. */
 bool shows(const schema::AttendRequest& report, const RunKey& key) {
@@ -54,9 +53,7 @@
   return std::max(least, milliseconds(std::int64_t{1000} * settings.outage_s()) + internal::ElectionAllowance);
 }
 
-bool manyAtOnce(std::size_t gone, std::size_t targets) {
-  return gone >= std::max(internal::LeastAtOnce, targets / internal::TargetsPerOneAtOnce);
-}
+bool speaksForOthers(std::size_t others) { return others >= internal::LeastOthers; }
 
 RunKey runKeyOf(const schema::TaskId& task, std::uint32_t run) { return {task.workflow(), keyOf(task), run}; }
 
@@ -67,6 +64,7 @@
   m_byAgent.clear();
   m_targets.clear();
   m_met.clear();
+  m_missed.clear();
   for (const std::string& id : table.open()) {
     for (const auto& [key, task] : table.find(id)->tasks) {
       for (const schema::ActiveRun& run : task.active) {
@@ -177,7 +175,7 @@
   const bool inReach = report.target().reachable() && !report.target().id().empty();
   // An agent that has begun anew names no target at first, which says nothing about it.
   const bool gone = !report.target().id().empty() && (!inReach || before.id() != report.target().id());
-  if (before.reachable() && gone) target.missedSince = now;
+  if (before.reachable() && gone) noteMissed(report.agent(), target, now);
   if (inReach || target.reached == Time{}) target.reached = now;
   target.askedAt = Time{};
   std::vector<schema::RunEnd> ends;
@@ -206,15 +204,28 @@
   return ends;
 }
 
-/** \returns whether several other targets went out of reach when an agent's did. */
-bool RunLedger::wentWithOthers(const std::string& agent) const {
+void RunLedger::noteMissed(const std::string& agent, TargetTrack& target, Time now) {
+  const auto [first, last] = m_missed.equal_range(target.missedSince);
+  const auto former = std::find_if(first, last, [&agent](const auto& entry) { return entry.second == agent; });
+  if (former != last) m_missed.erase(former);
+  target.missedSince = now;
+  m_missed.emplace(now, agent);
+  target.missedWith.clear();
+  for (const RunKey& key : m_byAgent[agent]) target.missedWith.insert(key.workflow);
+}
+
+/** Tasks of one workflow may crash as many targets at once as it is wide; a cause outside hits others too, however
+ * large the fleet. */
+bool RunLedger::wentWithOthers(const std::string& agent, const std::string& workflow) const {
   const Time since = m_targets.at(agent).missedSince;
   if (since == Time{}) return false;
-  const auto together = std::count_if(m_targets.begin(), m_targets.end(), [since](const auto& entry) {
-    const Time other = entry.second.missedSince;
-    return other != Time{} && std::max(other, since) - std::min(other, since) <= internal::GoneTogether;
-  });
-  return manyAtOnce(static_cast<std::size_t>(together), m_targets.size());
+  std::size_t others = 0;
+  const auto last = m_missed.upper_bound(since + internal::GoneTogether);
+  for (auto missed = m_missed.lower_bound(since - internal::GoneTogether); missed != last; ++missed) {
+    if (m_targets.at(missed->second).missedWith.count(workflow) == 0) ++others;
+    if (speaksForOthers(others)) return true;
+  }
+  return false;
 }
 
 /** \returns whether a run may have begun although its agent knows nothing of it. */
@@ -241,7 +252,7 @@
     }
     // Not right after its start, and others went too: the cause lies outside.
     const bool later = row->second->crash() == schema::CrashUnclear && row->second->after_ms() > 0;
-    const bool outside = later && wentWithOthers(report.agent());
+    const bool outside = later && wentWithOthers(report.agent(), key.workflow);
     end.set_crash(outside ? schema::NoCrash : row->second->crash());
     end.set_crash_after_ms(row->second->after_ms());
   }
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -83,10 +83,11 @@
   bool relayed = false;        ///< its newest report came through another node
   Time grantUntil{};
   Time heard{};
-  Time reached{};              ///< when its target was last in reach; at first when it was met
-  Time missedSince{};          ///< when it was last reported out of reach, or replaced without that; zero is never
-  Time askedAt{};              ///< when a sign of life was first asked for since it was heard; zero is not
-  std::vector<RunKey> strays;  ///< reported as running, but not active in the log, or meant for a former life
+  Time reached{};      ///< when its target was last in reach; at first when it was met
+  Time missedSince{};  ///< when it was last reported out of reach, or replaced without that; zero is never
+  std::set<std::string> missedWith;  ///< workflows that ran there then
+  Time askedAt{};                    ///< when a sign of life was first asked for since it was heard; zero is not
+  std::vector<RunKey> strays;        ///< reported as running, but not active in the log, or meant for a former life
 };
 
 /** \class TargetOffer
@@ -180,7 +181,8 @@
   schema::RunEnd makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint);
   void noteCrashes(const schema::AttendRequest& report, const schema::TargetReport& before,
                    std::vector<schema::RunEnd>& ends) const;
-  bool wentWithOthers(const std::string& agent) const;
+  void noteMissed(const std::string& agent, TargetTrack& target, Time now);
+  bool wentWithOthers(const std::string& agent, const std::string& workflow) const;
   bool mayHaveBegun(const RunTrack& track, std::uint64_t incarnation) const;
   void takeRows(const schema::AttendRequest& report, Time now);
   bool guards(const std::string& agent, const RunTrack& track) const;
@@ -195,13 +197,15 @@
   std::map<RunKey, RunTrack> m_runs;
   std::map<std::string, std::set<RunKey>> m_byAgent;
   std::map<std::string, TargetTrack> m_targets;                       ///< by agent
+  std::multimap<Time, std::string> m_missed;                          ///< agents by missedSince
   std::map<std::string, std::map<std::uint64_t, std::size_t>> m_met;  ///< by agent: its incarnations, as first heard
 };
 
 RunKey runKeyOf(const schema::TaskId& task, std::uint32_t run);
 
-/** \returns whether so many targets that go away at once point to a cause outside of what they ran. */
-bool manyAtOnce(std::size_t gone, std::size_t targets);
+/** \returns whether a target's going away has a cause outside of a workflow that ran there. \param others targets that
+ * went at the same moment and ran nothing of the workflow */
+bool speaksForOthers(std::size_t others);
 
 /** \returns the time for which agents may hold runs after word from the leader: at least an outage and an election. */
 Duration grantLength(const schema::ControlSettings& settings);
--- a/bench/crashes.cpp
+++ b/bench/crashes.cpp
@@ -4,11 +4,14 @@
 // When a task under which targets have crashed is started no more: rules side by side on the same seeded loads, with
 // tasks that crash targets and with targets that crash by themselves.
 //
-//   bench_crashes [--seeds N] [--first N]
+//   bench_crashes [--seeds N] [--first N] [--waves TARGETS,...]
+//
+// With --waves it compares which targets that crash at one moment speak for their tasks instead.
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdio>
+#include <functional>
 
 #include "test/LoadReplay.h"
 
@@ -34,6 +37,19 @@
   return rules;
 }
 
+std::vector<ReplayVariant> togetherRules() {
+  std::vector<ReplayVariant> rules;
+  const std::vector<std::pair<const char*, TogetherRule>> named{{"an-eighth", TogetherRule::AnEighth},
+                                                                {"any-three", TogetherRule::Three},
+                                                                {"other-work", TogetherRule::OtherWork}};
+  for (const auto& [name, rule] : named) {
+    ReplayVariant& variant = rules.emplace_back();
+    variant.name = name;
+    variant.together = rule;
+  }
+  return rules;
+}
+
 /** What one rule came to on one pattern. */
 struct Row {
   double worth = 0.0;
@@ -42,6 +58,7 @@
   unsigned givenUp = 0;
   unsigned falselyGivenUp = 0;
   unsigned mostStarts = 0;
+  unsigned accused = 0;
 
   void add(const ReplayResult& result) {
     worth += result.worth();
@@ -50,9 +67,32 @@
     givenUp += result.givenUp;
     falselyGivenUp += result.falselyGivenUp;
     mostStarts = std::max(mostStarts, result.mostStarts);
+    accused += result.accused;
   }
 };
 
+using Patterns = std::function<std::vector<ReplayPattern>(std::uint64_t seed)>;
+
+void compare(const Patterns& patterns, const std::vector<ReplayVariant>& rules, std::uint64_t first,
+             std::uint64_t seeds) {
+  for (std::size_t p = 0; p < patterns(first).size(); ++p) {
+    std::vector<Row> rows(rules.size());
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+      const ReplayPattern pattern = patterns(seed)[p];
+      for (std::size_t v = 0; v < rules.size(); ++v) rows[v].add(LoadReplay(pattern, rules[v], seed).play());
+    }
+    std::printf("%s\n", patterns(first)[p].name.c_str());
+    for (std::size_t v = 0; v < rules.size(); ++v) {
+      std::printf(
+          "  %-23s worth %.3f  crashes by tasks %u  runs lost %u  accused %u  given up %u  falsely %u  most starts "
+          "%u\n",
+          rules[v].name.c_str(), rows[v].worth / static_cast<double>(seeds), rows[v].crashes, rows[v].lostRuns,
+          rows[v].accused, rows[v].givenUp, rows[v].falselyGivenUp, rows[v].mostStarts);
+    }
+    std::fflush(stdout);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -61,22 +101,17 @@
   CLI::App app("rules on tasks that crash targets, side by side on seeded loads");
   app.add_option("--seeds", seeds, "seeds for each pattern")->check(CLI::Range(1, 10000));
   app.add_option("--first", first, "first seed");
+  std::vector<std::size_t> waves;
+  app.add_option("--waves", waves, "numbers of targets on which waves are compared")->delimiter(',');
   CLI11_PARSE(app, argc, argv);
-  const std::vector<ReplayVariant> rules = allRules();
-  const std::size_t patterns = crashPatterns(first).size();
-  for (std::size_t p = 0; p < patterns; ++p) {
-    std::vector<Row> rows(rules.size());
-    for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
-      const ReplayPattern pattern = crashPatterns(seed)[p];
-      for (std::size_t v = 0; v < rules.size(); ++v) rows[v].add(LoadReplay(pattern, rules[v], seed).play());
-    }
-    std::printf("%s\n", crashPatterns(first)[p].name.c_str());
-    for (std::size_t v = 0; v < rules.size(); ++v) {
-      std::printf("  %-23s worth %.3f  crashes by tasks %u  runs lost %u  given up %u  falsely %u  most starts %u\n",
-                  rules[v].name.c_str(), rows[v].worth / static_cast<double>(seeds), rows[v].crashes, rows[v].lostRuns,
-                  rows[v].givenUp, rows[v].falselyGivenUp, rows[v].mostStarts);
-    }
-    std::fflush(stdout);
+  for (const std::size_t targets : waves) {
+    const auto patterns = [targets](std::uint64_t seed) { return wavePatterns(seed, targets); };
+    compare(patterns, togetherRules(), first, seeds);
+  }
+  if (!waves.empty()) {
+    compare(crashPatterns, togetherRules(), first, seeds);
+  } else {
+    compare(crashPatterns, allRules(), first, seeds);
   }
   return 0;
 }
--- a/test/LoadReplay.cpp
+++ b/test/LoadReplay.cpp
@@ -80,6 +80,7 @@
       m_planner(variant.planner),
       m_speeds(variant.speeds),
       m_crashRule(variant.crashes),
+      m_together(variant.together),
       m_trials(variant.trials) {
   m_targets.resize(pattern.targets);
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
@@ -213,8 +214,7 @@
     for (std::size_t i = 0; i < m_targets.size(); ++i) {
       if (between(0, 1) < trouble.share) crashing.push_back(i);
     }
-    const bool many = manyAtOnce(crashing.size(), m_targets.size());
-    for (const std::size_t i : crashing) crash(i, trouble.untilMs, many);
+    for (const std::size_t i : crashing) crash(i, trouble.untilMs, crashing);
   }
   for (std::size_t r = 0; r < m_runs.size(); ++r) {
     const Run& run = m_runs[r];
@@ -222,11 +222,27 @@
     if (run.lost || job.crashing != run.task || m_nowMs < run.fromMs + m_pattern.crashAfterMs) continue;
     ++job.crashes;
     ++m_result.crashes;
-    crash(run.target, m_nowMs + BackAfterMs, false);
+    crash(run.target, m_nowMs + BackAfterMs, {run.target});
   }
 }
 
-void LoadReplay::crash(std::size_t target, double untilMs, bool many) {
+/** \returns whether targets that crash together speak for a cause outside of a run that is lost with one of them. */
+bool LoadReplay::outside(const Run& run, const std::vector<std::size_t>& together) const {
+  if (m_together == TogetherRule::AnEighth) {
+    return together.size() >= std::max<std::size_t>(3, m_targets.size() / 8);
+  }
+  if (m_together == TogetherRule::Three) return together.size() >= 3;
+  std::set<std::size_t> same;
+  for (const Run& other : m_runs) {
+    if (other.job == run.job) same.insert(other.target);
+  }
+  const auto others =
+      std::count_if(together.begin(), together.end(), [&same](std::size_t target) { return same.count(target) == 0; });
+  return speaksForOthers(static_cast<std::size_t>(others));
+}
+
+/** \param together targets that crash now, this one among them */
+void LoadReplay::crash(std::size_t target, double untilMs, const std::vector<std::size_t>& together) {
   Target& one = m_targets[target];
   std::vector<schema::CrashKind> kinds;
   for (const Run& run : m_runs) kinds.push_back(kindOf(run));
@@ -240,8 +256,10 @@
     active.set_target(targetName(target) + "@" + std::to_string(one.lives));
     schema::RunEnd end;
     end.set_kind(schema::RunTargetLost);
-    const bool discounted = many && !countsAll() && kinds[r] == schema::CrashUnclear;
-    end.set_crash(discounted ? schema::NoCrash : kinds[r]);
+    const bool later = !countsAll() && kinds[r] == schema::CrashUnclear;
+    end.set_crash(later && outside(run, together) ? schema::NoCrash : kinds[r]);
+    const bool innocent = m_jobs[run.job].crashing != run.task;
+    m_result.accused += innocent && end.crash() != schema::NoCrash ? 1 : 0;
     end.set_lived(!countsAll() && lives(run));
     WorkflowState& workflow = m_jobs[run.job].workflow;
     CrashRecord& record = workflow.tasks[{0, 0, run.task}].crashes;
--- a/test/LoadReplay.h
+++ b/test/LoadReplay.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "Courseloom/src/Scheduling/RunLedger.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
 #include "Courseloom/src/State/RunOutlook.h"
 
@@ -73,8 +74,17 @@
   Present,    ///< as CrashRecord says
 };
 
+/** Which targets that crash at one moment speak for a cause outside of what ran there a while. */
+enum class TogetherRule : std::uint8_t {
+  AnEighth,   ///< an eighth of all, three at least
+  Three,      ///< any three
+  OtherWork,  ///< as RunLedger says: others that ran nothing of the same workflow
+};
+
 /** \returns a pattern of each kind of crash: by tasks, of many targets, and both. */
 std::vector<ReplayPattern> crashPatterns(std::uint64_t seed);
+/** \returns patterns in which a share of the targets crashes each 3 s, on a number of targets. */
+std::vector<ReplayPattern> wavePatterns(std::uint64_t seed, std::size_t targets);
 
 /** \class ReplayVariant
  * \brief Ways to decide that are compared on the same load.
@@ -85,6 +95,7 @@
   SpeedsKnown speeds = SpeedsKnown::FromRuns;
   CrashRule crashes = CrashRule::Present;
   bool trials = true;  ///< tasks under which targets have crashed are tried apart
+  TogetherRule together = TogetherRule::OtherWork;
 };
 
 /** \class ReplayResult
@@ -106,6 +117,7 @@
   unsigned lostRuns = 0;        ///< with a target that crashed
   unsigned givenUp = 0;         ///< workflows with a task that crashes targets
   unsigned falselyGivenUp = 0;  ///< others
+  unsigned accused = 0;         ///< runs that crashed no target and were held against their tasks
   unsigned mostStarts = 0;      ///< of one task after the third crash that it caused
   /** \returns the share of the worth owed that was earned. */
   double worth() const;
@@ -170,7 +182,8 @@
   void arrive();
   void work();
   void crashTargets();
-  void crash(std::size_t target, double untilMs, bool many);
+  void crash(std::size_t target, double untilMs, const std::vector<std::size_t>& together);
+  bool outside(const Run& run, const std::vector<std::size_t>& together) const;
   schema::CrashKind kindOf(const Run& run) const;
   void noteEnd(const Run& run, schema::RunEndKind kind);
   bool isGivenUp(const Job& job, std::uint32_t task) const;
@@ -209,6 +222,7 @@
   RunPlanner m_planner;
   SpeedsKnown m_speeds;
   CrashRule m_crashRule;
+  TogetherRule m_together;
   bool m_trials;
   RunOutlook m_ended;    ///< learnt from runs that have ended
   RunOutlook m_outlook;  ///< and from those that run
--- a/test/LoadReplayPatterns.cpp
+++ b/test/LoadReplayPatterns.cpp
@@ -109,4 +109,18 @@
   return patterns;
 }
 
+std::vector<ReplayPattern> wavePatterns(std::uint64_t seed, std::size_t targets) {
+  std::mt19937_64 random(seed);
+  std::vector<ReplayPattern> patterns;
+  for (const unsigned percent : {2, 5, 10, 20}) {
+    const std::string name = "waves of " + std::to_string(percent) + "% of " + std::to_string(targets) + " targets";
+    patterns.push_back(usual(name, random, static_cast<double>(targets) / 40.0));
+    patterns.back().targets = targets;
+    patterns.back().timeFactors = {0.8, 1.0, 1.25};
+    for (double at = 2000; at < 29000; at += 3000) patterns.back().crashes.push_back({at, at + 2000, percent / 100.0});
+    sortArrivals(patterns.back());
+  }
+  return patterns;
+}
+
 }  // namespace courseloom::test
--- a/test/load_replay.cpp
+++ b/test/load_replay.cpp
@@ -51,6 +51,20 @@
   cr_assert(gain > 0.1, "%.3f", gain);
 }
 
+// A tenth of the targets crashed at once and again, and most of what ran there was held against its tasks.
+Test(load_replay, waves_of_crashes_accuse_little_of_what_ran_there_a_while) {
+  unsigned byShare = 0;
+  unsigned byOthers = 0;
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    const ReplayPattern pattern = wavePatterns(seed, 80)[2];
+    ReplayVariant share;
+    share.together = TogetherRule::AnEighth;
+    byShare += LoadReplay(pattern, share, seed).play().accused;
+    byOthers += LoadReplay(pattern, {}, seed).play().accused;
+  }
+  cr_assert_lt(2 * byOthers, byShare, "%u runs accused, %u by a share of the fleet", byOthers, byShare);
+}
+
 Test(load_replay, urgent_bursts_are_served_worse_without_stops) {
   RunPlannerOptions without;
   without.preemption = false;
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -700,6 +700,49 @@
   }
 }
 
+namespace {
+
+/** A run that was there for a while is lost, in a fleet of many targets, with others that go at that moment.
+ * \returns accused tasks \param others so many targets go too \param sameWork they run another task of the workflow */
+unsigned accusedBeside(unsigned others, bool sameWork) {
+  constexpr unsigned Fleet = 100;
+  LedgerTable test(1 + others);
+  const auto report = [&test](unsigned number, bool reachable) {
+    schema::AttendRequest request = test.report("life-of-" + std::to_string(number));
+    request.set_agent("other-" + std::to_string(number));
+    request.mutable_target()->set_reachable(reachable);
+    test.commitEnds(test.ledger.takeReport(request, test.now));
+  };
+  test.attend(test.report());
+  for (unsigned i = 1; i <= Fleet; ++i) report(i, true);
+  test.start(0, 1);
+  for (unsigned i = 1; sameWork && i <= others; ++i) {
+    schema::RecordRuns runs;
+    schema::RunStart* row = runs.add_starts();
+    *row->mutable_task() = makeTaskId("w", {0, 0, i});
+    row->mutable_run()->set_number(1);
+    row->mutable_run()->set_target("life-of-" + std::to_string(i));
+    row->mutable_run()->set_agent("other-" + std::to_string(i));
+    test.commit(runs);
+  }
+  test.attend(test.report());
+  for (unsigned i = 1; i <= others; ++i) report(i, false);
+  test.pass(300);
+  test.attend(withLost(test.report("life-2"), 1, schema::CrashUnclear, 900));
+  return test.table.find("w")->accusedTasks;
+}
+
+}  // namespace
+
+// An eighth of a large fleet had to go at once before what ran there for a while was cleared of it.
+Test(run_ledger, a_few_targets_that_go_together_clear_what_ran_there_in_a_fleet_of_any_size) {
+  cr_assert_eq(accusedBeside(1, false), 1);
+  cr_assert_eq(accusedBeside(2, false), 0);
+  cr_assert_eq(accusedBeside(10, false), 0);
+}
+
+Test(run_ledger, targets_that_ran_the_same_workflow_do_not_clear_it) { cr_assert_eq(accusedBeside(10, true), 1); }
+
 Test(run_ledger, a_run_lives_once_it_was_seen_for_the_start_phase) {
   LedgerTable test;
   test.attend(test.report());
