Guarantees are reviewed once agents have stopped arriving; the bench of a fleet times a plan

What held only while the fleet was small: 2.5 s after a leader began every agent was taken to have been heard. Change: agents count as arriving while more than one in 16 of the known ones was first heard within the time for which one may be silent.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -98,7 +98,6 @@
 
 void WorkflowRunner::lead(bool leads) {
   m_leads = leads;
-  m_leadsSince = BootClock::now();
   m_queuesOf = 0;
   m_queues.clear();
   m_relays.clear();
@@ -271,8 +270,7 @@
 
 /** Rooms shrink and targets go: that guarantees cannot all be met must not show first when they are called on. */
 void WorkflowRunner::reviewGuarantees() {
-  // By then every agent that can be heard has been.
-  if (BootClock::now() < m_leadsSince + m_ledger.options().silence) return;
+  if (m_ledger.arriving(BootClock::now())) return;
   std::uint64_t guaranteed = 0;
   for (const schema::Tenant& tenant : table().configuration().tenants()) guaranteed += tenant.guaranteed_accelerators();
   std::uint64_t accelerators = 0;
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -165,7 +165,6 @@
   Time m_urgentSeen{};          ///< when the peak was last brought up to date
   Duration m_planTook{};        ///< by the last plan
   bool m_guaranteesFit = true;  ///< as last told
-  Time m_leadsSince{};
   bool m_leads = false;
   bool m_dirty = false;
   bool m_released = false;
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -22,6 +22,8 @@
 constexpr Duration ReportWay = milliseconds(1000);
 /** Reports of targets that went at one moment come within this time of each other. */
 constexpr Duration GoneTogether = milliseconds(500);
+/** While more than one of so many known agents is a new one, the others are not all there yet. */
+constexpr std::size_t KnownPerArriving = 16;
 /** Two targets may well go at one moment for causes of their own. */
 constexpr std::size_t LeastOthers = 2;
 
@@ -172,6 +174,7 @@
   target.relayed = report.relayed();
   const schema::TargetReport before = std::exchange(target.report, report.target());
   target.heard = now;
+  if (target.met == Time{}) target.met = now;
   const bool inReach = report.target().reachable() && !report.target().id().empty();
   // An agent that has begun anew names no target at first, which says nothing about it.
   const bool gone = !report.target().id().empty() && (!inReach || before.id() != report.target().id());
@@ -379,6 +382,13 @@
   return found != m_targets.end() && found->second.askedAt != Time{};
 }
 
+bool RunLedger::arriving(Time now) const {
+  if (now < m_leaderSince + m_options.silence) return true;
+  const auto lately = std::count_if(m_targets.begin(), m_targets.end(),
+                                    [&](const auto& entry) { return now < entry.second.met + m_options.silence; });
+  return static_cast<std::size_t>(lately) * internal::KnownPerArriving > m_targets.size();
+}
+
 std::vector<RelayAgent> RunLedger::relays(Time now) const {
   std::vector<RelayAgent> relays;
   for (const auto& [agent, target] : m_targets) {
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -82,7 +82,8 @@
   std::uint32_t relay = 0;     ///< number under which the agent relays calls; 0 is not
   bool relayed = false;        ///< its newest report came through another node
   Time grantUntil{};
-  Time heard{};
+  Time met{};          ///< when it was first heard
+  Time heard{};        ///< when it was last heard
   Time reached{};      ///< when its target was last in reach; at first when it was met
   Time missedSince{};  ///< when it was last reported out of reach, or replaced without that; zero is never
   std::set<std::string> missedWith;  ///< workflows that ran there then
@@ -171,6 +172,9 @@
   void ask(const std::string& agent, Time now);
   /** \returns whether an agent owes a sign of life. */
   bool asked(const std::string& agent) const;
+  /** \returns whether agents are still coming, as they do after a change of leader: of those that are known, many were
+   * first heard within the time for which one may be silent. */
+  bool arriving(Time now) const;
   /** \returns agents that relay calls to control and were heard lately without a relay. */
   std::vector<RelayAgent> relays(Time now) const;
   const RunLedgerOptions& options() const { return m_options; }
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -32,6 +32,7 @@
   double leaderMb = 0.0;
   double followerMb = 0.0;
   double electedMs = 0.0;  ///< from the kill of the leader to the first answer of its successor
+  double planMs = 0.0;     ///< a pass of the planner while one step waits that fits nowhere
   double heardMs = 0.0;    ///< from that kill until the successor has granted all agents
 };
 
@@ -54,6 +55,18 @@
   waitFor([&] { return crowd.running() >= wanted; });
 }
 
+/** \returns the mean time of the planner's passes over two seconds in which a step waits that fits nowhere, ms. */
+double planTime(WorkflowDeployment& deployment, unsigned leader) {
+  const std::string tooLarge =
+      R"({"spec":"100","steps":[{"count":1,"cpu":1000,"mem_mb":100,"gpu":64,"estimate_ms":200}]})";
+  deployment.until(200, "POST", "/q/00000000feed0002", tooLarge);
+  const double plans = deployment.metric(leader, "courseloom_plan_ms_count");
+  const double sum = deployment.metric(leader, "courseloom_plan_ms_sum");
+  pause(2000);
+  const double made = deployment.metric(leader, "courseloom_plan_ms_count") - plans;
+  return made > 0.0 ? (deployment.metric(leader, "courseloom_plan_ms_sum") - sum) / made : 0.0;
+}
+
 FleetRow measure(std::size_t agents, unsigned seconds) {
   FleetRow row;
   row.agents = agents;
@@ -74,6 +87,7 @@
   row.cpuPercent = (after.cpuSeconds - before.cpuSeconds) / seconds * 100.0;
   row.leaderMb = after.residentMb;
   row.followerMb = usageOf(pidOf(leader % 3 + 1)).residentMb;
+  row.planMs = planTime(deployment, leader);
   const std::uint64_t term = *crowd.terms().rbegin();
   deployment.kill("control-" + std::to_string(leader));
   row.electedMs = waitFor([&] { return *crowd.terms().rbegin() > term; });
@@ -82,11 +96,11 @@
 }
 
 void printTable(const std::vector<FleetRow>& rows) {
-  std::printf("%8s %10s %8s %8s %10s %12s %10s %10s\n", "agents", "reports/s", "KB/s", "cpu %", "leader MB",
-              "follower MB", "elected ms", "heard ms");
+  std::printf("%8s %10s %8s %8s %10s %12s %8s %10s %10s\n", "agents", "reports/s", "KB/s", "cpu %", "leader MB",
+              "follower MB", "plan ms", "elected ms", "heard ms");
   for (const FleetRow& row : rows) {
-    std::printf("%8zu %10.0f %8.0f %8.1f %10.1f %12.1f %10.0f %10.0f\n", row.agents, row.reportsEachSecond,
-                row.kbEachSecond, row.cpuPercent, row.leaderMb, row.followerMb, row.electedMs, row.heardMs);
+    std::printf("%8zu %10.0f %8.0f %8.1f %10.1f %12.1f %8.2f %10.0f %10.0f\n", row.agents, row.reportsEachSecond,
+                row.kbEachSecond, row.cpuPercent, row.leaderMb, row.followerMb, row.planMs, row.electedMs, row.heardMs);
   }
 }
 
@@ -95,9 +109,9 @@
   for (const FleetRow& row : rows) {
     std::printf(
         "%s{\"agents\":%zu,\"reportsEachSecond\":%.0f,\"kbEachSecond\":%.0f,\"cpuPercent\":%.1f,"
-        "\"leaderMb\":%.1f,\"followerMb\":%.1f,\"electedMs\":%.0f,\"heardMs\":%.0f}",
+        "\"leaderMb\":%.1f,\"followerMb\":%.1f,\"planMs\":%.2f,\"electedMs\":%.0f,\"heardMs\":%.0f}",
         &row == &rows.front() ? "" : ",", row.agents, row.reportsEachSecond, row.kbEachSecond, row.cpuPercent,
-        row.leaderMb, row.followerMb, row.electedMs, row.heardMs);
+        row.leaderMb, row.followerMb, row.planMs, row.electedMs, row.heardMs);
   }
   std::printf("]\n");
 }
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -741,6 +741,25 @@
   cr_assert_eq(accusedBeside(10, false), 0);
 }
 
+// Guarantees were said to exceed the room while 810 agents were still arriving after a cold start.
+Test(run_ledger, agents_are_arriving_until_few_of_the_known_ones_are_new) {
+  LedgerTable test;
+  const auto arrive = [&test](unsigned number) {
+    schema::AttendRequest request = test.report("life-of-" + std::to_string(number));
+    request.set_agent("other-" + std::to_string(number));
+    test.ledger.takeReport(request, test.now);
+  };
+  for (unsigned i = 1; i <= 100; ++i) {
+    arrive(i);
+    test.pass(40);
+  }
+  cr_assert(test.ledger.arriving(test.now), "62 of 100 came within the last 2.5 s");
+  test.pass(2600);
+  cr_assert_not(test.ledger.arriving(test.now));
+  arrive(101);
+  cr_assert_not(test.ledger.arriving(test.now), "one new agent among a hundred");
+}
+
 Test(run_ledger, targets_that_ran_the_same_workflow_do_not_clear_it) { cr_assert_eq(accusedBeside(10, true), 1); }
 
 Test(run_ledger, a_run_lives_once_it_was_seen_for_the_start_phase) {
