What targets say of themselves stays in place from pass to pass

What grew with the fleet: each pass of the planner copied names, labels and rooms of all targets. Change: the ledger counts changes of what targets say of themselves; the planned targets are described anew only after one, and each pass brings up to date what changes by itself (open, awaited, penalties, speeds).

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "Courseloom/src/Control/WorkflowRunner.h"
+#include "Courseloom/src/Core/Assert.h"
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Scheduling/Objective.h"
 #include "Courseloom/src/Scheduling/Trials.h"
@@ -55,7 +56,7 @@
   markGuaranteed();
   std::vector<PlannedStep> steps = planSteps();
   if (steps.empty()) co_return schema::RecordRuns();
-  const std::vector<PlannedTarget> targets = planTargets();
+  const std::vector<PlannedTarget>& targets = planTargets();
   const std::vector<PlannedRun> active = planRuns(targets);
   const unsigned keepWhole = wholeTargetsToKeep(active, steps);
   const Term term = m_driver.replica().term();
@@ -187,30 +188,45 @@
   return static_cast<unsigned>(std::ceil(std::max(0.0, m_urgentPeak - held) / internal::AcceleratorsPerTarget));
 }
 
-std::vector<PlannedTarget> WorkflowRunner::planTargets() const {
-  const Time now = BootClock::now();
-  std::vector<std::string> lives;
-  for (const auto& [agent, track] : m_ledger.targets()) lives.push_back(track.report.id());
-  const bool trusted = !m_health.tooManySuspect(lives, now);
-  std::vector<PlannedTarget> targets;
+/** Takes over what targets say of themselves, which changes seldom. */
+void WorkflowRunner::describeTargets() {
+  const std::pair<std::uint64_t, std::uint64_t> now{m_ledger.descriptions(), m_driver.state().hallDrains().version()};
+  if (now == m_describedAt) return;
+  m_describedAt = now;
+  m_planTargets.clear();
+  m_planLives.clear();
   for (const auto& [agent, track] : m_ledger.targets()) {
-    if (isDrained(track)) continue;  // planned as if it were gone
     const schema::TargetReport& report = track.report;
-    PlannedTarget& target = targets.emplace_back();
+    m_planLives.push_back(report.id());
+    if (isDrained(track)) continue;  // planned as if it were gone
+    PlannedTarget& target = m_planTargets.emplace_back();
     target.id = report.id();
     target.agent = agent;
     target.service = report.service();
     target.rack = report.rack();
     target.labels.insert(report.labels().begin(), report.labels().end());
     target.capacity = roomOf(report.capacity());
-    const bool closed = m_health.paused(report.id(), now) || (trusted && m_health.suspect(report.id(), now));
+  }
+}
+
+/** \returns the targets as they are now; what is described stays in place from pass to pass. */
+const std::vector<PlannedTarget>& WorkflowRunner::planTargets() {
+  describeTargets();
+  const Time now = BootClock::now();
+  const bool trusted = !m_health.tooManySuspect(m_planLives, now);
+  auto planned = m_planTargets.begin();
+  for (const auto& [agent, track] : m_ledger.targets()) {
+    if (isDrained(track)) continue;
+    PlannedTarget& target = *planned++;
+    const bool closed = m_health.paused(target.id, now) || (trusted && m_health.suspect(target.id, now));
     target.open = m_ledger.open(track, now) && !closed && m_trialAgents.count(agent) == 0;
-    target.awaited = m_ledger.awaited(agent, now);
-    target.single = trusted && m_health.onProbation(report.id(), now);
-    target.penalty = m_health.penalty(report.id(), now);
-    if (learns()) target.pace = m_outlook.paceOf(report.id());
+    target.awaited = m_ledger.awaited(track, now);
+    target.single = trusted && m_health.onProbation(target.id, now);
+    target.penalty = m_health.penalty(target.id, now);
+    if (learns()) target.pace = m_outlook.paceOf(target.id);
   }
-  return targets;
+  courseloom_assert(planned == m_planTargets.end());
+  return m_planTargets;
 }
 
 /** A gang ends with its slowest member, however far the others are. */
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -125,7 +125,8 @@
   void learnFromRuns();
   void notePaces();
   void stopWhole(const RunKey& key, const char* reason);
-  std::vector<PlannedTarget> planTargets() const;
+  void describeTargets();
+  const std::vector<PlannedTarget>& planTargets();
   static void endGangsTogether(std::vector<PlannedRun>& runs);
   internal::RunsOfStep sharedBy(const RunKey& key) const;
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
@@ -153,10 +154,13 @@
   std::map<std::string, ChangeSignal> m_agentSignals;
   std::map<StepName, Time> m_readySince;
   std::function<std::vector<ReplicaId>()> m_membersSource;
-  std::set<std::string> m_drainedHalls;  ///< as last seen
-  std::set<std::string> m_guaranteed;    ///< workflows within their tenants' guarantees, as of this plan
-  std::set<std::string> m_trialAgents;   ///< whose targets try a task, as of this plan
-  std::size_t m_trialsLeft = 0;          ///< tasks that may be put on trial in this plan
+  std::set<std::string> m_drainedHalls;      ///< as last seen
+  std::vector<PlannedTarget> m_planTargets;  ///< in the order of the ledger's, without those in drained halls
+  std::vector<std::string> m_planLives;      ///< of all targets
+  std::pair<std::uint64_t, std::uint64_t> m_describedAt;  ///< descriptions and drains that m_planTargets follows
+  std::set<std::string> m_guaranteed;   ///< workflows within their tenants' guarantees, as of this plan
+  std::set<std::string> m_trialAgents;  ///< whose targets try a task, as of this plan
+  std::size_t m_trialsLeft = 0;         ///< tasks that may be put on trial in this plan
   std::optional<std::map<std::string, Room>> m_serviceRooms;  ///< by service, as of this plan; nothing until asked for
   std::map<std::string, const schema::Queue*> m_queues;       ///< by name, of the configuration of version m_queuesOf
   std::uint64_t m_queuesOf = 0;
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -39,6 +39,12 @@
   return !life.empty() && TargetLife::named(life).id == TargetLife::named(meant).id;
 }
 
+bool described_alike(const schema::TargetReport& a, const schema::TargetReport& b) {
+  const auto sameLabels = std::equal(a.labels().begin(), a.labels().end(), b.labels().begin(), b.labels().end());
+  return sameLabels && a.id() == b.id() && a.service() == b.service() && a.rack() == b.rack() &&
+         a.data_hall() == b.data_hall() && roomOf(a.capacity()) == roomOf(b.capacity());
+}
+
 bool is_over(const WorkflowTable& table, const RunKey& key) {
   const WorkflowState* workflow = table.find(key.workflow);
   if (workflow == nullptr || workflow->ended()) return true;
@@ -62,6 +68,7 @@
 void RunLedger::lead(const WorkflowTable& table, Time now, std::uint64_t term) {
   m_leaderSince = now;
   m_term = term;
+  ++m_descriptions;
   m_runs.clear();
   m_byAgent.clear();
   m_targets.clear();
@@ -141,6 +148,12 @@
   return place == met->second.end() ? 0 : place->second;
 }
 
+TargetTrack& RunLedger::track(const std::string& agent) {
+  const auto [found, added] = m_targets.try_emplace(agent);
+  if (added) ++m_descriptions;
+  return found->second;
+}
+
 bool RunLedger::complete(schema::AttendRequest& report) const {
   if (report.has_target() || report.target_version() == 0) return true;
   const auto found = m_targets.find(report.agent());
@@ -164,7 +177,7 @@
 std::vector<schema::RunEnd> RunLedger::takeReport(const schema::AttendRequest& report, Time now) {
   meet(report);
   if (!isCurrent(report) || isOvertaken(report)) return {};
-  TargetTrack& target = m_targets[report.agent()];
+  TargetTrack& target = track(report.agent());
   const std::set<RunKey>& keys = m_byAgent[report.agent()];
   const bool newAgent = target.incarnation != report.incarnation();
   target.incarnation = report.incarnation();
@@ -173,6 +186,7 @@
   target.relay = report.relay();
   target.relayed = report.relayed();
   const schema::TargetReport before = std::exchange(target.report, report.target());
+  if (!internal::described_alike(before, target.report)) ++m_descriptions;
   target.heard = now;
   if (target.met == Time{}) target.met = now;
   const bool inReach = report.target().reachable() && !report.target().id().empty();
@@ -310,7 +324,7 @@
 // ---- leases
 
 Duration RunLedger::grant(const std::string& agent, Time now) {
-  TargetTrack& target = m_targets[agent];
+  TargetTrack& target = track(agent);
   if (target.report.id().empty()) return Duration(0);
   const Duration length =
       target.report.draining() ? std::min(m_options.grant, m_options.leavingGrant) : m_options.grant;
@@ -363,8 +377,11 @@
 
 bool RunLedger::awaited(const std::string& agent, Time now) const {
   const auto found = m_targets.find(agent);
-  if (found == m_targets.end() || found->second.report.draining()) return false;
-  return now < found->second.reached + m_options.grant + m_options.slack;
+  return found != m_targets.end() && awaited(found->second, now);
+}
+
+bool RunLedger::awaited(const TargetTrack& target, Time now) const {
+  return !target.report.draining() && now < target.reached + m_options.grant + m_options.slack;
 }
 
 bool RunLedger::fresh(const std::string& agent, Time now) const {
@@ -373,7 +390,7 @@
 }
 
 void RunLedger::ask(const std::string& agent, Time now) {
-  TargetTrack& target = m_targets[agent];
+  TargetTrack& target = track(agent);
   if (target.askedAt == Time{}) target.askedAt = now;
 }
 
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -158,6 +158,9 @@
   /** \returns for how long reports may be held back, so that those without news are as many as wanted; always less than
    * an agent may be silent. */
   Duration reportWait() const;
+  /** \returns a number that is another one whenever a target has come, or is described in another way: its life,
+   * service, rack, data hall, labels or room. */
+  std::uint64_t descriptions() const { return m_descriptions; }
   /** \returns whether an agent may be given new runs now. */
   bool open(const std::string& agent, Time now) const;
   bool open(const TargetTrack& target, Time now) const;
@@ -166,6 +169,7 @@
   /** \returns whether an agent that may not be given new runs now is expected to be soon: its target does not leave,
    * and has not been out of reach for longer than its runs would outlast. */
   bool awaited(const std::string& agent, Time now) const;
+  bool awaited(const TargetTrack& target, Time now) const;
   /** \returns whether an agent was heard so lately that a start will reach it. */
   bool fresh(const std::string& agent, Time now) const;
   /** Wants a sign of life from an agent: its report is not to be held back any longer. */
@@ -185,6 +189,7 @@
   schema::RunEnd makeEnd(const RunKey& key, schema::RunEndKind kind, const std::string& checkpoint);
   void noteCrashes(const schema::AttendRequest& report, const schema::TargetReport& before,
                    std::vector<schema::RunEnd>& ends) const;
+  TargetTrack& track(const std::string& agent);
   void noteMissed(const std::string& agent, TargetTrack& target, Time now);
   bool wentWithOthers(const std::string& agent, const std::string& workflow) const;
   bool mayHaveBegun(const RunTrack& track, std::uint64_t incarnation) const;
@@ -198,6 +203,7 @@
   RunLedgerOptions m_options;
   Time m_leaderSince{};
   std::uint64_t m_term = 0;
+  std::uint64_t m_descriptions = 0;
   std::map<RunKey, RunTrack> m_runs;
   std::map<std::string, std::set<RunKey>> m_byAgent;
   std::map<std::string, TargetTrack> m_targets;                       ///< by agent
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -741,6 +741,27 @@
   cr_assert_eq(accusedBeside(10, false), 0);
 }
 
+// Each pass of the planner copied the names, labels and rooms of all targets.
+Test(run_ledger, descriptions_change_only_with_what_targets_say_of_themselves) {
+  LedgerTable test;
+  test.attend(test.report());
+  test.start(0, 1);
+  const std::uint64_t before = test.ledger.descriptions();
+  for (std::uint32_t percent = 1; percent < 50; ++percent) {
+    test.pass(100);
+    test.attend(withRunning(test.report(), 0, 1, percent));
+  }
+  test.ledger.ask("agent", test.now);
+  cr_assert_eq(test.ledger.descriptions(), before);
+  schema::AttendRequest shrunk = test.report();
+  shrunk.mutable_target()->mutable_capacity()->set_accelerators(4);
+  test.attend(shrunk);
+  cr_assert_neq(test.ledger.descriptions(), before);
+  const std::uint64_t after = test.ledger.descriptions();
+  test.ledger.ask("another", test.now);
+  cr_assert_neq(test.ledger.descriptions(), after, "a target that is not planned yet has come");
+}
+
 // Guarantees were said to exceed the room while 810 agents were still arriving after a cold start.
 Test(run_ledger, agents_are_arriving_until_few_of_the_known_ones_are_new) {
   LedgerTable test;
