Of too many runs some workflows are logged whole, rather than a part of each

What was sized for a small fleet: each event wrote 100 lines a second. Weighed: a line for a whole gang (no place for where its members run); a larger budget (a constant). Change: lines on runs that were placed, done or stopped are chosen by their workflow: when 200 are written in a second, half as many workflows are told of, always from among the former ones; after quiet seconds more again. Losses, failures and refusals keep budgets of their own.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -116,10 +116,11 @@
     row->mutable_run()->set_agent(target.agent);
     row->mutable_run()->set_checkpoint(step.workflow->checkpointOf(key));
     if (step.tickets) row->mutable_run()->set_ticket(step.tickets->at(target.id));
-    logEvent(schema::RunPlaced, {{"task", taskText(row->task())},
-                                 {"run", std::uint64_t{row->run().number()}},
-                                 {"target", target.id},
-                                 {"waitedMs", static_cast<std::uint64_t>(step.waitedMs)}});
+    logStory(schema::RunPlaced, step.workflow->record.id(),
+             {{"task", taskText(row->task())},
+              {"run", std::uint64_t{row->run().number()}},
+              {"target", target.id},
+              {"waitedMs", static_cast<std::uint64_t>(step.waitedMs)}});
   }
   return runs;
 }
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -444,20 +444,30 @@
   return reply;
 }
 
+/** Losses are told for themselves; most ends are of work that is done, and those go with the story of their workflow.
+ */
+void WorkflowRunner::tellEnded(const schema::RunEnd& end, const schema::AttendRequest& report) const {
+  const bool usual = end.kind() == schema::RunDone || end.kind() == schema::RunStopped;
+  const auto log = [&](std::initializer_list<LogField> fields) {
+    usual ? logStory(schema::RunEnded, end.task().workflow(), fields) : logEvent(schema::RunEnded, fields);
+  };
+  log({{"task", taskText(end.task())},
+       {"run", std::uint64_t{end.run()}},
+       {"kind", schema::RunEndKind_Name(end.kind())},
+       {"target", m_ledger.runs().at(runKeyOf(end.task(), end.run())).target},
+       {"reporting", report.target().id()},
+       {"reason", internal::reason_of(end, report)},
+       {"sequence", report.sequence()},
+       {"reportTerm", report.term()},
+       {"ageMs", std::uint64_t{report.running_age_ms()}}});
+}
+
 schema::RecordRuns WorkflowRunner::endsIn(const schema::AttendRequest& report, Time received) {
   schema::RecordRuns runs;
   for (schema::RunEnd& end : m_ledger.takeReport(report, received)) {
     noteWholeTime(end, received);
     noteLived(end);
-    logEvent(schema::RunEnded, {{"task", taskText(end.task())},
-                                {"run", std::uint64_t{end.run()}},
-                                {"kind", schema::RunEndKind_Name(end.kind())},
-                                {"target", m_ledger.runs().at(runKeyOf(end.task(), end.run())).target},
-                                {"reporting", report.target().id()},
-                                {"reason", internal::reason_of(end, report)},
-                                {"sequence", report.sequence()},
-                                {"reportTerm", report.term()},
-                                {"ageMs", std::uint64_t{report.running_age_ms()}}});
+    tellEnded(end, report);
     *runs.add_ends() = std::move(end);
   }
   return runs;
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -77,6 +77,7 @@
   Awaitable<void> planLoop();
   schema::AttendReply makeReply(const schema::AttendRequest& request);
   schema::AttendReply askForWhole(const schema::AttendRequest& request);
+  void tellEnded(const schema::RunEnd& end, const schema::AttendRequest& report) const;
   schema::RecordRuns endsIn(const schema::AttendRequest& report, Time received);
   Awaitable<bool> commitRuns(schema::RecordRuns runs);
   Awaitable<void> expireRuns();
--- a/Courseloom/src/Core/Log.cpp
+++ b/Courseloom/src/Core/Log.cpp
@@ -11,12 +11,14 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/mdc.h>
+#include <xxhash.h>
 
 #include <array>
 #include <mutex>
 #include <sstream>
 
 #include "Courseloom/src/Core/Clock.h"
+#include "Courseloom/src/Core/StoryChoice.h"
 
 namespace courseloom {
 namespace internal {
@@ -36,8 +38,12 @@
 /** Lines that one event may write in a second; further ones are counted. Refusals and losses get more. */
 constexpr unsigned LinesEachSecond = 100;
 constexpr unsigned WarningsEachSecond = 200;
+/** Lines that all stories together may write in a second before fewer of them are told. */
+constexpr unsigned StoryLinesEachSecond = 200;
 constexpr std::size_t EventNumbers = 1000;
 
+std::int64_t second_now() { return BootClock::now().time_since_epoch() / milliseconds(1000); }
+
 /** \class EventBudget
  * \brief Bounds what one event may write, and counts what was left out.
  */
@@ -45,7 +51,7 @@
  public:
   /** \param omitted set to the lines left out in the last busy second, once it is over. \returns whether to write */
   bool take(schema::Event event, unsigned allowed, std::uint64_t& omitted) {
-    const auto second = BootClock::now().time_since_epoch().count() / 1000000;
+    const std::int64_t second = second_now();
     const std::lock_guard lock(m_mutex);
     Window& window = m_windows[static_cast<std::size_t>(event) % EventNumbers];
     if (window.second != second) {
@@ -128,6 +134,22 @@
   if (write) internal::write_line(event, level, fields);
 }
 
+void logStory(schema::Event event, const std::string& story, std::initializer_list<LogField> fields) {
+  const log4cxx::LevelPtr level = log4cxx::Level::toLevel(internal::event_rule(event).level());
+  if (!internal::process_logger()->isEnabledFor(level)) return;
+  static std::mutex mutex;
+  static StoryChoice choice(internal::StoryLinesEachSecond);
+  std::uint64_t omitted = 0;
+  bool write = false;
+  {
+    const std::lock_guard lock(mutex);
+    write = choice.take(XXH64(story.data(), story.size(), 0), internal::second_now(), omitted);
+  }
+  if (omitted > 0)
+    internal::write_line(schema::LinesOmitted, log4cxx::Level::getWarn(), {{"of", "stories"}, {"count", omitted}});
+  if (write) internal::write_line(event, level, fields);
+}
+
 void flushLog() { log4cxx::LogManager::shutdown(); }
 
 void logFailure(schema::Event event, const Failure& failure) {
--- a/Courseloom/src/Core/Log.h
+++ b/Courseloom/src/Core/Log.h
@@ -32,6 +32,9 @@
 /** Writes one numbered event at the level that schema/events.proto gives it. Safe from any thread; never waits for the
  * reader. Each event has a budget of lines a second; what is left out is counted by an event LinesOmitted. */
 void logEvent(schema::Event event, std::initializer_list<LogField> fields = {});
+/** Writes one event of a story, such as a run of a workflow: where there are more lines than fit, fewer stories are
+ * written, and each of those whole. \param story its name \sa StoryChoice */
+void logStory(schema::Event event, const std::string& story, std::initializer_list<LogField> fields);
 /** Writes one numbered event with a failure's code, ran, step, peer and detail. */
 void logFailure(schema::Event event, const Failure& failure);
 /** Writes out what is queued; nothing is logged afterwards. */
