--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -52,6 +52,10 @@
 }  // namespace
 }  // namespace internal
 
+bool reachesControl(Time answered, Duration reportWait, Time now) {
+  return now < answered + 2 * reportWait + internal::InTouchSlack;
+}
+
 RunAgentService::RunAgentService(const DaemonContext& context, RunAgentEdges edges)
     : m_context(context),
       m_edges(std::move(edges)),
@@ -135,8 +139,7 @@
 
 /** \returns whether this agent can relay calls of others. */
 bool RunAgentService::inTouch() const {
-  const Duration twoReports = 2 * milliseconds(m_waitMs.load());
-  return BootClock::now() < Time(Duration(m_directAt.load())) + twoReports + internal::InTouchSlack;
+  return reachesControl(Time(Duration(m_directAt.load())), milliseconds(m_waitMs.load()), BootClock::now());
 }
 
 /** \returns whether a leader has taken a report in. */
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -30,6 +30,10 @@
   std::function<Awaitable<HttpResponse>(HttpRequest, TargetRegistry&)> answerRegistration;
 };
 
+/** \returns whether an agent that was answered at an instant is still taken to reach control, so that it may relay
+ * calls of others: until two reports could have been answered. \param reportWait for which a report may be held back */
+bool reachesControl(Time answered, Duration reportWait, Time now);
+
 /** \class RunAgentService
  * \brief The agent daemon that runs tasks of workflows: the only process that calls the target beside it.
  *
--- a/test/short_reports.cpp
+++ b/test/short_reports.cpp
@@ -162,3 +162,12 @@
   cr_assert(leader.asked, "no short report told of an end");
   cr_assert(leader.endTaken, "the end was lost with the report that was not taken in");
 }
+
+// Agents whose reports are held back for long refused to relay calls between two answers.
+Test(short_reports, an_agent_reaches_control_for_as_long_as_two_reports_may_be_held) {
+  for (const std::int64_t waitMs : {300, 810, 1500}) {
+    const Duration wait = milliseconds(waitMs);
+    cr_assert(reachesControl(Now, wait, Now + wait + milliseconds(50)), "between two answers at %ld ms", waitMs);
+    cr_assert_not(reachesControl(Now, wait, Now + 2 * wait + milliseconds(300)), "cut off at %ld ms", waitMs);
+  }
+}
