--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -3,8 +3,6 @@
 
 #include "Courseloom/src/Control/WorkflowRunner.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -27,8 +25,6 @@
 /** A plan that takes less is not worth a timer. */
 constexpr Duration ShortPlan = milliseconds(1);
 constexpr Duration LongestPlanPause = milliseconds(50);
-/** Relays that nodes are told of: one is enough, and others may be cut off with the node itself. */
-constexpr std::size_t RelaysNamed = 4;
 /** An unfinished task whose percent stands at this is taken to be about to end. */
 constexpr double WholePercent = 100.0;
 /** Time that stopping a run may take before its target is gone, ms. */
@@ -38,22 +34,6 @@
 constexpr double StallMs = 700.0;
 constexpr double StallShare = 0.15;
 
-/** \returns what an end rests on: the words of the report that said so. */
-std::string reason_of(const schema::RunEnd& end, const schema::AttendRequest& report) {
-  const RunKey key = runKeyOf(end.task(), end.run());
-  for (const schema::EndReport& row : report.ends()) {
-    if (runKeyOf(row.task(), row.run()) != key) continue;
-    return row.number() == 0 ? row.reason() : "listed by the target";
-  }
-  return "the agent reports another life of the target";
-}
-
-/** \returns a number of the replicas and relays that a reply names; never 0. */
-std::uint64_t directory_of(const schema::AttendReply& reply) {
-  const std::uint64_t members = XXH64(reply.members().data(), sizeof(std::uint32_t) * reply.members_size(), 0);
-  return XXH64(reply.relays().data(), sizeof(std::uint32_t) * reply.relays_size(), members) | 1U;
-}
-
 RunLedgerOptions ledger_options(const schema::Settings& settings) {
   RunLedgerOptions options;
   options.grant = grantLength(settings.control());
@@ -414,112 +394,4 @@
   }
 }
 
-// ---- agents
-
-std::vector<std::uint32_t> WorkflowRunner::relaysFor(const std::string& asker) {
-  return m_relays.relaysFor(asker, internal::RelaysNamed);
-}
-
-/** \returns what any agent may know: who leads, and the ways there. */
-schema::AttendReply WorkflowRunner::makeReply(const schema::AttendRequest& request) {
-  schema::AttendReply reply;
-  reply.set_term(m_driver.replica().term());
-  reply.set_wait_ms(static_cast<std::uint32_t>(toMilliseconds(m_ledger.reportWait())));
-  if (m_membersSource) {
-    for (const ReplicaId id : m_membersSource()) reply.add_members(id);
-  }
-  for (const std::uint32_t id : relaysFor(request.agent())) reply.add_relays(id);
-  reply.set_directory(internal::directory_of(reply));
-  if (reply.directory() != request.directory()) return reply;
-  reply.clear_members();
-  reply.clear_relays();
-  return reply;
-}
-
-/** Nothing of the report is lost: its agent tells it again at once. */
-schema::AttendReply WorkflowRunner::askForWhole(const schema::AttendRequest& request) {
-  m_context.metrics.count("reports_incomplete", "all");
-  schema::AttendReply reply = makeReply(request);
-  reply.set_whole_wanted(true);
-  return reply;
-}
-
-/** Losses are told for themselves; most ends are of work that is done, and those go with the story of their workflow.
- */
-void WorkflowRunner::tellEnded(const schema::RunEnd& end, const schema::AttendRequest& report) const {
-  const bool usual = end.kind() == schema::RunDone || end.kind() == schema::RunStopped;
-  const auto log = [&](std::initializer_list<LogField> fields) {
-    usual ? logStory(schema::RunEnded, end.task().workflow(), fields) : logEvent(schema::RunEnded, fields);
-  };
-  log({{"task", taskText(end.task())},
-       {"run", std::uint64_t{end.run()}},
-       {"kind", schema::RunEndKind_Name(end.kind())},
-       {"target", m_ledger.runs().at(runKeyOf(end.task(), end.run())).target},
-       {"reporting", report.target().id()},
-       {"reason", internal::reason_of(end, report)},
-       {"sequence", report.sequence()},
-       {"reportTerm", report.term()},
-       {"ageMs", std::uint64_t{report.running_age_ms()}}});
-}
-
-schema::RecordRuns WorkflowRunner::endsIn(const schema::AttendRequest& report, Time received) {
-  schema::RecordRuns runs;
-  for (schema::RunEnd& end : m_ledger.takeReport(report, received)) {
-    noteWholeTime(end, received);
-    noteLived(end);
-    tellEnded(end, report);
-    *runs.add_ends() = std::move(end);
-  }
-  return runs;
-}
-
-Awaitable<Result<schema::AttendReply>> WorkflowRunner::attend(schema::AttendRequest request) {
-  const Time received = BootClock::now();
-  if (!leads(received)) co_return fail(m_driver.noLeader("attend"));
-  if (m_ledger.isOvertaken(request)) {
-    logEvent(schema::ReportRefused, {{"agent", request.agent()}, {"sequence", request.sequence()}});
-    co_return fail(Failure{FailureCode::Fenced, Ran::No, "attend", request.agent(), "a newer report has come", 0});
-  }
-  if (m_ledger.isCurrent(request) && !m_ledger.complete(request)) co_return askForWhole(request);
-  const std::uint64_t term = m_driver.replica().term();
-  const bool wasKnown = m_ledger.isKnown(request);
-  const bool wasAsked = m_ledger.asked(request.agent());
-  const TargetOffer offered = m_ledger.offer(request.agent(), received);
-  schema::RecordRuns runs = endsIn(request, received);
-  // Answered at once: the agent's next report carries this term, and counts.
-  if (!m_ledger.isCurrent(request)) co_return makeReply(request);
-  if (runs.ends_size() > 0 && !co_await commitRuns(std::move(runs))) co_return fail(m_driver.noLeader("attend"));
-  notifyAgent(request.agent());  // a report that is held back has been overtaken
-  // Ends wake the planner when they are applied; how far runs have come counts at the next tick.
-  if (wasAsked || m_ledger.offer(request.agent(), received) != offered) wake();
-  const Time end = received + milliseconds(request.wait_ms());
-  // After an outage little is left of a former leader's grant.
-  const bool hasNews = !wasKnown || request.ends_size() > 0 || request.started_size() > 0;
-  while (leads() && !hasNews && !m_released && BootClock::now() < end) {
-    if (m_ledger.asked(request.agent()) || m_ledger.isOvertaken(request)) break;
-    if (m_ledger.hasOrders(request.agent(), table(), BootClock::now())) break;
-    co_await m_agentSignals[request.agent()].wait(end);
-  }
-  // What was taken in before a change of leader is forgotten, and must not be answered in a later term.
-  // One instant for the check and the grant: a process that is paused in between must not grant beyond its lease.
-  const Time now = BootClock::now();
-  const bool sameLeader = leads(now) && m_driver.replica().term() == term;
-  if (!sameLeader || m_released) co_return fail(m_driver.noLeader("attend"));
-  schema::AttendReply reply = makeReply(request);
-  reply.set_target_version(request.target_version());
-  reply.set_ends_target(request.target().id());
-  for (const schema::EndReport& row : request.ends()) {
-    reply.set_ends_taken(std::max<std::uint64_t>(reply.ends_taken(), row.number()));
-  }
-  // The way of a report that was overtaken may be cut; its answer brings nothing that must arrive.
-  if (!m_ledger.isOvertaken(request)) {
-    for (schema::RunOrder& order : m_ledger.takeOrders(request.agent(), table(), now)) {
-      *reply.add_orders() = std::move(order);
-    }
-  }
-  reply.set_grant_ms(static_cast<std::uint32_t>(toMilliseconds(m_ledger.grant(request.agent(), now))));
-  reply.set_held_ms(static_cast<std::uint32_t>(toMilliseconds(now - received)));
-  co_return reply;
-}
-
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -20,12 +20,8 @@
 
 /** Of the time for which an agent may be silent, so much is left to a report and its answer on their ways. */
 constexpr Duration ReportWay = milliseconds(1000);
-/** Reports of targets that went at one moment come within this time of each other. */
-constexpr Duration GoneTogether = milliseconds(500);
 /** While more than one of so many known targets is a new one, the others are not all there yet. */
 constexpr std::size_t KnownPerArriving = 16;
-/** Two targets may well go at one moment for causes of their own. */
-constexpr std::size_t LeastOthers = 2;
 
 /** \returns whether a report's lists show a run at the target that it tells of. */
 bool shows(const schema::AttendRequest& report, const RunKey& key) {
@@ -61,8 +57,6 @@
   return std::max(least, milliseconds(std::int64_t{1000} * settings.outage_s()) + internal::ElectionAllowance);
 }
 
-bool speaksForOthers(std::size_t others) { return others >= internal::LeastOthers; }
-
 RunKey runKeyOf(const schema::TaskId& task, std::uint32_t run) { return {task.workflow(), keyOf(task), run}; }
 
 void RunLedger::lead(const WorkflowTable& table, Time now, std::uint64_t term) {
@@ -221,72 +215,6 @@
   return ends;
 }
 
-void RunLedger::noteMissed(const std::string& agent, TargetTrack& target, Time now) {
-  const auto [first, last] = m_missed.equal_range(target.missedSince);
-  const auto former = std::find_if(first, last, [&agent](const auto& entry) { return entry.second == agent; });
-  if (former != last) m_missed.erase(former);
-  target.missedSince = now;
-  m_missed.emplace(now, agent);
-  target.missedWith.clear();
-  for (const RunKey& key : m_byAgent[agent]) target.missedWith.insert(key.workflow);
-}
-
-/** Tasks of one workflow may crash as many targets at once as it is wide; a cause outside hits others too, however
- * large the fleet. */
-bool RunLedger::wentWithOthers(const std::string& agent, const std::string& workflow) const {
-  const Time since = m_targets.at(agent).missedSince;
-  if (since == Time{}) return false;
-  std::size_t others = 0;
-  const auto last = m_missed.upper_bound(since + internal::GoneTogether);
-  for (auto missed = m_missed.lower_bound(since - internal::GoneTogether); missed != last; ++missed) {
-    if (m_targets.at(missed->second).missedWith.count(workflow) == 0) ++others;
-    if (speaksForOthers(others)) return true;
-  }
-  return false;
-}
-
-/** \returns whether a run may have begun although its agent knows nothing of it. */
-bool RunLedger::mayHaveBegun(const RunTrack& track, std::uint64_t incarnation) const {
-  return track.inherited || (track.deliveredTo != 0 && track.deliveredTo != incarnation);
-}
-
-/** Only the agent beside a target saw how closely its going away followed a start. \param before what the agent last
- * reported of the target that was lost */
-void RunLedger::noteCrashes(const schema::AttendRequest& report, const schema::TargetReport& before,
-                            std::vector<schema::RunEnd>& ends) const {
-  std::map<RunKey, const schema::LostRun*> lost;
-  for (const schema::LostRun& row : report.lost()) lost.emplace(runKeyOf(row.task(), row.run()), &row);
-  for (schema::RunEnd& end : ends) {
-    if (end.kind() != schema::RunTargetLost && end.kind() != schema::RunLapsed) continue;
-    const RunKey key = runKeyOf(end.task(), end.run());
-    const RunTrack& track = m_runs.at(key);
-    const auto row = lost.find(key);
-    const bool planned = before.id() == track.target && before.draining();
-    const bool untold = end.kind() == schema::RunTargetLost && !planned && mayHaveBegun(track, report.incarnation());
-    if (row == lost.end()) {
-      end.set_crash(untold ? schema::CrashUnclear : schema::NoCrash);
-      continue;
-    }
-    // Not right after its start, and others went too: the cause lies outside.
-    const bool later = row->second->crash() == schema::CrashUnclear && row->second->after_ms() > 0;
-    const bool outside = later && wentWithOthers(report.agent(), key.workflow);
-    end.set_crash(outside ? schema::NoCrash : row->second->crash());
-    end.set_crash_after_ms(row->second->after_ms());
-  }
-}
-
-bool RunLedger::lived(const RunKey& key, std::uint32_t members) const {
-  const auto own = m_runs.find(key);
-  if (own == m_runs.end() || own->second.firstSeen == Time{}) return false;
-  Time since = own->second.firstSeen;
-  for (std::uint32_t index = 0; members > 1 && index < members; ++index) {
-    const auto member = m_runs.find({key.workflow, {key.task.occurrence, key.task.step, index}, key.run});
-    if (member == m_runs.end() || member->second.firstSeen == Time{}) return false;
-    since = std::max(since, member->second.firstSeen);
-  }
-  return own->second.seen - since >= StartPhase;
-}
-
 void RunLedger::takeRows(const schema::AttendRequest& report, Time now) {
   TargetTrack& target = m_targets[report.agent()];
   const Time seen = now - milliseconds(report.running_age_ms());
