A life that is over takes no more orders, and what it never began speaks against no task

It settled that one run as lost with its target, went on reporting the dead life as in reach, and its word on the lost run held an unclear crash against the task. The leader gave the next order to the same dead life 1 ms later: three runs in 9 ms, the fifth crash, and the workflow failed. The next look, sent after the new life had announced itself, carried the number of ends that the former life was to forget, and was carried out late: the new life forgot its own first two ends, of a run that was done, and the run began again. Change: another identity that answers ends the present life at once: all that ran there is settled, and the target is reported out of reach until the next life is confirmed; a life that answers under the same identity closes the target too. A run whose start was refused, or answered by another life, is no crash. While another life has announced itself, looks let nothing be forgotten.

--- a/Courseloom/src/Agent/RunAgentLives.cpp
+++ b/Courseloom/src/Agent/RunAgentLives.cpp
@@ -157,7 +157,9 @@
 /** A target that stays silent may have crashed for good: only a silence that began with the run accuses it. */
 void RunAgentService::noteLost(const RunKey& key, schema::RunEndKind kind) {
   if (kind != schema::RunTargetLost && kind != schema::RunLapsed) return;
-  CrashSight sight = crashUnder(key);
+  const auto run = m_runs.find(key);
+  const bool neverBegan = run != m_runs.end() && run->second.neverBegan;
+  CrashSight sight = neverBegan ? CrashSight{} : crashUnder(key);
   if (kind == schema::RunLapsed && sight.kind == schema::CrashUnclear) sight.kind = schema::NoCrash;
   schema::LostRun& lost = m_lost[key];
   *lost.mutable_task() = makeTaskId(key.workflow, key.task);
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -135,8 +135,9 @@
   // which life refuses: only the answer to a look brings the life a higher one.
   const std::uint64_t step = m_life->fenced ? raiseFence() : m_life->step;
   hold.token = Fence::token(step, m_term);
-  // After silence another life may answer, whose first ends have the same numbers; it must not forget them.
-  hold.lastSeen = m_life->failures > 0 ? 0 : m_life->endsTaken;
+  // After silence or an announcement another life may answer, whose first ends have the same numbers; it must not
+  // forget them.
+  hold.lastSeen = m_life->failures > 0 || !m_announced.empty() ? 0 : m_life->endsTaken;
   hold.waitMs = waitMs;
   const Duration limit = milliseconds(waitMs) + milliseconds(m_context.settings.runner().order_limit_ms());
   Result<TargetAnswer> answer = co_await m_port->hold(life, hold, limit);
@@ -151,7 +152,8 @@
   }
   if (taken) takeSuccessor(*answer);
   if (answer && answer->verdict == TargetVerdict::OtherLife) {
-    settleAll(schema::RunTargetLost, "another life answers");
+    endLife();
+    co_return false;
   }
   if (!answer) takeMiss();
   takeSilence();
@@ -161,6 +163,7 @@
 /** Another life answers under the same identity, so that the present one is over; but it may have begun runs that were
  * meant for the present one. It is taken in once it has announced itself. */
 void RunAgentService::takeSuccessor(const TargetAnswer& answer) {
+  closeTarget();
   if (std::exchange(m_life->successor, answer.life) == answer.life) return;
   logEvent(schema::TargetBornAgain, {{"target", m_life->report.id()},
                                      {"answers", answer.life},
@@ -218,6 +221,16 @@
   if (m_life->missedAt == Time{}) m_life->missedAt = BootClock::now();
 }
 
+/** The next silence makes the present life one that is out of reach. */
+void RunAgentService::closeTarget() { m_life->failures = std::max(m_life->failures, FailuresUnreachable - 1); }
+
+/** Another identity answers, so that the present life is over and takes nothing more. */
+void RunAgentService::endLife() {
+  settleAll(schema::RunTargetLost, "another life answers");
+  closeTarget();
+  takeSilence();
+}
+
 void RunAgentService::takeSilence() {
   ++m_life->failures;
   if (m_life->failures == FailuresUnreachable) {
@@ -332,8 +345,15 @@
     news();
     co_return;
   }
-  const bool neverBegan = (answer && answer->verdict == TargetVerdict::Refused && answer->reason != "old");
-  if (neverBegan) {
+  const bool refused = answer && answer->verdict == TargetVerdict::Refused && answer->reason != "old";
+  const bool otherLife = answer && answer->verdict == TargetVerdict::OtherLife;
+  const auto own = m_runs.find(key);
+  if (own != m_runs.end()) own->second.neverBegan = refused || otherLife;
+  if (otherLife) {
+    endLife();
+    co_return;
+  }
+  if (refused) {
     logEvent(schema::RunRefused, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"reason", answer->reason}});
   } else {
     logEvent(schema::RunInDoubt, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"target", life}});
@@ -355,7 +375,7 @@
     if (!isOpen(life, key)) co_return;
     if (!answer) takeMiss();
     if (answer && answer->verdict == TargetVerdict::OtherLife) {
-      settle(order.task(), order.run(), schema::RunTargetLost, "another life answers");
+      endLife();
       co_return;
     }
     // A refusal has changed nothing at the target: a start that is still on its way would begin the run afterwards.
@@ -379,6 +399,7 @@
   const auto found = m_runs.find(key);
   if (found == m_runs.end()) co_return;
   found->second.busy = false;
+  found->second.neverBegan = false;
   if (!listed(key)) settle(order.task(), order.run(), schema::RunVoided, "never began");
 }
 
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -57,7 +57,8 @@
   static constexpr unsigned FailuresUnreachable = 2;
 
   struct LocalRun {
-    bool busy = false;  ///< a call for it is under way
+    bool busy = false;        ///< a call for it is under way
+    bool neverBegan = false;  ///< its start was answered, and began nothing
   };
   /** What a target's going away says of one run that was there. */
   struct CrashSight {
@@ -126,6 +127,8 @@
   void takeSuccessor(const TargetAnswer& answer);
   void takeMiss();
   void takeSilence();
+  void closeTarget();
+  void endLife();
   bool inTouch() const;
   bool granted() const { return BootClock::now() < m_grantUntil; }
   bool isLife(const std::string& life) const { return m_life && m_life->report.id() == life; }
--- a/test/AgentStage.cpp
+++ b/test/AgentStage.cpp
@@ -90,10 +90,11 @@
 Awaitable<Result<TargetAnswer>> FakeTarget::hold(std::string life, TargetHold hold, Duration) {
   co_await sleepFor(milliseconds(std::min<std::uint32_t>(hold.waitMs, 20)));
   if (m_script.silent) co_return noAnswer();
-  if (m_script.busy) co_return answerOf(TargetVerdict::Refused, "429");
+  if (m_script.busy || life == m_script.busyFor) co_return answerOf(TargetVerdict::Refused, "429");
   if (life != m_script.life) co_return answerOf(TargetVerdict::OtherLife);
   ++m_script.looks;
   m_script.lookTokens.try_emplace(life, hold.token);
+  m_script.lastSeen = hold.lastSeen;
   co_await sleepFor(m_script.answersAfter);
   TargetAnswer answer = answerOf(TargetVerdict::Taken);
   answer.life = m_script.life;
--- a/test/AgentStage.h
+++ b/test/AgentStage.h
@@ -35,6 +35,7 @@
   unsigned stopsRefused = 0;            ///< so many stops are answered 429 and do nothing
   bool silent = false;                  ///< answers nothing
   bool busy = false;                    ///< answers looks with 429, whatever life they are meant for
+  std::string busyFor;                  ///< answers looks that are meant for this life with 429
   bool standsStill = false;             ///< lists a run that does not move
   std::vector<schema::EndReport> ends;  ///< what it lists as ended
   Duration answersAfter{};              ///< looks are answered this late
@@ -47,6 +48,7 @@
   unsigned looks = 0;                                ///< answered ones
   std::map<std::string, std::uint64_t> startTokens;  ///< highest token of a start, by the life that was meant
   std::map<std::string, std::uint64_t> lookTokens;   ///< token of the first answered look, by life
+  std::uint64_t lastSeen = 0;                        ///< ends that the newest answered look let the target forget
 };
 
 /** \class FakeTarget
--- a/test/run_agent_fates.cpp
+++ b/test/run_agent_fates.cpp
@@ -186,8 +186,66 @@
   std::uint64_t m_term = 1;
 };
 
+/** Orders one run when another life has taken the place of the one that is meant, and notes what is told of both. */
+class LateLeader : public FakeLeader {
+ public:
+  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
+    schema::AttendReply answer = grantReply(LongGrantMs);
+    if (request.target().id() == "i-1") target->life = "i-2";
+    for (const schema::EndReport& end : request.ends()) ended = ended || end.kind() == schema::RunTargetLost;
+    for (const schema::LostRun& lost : request.lost()) accused = accused || lost.crash() != schema::NoCrash;
+    if (ended) reachable = request.target().reachable();
+    orderOnce(request, answer);
+    if (request.wait_ms() > 0) co_await sleepFor(milliseconds(20));
+    co_return answer;
+  }
+  bool ended = false;
+  bool accused = false;
+  bool reachable = true;
+};
+
+/** Takes the ends of the target in. */
+class TakingLeader : public FakeLeader {
+ public:
+  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
+    schema::AttendReply answer = grantReply(LongGrantMs);
+    answer.set_ends_target(request.target().id());
+    for (const schema::EndReport& end : request.ends()) answer.set_ends_taken(end.number());
+    if (request.wait_ms() > 0) co_await sleepFor(milliseconds(20));
+    co_return answer;
+  }
+};
+
 }  // namespace
 
+// Each order to a life that had gone was answered by its successor, counted as a crash under the task, and was given
+// again within milliseconds: five innocent runs in a row gave its workflow up.
+Test(run_agent_fates, a_start_that_another_life_answers_accuses_nothing_and_closes_the_target) {
+  LateLeader leader;
+  Stage stage(leader);
+  stage.run(milliseconds(800));
+  cr_assert(leader.ended, "the run was not settled");
+  cr_assert_not(leader.accused, "a run that never began is held against its task");
+  cr_assert_not(leader.reachable, "the leader goes on giving orders to a life that is over");
+}
+
+// A look with the number of ends that the former life was to forget reached its successor, which forgot its own first
+// ones: a run that was done began again.
+Test(run_agent_fates, ends_are_kept_while_another_life_has_announced_itself) {
+  TakingLeader leader;
+  Stage stage(leader);
+  schema::EndReport& end = stage.target.ends.emplace_back();
+  end.set_number(5);
+  *end.mutable_task() = startOrder().task();
+  end.set_run(1);
+  stage.run(milliseconds(600));
+  cr_assert_eq(stage.target.lastSeen, 5);
+  stage.target.busyFor = "i-2";
+  stage.announce("i-2", 1);
+  stage.run(milliseconds(400));
+  cr_assert_eq(stage.target.lastSeen, 0);
+}
+
 Test(run_agent_fates, a_refused_stop_is_no_proof_that_a_run_never_began) {
   DoubtfulLeader leader;
   Stage stage(leader);
