Starts that a former leader ordered are inherited, also when they are applied after its successor began

Cause: a new leader took as inherited what was active in the log when it began. A replica that had been started with all others becomes leader before its predecessor's last entries are applied (BecameLeader 58.846, ends and starts of 56.6 to 57.0 applied at 58.848), so that these starts counted as its own, never ordered. The agent beside them had been killed as well and could tell nothing: the first of three crashes was held against nobody, and one start too many followed. Change: what is applied until the leader's own term has begun in the log is inherited. Test: run_ledger, a_run_that_a_former_leader_ordered_is_accused_though_its_start_is_applied_late (the way it was is its first case: not accused).

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -78,6 +78,7 @@
 
 void WorkflowRunner::lead(bool leads) {
   m_leads = leads;
+  m_inherits = leads;
   m_queuesOf = 0;
   m_queues.clear();
   m_relays.clear();
@@ -109,7 +110,9 @@
   const std::vector<RunChange> changes = m_driver.takeRunChanges();
   const std::vector<std::string> ended = m_driver.takeEndedWorkflows();
   if (!m_leads) return;
-  m_ledger.apply(changes, BootClock::now());
+  m_ledger.apply(changes, BootClock::now(), m_inherits);
+  // What this leader starts is proposed once it leads, and applied later.
+  if (leads()) m_inherits = false;
   for (const RunChange& change : changes) {
     if (change.started) noteStarted(change);
     if (!change.started) m_context.metrics.count("run_ends", schema::RunEndKind_Name(change.kind));
@@ -384,6 +387,7 @@
     while (!m_dirty) co_await m_planWanted.wait(BootClock::now() + milliseconds(1000));
     m_dirty = false;
     if (!leads()) continue;
+    m_inherits = false;
     const Time before = BootClock::now();
     schema::RecordRuns runs = co_await makePlan();
     m_planTook = BootClock::now() - before;
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -171,6 +171,7 @@
   Duration m_planTook{};        ///< by the last plan
   bool m_guaranteesFit = true;  ///< as last told
   bool m_leads = false;
+  bool m_inherits = false;  ///< what is applied now was committed, or proposed, by a former leader
   bool m_dirty = false;
   bool m_released = false;
 };
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -89,10 +89,11 @@
   m_byAgent[run.agent()].insert(key);
 }
 
-void RunLedger::apply(const std::vector<RunChange>& changes, Time now) {
+void RunLedger::apply(const std::vector<RunChange>& changes, Time now, bool inherited) {
   for (const RunChange& change : changes) {
     if (change.started) {
       add(change.task, change.run, now);
+      m_runs.at(runKeyOf(change.task, change.run.number())).inherited = inherited;
       continue;
     }
     const RunKey key = runKeyOf(change.task, change.run.number());
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -123,8 +123,9 @@
 
   /** Begins to lead: everything that a former leader knew has to be learnt again. \param term in which it leads */
   void lead(const WorkflowTable& table, Time now, std::uint64_t term = 0);
-  /** Takes committed changes in. */
-  void apply(const std::vector<RunChange>& changes, Time now);
+  /** Takes committed changes in. \param inherited whether a former leader made them: their starts may have been ordered
+   */
+  void apply(const std::vector<RunChange>& changes, Time now, bool inherited = false);
   /** \returns whether a report counts here: its agent has had an answer of this leader, so that the report cannot be
    * older than the leader itself. Any other is only to be answered. */
   bool isCurrent(const schema::AttendRequest& report) const;
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -678,6 +678,24 @@
   }
 }
 
+// A leader that was started with all other replicas begins before its predecessor's last starts are applied.
+Test(run_ledger, a_run_that_a_former_leader_ordered_is_accused_though_its_start_is_applied_late) {
+  for (const bool inherited : {false, true}) {
+    LedgerTable test;
+    test.attend(test.report());
+    schema::RecordRuns runs;
+    schema::RunStart* row = runs.add_starts();
+    *row->mutable_task() = makeTaskId("w", {0, 0, 0});
+    row->mutable_run()->set_number(1);
+    row->mutable_run()->set_target("life-1");
+    row->mutable_run()->set_agent("agent");
+    test.table.record(runs, 2);
+    test.ledger.apply(test.table.takeRunChanges(), test.now, inherited);
+    test.attend(test.report("life-2"));
+    cr_assert_eq(test.table.find("w")->accusedTasks, inherited ? 1 : 0);
+  }
+}
+
 // Many targets go at one moment: what ran there for a while did not cause it, what had just been started may have.
 Test(run_ledger, targets_that_go_together_accuse_only_what_had_just_been_started) {
   for (const schema::CrashKind kind : {schema::CrashUnclear, schema::CrashAtStart}) {
