--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -22,6 +22,7 @@
 
 constexpr Duration HeardLimit = milliseconds(30000);
 constexpr const char* LongRunMs = "120000";
+constexpr unsigned AcceleratorsOfTarget = 8;
 
 /** What one number of agents came to. */
 struct FleetRow {
@@ -47,18 +48,14 @@
 /** A run at every second agent, as on a day with some load. */
 void addRuns(WorkflowDeployment& deployment, const AgentCrowd& crowd, std::size_t agents) {
   const std::size_t wanted = agents / 2;
-  const auto count = static_cast<unsigned>(wanted);
-  const std::string body = R"({"spec":")" + std::string(LongRunMs) + R"(","steps":[{"count":)" + std::to_string(count) +
-                           R"(,"cpu":1000,"mem_mb":100,"gpu":8,"estimate_ms":)" + LongRunMs +
-                           R"(,"checkpointing":true}]})";
+  const std::string body = job(static_cast<unsigned>(wanted), LongRunMs, false, AcceleratorsOfTarget);
   deployment.until(200, "POST", "/q/00000000feed0001", body);
   waitFor([&] { return crowd.running() >= wanted; });
 }
 
 /** \returns the mean time of the planner's passes over two seconds in which a step waits that fits nowhere, ms. */
 double planTime(WorkflowDeployment& deployment, unsigned leader) {
-  const std::string tooLarge =
-      R"({"spec":"100","steps":[{"count":1,"cpu":1000,"mem_mb":100,"gpu":64,"estimate_ms":200}]})";
+  const std::string tooLarge = job(1, "100", false, 8 * AcceleratorsOfTarget);
   deployment.until(200, "POST", "/q/00000000feed0002", tooLarge);
   const double plans = deployment.metric(leader, "courseloom_plan_ms_count");
   const double sum = deployment.metric(leader, "courseloom_plan_ms_sum");
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -41,9 +41,11 @@
          key + R"("],"guaranteed":{"gpu":8}}]})";
 }
 
-inline std::string job(unsigned count, const std::string& spec, bool gang = false) {
+/** \param accelerators of each task */
+inline std::string job(unsigned count, const std::string& spec, bool gang = false, unsigned accelerators = 1) {
   return R"({"spec":")" + spec + R"(","steps":[{"count":)" + std::to_string(count) + R"(,"gang":)" +
-         (gang ? "true" : "false") + R"(,"cpu":1000,"mem_mb":100,"gpu":1,"estimate_ms":200,"checkpointing":true}]})";
+         (gang ? "true" : "false") + R"(,"cpu":1000,"mem_mb":100,"gpu":)" + std::to_string(accelerators) +
+         R"(,"estimate_ms":200,"checkpointing":true}]})";
 }
 
 inline std::string gang(unsigned count, const std::string& spec) { return job(count, spec, true); }
--- a/test/leader_costs.cpp
+++ b/test/leader_costs.cpp
@@ -39,8 +39,7 @@
 Test(leader_costs, reports_without_news_make_no_plans) {
   Followed test(Few);
   // No target has so many accelerators: the step waits, and there is something to plan.
-  const std::string tooLarge =
-      R"({"spec":"100","steps":[{"count":1,"cpu":1000,"mem_mb":100,"gpu":64,"estimate_ms":200}]})";
+  const std::string tooLarge = job(1, "100", false, 64);
   cr_assert(test.deployment.until(200, "POST", "/q/00000000000002a0", tooLarge));
   const double plans = test.deployment.metric(test.leader, "courseloom_plan_ms_count");
   const std::size_t reports = test.crowd->reports();
