--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -452,7 +452,8 @@
       m_delayed.push_back({m_now + upTo(4000), request});
       return;
     }
-    if (m_duplicates() % 50 == 0) m_delayed.push_back({m_now + milliseconds(1 + m_duplicates() % 4000), request});
+    if (m_duplicates() % 50 == 0)
+      m_delayed.push_back({m_now + milliseconds(1 + static_cast<std::int64_t>(m_duplicates() % 4000)), request});
     if (m_ledger->isOvertaken(request)) return;
     const bool whole = request.has_target();
     if (m_ledger->isCurrent(request) && !m_ledger->complete(request)) {
