The test of a drained hall waits longer than headroom keeps targets free

Its logs: both agents known at 33.52, the workflow accepted at 33.533, its twelve tasks placed at 37.625. Cause: two whole targets are kept free for urgent work for 4,000 ms (headroomWaitMs), and the deployment has two. So the first start comes after 4.0 to 4.1 s in every run, and the test looked for about 4.2 s. Change: the limit of that wait is 20 s; what is checked stays. Not a loosened bound: no rule or aim says that work of low priority starts within 4 s while headroom is kept.

--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -130,7 +130,8 @@
   test.setUp();
   cr_assert_eq(test.order("/-/Evacuations.Start/no/hall"), 400);
   cr_assert_eq(test.call("POST", "/q/00000000000000f0", job(12, "1500")).status, 200);
-  for (int wait = 0; wait < 200 && !test.runner(2, "GET", "/starts").has("00000000000000f0"); ++wait) pause(20);
+  // Both targets are kept free for urgent work for the first four seconds.
+  for (int wait = 0; wait < 1000 && !test.runner(2, "GET", "/starts").has("00000000000000f0"); ++wait) pause(20);
   cr_assert(test.runner(2, "GET", "/starts").has("00000000000000f0"));
   cr_assert_eq(test.order("/-/Evacuations.Start/hall-2"), 200);
   cr_assert_eq(test.order("/-/Evacuations.Start/hall-2"), 200, "the same again");
