A run is told to be inherited where it is added

Read once more: the ledger added a run and then looked it up again to mark it as inherited, in two places.

--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -70,20 +70,18 @@
   m_missed.clear();
   for (const std::string& id : table.open()) {
     for (const auto& [key, task] : table.find(id)->tasks) {
-      for (const schema::ActiveRun& run : task.active) {
-        add(makeTaskId(id, key), run, now);
-        m_runs.at(runKeyOf(makeTaskId(id, key), run.number())).inherited = true;
-      }
+      for (const schema::ActiveRun& run : task.active) add(makeTaskId(id, key), run, now, true);
     }
   }
 }
 
-void RunLedger::add(const schema::TaskId& task, const schema::ActiveRun& run, Time now) {
+void RunLedger::add(const schema::TaskId& task, const schema::ActiveRun& run, Time now, bool inherited) {
   const RunKey key = runKeyOf(task, run.number());
   RunTrack& track = m_runs[key];
   track.agent = run.agent();
   track.target = run.target();
   track.checkpoint = run.checkpoint();
+  track.inherited = inherited;
   track.startedAt = now;
   track.percentChanged = now;
   m_byAgent[run.agent()].insert(key);
@@ -92,8 +90,7 @@
 void RunLedger::apply(const std::vector<RunChange>& changes, Time now, bool inherited) {
   for (const RunChange& change : changes) {
     if (change.started) {
-      add(change.task, change.run, now);
-      m_runs.at(runKeyOf(change.task, change.run.number())).inherited = inherited;
+      add(change.task, change.run, now, inherited);
       continue;
     }
     const RunKey key = runKeyOf(change.task, change.run.number());
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -199,7 +199,7 @@
   bool startDue(const RunTrack& track, Time now) const;
   bool stopDue(const RunKey& key, const RunTrack& track, const WorkflowTable& table, Time now) const;
   Time heldUntil(const std::string& agent) const;
-  void add(const schema::TaskId& task, const schema::ActiveRun& run, Time now);
+  void add(const schema::TaskId& task, const schema::ActiveRun& run, Time now, bool inherited);
 
   RunLedgerOptions m_options;
   Time m_leaderSince{};
