A run lapses only when its target's next incarnation can't start it any more

Cause: a start order reached a target that had just restarted under its identity and carried it out late. The agent reported the run as lapsed by the clock of the former incarnation, the leader placed the next run elsewhere, and 55 ms later the first one began: the successor's clock was behind the order's deadline, and it had seen no higher token. A second fault on the same lists: answers to polls may arrive in another order, and an older list brought back a run whose end was committed. No later list removed it, and beside a run of unknown demand the agent refused every start (64 and 56 refusals in a row on one target). Change: a successor that answers a poll is polled under a newer fence step, and runs lapse only once it has answered that; runs that it lists don't lapse. Lists that are older by the target's clock are ignored, a stop order for a run whose end is listed adds no entry, and a run that the target was known to have and no longer lists is settled. The fake target of the tests lists the runs that it has accepted. spec/run.pml models calls sent to the next incarnation before it is fenced.

--- a/Courseloom/src/Agent/RunAgentLeader.cpp
+++ b/Courseloom/src/Agent/RunAgentLeader.cpp
@@ -166,6 +166,7 @@
   const auto found = m_runs.find(key);
   if (found != m_runs.end() && found->second.busy) return;
   if (order.kind() == schema::OrderStop) {
+    if (isListedAsEnded(key)) return notifyPendingChanges();  // the leader has not received the report of the end yet
     m_runs[key].busy = true;
     asio::co_spawn(m_strand, stopRun(order), asio::detached);
     return;
--- a/Courseloom/src/Agent/RunAgentLives.cpp
+++ b/Courseloom/src/Agent/RunAgentLives.cpp
@@ -105,6 +105,7 @@
   // After this step the target refuses calls meant for a former incarnation, so the lists in the answer are complete:
   // they hold all runs that such calls can ever have begun in this incarnation.
   const std::uint64_t step = nextFenceStep();
+  const Time sentAt = BootClock::now();
   TargetHold hold;
   hold.token = Fence::token(step, m_term);
   Result<TargetAnswer> answer =
@@ -116,7 +117,7 @@
   if (accepted && answer->incarnation == incarnation) {
     beginIncarnation(found->second);
     m_target->step = step;
-    applyPoll(*answer, BootClock::now());
+    applyPoll(*answer, sentAt, BootClock::now());
   } else {
     if (accepted && isCurrentIncarnation(answer->incarnation)) m_target->step = std::max(m_target->step, step);
     logEvent(schema::TargetDisowned, {{"target", incarnation}, {"present", m_target ? m_target->report.id() : ""}});
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -139,14 +139,17 @@
   TargetHold hold;
   hold.deadlineMs = holdDeadline();
   // Calls to this incarnation must not carry a token with which a successor may have been polled, and a refusal does
-  // not name the refusing incarnation. Therefore only the answer to a poll raises the step of this incarnation.
-  const std::uint64_t step = m_target->fenced ? nextFenceStep() : m_target->step;
+  // not name the refusing incarnation. Therefore only the answer to a poll raises the step of this incarnation. A
+  // successor gets a newer step at once, so that it refuses calls to this incarnation that are still in transit.
+  const bool newStep = m_target->fenced || !m_target->successor.empty();
+  const std::uint64_t step = newStep ? nextFenceStep() : m_target->step;
   hold.token = Fence::token(step, m_term);
   // After an unanswered poll or an announcement another incarnation may answer. Its first ends have the same numbers,
   // and it must not forget them.
   hold.lastSeen = m_target->failures > 0 || !m_announced.empty() ? 0 : m_target->endsTaken;
   hold.waitMs = waitMs;
   const Duration limit = milliseconds(waitMs) + milliseconds(m_context.settings.runner().order_limit_ms());
+  const Time sentAt = BootClock::now();
   Result<TargetAnswer> answer = co_await m_port->hold(incarnation, hold, limit);
   if (!isCurrentIncarnation(incarnation)) co_return false;
   const bool accepted = answer && answer->verdict == TargetVerdict::Accepted;
@@ -154,10 +157,10 @@
   if (m_target->fenced) m_fence.skipAhead();
   if (accepted && answer->incarnation == incarnation) {
     m_target->step = std::max(m_target->step, step);
-    applyPoll(*answer, BootClock::now());
+    applyPoll(*answer, sentAt, BootClock::now());
     co_return true;
   }
-  if (accepted) handleSuccessor(*answer);
+  if (accepted) handleSuccessor(*answer, step);
   if (answer && answer->verdict == TargetVerdict::OtherIncarnation) {
     endIncarnation();
     co_return false;
@@ -168,10 +171,16 @@
 }
 
 /** Handles an answer of another incarnation under the same identity. The current incarnation has ended. The successor
- * may have begun runs that were meant for the current one. It becomes current after it has announced itself. */
-void RunAgentService::handleSuccessor(const TargetAnswer& answer) {
+ * may have begun runs that were meant for the current one, and until it has seen a newer token it may still begin
+ * others. It becomes current after it has announced itself. \param step fence step of the answered poll */
+void RunAgentService::handleSuccessor(const TargetAnswer& answer, std::uint64_t step) {
   allowNoMoreFailures();
-  if (std::exchange(m_target->successor, answer.incarnation) == answer.incarnation) return;
+  const bool isNew = std::exchange(m_target->successor, answer.incarnation) != answer.incarnation;
+  m_target->successorFenced = step > m_target->step;
+  m_target->successorRuns.clear();
+  for (const schema::RunReport& row : answer.running) m_target->successorRuns.insert(runKeyOf(row.task(), row.run()));
+  for (const schema::EndReport& row : answer.ends) m_target->successorRuns.insert(runKeyOf(row.task(), row.run()));
+  if (!isNew) return;
   logEvent(schema::TargetBornAgain, {{"target", m_target->report.id()},
                                      {"answers", answer.incarnation},
                                      {"clockMs", answer.clockMs},
@@ -179,7 +188,7 @@
                                      {"endsTaken", m_target->endsTaken}});
 }
 
-void RunAgentService::applyPoll(const TargetAnswer& answer, Time receivedAt) {
+void RunAgentService::applyPoll(const TargetAnswer& answer, Time sentAt, Time receivedAt) {
   if (m_target->failures >= UnreachableAfterFailures) {
     logEvent(schema::TargetRegained, {{"target", answer.incarnation}});
     notifyPendingChanges();
@@ -187,25 +196,44 @@
   m_target->failures = 0;
   m_target->unansweredSince = Time{};
   m_target->report.set_reachable(true);
+  // Answers on different connections may arrive in another order. Older lists would bring back runs that have ended.
+  if (answer.clockMs < m_target->listedAtMs) return;
+  m_target->listedAtMs = answer.clockMs;
   recordClock(answer.clockMs);
   m_target->running = answer.running;
   m_target->moreEnds = answer.moreEnds;
   m_target->polledAt = receivedAt;
   if (m_target->progress.note(m_target->running, receivedAt)) notifyPendingChanges();
   for (const schema::RunReport& row : answer.running) {
-    m_runs.try_emplace(runKeyOf(row.task(), row.run()));
+    LocalRun& run = m_runs[runKeyOf(row.task(), row.run())];
+    if (run.knownSince == Time{}) run.knownSince = receivedAt;
   }
   for (const schema::EndReport& end : answer.ends) {
     if (end.number() <= m_target->endsTaken) continue;
     const bool added = m_target->ends.emplace(end.number(), end).second;
-    m_runs.erase(runKeyOf(end.task(), end.run()));
-    m_traits.erase(runKeyOf(end.task(), end.run()));
-    m_target->orderedAt.erase(runKeyOf(end.task(), end.run()));
+    const RunKey key = runKeyOf(end.task(), end.run());
+    forgetRun(key);
+    m_target->orderedAt.erase(key);
     if (added) notifyPendingChanges();
   }
+  settleUnlisted(answer, sentAt);
   paceFillers();
 }
 
+/** Settles runs that the target had before a poll was sent and no longer lists, neither as running nor as ended. Their
+ * ends are committed already, or have been lost; without this, such an entry would take capacity for good. */
+void RunAgentService::settleUnlisted(const TargetAnswer& answer, Time sentAt) {
+  if (answer.moreEnds) return;
+  std::vector<RunKey> unlisted;
+  for (const auto& [key, run] : m_runs) {
+    const bool wasThere = !run.busy && run.knownSince != Time{} && run.knownSince < sentAt;
+    if (wasThere && !isListed(key)) unlisted.push_back(key);
+  }
+  for (const RunKey& key : unlisted) {
+    settle(makeTaskId(key.workflow, key.task), key.run, schema::RunLapsed, "the target does not list it any more");
+  }
+}
+
 // ---- sharing the target
 
 void RunAgentService::paceFillers() {
@@ -249,7 +277,19 @@
     m_target->report.set_reachable(false);
     notifyPendingChanges();
   }
-  if (BootClock::now() > m_holdsEndBy + internal::LapseSlack) settleAll(schema::RunLapsed, "the target is silent");
+  if (BootClock::now() > m_holdsEndBy + internal::LapseSlack) expireRuns();
+}
+
+/** Settles the runs whose holds have ended as lapsed. The holds were for the clock of the current incarnation. A
+ * successor has a clock of its own, by which a delayed start is not late, so it has to be fenced first. The runs that
+ * it has begun end with its own lists, once it is current. */
+void RunAgentService::expireRuns() {
+  if (!m_target->successor.empty() && !m_target->successorFenced) return;
+  const std::map<RunKey, LocalRun> runs = m_runs;
+  for (const auto& [key, run] : runs) {
+    if (m_target->successorRuns.count(key) > 0) continue;
+    settle(makeTaskId(key.workflow, key.task), key.run, schema::RunLapsed, "the target is silent");
+  }
 }
 
 Awaitable<void> RunAgentService::pollLoop() {
@@ -274,9 +314,20 @@
 // ---- orders
 
 bool RunAgentService::isListed(const RunKey& key) const {
-  const auto isKey = [&](const auto& row) { return runKeyOf(row.task(), row.run()) == key; };
-  if (std::any_of(m_target->running.begin(), m_target->running.end(), isKey)) return true;
-  return std::any_of(m_target->ends.begin(), m_target->ends.end(), [&](const auto& row) { return isKey(row.second); });
+  const auto isKey = [&](const schema::RunReport& row) { return runKeyOf(row.task(), row.run()) == key; };
+  return std::any_of(m_target->running.begin(), m_target->running.end(), isKey) || isListedAsEnded(key);
+}
+
+/** \returns whether the target has listed the end of a run that is not committed yet. */
+bool RunAgentService::isListedAsEnded(const RunKey& key) const {
+  const auto isKey = [&](const auto& row) { return runKeyOf(row.second.task(), row.second.run()) == key; };
+  return std::any_of(m_target->ends.begin(), m_target->ends.end(), isKey);
+}
+
+/** Drops a run whose outcome is known. */
+void RunAgentService::forgetRun(const RunKey& key) {
+  m_runs.erase(key);
+  m_traits.erase(key);
 }
 
 /** Records the outcome of a run that the agent has determined, to be reported to the leader. */
@@ -295,8 +346,7 @@
                                 {"kind", schema::RunEndKind_Name(kind)},
                                 {"reason", reason},
                                 {"target", m_target->report.id()}});
-  m_runs.erase(key);
-  m_traits.erase(key);
+  forgetRun(key);
   // A run that never began cannot have crashed the target.
   if (kind == schema::RunVoided) m_target->orderedAt.erase(key);
   notifyPendingChanges();
@@ -351,6 +401,7 @@
     const auto found = m_runs.find(key);
     if (found == m_runs.end()) co_return;  // the run has ended already
     found->second.busy = false;
+    if (found->second.knownSince == Time{}) found->second.knownSince = BootClock::now();
     schema::StartReport& started = m_started[key];
     *started.mutable_task() = order.task();
     started.set_run(order.run());
@@ -413,7 +464,11 @@
   if (found == m_runs.end()) co_return;
   found->second.busy = false;
   found->second.neverStarted = false;
-  if (!isListed(key)) settle(order.task(), order.run(), schema::RunVoided, "never began");
+  if (isListedAsEnded(key)) {
+    forgetRun(key);
+  } else if (!isListed(key)) {
+    settle(order.task(), order.run(), schema::RunVoided, "never began");
+  }
 }
 
 void RunAgentService::reload(const schema::Settings& settings) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "Courseloom/src/Agent/Fence.h"
 #include "Courseloom/src/Agent/FillerPacer.h"
@@ -63,6 +64,7 @@
   struct LocalRun {
     bool busy = false;          ///< a call to the target about this run is in progress
     bool neverStarted = false;  ///< the target answered the start call and did not begin the run
+    Time knownSince{};          ///< when the target was first known to have the run; zero while that is not confirmed
   };
   /** Whether the loss of a target is attributed to one of the runs that were there. */
   struct CrashEvidence {
@@ -84,7 +86,9 @@
     std::chrono::steady_clock::time_point clockAwakeAt;  ///< clockAt by a clock that stops during suspension
     bool deregistered = false;                           ///< the target has announced its end
     unsigned failures = 0;                               ///< number of failed polls in a row
-    std::string successor;   ///< incarnation that answered a poll in place of this one; empty for none
+    std::string successor;           ///< incarnation that answered a poll in place of this one; empty for none
+    bool successorFenced = false;    ///< the successor has answered a poll under a newer fence step
+    std::set<RunKey> successorRuns;  ///< runs that the successor listed then
     std::uint64_t step = 0;  ///< fence step of the newest token under which this incarnation has answered a poll
     bool fenced = false;     ///< this incarnation or a successor refused the newest poll because its token was too low
     std::uint64_t endsTaken = 0;       ///< number of the newest end that the leader has committed
@@ -94,6 +98,7 @@
     bool moreEnds = false;                            ///< the newest poll did not list all ends
     std::vector<schema::RunReport> running;           ///< running runs as of the newest answered poll
     Time polledAt{};                                  ///< when the newest answer to a poll arrived
+    std::uint64_t listedAtMs = 0;                     ///< the target's clock when it made the newest applied lists, ms
     ProgressWatch progress;
   };
 
@@ -130,10 +135,12 @@
   /** Polls the target once. \param waitMs how long the target may wait for an end before it answers
    * \returns whether the current incarnation answered */
   Awaitable<bool> poll(std::uint32_t waitMs);
-  void applyPoll(const TargetAnswer& answer, Time receivedAt);
-  void handleSuccessor(const TargetAnswer& answer);
+  void applyPoll(const TargetAnswer& answer, Time sentAt, Time receivedAt);
+  void settleUnlisted(const TargetAnswer& answer, Time sentAt);
+  void handleSuccessor(const TargetAnswer& answer, std::uint64_t step);
   void recordUnansweredCall();
   void recordFailedPoll();
+  void expireRuns();
   void allowNoMoreFailures();
   void endIncarnation();
   bool canRelay() const;
@@ -161,6 +168,8 @@
   CrashEvidence crashEvidenceOf(const RunKey& key) const;
   bool hasCapacityFor(const schema::RunOrder& order) const;
   bool isListed(const RunKey& key) const;
+  bool isListedAsEnded(const RunKey& key) const;
+  void forgetRun(const RunKey& key);
   /** \returns whether a target incarnation is the current one and the outcome of a run there is still undetermined. */
   bool isOpen(const std::string& incarnation, const RunKey& key) const {
     return isCurrentIncarnation(incarnation) && m_runs.count(key) > 0;
@@ -186,7 +195,10 @@
   /** Newest heartbeats of incarnations other than the current one, by name. An incarnation becomes current by answering
    * a poll. */
   std::map<std::string, TargetAnnouncement> m_announced;
-  std::map<RunKey, LocalRun> m_runs;     ///< runs that may be at the target and have no known end
+  /** Runs that may be at the target and have no known end. A start or stop order, or a list of the target that names a
+   * run as running, adds it. The listed end of the run, an outcome that this agent has determined, a list without the
+   * run, or a new incarnation removes it. */
+  std::map<RunKey, LocalRun> m_runs;
   std::map<RunKey, RunTraits> m_traits;  ///< for runs whose start order this agent has received
   FillerPacer m_pacer;
   std::map<RunKey, RunOutcome> m_outcomes;          ///< for runs that the current incarnation must not begin any more
--- a/spec/run.pml
+++ b/spec/run.pml
@@ -16,7 +16,8 @@
  * the agent), -DREFUSED_STOP (a rejected stop counts as done, although the start may still be in transit),
  * -DSTALE_ORDER (an agent executes an order after the lease that came with it has expired, under a later lease),
  * -DNO_FENCE (calls for a former incarnation reach the next incarnation with the same identity), -DID_ALONE (a new
- * incarnation with the same identity is mistaken for the former one).
+ * incarnation with the same identity is mistaken for the former one), -DLAPSE_UNFENCED (a run counts as lapsed by the
+ * clock of its former incarnation before the next one has seen a higher token).
  */
 #define TARGETS 2
 #define MAXRUN 4
@@ -43,6 +44,8 @@
 
 /* State of the agents. */
 bool doubt[TARGETS];
+bool reborn[TARGETS];  /* the target restarted under the same identity */
+bool unfenced[TARGETS]; /* since then the target has not seen a token above those of its former incarnation */
 bool blind[TARGETS];   /* ID_ALONE: the agent orders the target to discard ends that the agent has not read */
 bool stopAnswered[TARGETS];
 
@@ -54,7 +57,7 @@
 byte crashes = 0;
 byte sent = 0;         /* NO_COMMIT: number of a run that was ordered but is not in the log yet */
 byte sentTo = 0;
-byte t;
+byte t;                /* 0 between the steps, so that it adds no states */
 
 inline begin(target, number) {
   if
@@ -93,11 +96,11 @@
        if :: known[0] && grant[0] -> t = 0 :: known[1] && grant[1] -> t = 1 fi;
 #ifdef NO_COMMIT
        sent = lastRun + 1; sentTo = t;
-       order(t, sent)
+       order(t, sent);
 #else
-       lastRun++; logRun = lastRun; logTarget = t; delivered = false
+       lastRun++; logRun = lastRun; logTarget = t; delivered = false;
 #endif
-     }
+       t = 0 }
 #ifdef NO_COMMIT
   :: atomic { sent != 0 -> lastRun = sent; logRun = sent; logTarget = sentTo; delivered = true; sent = 0 }
 #endif
@@ -115,7 +118,7 @@
 #else
        begin(t, late[t]);
 #endif
-       late[t] = 0 }
+       late[t] = 0; lateAlive[t] = false; t = 0 }
   /* A copy of an order reaches the agent, and the agent does not know the run or does not know it any more. */
   :: atomic { copy[0] != 0 || copy[1] != 0 ->
        if :: copy[0] != 0 -> t = 0 :: copy[1] != 0 -> t = 1 fi;
@@ -124,16 +127,19 @@
 #else
        if :: grant[t] -> begin(t, copy[t]) :: else -> skip fi;
 #endif
-       copy[t] = 0 }
+       copy[t] = 0; copyAlive[t] = false; t = 0 }
   /* The task ends, and the target lists the end. */
   :: atomic { if :: running[0] != 0 -> t = 0 :: running[1] != 0 -> t = 1 fi;
        ended[t] = running[t]; fresh[t] = true; overtaken[t] = false; finish(t);
-       if :: blind[t] -> ended[t] = 0; noted = true :: else -> skip fi }
+       if :: blind[t] -> ended[t] = 0; noted = true :: else -> skip fi;
+       t = 0 }
   /* A lease expires: the target ends its run, and the orders sent under the lease are past their deadline. */
-  :: atomic { if :: grant[0] -> t = 0 :: grant[1] -> t = 1 fi; grant[t] = false; lateAlive[t] = false; copyAlive[t] = false; fresh[t] = false; overtaken[t] = false;
+  :: atomic { if :: grant[0] -> t = 0 :: grant[1] -> t = 1 fi; grant[t] = false; copyAlive[t] = false; fresh[t] = false; overtaken[t] = false;
+       /* The clock of a restarted incarnation has not reached the deadlines of the former one. */
+       if :: !unfenced[t] -> lateAlive[t] = false :: else -> skip fi;
        if :: running[t] != 0 -> finish(t) :: else -> skip fi;
-       known[t] = false }
-  :: atomic { if :: !grant[0] -> t = 0 :: !grant[1] -> t = 1 fi; grant[t] = true; known[t] = true }
+       known[t] = false; t = 0 }
+  :: atomic { if :: !grant[0] -> t = 0 :: !grant[1] -> t = 1 fi; grant[t] = true; known[t] = true; t = 0 }
   /* An agent with an unconfirmed start sends stops until one is answered, and then reads the listed ends. */
   :: atomic { if :: doubt[0] && !stopAnswered[0] && logRun != 0 && logTarget == 0 -> t = 0 :: doubt[1] && !stopAnswered[1] && logRun != 0 && logTarget == 1 -> t = 1 fi;
        if
@@ -149,7 +155,8 @@
 #else
           skip
 #endif
-       fi }
+       fi;
+       t = 0 }
   :: atomic { if :: doubt[0] && stopAnswered[0] -> t = 0 :: doubt[1] && stopAnswered[1] -> t = 1 fi;
        doubt[t] = false;
        if
@@ -160,7 +167,8 @@
        :: logRun != 0 && logTarget == t -> logRun = 0
 #endif
        :: else -> skip
-       fi }
+       fi;
+       t = 0 }
   /* An end is reported, then committed, and recorded only after that. */
   :: atomic { if :: ended[0] != 0 -> t = 0 :: ended[1] != 0 -> t = 1 fi;
 #ifdef NOTE_FIRST
@@ -176,12 +184,18 @@
        fi;
        /* If the run is not active in the log any more, its end may be recorded only if the lease expired since. */
        assert(!overtaken[t]);
-       noted = noted || done; ended[t] = 0
+       noted = noted || done; ended[t] = 0;
 #endif
-     }
+       t = 0 }
   /* The run of an agent that does not answer counts as ended once no lease can be valid. */
 #ifndef NO_WAIT
+#ifdef LAPSE_UNFENCED
   :: atomic { logRun != 0 && !known[logTarget] -> logRun = 0; doubt[logTarget] = false }
+#else
+  /* The new incarnation lists what it has begun; the clock of the former one says nothing about these runs. */
+  :: atomic { logRun != 0 && !known[logTarget] && !unfenced[logTarget] &&
+              !(reborn[logTarget] && ended[logTarget] == logRun) -> logRun = 0; doubt[logTarget] = false }
+#endif
 #else
   :: atomic { logRun != 0 -> logRun = 0; doubt[logTarget] = false }
 #endif
@@ -189,30 +203,41 @@
   :: atomic { changes < MAXCHANGES -> changes++; delivered = false; sent = 0;
        known[0] = grant[0]; known[1] = grant[1] }
 #ifdef FORMER_RENEWS
-  :: atomic { changes > 0 -> if :: t = 0 :: t = 1 fi; grant[t] = true; lateAlive[t] = (late[t] != 0) }
+  :: atomic { changes > 0 -> if :: t = 0 :: t = 1 fi; grant[t] = true; lateAlive[t] = (late[t] != 0); t = 0 }
 #endif
   /* An agent restarts without its memory of unconfirmed starts, and the order is sent again. */
   :: atomic { crashes < MAXCRASHES -> crashes++; if :: t = 0 :: t = 1 fi;
-       doubt[t] = false; stopAnswered[t] = false; copy[t] = 0; delivered = false }
+       doubt[t] = false; stopAnswered[t] = false; copy[t] = 0; delivered = false; t = 0 }
   /* A target crashes. Its next incarnation has another identity, and the agent reports the change. */
   :: atomic { crashes < MAXCRASHES -> crashes++; if :: t = 0 :: t = 1 fi;
        running[t] = 0; over[t] = 0; ended[t] = 0; overtaken[t] = false; late[t] = 0; copy[t] = 0; doubt[t] = false;
-       if :: logRun != 0 && logTarget == t -> logRun = 0 :: else -> skip fi }
-  /* A target crashes and restarts under the same identity. Calls in transit to the former incarnation meet a clock that
-   * has not reached their deadline, but a higher token. The agent drops orders that name the former incarnation. */
+       if :: logRun != 0 && logTarget == t -> logRun = 0 :: else -> skip fi;
+       t = 0 }
+  /* A target crashes and restarts under the same identity, and the agent has not found out yet. Calls that the former
+   * incarnation received ended with it. Calls that are sent from now on reach the new one, whose clock is behind their
+   * deadline, and which has not seen a token above theirs. */
   :: atomic { crashes < MAXCRASHES -> crashes++; if :: t = 0 :: t = 1 fi;
-       running[t] = 0; over[t] = 0; ended[t] = 0; overtaken[t] = false; copy[t] = 0; doubt[t] = false;
+       running[t] = 0; over[t] = 0; ended[t] = 0; overtaken[t] = false; copy[t] = 0; copyAlive[t] = false; reborn[t] = true; unfenced[t] = true;
 #ifdef NO_FENCE
        lateAlive[t] = (late[t] != 0);
 #else
-       late[t] = 0;
+       late[t] = 0; lateAlive[t] = false;
+#endif
+       t = 0 }
+  /* The new incarnation answers a poll under a higher token, so it refuses older calls from now on. The agent drops
+   * orders that name the former incarnation, and stops the runs that the new one has begun. */
+  :: atomic { if :: unfenced[0] -> t = 0 :: unfenced[1] -> t = 1 fi;
+       unfenced[t] = false; copy[t] = 0; copyAlive[t] = false; doubt[t] = false;
+       if :: running[t] != 0 -> finish(t) :: else -> skip fi;
+#ifndef NO_FENCE
+       late[t] = 0; lateAlive[t] = false;
 #endif
 #ifdef ID_ALONE
-       blind[t] = true
+       blind[t] = true;
 #else
-       if :: logRun != 0 && logTarget == t -> logRun = 0 :: else -> skip fi
+       if :: logRun != 0 && logTarget == t && ended[t] != logRun -> logRun = 0 :: else -> skip fi;
 #endif
-     }
+       t = 0 }
   :: atomic { done && logRun == 0 -> break }
   :: atomic { lastRun == MAXRUN && logRun == 0 && !done -> break }  /* limit of this model */
   od
--- a/test/AgentFixture.cpp
+++ b/test/AgentFixture.cpp
@@ -75,16 +75,18 @@
   if (m_script.silent || m_script.startsGetNoAnswer) co_return noAnswer();
   if (incarnation != m_script.incarnation) co_return makeAnswer(TargetVerdict::OtherIncarnation);
   if (m_script.refusesStarts) co_return makeAnswer(TargetVerdict::Refused, "room");
+  m_script.running.insert(runKeyOf(start.order.task(), start.order.run()));
   co_return makeAnswer(TargetVerdict::Accepted);
 }
 
-Awaitable<Result<TargetAnswer>> FakeTarget::stop(std::string incarnation, schema::TaskId, std::uint32_t, std::uint64_t,
-                                                 Duration) {
+Awaitable<Result<TargetAnswer>> FakeTarget::stop(std::string incarnation, schema::TaskId task, std::uint32_t run,
+                                                 std::uint64_t, Duration) {
   ++m_script.stops;
   if (m_script.silent) co_return noAnswer();
   if (incarnation != m_script.incarnation) co_return makeAnswer(TargetVerdict::OtherIncarnation);
   if (m_script.stops <= m_script.stopsToRefuse) co_return makeAnswer(TargetVerdict::Refused, "429");
   ++m_script.stopsAccepted;
+  m_script.running.erase(runKeyOf(task, run));
   co_return makeAnswer(TargetVerdict::Accepted);
 }
 
@@ -99,8 +101,22 @@
   co_await sleepFor(m_script.answerDelay);
   TargetAnswer answer = makeAnswer(TargetVerdict::Accepted);
   answer.incarnation = m_script.incarnation;
+  if (m_script.answersLateWithFirstRun) {
+    m_script.answersLateWithFirstRun = false;
+    answer.clockMs = TargetClockMs - 1;
+    schema::RunReport& row = answer.running.emplace_back();
+    *row.mutable_task() = startOrder().task();
+    row.set_run(1);
+    co_return answer;
+  }
   answer.ends = m_script.ends;
   answer.moreEnds = m_script.moreEnds;
+  for (const schema::EndReport& end : m_script.ends) m_script.running.erase(runKeyOf(end.task(), end.run()));
+  for (const RunKey& key : m_script.running) {
+    schema::RunReport& row = answer.running.emplace_back();
+    *row.mutable_task() = makeTaskId(key.workflow, key.task);
+    row.set_run(key.run);
+  }
   if (m_script.reportsStalledRun) {
     schema::RunReport& row = answer.running.emplace_back();
     *row.mutable_task() = startOrder().task();
@@ -153,6 +169,7 @@
 void AgentFixture::startNextIncarnation(bool silent) {
   run(milliseconds(300));
   target.incarnation = "i-2";
+  target.running.clear();
   target.silent = silent;
   announce("i-2", 1);
 }
--- a/test/AgentFixture.h
+++ b/test/AgentFixture.h
@@ -39,7 +39,10 @@
   bool reportsStalledRun = false;       ///< lists a run without progress
   std::vector<schema::EndReport> ends;  ///< the ends that it lists
   Duration answerDelay{};               ///< delay of answers to polls
-  bool moreEnds = false;                ///< whether it has more ends than it lists
+  /** The next answer to a poll is one that was made before the others and lists run 1 of the first task as running. */
+  bool answersLateWithFirstRun = false;
+  bool moreEnds = false;     ///< whether it has more ends than it lists
+  std::set<RunKey> running;  ///< accepted starts without an accepted stop; those in `ends` are not listed
   // Record of received calls.
   unsigned starts = 0;
   std::uint64_t lastDeadlineMs = 0;  ///< deadline of the newest start, by the target's clock
--- a/test/run_agent.cpp
+++ b/test/run_agent.cpp
@@ -109,6 +109,29 @@
   std::set<schema::RunEndKind> kinds;
 };
 
+/** Orders a run and acknowledges its end. Then orders another run, which needs all accelerators of the target. */
+class NextRunLeader : public FakeLeader {
+ public:
+  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
+    schema::AttendReply answer = leaseReply(LongLeaseMs);
+    answer.set_ends_target(request.target().id());
+    for (const schema::EndReport& end : request.ends()) answer.set_ends_taken(end.number());
+    if (!orderOnce(request, answer) && ordersNext && !m_orderedNext) {
+      m_orderedNext = true;
+      schema::RunOrder& order = *answer.add_orders();
+      order = startOrder();
+      order.mutable_task()->set_index(1);
+      order.mutable_need()->set_accelerators(8);
+    }
+    co_await sleepFor(milliseconds(20));
+    co_return answer;
+  }
+  bool ordersNext = false;
+
+ private:
+  bool m_orderedNext = false;
+};
+
 /** \returns the agent's report of a run whose target is lost after a time. \param length time from the start to the
  * loss
  */
@@ -216,3 +239,28 @@
   fixture.run(milliseconds(300));
   cr_assert_eq(fixture.target.starts, 2);
 }
+
+// Guards against a target that starts nothing more: an older list of the target, which arrived after a newer one,
+// brought back a run whose end was committed already. No later list removed it, and beside a run of unknown demand no
+// start counts as fitting on the target.
+Test(run_agent, a_delayed_list_of_the_target_brings_back_no_ended_run) {
+  NextRunLeader leader;
+  AgentFixture fixture(leader);
+  fixture.target.refusesStarts = false;
+  fixture.run(milliseconds(200));
+  cr_assert_eq(fixture.target.starts, 1);
+  fixture.resize(2, 8);
+  schema::EndReport& end = fixture.target.ends.emplace_back();
+  end.set_number(1);
+  *end.mutable_task() = startOrder().task();
+  end.set_run(1);
+  fixture.run(milliseconds(600));
+  cr_assert_eq(fixture.target.lastSeen, 1, "the end was not acknowledged");
+  fixture.target.ends.clear();
+  fixture.target.answersLateWithFirstRun = true;
+  fixture.run(milliseconds(400));
+  cr_assert_not(fixture.target.answersLateWithFirstRun);
+  leader.ordersNext = true;
+  fixture.run(milliseconds(400));
+  cr_assert_eq(fixture.target.starts, 2, "the second run was not started on an empty target");
+}
--- a/test/run_agent_target_restart.cpp
+++ b/test/run_agent_target_restart.cpp
@@ -57,6 +57,11 @@
     m_table.submit(workflow, 1);
   }
   bool isDone(const std::string& id) const { return m_table.find(id)->record.phase() == schema::WorkflowCompleted; }
+  /** \returns whether the log holds an active run of the first task. */
+  bool hasActiveRun(const std::string& id) const {
+    const TaskState* task = m_table.find(id)->task({0, 0, 0});
+    return task != nullptr && !task->active.empty();
+  }
   /** Replaces the leader by another replica, which knows only the committed state. */
   void replaceLeader() {
     m_ledger = RunLedger(options());
@@ -343,6 +348,40 @@
   cr_assert_eq(fixture.starts("a.0.0.0"), 1, "the task was started again after its end was acknowledged");
 }
 
+// Guards against two concurrent runs of a task. A start order that was sent just after a restart reached the new
+// incarnation, which had not announced itself yet and carried out the start late. The hold had ended by the clock of
+// the former incarnation, so the agent reported the run as lapsed, and the leader placed the next run. By the clock of
+// the new incarnation the order was not late, and its token was not too low, so the run began 55 ms after the next one.
+Test(run_agent_target_restart, a_run_lapses_only_when_the_next_incarnation_cannot_start_it_any_more) {
+  RestartFixture fixture;
+  fixture.run(4500);  // a new agent assumes that holds of its former incarnation last up to 6 s
+  fixture.callTarget("/hush?ms=5500");
+  fixture.callTarget("/refuse?ms=4000&of=run-stop");
+  fixture.callTarget("/late?ms=400&of=run-start&after=2800");
+  fixture.callTarget("/crash?same=1");
+  fixture.leader.submit("a", "200");
+  cr_assert(fixture.waitFor([&] { return fixture.leader.hasActiveRun("a"); }), "no run was placed");
+  cr_assert(fixture.waitFor([&] { return !fixture.leader.hasActiveRun("a"); }), "the run did not lapse");
+  fixture.run(1500);
+  cr_assert_eq(fixture.starts("a.0.0.0"), 0, "the run began after the leader had counted it as lapsed");
+  cr_assert(fixture.waitForDone("a"));
+  cr_assert_eq(fixture.starts("a.0.0.0"), 1);
+}
+
+// The successor has begun the run and lists it, so the run must not lapse by the former incarnation's clock.
+Test(run_agent_target_restart, a_run_that_the_next_incarnation_has_started_does_not_lapse) {
+  RestartFixture fixture;
+  fixture.run(4500);
+  fixture.callTarget("/hush?ms=3000");
+  fixture.callTarget("/crash?same=1");
+  fixture.leader.submit("a", "2500");
+  cr_assert(fixture.waitFor([&] { return fixture.leader.hasActiveRun("a"); }), "no run was placed");
+  fixture.run(2300);
+  cr_assert_eq(fixture.starts("a.0.0.0"), 1);
+  cr_assert(fixture.leader.hasActiveRun("a"), "the run lapsed while the next incarnation was running it");
+  cr_assert(fixture.waitForDone("a"));
+}
+
 Test(run_agent_target_restart, a_message_without_a_valid_start_time_changes_nothing) {
   RestartFixture fixture;
   const std::string path = "/-/Instances.Heartbeat/" + fixture.identity();
