An entry derives its limits from its instance and rejects the least urgent calls first

Cause: entries of one deployment differ by a factor of three in processor, memory, descriptors and link, and each had the same limits of connections; calls in flight of queues had no limit at all. Change: deriveEntryLimits() takes connections, calls in flight and bytes of bodies from the settings of the instance, with the former settings as upper bounds; QueueGateway rejects queries, then submissions, then cancellations near the limits, before they are sent, with 429 and Retry-After.

--- a/Courseloom/src/Entry/EntryLimits.h
+++ b/Courseloom/src/Entry/EntryLimits.h
@@ -9,31 +9,30 @@
 
 namespace courseloom {
 
-/** \class InstanceResources
- * \brief Resources of the instance on which an entry runs; 0 where one is not known.
- */
-struct InstanceResources {
-  double processorShare = 0.0;  ///< cores that the process may use
-  std::uint64_t memoryMb = 0;
-  std::uint64_t descriptors = 0;  ///< limit of open descriptors
-  double linkMbps = 0.0;          ///< bandwidth of the instance's link, Mbit/s
-};
-
 /** \class EntryLimits
  * \brief Limits of one entry, derived from the resources of its instance.
  */
 struct EntryLimits {
   std::uint32_t connections = 0;  ///< open connections from callers
-  std::uint32_t inFlight = 0;     ///< requests that are being served
-  std::uint64_t bodyBytes = 0;    ///< bytes of request bodies held in memory
+  std::uint32_t inFlight = 0;     ///< calls that are being served
+  std::uint64_t bodyBytes = 0;    ///< bytes of request bodies of these calls, which are held in memory
 };
 
-/** \returns the limits of an entry. The settings are upper bounds, and a resource that is not known imposes no limit.
+/** \returns the limits of an entry. With instance_limits on, they are derived from the resources that the settings
+ * name; a resource of 0 is not known and does not limit. The settings max_connections and max_in_flight are upper
+ * bounds. \param openDescriptors limit of open descriptors of this process, used if the settings name none */
+EntryLimits deriveEntryLimits(const schema::EntrySettings& settings, std::uint64_t openDescriptors);
+
+/** Kinds of calls at an entry. Near the limits, the calls that cost their callers least to repeat are rejected first.
  */
-EntryLimits deriveEntryLimits(const InstanceResources& resources, const schema::EntrySettings& settings);
+enum class CallUrgency : std::uint8_t {
+  Query,         ///< changes nothing; the next query has the same answer
+  Submission,    ///< hands in work
+  Cancellation,  ///< frees capacity
+};
 
-/** \returns whether a new call may be served. Near the limit the least urgent calls are rejected first.
- * \param priority priority of the call's queue; 0 is the most urgent */
-bool admitsCall(const EntryLimits& limits, std::uint32_t inFlight, std::uint64_t bodyBytesHeld, std::uint32_t priority);
+/** \returns whether a new call may be served. \param inFlight other calls that are being served \param bodyBytes bytes
+ * of their bodies and of the new call's */
+bool admitsCall(const EntryLimits& limits, CallUrgency urgency, std::size_t inFlight, std::uint64_t bodyBytes);
 
 }  // namespace courseloom
--- a/Courseloom/src/Entry/EntryService.cpp
+++ b/Courseloom/src/Entry/EntryService.cpp
@@ -3,6 +3,8 @@
 
 #include "Courseloom/src/Entry/EntryService.h"
 
+#include <sys/resource.h>
+
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Runtime/OneShot.h"
 #include "Courseloom/src/Transport/Listen.h"
@@ -14,11 +16,18 @@
 namespace internal {
 namespace {
 
-HttpLimits http_limits(const schema::EntrySettings& entry) {
+/** \returns the limit of open descriptors of this process; 0 if it has none. */
+std::uint64_t descriptor_limit() {
+  rlimit limit{};
+  const bool limited = getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+  return limited ? limit.rlim_cur : 0;
+}
+
+HttpLimits http_limits(const schema::EntrySettings& entry, std::uint32_t connections) {
   HttpLimits limits;
   limits.maxBodyBytes = entry.max_body_bytes();
   limits.maxHeaderBytes = entry.max_header_bytes();
-  limits.maxConnections = entry.max_connections();
+  limits.maxConnections = connections;
   limits.idleTimeout = milliseconds(entry.idle_timeout_ms());
   return limits;
 }
@@ -29,6 +38,7 @@
 EntryService::EntryService(const DaemonContext& context, EntryProtocol protocol)
     : m_context(context),
       m_protocol(std::move(protocol)),
+      m_limits(deriveEntryLimits(context.settings.entry(), internal::descriptor_limit())),
       m_follower(
           context.io, context.settings.cluster(), [this] { return status(); },
           ViewBuilder([&io = context.io](const std::string& address, unsigned port) {
@@ -36,11 +46,12 @@
           })),
       m_requests(context, m_follower),
       m_operators(m_follower.control(), context.settings.node().name()),
-      m_queues(m_follower.control()),
-      m_http(context.io, internal::http_limits(context.settings.entry()),
+      m_queues(m_follower.control(),
+               context.settings.entry().instance_limits() ? std::optional(m_limits) : std::nullopt),
+      m_http(context.io, internal::http_limits(context.settings.entry(), m_limits.connections),
              [this](HttpRequest request, std::string peer) { return handle(std::move(request), std::move(peer)); }),
       m_callers(
-          context.io, internal::http_limits(context.settings.entry()),
+          context.io, internal::http_limits(context.settings.entry(), m_limits.connections),
           [this](HttpRequest request, std::string) { return m_protocol.answerCaller(std::move(request), m_queues); }),
       m_readiness(context.io, HttpLimits(), [this](HttpRequest request, std::string) -> Awaitable<HttpResponse> {
         co_return m_protocol.answerReadiness(request, ready());
@@ -51,9 +62,21 @@
   BOOST_LEAF_ASSIGN(m_listening.httpPort, m_http.start(node.address(), node.http_port()));
   BOOST_LEAF_CHECK(startProtocolListeners());
   m_follower.start();
+  publishLimits();
   return m_listening;
 }
 
+/** Logs derived limits and publishes them as gauges, so that an operator sees what this instance admits. */
+void EntryService::publishLimits() const {
+  if (!m_context.settings.entry().instance_limits()) return;
+  m_context.metrics.set("entry_limit_connections", m_limits.connections);
+  m_context.metrics.set("entry_limit_in_flight", m_limits.inFlight);
+  m_context.metrics.set("entry_limit_body_bytes", static_cast<double>(m_limits.bodyBytes));
+  logEvent(schema::EntryLimitsDerived, {{"connections", std::uint64_t{m_limits.connections}},
+                                        {"inFlight", std::uint64_t{m_limits.inFlight}},
+                                        {"bodyBytes", m_limits.bodyBytes}});
+}
+
 Result<void> EntryService::startProtocolListeners() {
   const auto listen = [](HttpServer& server, const std::string& text) {
     const Endpoint endpoint = splitEndpoint(text);
@@ -82,6 +105,7 @@
 }
 
 Awaitable<HttpResponse> EntryService::handle(HttpRequest request, std::string /*peer*/) {
+  m_context.metrics.set("entry_calls_rejected", static_cast<double>(m_queues.rejected()));
   if (std::optional<HttpResponse> admin = answerAdmin(request, ready(), m_context.metrics)) co_return std::move(*admin);
   const std::string requestTarget(request.target());
   const std::size_t queryStart = requestTarget.find('?');
--- a/Courseloom/src/Entry/EntryService.h
+++ b/Courseloom/src/Entry/EntryService.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "Courseloom/src/Entry/EntryLimits.h"
 #include "Courseloom/src/Entry/OperatorRoutes.h"
 #include "Courseloom/src/Entry/QueueGateway.h"
 #include "Courseloom/src/Entry/RequestPath.h"
@@ -31,11 +32,13 @@
   Awaitable<HttpResponse> handle(HttpRequest request, std::string peer);
   Awaitable<HttpResponse> serveRequest(HttpRequest request, std::string service);
   Result<void> startProtocolListeners();
+  void publishLimits() const;
   schema::NodeStatus status() const;
   bool ready() const { return m_follower.fresh() && !m_stopping; }
 
   DaemonContext m_context;
   EntryProtocol m_protocol;
+  EntryLimits m_limits;
   ViewFollower m_follower;
   RequestPath m_requests;
   OperatorRoutes m_operators;
--- a/Courseloom/src/Entry/QueueGateway.cpp
+++ b/Courseloom/src/Entry/QueueGateway.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Core/ScopedCount.h"
 
 namespace courseloom {
 
@@ -26,10 +27,50 @@
 /** \returns whether a call changes state, so that it matters whether the call ran. */
 bool changes_state(const schema::QueueCall& call) { return call.kind() != schema::QueueState; }
 
+/** Time after which a caller that was rejected at the limits of the entry should come back, ms. Calls in flight end
+ * within about a second. */
+constexpr std::uint32_t RetryAtLimitMs = 1000;
+
+CallUrgency urgency_of(const schema::QueueCall& call) {
+  if (call.kind() == schema::QueueState) return CallUrgency::Query;
+  return call.kind() == schema::QueueCancel ? CallUrgency::Cancellation : CallUrgency::Submission;
+}
+
+/** Adds bytes to a counter at construction and subtracts them at destruction. */
+class ScopedBytes {
+ public:
+  ScopedBytes(std::atomic<std::uint64_t>& total, std::uint64_t bytes) : m_total(total), m_bytes(bytes) {
+    m_total += m_bytes;
+  }
+  ~ScopedBytes() { m_total -= m_bytes; }
+  ScopedBytes(const ScopedBytes&) = delete;
+  ScopedBytes& operator=(const ScopedBytes&) = delete;
+
+ private:
+  std::atomic<std::uint64_t>& m_total;
+  std::uint64_t m_bytes;
+};
+
 }  // namespace
 }  // namespace internal
 
 Awaitable<Result<schema::QueueAnswer>> QueueGateway::call(schema::QueueCall call, Duration allowed) {
+  const std::uint64_t bytes = call.ByteSizeLong();
+  const bool admitted = !m_limits || admitsCall(*m_limits, internal::urgency_of(call), m_inFlight, m_bodyBytes + bytes);
+  if (!admitted) {
+    ++m_rejected;
+    schema::QueueAnswer answer;
+    answer.set_outcome(schema::QueueBusy);
+    answer.set_retry_after_ms(internal::RetryAtLimitMs);
+    answer.set_detail("the entry is at its limit");
+    co_return answer;
+  }
+  const ScopedCount<std::size_t> inFlight(m_inFlight);
+  const internal::ScopedBytes bodyBytes(m_bodyBytes, bytes);
+  co_return co_await forward(std::move(call), allowed);
+}
+
+Awaitable<Result<schema::QueueAnswer>> QueueGateway::forward(schema::QueueCall call, Duration allowed) {
   const Duration budget =
       std::min(allowed * internal::GiveUpNumerator / internal::GiveUpDenominator, internal::GiveUpLimit);
   const std::string kind = schema::QueueCallKind_Name(call.kind());
--- a/test/queue_gateway.cpp
+++ b/test/queue_gateway.cpp
@@ -118,3 +118,33 @@
   cr_assert(end.ran == Ran::No, "nothing listened there");
   cr_assert(end.took < CallerTime * 2 / 3);
 }
+
+// Calls in flight at a replica without power must not fill the memory of the entry: further ones are rejected at once,
+// and their rejection is true, since they are never sent.
+Test(queue_gateway, a_call_beyond_the_limits_of_the_entry_is_rejected_and_not_sent) {
+  asio::io_context io;
+  PausedReplica replica(io, milliseconds(60000));
+  schema::ClusterSettings settings;
+  settings.set_election_timeout_ms(200);
+  settings.set_seed_rpc_port(replica.port);
+  settings.add_seeds()->set_endpoint(Replica + ":1");
+  ControlClient control(io, settings);
+  QueueGateway gateway(control, EntryLimits{4096, 4, 1U << 20U});
+  std::vector<CallResult> first(3);
+  for (CallResult& end : first) asio::co_spawn(io, ask(gateway, schema::QueueSubmit, end), asio::detached);
+  io.run_for(milliseconds(100));
+  CallResult query;
+  CallResult fourth;
+  asio::co_spawn(io, ask(gateway, schema::QueueState, query), asio::detached);
+  asio::co_spawn(io, ask(gateway, schema::QueueSubmit, fourth), asio::detached);
+  io.run_for(milliseconds(100));
+  cr_assert(query.ended && query.answered, "the query waits although the entry is near its limit");
+  cr_assert_not(fourth.ended, "a submission within the limit was not sent");
+  CallResult fifth;
+  asio::co_spawn(io, ask(gateway, schema::QueueSubmit, fifth), asio::detached);
+  io.run_for(milliseconds(100));
+  cr_assert(fifth.ended && fifth.answered, "a submission beyond the limit waits");
+  cr_assert_eq(gateway.rejected(), 2);
+  for (int i = 0; i < 400 && !fourth.ended; ++i) io.run_for(milliseconds(10));
+  cr_assert(fourth.ended);
+}
