A leader that is much slower than its peers hands over to the fastest voter

Cause: a leader on a throttled instance or a slow disk stays leader, since it still answers in time, and each commit waits for it. Change: replicas report the smoothed delay of their timers and syncs with their append replies; LeaderSpeed decides with hysteresis, at most once per interval, never during a membership change and never if all are slow. Replica::handOver() takes a successor.

--- a/Courseloom/src/Control/ReplicaDriver.cpp
+++ b/Courseloom/src/Control/ReplicaDriver.cpp
@@ -52,6 +52,22 @@
 /** Time since the last contact with a leader after which a replica requests to join. */
 constexpr Duration JoinSilence = milliseconds(800);
 
+/** Weight of the newest measurement in a smoothed delay; the average follows within about half a second of ticks. */
+constexpr double DelayWeight = 0.1;
+
+void smooth_delay(Duration& smoothed, Duration delay) {
+  const double change = DelayWeight * static_cast<double>((delay - smoothed).count());
+  smoothed += Duration(static_cast<Duration::rep>(change));
+}
+
+LeaderSpeedOptions speed_options(const schema::ControlSettings& control) {
+  LeaderSpeedOptions options;
+  options.factor = control.yield_factor();
+  options.after = milliseconds(control.yield_after_ms());
+  options.interval = milliseconds(control.yield_interval_ms());
+  return options;
+}
+
 StateLimits state_limits(const schema::ControlSettings& control) {
   return {control.max_kept_answer_bytes(), 1000ULL * control.claim_retention_s(),
           1000ULL * control.workflow_retention_s()};
@@ -99,7 +115,8 @@
       m_strand(std::move(strand)),
       m_disk(1),
       m_store(context.settings.node().data_folder()),
-      m_state(internal::state_limits(context.settings.control())) {
+      m_state(internal::state_limits(context.settings.control())),
+      m_speed(internal::speed_options(context.settings.control())) {
   for (const schema::ControlMember& member : context.settings.cluster().members()) {
     m_peers[member.id()] = std::make_shared<RpcClient>(context.io, member.address(), member.rpc_port());
   }
@@ -230,13 +247,45 @@
 Awaitable<void> ReplicaDriver::tickLoop() {
   const Duration step = milliseconds(m_context.settings.cluster().heartbeat_ms()) / internal::TicksPerHeartbeat;
   while (true) {
-    m_replica->tick(BootClock::now());
+    const Time now = BootClock::now();
+    m_replica->tick(now);
     drive();
+    reviewSpeed(now);
+    const Time due = BootClock::now() + step;
     co_await sleepFor(step);
+    internal::smooth_delay(m_tickDelay, BootClock::now() - due);
   }
 }
 
+void ReplicaDriver::recordPeerDelay(const schema::ReplicaMessage& message, Time now) {
+  if (!m_leads || message.kind() != schema::AppendReply || message.delay_us() == 0) return;
+  const auto& members = m_replica->members().members();
+  const bool voter = std::any_of(members.begin(), members.end(), [&](const schema::Member& member) {
+    return member.id() == message.from() && member.voter();
+  });
+  if (voter) m_speed.recordPeer(message.from(), Duration(static_cast<Duration::rep>(message.delay_us())), now);
+}
+
+/** Hands over to a faster voter if this leader has been much slower than its peers for some time. */
+void ReplicaDriver::reviewSpeed(Time now) {
+  if (!m_leads || !m_context.settings.control().yield_when_slow()) return;
+  m_speed.recordOwn(ownDelay(), now);
+  const auto delayMs = static_cast<std::uint64_t>(toMilliseconds(ownDelay()));
+  m_context.metrics.set("leader_slow", m_speed.isSlow() ? 1.0 : 0.0);
+  if (std::exchange(m_slow, m_speed.isSlow()) != m_slow && m_slow) {
+    logEvent(schema::LeaderSlow, {{"term", m_replica->term()}, {"delayMs", delayMs}});
+  }
+  const std::optional<ReplicaId> successor = m_speed.chooseSuccessor(now, m_replica->changesMembers());
+  if (!successor) return;
+  logEvent(schema::LeadershipYielded,
+           {{"term", m_replica->term()}, {"to", std::uint64_t{*successor}}, {"delayMs", delayMs}});
+  m_context.metrics.count("leadership_yields", "all");
+  m_replica->handOver(now, *successor);
+  drive();
+}
+
 bool ReplicaDriver::receive(const schema::ReplicaMessage& message) {
+  recordPeerDelay(message, BootClock::now());
   if (!m_replica->receive(message, BootClock::now())) {
     logEvent(schema::MessageRefused, {{"from", std::uint64_t{message.from()}},
                                       {"cluster", message.cluster_id()},
@@ -268,10 +317,12 @@
 
 void ReplicaDriver::store(ReplicaOutput output) {
   setStoring(true);
-  asio::post(m_disk, [this, output = std::move(output)]() mutable {
+  const Time before = BootClock::now();
+  asio::post(m_disk, [this, before, output = std::move(output)]() mutable {
     Result<void> written = m_store.write(output);
     if (!written) exitOnStorageFailure(extractFailure(written));
-    asio::post(m_strand, [this, output = std::move(output)] {
+    asio::post(m_strand, [this, before, output = std::move(output)] {
+      internal::smooth_delay(m_syncDelay, BootClock::now() - before);
       setStoring(false);
       finish(output);
       drive();
@@ -339,6 +390,8 @@
   std::shared_ptr<std::atomic<unsigned>>& inFlight = m_sendsInFlight[message.to()];
   if (!inFlight) inFlight = std::make_shared<std::atomic<unsigned>>(0);
   if (inFlight->load() >= internal::MaxSendsInFlight) return;
+  const bool reportsDelay = message.kind() == schema::AppendReply;
+  if (reportsDelay) message.set_delay_us(static_cast<std::uint64_t>(std::max<Duration::rep>(ownDelay().count(), 1)));
   const Time deadline = BootClock::now() + 2 * milliseconds(m_context.settings.cluster().election_timeout_ms());
   // Replica resends lost messages. Failures show in the metrics and in the missing contact with the peer.
   asio::co_spawn(
@@ -354,6 +407,8 @@
 void ReplicaDriver::updateRole() {
   if (m_replica->isLeader() == m_leads) return;
   m_leads = m_replica->isLeader();
+  m_slow = false;
+  if (m_leads) m_speed.lead(BootClock::now());
   logEvent(m_leads ? schema::BecameLeader : schema::LostLeadership, {{"term", m_replica->term()}});
   if (!m_leads) failWaiters();
   if (m_onRole) m_onRole(m_leads);
--- a/Courseloom/src/Control/ReplicaDriver.h
+++ b/Courseloom/src/Control/ReplicaDriver.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 
+#include "Courseloom/src/Replication/LeaderSpeed.h"
 #include "Courseloom/src/Replication/LogStore.h"
 #include "Courseloom/src/Replication/Replica.h"
 #include "Courseloom/src/Runtime/Daemon.h"
@@ -92,6 +93,9 @@
   void exitIfRetired();
   void drive();
   void setStoring(bool storing);
+  Duration ownDelay() const { return std::max(m_tickDelay, m_syncDelay); }
+  void recordPeerDelay(const schema::ReplicaMessage& message, Time now);
+  void reviewSpeed(Time now);
   void store(ReplicaOutput output);
   void finish(const ReplicaOutput& output);
   void apply(const schema::LogEntry& entry);
@@ -117,6 +121,10 @@
   Term m_appliedTerm = 0;
   schema::Members m_appliedMembers;
   bool m_storing = false;
+  Duration m_tickDelay{};  ///< smoothed lateness of ticks
+  Duration m_syncDelay{};  ///< smoothed duration of disk syncs
+  LeaderSpeed m_speed;
+  bool m_slow = false;  ///< as last logged
   bool m_leads = false;
   std::function<void()> m_onApplied;
   std::function<void(bool)> m_onRole;
--- a/Courseloom/src/Replication/Replica.h
+++ b/Courseloom/src/Replication/Replica.h
@@ -48,8 +48,11 @@
   /** Notifies the replica that the state machine has applied all entries up to and including an index. */
   void applied(LogIndex index) { m_applied = index; }
   /** Starts a leadership transfer to a voter whose log is complete. Proposals are refused until the transfer ends, at
-   * the latest after one election timeout. No effect on a replica that is not the leader or is the only voter. */
-  void handOver(Time now);
+   * the latest after one election timeout. No effect on a replica that is not the leader or is the only voter.
+   * \param successor the voter to transfer to; 0 for any */
+  void handOver(Time now, ReplicaId successor = 0);
+  /** \returns whether the newest list of members in the log is not committed yet. */
+  bool changesMembers() const { return m_log.membersIndex() > m_commit; }
   /** Adds a replica that asks to join as a peer; the leader then determines the state of its log. No effect on a
    * replica that is not the leader, or if the peer is known. */
   void addPeer(ReplicaId id, Time now);
@@ -164,6 +167,7 @@
   bool m_storing = false;
   std::optional<Time> m_handOverUntil;
   bool m_handOverSent = false;
+  ReplicaId m_successor = 0;  ///< to which leadership is transferred; 0 for any voter
   Time m_now{};
   std::mt19937_64 m_random;
   ReplicaOutput m_output;
--- a/Courseloom/src/Replication/ReplicaMembers.cpp
+++ b/Courseloom/src/Replication/ReplicaMembers.cpp
@@ -148,8 +148,9 @@
 
 // ---- leadership transfer
 
-void Replica::handOver(Time now) {
+void Replica::handOver(Time now, ReplicaId successor) {
   if (!isLeader() || voters() < 2) return;
+  m_successor = successor;
   m_handOverUntil = now + m_options.electionTimeout;
   m_handOverSent = false;
   continueHandOver(now);
@@ -168,6 +169,7 @@
     const auto found = m_peers.find(member.id());
     if (found == m_peers.end() || !isVoter(member.id(), found->second.diskId)) continue;
     if (found->second.match < m_log.lastIndex()) continue;
+    if (m_successor != 0 && member.id() != m_successor) continue;
     m_handOverSent = true;
     return send(makeMessage(schema::TimeoutNow, member.id()));
   }
--- a/test/ReplicaCluster.cpp
+++ b/test/ReplicaCluster.cpp
@@ -66,6 +66,11 @@
   pump(index);
 }
 
+void ReplicaCluster::handOver(std::size_t from, std::size_t to) {
+  m_nodes[from].replica->handOver(m_now, static_cast<ReplicaId>(to + 1));
+  pump(from);
+}
+
 void ReplicaCluster::crash(std::size_t index) {
   m_nodes[index].replica.reset();
   ++m_nodes[index].incarnation;
--- a/test/ReplicaCluster.h
+++ b/test/ReplicaCluster.h
@@ -66,6 +66,8 @@
   void wipe(std::size_t node);
   /** Sets the duration of each following sync of a node; zero: drawn for each sync, up to 10 ms. */
   void slowDisk(std::size_t node, Duration sync) { m_nodes[node].syncTime = sync; }
+  /** Transfers leadership from a node that leads to another one. */
+  void handOver(std::size_t from, std::size_t to);
   /** Cuts a node off from the network, or reconnects it. */
   void cut(std::size_t node, bool on) { m_nodes[node].cut = on; }
   const Replica* replica(std::size_t node) const { return m_nodes[node].replica.get(); }
