Agent: a refusal for lack of capacity names what is counted

Cause: an agent refused 111 starts in a row with `no room left`, and neither its log nor the leader's showed what it counted as used or which run was in the way. Change: the agent logs in RunRefused what it counts and the largest run that it counts, or one of unknown demand, and reports both with the end of the run (EndReport.counted, EndReport.blocking). The leader logs them in RunEnded. The texts `no room left` and `never began` are unchanged.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <random>
+#include <tuple>
 
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Transport/Listen.h"
@@ -44,6 +45,12 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+/** \returns whether a demand blocks more of a target than another one: accelerators are the scarcest resource. */
+bool is_larger(const ResourceAmounts& left, const ResourceAmounts& right) {
+  return std::tie(left.accelerators, left.cpuMilli, left.memoryMb) >
+         std::tie(right.accelerators, right.cpuMilli, right.memoryMb);
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -341,6 +348,13 @@
   outcome.report.set_run(run);
   outcome.report.set_kind(kind);
   outcome.report.set_reason(reason);
+  const auto own = m_runs.find(key);
+  if (kind == schema::RunVoided && own != m_runs.end() && own->second.refusal) {
+    const CapacityRefusal& refusal = *own->second.refusal;
+    *outcome.report.mutable_counted() = resourcesOf(refusal.counted);
+    if (refusal.blocking)
+      *outcome.report.mutable_blocking() = makeTaskId(refusal.blocking->workflow, refusal.blocking->task);
+  }
   logEvent(schema::RunSettled, {{"task", taskText(task)},
                                 {"run", std::uint64_t{run}},
                                 {"kind", schema::RunEndKind_Name(kind)},
@@ -358,19 +372,44 @@
 }
 
 /** The capacity may have shrunk since the leader planned, and not every target refuses runs that exceed it.
- * \returns whether a run fits beside all runs that may be at the target, by the newest capacity that it has announced
- */
-bool RunAgentService::hasCapacityFor(const schema::RunOrder& order) const {
-  if (!m_target->report.has_capacity() || !order.has_need()) return true;
+ * \returns why a run does not fit beside all runs that may be at the target, by the newest capacity that it has
+ * announced; nothing if it fits */
+std::optional<RunAgentService::CapacityRefusal> RunAgentService::findCapacityRefusal(
+    const schema::RunOrder& order) const {
+  if (!m_target->report.has_capacity() || !order.has_need()) return std::nullopt;
   const RunKey own = runKeyOf(order.task(), order.run());
   ResourceAmounts freeCapacity = resourceAmountsOf(m_target->report.capacity());
+  CapacityRefusal refusal;
+  ResourceAmounts largest;
+  bool allKnown = true;
   for (const auto& [key, run] : m_runs) {
     if (key == own) continue;
     const auto traits = m_traits.find(key);
-    if (traits == m_traits.end()) return false;  // the leader's next reply has the demand of this run
-    freeCapacity.subtract(traits->second.need);
+    if (traits == m_traits.end()) {
+      // The leader's next reply has the demand of this run.
+      if (allKnown) refusal.blocking = key;
+      allKnown = false;
+      continue;
+    }
+    const ResourceAmounts& need = traits->second.need;
+    freeCapacity.subtract(need);
+    refusal.counted.add(need);
+    if (!allKnown || (refusal.blocking && !internal::is_larger(need, largest))) continue;
+    refusal.blocking = key;
+    largest = need;
   }
-  return freeCapacity.holds(resourceAmountsOf(order));
+  if (allKnown && freeCapacity.holds(resourceAmountsOf(order))) return std::nullopt;
+  return refusal;
+}
+
+void RunAgentService::logCapacityRefusal(const schema::RunOrder& order, const CapacityRefusal& refusal) {
+  const std::optional<RunKey>& blocking = refusal.blocking;
+  logEvent(schema::RunRefused, {{"task", taskText(order.task())},
+                                {"run", std::uint64_t{order.run()}},
+                                {"reason", "no room left"},
+                                {"counted", resourcesText(resourcesOf(refusal.counted))},
+                                {"blocking", blocking ? taskText(makeTaskId(blocking->workflow, blocking->task)) : ""},
+                                {"blockingRun", std::uint64_t{blocking ? blocking->run : 0}}});
 }
 
 Awaitable<void> RunAgentService::startRun(schema::RunOrder order) {
@@ -383,8 +422,9 @@
     co_await stopRun(std::move(order));
     co_return;
   }
-  if (!hasCapacityFor(order)) {
-    logEvent(schema::RunRefused, {{"task", name}, {"run", std::uint64_t{order.run()}}, {"reason", "no room left"}});
+  if (std::optional<CapacityRefusal> refusal = findCapacityRefusal(order)) {
+    logCapacityRefusal(order, *refusal);
+    m_runs[key].refusal = std::move(refusal);
     co_await stopRun(std::move(order));
     co_return;
   }
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "Courseloom/src/Agent/Fence.h"
@@ -61,10 +62,16 @@
   /** Number of failed polls in a row after which the target counts as unreachable and gets no new runs. */
   static constexpr unsigned UnreachableAfterFailures = 2;
 
+  /** Why a start does not fit on the target. */
+  struct CapacityRefusal {
+    ResourceAmounts counted;         ///< what the other runs at the target are counted to use
+    std::optional<RunKey> blocking;  ///< the largest of these runs, or one of unknown demand; none if there are no runs
+  };
   struct LocalRun {
     bool busy = false;          ///< a call to the target about this run is in progress
     bool neverStarted = false;  ///< the target answered the start call and did not begin the run
     Time knownSince{};          ///< when the target was first known to have the run; zero while that is not confirmed
+    std::optional<CapacityRefusal> refusal;  ///< set if this agent refused its start for lack of capacity
   };
   /** Whether the loss of a target is attributed to one of the runs that were there. */
   struct CrashEvidence {
@@ -166,7 +173,8 @@
   void settleAll(schema::RunEndKind kind, const std::string& reason);
   void recordLost(const RunKey& key, schema::RunEndKind kind);
   CrashEvidence crashEvidenceOf(const RunKey& key) const;
-  bool hasCapacityFor(const schema::RunOrder& order) const;
+  std::optional<CapacityRefusal> findCapacityRefusal(const schema::RunOrder& order) const;
+  static void logCapacityRefusal(const schema::RunOrder& order, const CapacityRefusal& refusal);
   bool isListed(const RunKey& key) const;
   bool isListedAsEnded(const RunKey& key) const;
   void forgetRun(const RunKey& key);
--- a/Courseloom/src/Control/WorkflowAgents.cpp
+++ b/Courseloom/src/Control/WorkflowAgents.cpp
@@ -25,15 +25,20 @@
   return XXH64(reply.relays().data(), sizeof(std::uint32_t) * reply.relays_size(), members) | 1U;
 }
 
-/** \returns the reason for a run's end, as given by the report that contains it. */
-std::string reason_of(const schema::RunEnd& end, const schema::AttendRequest& report) {
+/** \returns the row of a report that contains a run's end; null if the end follows from the report otherwise. */
+const schema::EndReport* row_of(const schema::RunEnd& end, const schema::AttendRequest& report) {
   const RunKey key = runKeyOf(end.task(), end.run());
   for (const schema::EndReport& row : report.ends()) {
-    if (runKeyOf(row.task(), row.run()) != key) continue;
-    // Ends that the target lists are numbered. Number 0 is an end that the agent determined itself, with a reason.
-    return row.number() == 0 ? row.reason() : "listed by the target";
+    if (runKeyOf(row.task(), row.run()) == key) return &row;
   }
-  return "the agent reports another life of the target";
+  return nullptr;
+}
+
+/** \returns the reason for a run's end. \param row row of the report that contains it, or null */
+std::string reason_of(const schema::EndReport* row) {
+  if (row == nullptr) return "the agent reports another life of the target";
+  // Ends that the target lists are numbered. Number 0 is an end that the agent determined itself, with a reason.
+  return row->number() == 0 ? row->reason() : "listed by the target";
 }
 
 }  // namespace
@@ -73,6 +78,8 @@
  * workflow; other ends are always logged. */
 void WorkflowRunner::logRunEnd(const schema::RunEnd& end, const schema::AttendRequest& report) const {
   const bool usual = end.kind() == schema::RunDone || end.kind() == schema::RunStopped;
+  const schema::EndReport* row = internal::row_of(end, report);
+  const bool refused = row != nullptr && row->has_counted();
   const auto log = [&](std::initializer_list<LogField> fields) {
     usual ? logGroupEvent(schema::RunEnded, end.task().workflow(), fields) : logEvent(schema::RunEnded, fields);
   };
@@ -81,13 +88,17 @@
        {"kind", schema::RunEndKind_Name(end.kind())},
        {"target", m_ledger.runs().at(runKeyOf(end.task(), end.run())).target},
        {"reporting", report.target().id()},
-       {"reason", internal::reason_of(end, report)},
+       {"reason", internal::reason_of(row)},
+       {"counted", refused ? resourcesText(row->counted()) : ""},
+       {"blocking", refused && row->has_blocking() ? taskText(row->blocking()) : ""},
        {"sequence", report.sequence()},
        {"reportTerm", report.term()},
        {"ageMs", std::uint64_t{report.running_age_ms()}}});
 }
 
 schema::RecordRuns WorkflowRunner::collectEnds(const schema::AttendRequest& report, Time received) {
+  const std::string& target = report.target().id();
+  if (m_health.countsVoids(target) && !m_ledger.newlyBegun(report).empty()) recordBegun(target);
   schema::RecordRuns runs;
   for (schema::RunEnd& end : m_ledger.receiveReport(report, received)) {
     recordFullRunTime(end, received);
--- a/Courseloom/src/Scheduling/ResourceAmounts.cpp
+++ b/Courseloom/src/Scheduling/ResourceAmounts.cpp
@@ -51,6 +51,19 @@
           static_cast<std::int64_t>(resources.accelerators())};
 }
 
+schema::Resources resourcesOf(const ResourceAmounts& amounts) {
+  schema::Resources resources;
+  resources.set_cpu_milli(static_cast<std::uint64_t>(amounts.cpuMilli));
+  resources.set_memory_mb(static_cast<std::uint64_t>(amounts.memoryMb));
+  resources.set_accelerators(static_cast<std::uint32_t>(amounts.accelerators));
+  return resources;
+}
+
+std::string resourcesText(const schema::Resources& resources) {
+  return std::to_string(resources.cpu_milli()) + " cpu_milli, " + std::to_string(resources.memory_mb()) +
+         " memory_mb, " + std::to_string(resources.accelerators()) + " accelerators";
+}
+
 ResourceAmounts resourceAmountsOf(const schema::StepSpec& step) {
   ResourceAmounts need = resourceAmountsOf(step.need());
   if (step.filler()) need.cpuMilli = 0;
--- a/Courseloom/src/Scheduling/ResourceAmounts.h
+++ b/Courseloom/src/Scheduling/ResourceAmounts.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "generated/workflow.pb.h"
@@ -36,6 +37,10 @@
 
 /** \returns the amounts of a resource message. */
 ResourceAmounts resourceAmountsOf(const schema::Resources& resources);
+/** \returns a resource message of amounts that are not negative. */
+schema::Resources resourcesOf(const ResourceAmounts& amounts);
+/** \returns the text of a resource message in log events. */
+std::string resourcesText(const schema::Resources& resources);
 /** \returns the demand of one task of a step; 0 cpuMilli for a filler, which uses only idle processor time. */
 ResourceAmounts resourceAmountsOf(const schema::StepSpec& step);
 /** \returns the same for an order to start a run. */
--- a/test/run_agent.cpp
+++ b/test/run_agent.cpp
@@ -93,7 +93,10 @@
   Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
     schema::AttendReply answer = leaseReply(LongLeaseMs);
     accelerators = request.target().capacity().accelerators();
-    for (const schema::EndReport& end : request.ends()) kinds.insert(end.kind());
+    for (const schema::EndReport& end : request.ends()) {
+      kinds.insert(end.kind());
+      if (end.kind() == schema::RunVoided) voided = end;
+    }
     if (ordered < wanted) {
       schema::RunOrder& order = *answer.add_orders();
       order = startOrder();
@@ -107,6 +110,7 @@
   unsigned ordered = 0;
   std::uint64_t accelerators = 0;  ///< as last reported
   std::set<schema::RunEndKind> kinds;
+  schema::EndReport voided;  ///< the newest report of a start that never began
 };
 
 /** Orders a run and acknowledges its end. Then orders another run, which needs all accelerators of the target. */
@@ -240,6 +244,37 @@
   cr_assert_eq(fixture.target.starts, 2);
 }
 
+// Guards against refusals without a cause: an agent refused 111 starts in a row with the text `no room left` only, and
+// nothing showed what it counted as used.
+Test(run_agent, a_refusal_for_lack_of_capacity_names_what_is_counted_and_a_blocking_run) {
+  CapacityLeader leader;
+  AgentFixture fixture(leader);
+  fixture.target.refusesStarts = false;
+  fixture.run(milliseconds(200));
+  fixture.resize(2, 6);
+  fixture.run(milliseconds(200));
+  leader.wanted = 2;
+  fixture.run(milliseconds(500));
+  cr_assert_eq(fixture.target.starts, 1);
+  cr_assert_eq(leader.voided.task().index(), 1, "the second run was not refused");
+  cr_assert_str_eq(leader.voided.reason().c_str(), "never began");
+  cr_assert_eq(leader.voided.counted().accelerators(), 4);
+  cr_assert(leader.voided.has_blocking(), "no blocking run was named");
+  cr_assert_eq(leader.voided.blocking().index(), 0);
+}
+
+// A run that the target itself refuses was not refused for lack of capacity by the agent.
+Test(run_agent, a_refusal_by_the_target_names_no_counted_resources) {
+  CapacityLeader leader;
+  AgentFixture fixture(leader);
+  fixture.run(milliseconds(200));
+  leader.wanted = 1;
+  fixture.run(milliseconds(500));
+  cr_assert(leader.kinds.count(schema::RunVoided) > 0);
+  cr_assert_not(leader.voided.has_counted());
+  cr_assert_not(leader.voided.has_blocking());
+}
+
 // Guards against a target that starts nothing more: an older list of the target, which arrived after a newer one,
 // brought back a run whose end was committed already. No later list removed it, and beside a run of unknown demand no
 // start counts as fitting on the target.
