Targets that void several starts in a row are closed for a time

Cause: 111 consecutive starts on one target ended with RunVoided, and the planner chose the target again at once. Change: with policy.void_backoff on, TargetHealth closes a target after three voided starts in a row for 0.4 s, doubling up to 12.8 s. Afterwards the target gets one start at a time, beside the runs that go on there, until a run begins or the probation is over. Members of one gang count once. A start does not count if its stop was requested, if the target was draining, lost or restarted, or if a former leader or a former incarnation of the agent had the order. Targets closed so count towards maxSuspectShare together with suspect ones. Events TargetClosedByVoids and TargetStartsAgain; counter runs_voided by agent, since agents are as many as targets and do not change their names with each incarnation; gauge targets_closed_by_voids. Conclusion: a target that voids every start gets one start per closure instead of one per 0.4 s; with the switch off only the metrics are new.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -227,8 +227,11 @@
   for (const auto& [agent, track] : m_ledger.targets()) {
     if (isDrained(track)) continue;
     PlannedTarget& target = *planned++;
-    const bool closed = m_health.paused(target.id, now) || (trusted && m_health.suspect(target.id, now));
-    target.open = m_ledger.open(track, now) && !closed && m_trialAgents.count(agent) == 0;
+    const bool doubted = m_health.suspect(target.id, now) || m_health.closedByVoids(target.id, now);
+    const bool closed = m_health.paused(target.id, now) || (trusted && doubted);
+    target.oneStart = trusted && m_health.onVoidProbation(target.id, now);
+    const bool starting = target.oneStart && m_ledger.hasUnconfirmedStart(agent);
+    target.open = m_ledger.open(track, now) && !closed && !starting && m_trialAgents.count(agent) == 0;
     target.awaited = m_ledger.awaited(track, now);
     target.single = trusted && m_health.onProbation(target.id, now);
     target.penalty = m_health.penalty(target.id, now);
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -60,6 +60,12 @@
   return options;
 }
 
+TargetHealthOptions health_options(const schema::Settings& settings) {
+  TargetHealthOptions options;
+  options.voidBackoff = settings.policy().void_backoff();
+  return options;
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -70,7 +76,8 @@
       m_driver(driver),
       m_tickets(m_strand, std::move(advice), [this] { requestPlan(); }),
       m_ledger(internal::ledger_options(context.settings)),
-      m_planner(internal::planner_options(context.settings)) {}
+      m_planner(internal::planner_options(context.settings)),
+      m_health(internal::health_options(context.settings)) {}
 
 void WorkflowRunner::start() {
   asio::co_spawn(m_strand, tickLoop(), asio::detached);
@@ -111,6 +118,7 @@
   const std::vector<RunChange> changes = m_driver.consumeRunChanges();
   const std::vector<std::string> ended = m_driver.consumeEndedWorkflows();
   if (!m_leads) return;
+  const std::set<RunKey> voids = voidsOfTargets(changes);
   m_ledger.apply(changes, BootClock::now(), m_changesInherited);
   // This leader proposes its own starts only once it leads, so they are applied after this point.
   if (leads()) m_changesInherited = false;
@@ -118,6 +126,7 @@
     if (change.started) recordFirstStart(change);
     if (!change.started) m_context.metrics.count("run_ends", schema::RunEndKind_Name(change.kind));
     if (!change.started) recordHealth(change);
+    if (!change.started) recordVoid(change, voids.count(runKeyOf(change.task, change.run.number())) > 0);
     if (!change.started) logCrash(change);
     if (change.started) notifyAgent(change.run.agent());
     if (!change.started) stopGangMembers(change);
@@ -208,6 +217,46 @@
       {{"target", target}, {"reason", schema::RunEndKind_Name(change.kind)}, {"workflow", change.task.workflow()}});
 }
 
+/** \returns the voided starts among the changes that count against their targets. To be called before the ledger
+ * applies the changes, which removes the runs. */
+std::set<RunKey> WorkflowRunner::voidsOfTargets(const std::vector<RunChange>& changes) const {
+  std::set<RunKey> voids;
+  for (const RunChange& change : changes) {
+    if (change.started || change.kind != schema::RunVoided) continue;
+    const RunKey key = runKeyOf(change.task, change.run.number());
+    const auto agent = m_ledger.targets().find(change.run.agent());
+    const bool drained = agent != m_ledger.targets().end() && isDrained(agent->second);
+    if (!drained && m_ledger.blamesTarget(key)) voids.insert(key);
+  }
+  return voids;
+}
+
+/** Records what the end of a run shows about starts on its target. Lapsed runs and those of a lost target show nothing:
+ * it is unknown whether they had begun. */
+void WorkflowRunner::recordVoid(const RunChange& change, bool blamesTarget) {
+  const std::string& target = change.run.target();
+  if (change.kind == schema::RunLapsed || change.kind == schema::RunTargetLost) return;
+  if (change.kind != schema::RunVoided) return recordBegun(target);
+  if (!blamesTarget) return;
+  m_context.metrics.count("runs_voided", change.run.agent());
+  const RunKey key = runKeyOf(change.task, change.run.number());
+  const WorkflowState* workflow = table().find(key.workflow);
+  const bool gang = workflow != nullptr && workflow->step(key.task.step).gang();
+  const std::string task =
+      gang ? taskText(makeTaskId(key.workflow, {key.task.occurrence, key.task.step, 0})) : taskText(change.task);
+  const VoidedStart start{target, task + "/" + std::to_string(key.run), {key.workflow, key.task.stepKey()}};
+  const std::optional<Duration> closed = m_health.voided(start, BootClock::now());
+  if (!closed) return;
+  logEvent(schema::TargetClosedByVoids, {{"target", target},
+                                         {"agent", change.run.agent()},
+                                         {"task", taskText(change.task)},
+                                         {"closedMs", static_cast<std::uint64_t>(toMilliseconds(*closed))}});
+}
+
+void WorkflowRunner::recordBegun(const std::string& target) {
+  if (m_health.began(target)) logEvent(schema::TargetStartsAgain, {{"target", target}});
+}
+
 /** Stops the remaining members of a gang after one of them was lost. They would otherwise wait for the lost member
  * until their targets give them up, and the gang's next run can only start once all of them have ended. */
 void WorkflowRunner::stopGangMembers(const RunChange& change) {
@@ -249,6 +298,7 @@
   m_context.metrics.set("workflows_open", static_cast<double>(table().open().size()));
   m_context.metrics.set("runs_active", static_cast<double>(m_ledger.runs().size()));
   m_context.metrics.set("targets_known", static_cast<double>(m_ledger.targets().size()));
+  m_context.metrics.set("targets_closed_by_voids", static_cast<double>(m_health.targetsClosedByVoids(now)));
   m_context.metrics.set("targets_open", static_cast<double>(openTargets));
 }
 
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -105,6 +105,9 @@
   bool isDrained(const TargetTrack& target) const;
   bool runsInDrainedHall(const RunTrack& track) const;
   void recordHealth(const RunChange& change);
+  std::set<RunKey> voidsOfTargets(const std::vector<RunChange>& changes) const;
+  void recordVoid(const RunChange& change, bool blamesTarget);
+  void recordBegun(const std::string& target);
   void recordStartSurvived(schema::RunEnd& end) const;
   void logCrash(const RunChange& change) const;
   void logGivenUpTasks(const WorkflowState& workflow) const;
--- a/Courseloom/src/Scheduling/Placer.cpp
+++ b/Courseloom/src/Scheduling/Placer.cpp
@@ -98,7 +98,8 @@
   if (demand.waitsForData && demand.isAwayFromData(m_targets.rackOf(target))) return 0;
   const std::size_t most = std::min(demand.tasks, demand.remainingOn(target));
   const std::size_t count = unreservedOn(demand, target, capacity).fits(demand.need, most);
-  return m_targets[target].single || demand.trial ? std::min<std::size_t>(count, 1) : count;
+  const bool onlyOne = m_targets[target].single || m_targets[target].oneStart || demand.trial;
+  return onlyOne ? std::min<std::size_t>(count, 1) : count;
 }
 
 /** \returns the cost of a trial start on a target with other runs, which a crash would end; 0 for other starts. */
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -251,6 +251,42 @@
   }
 }
 
+bool RunLedger::blamesTarget(const RunKey& key) const {
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end()) return false;
+  const RunTrack& run = found->second;
+  const auto agent = m_targets.find(run.agent);
+  if (run.inherited || run.stopRequested || agent == m_targets.end()) return false;
+  const TargetTrack& target = agent->second;
+  if (run.firstOrderedTo == 0 || run.firstOrderedTo != target.incarnation) return false;
+  const bool same = target.report.id() == run.target && target.report.reachable();
+  const bool lost = target.lostSince != Time{} && target.lostSince >= run.startedAt;
+  return same && !lost && !target.report.draining();
+}
+
+std::vector<RunKey> RunLedger::newlyBegun(const schema::AttendRequest& report) const {
+  std::set<RunKey> begun;
+  const auto check = [&](const schema::TaskId& task, std::uint32_t number) {
+    const RunKey key = runKeyOf(task, number);
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end() || found->second.target != report.target().id()) return;
+    if (!found->second.confirmed && found->second.firstSeen == Time{}) begun.insert(key);
+  };
+  if (!isCurrent(report) || isSuperseded(report)) return {};
+  for (const schema::RunReport& row : report.running()) check(row.task(), row.run());
+  for (const schema::StartReport& row : report.started()) check(row.task(), row.run());
+  return {begun.begin(), begun.end()};
+}
+
+bool RunLedger::hasUnconfirmedStart(const std::string& agent) const {
+  const auto keys = m_byAgent.find(agent);
+  if (keys == m_byAgent.end()) return false;
+  return std::any_of(keys->second.begin(), keys->second.end(), [this](const RunKey& key) {
+    const RunTrack& run = m_runs.at(key);
+    return !run.confirmed && run.firstSeen == Time{};
+  });
+}
+
 // ---- leases
 
 Duration RunLedger::grant(const std::string& agent, Time now) {
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -160,6 +160,15 @@
   /** \returns whether a run was seen for at least StartPhase. \param members size of the run's gang, which is measured
    * from the time at which all members had been seen, since it works only then; 1 for a single task */
   bool lived(const RunKey& key, std::uint32_t members) const;
+  /** \returns whether a start that never began counts against its target: this leader ordered it first, to the agent's
+   * present incarnation, and has not asked to stop it, and the target is the same and in reach, has not been lost since
+   * the start and is not draining. */
+  bool blamesTarget(const RunKey& key) const;
+  /** \returns the runs that a report shows as begun on the agent's target and that were not known to have begun. To be
+   * called before the report is applied. */
+  std::vector<RunKey> newlyBegun(const schema::AttendRequest& report) const;
+  /** \returns whether an agent has an active run that is not known to have begun. */
+  bool hasUnconfirmedStart(const std::string& agent) const;
   /** Requests that a run be stopped. \returns its agent, or an empty string if the run is not active */
   std::string requestStop(const RunKey& key);
 
--- a/Courseloom/src/Scheduling/RunPlan.h
+++ b/Courseloom/src/Scheduling/RunPlan.h
@@ -41,6 +41,7 @@
   bool open = false;         ///< whether new runs may be started on it
   bool awaited = true;       ///< if it is not open: whether it is expected to open soon
   bool single = false;       ///< limited to one run at a time, until a run shows that it works
+  bool oneStart = false;     ///< limited to one new run in a pass, beside those that run there
   double penalty = 0.0;      ///< added to its placement cost, so that failing targets are chosen last
   TargetSlowdown slowdown;
 };
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -284,7 +284,7 @@
     const std::size_t target = placement.targets[i];
     m_pass->plan.starts.push_back({demand.step, step.tasks[first + i], target});
     occupy(target, demand.need);
-    if (demand.trial) close(target);
+    if (demand.trial || m_pass->targets[target].oneStart) close(target);
     demand.addTaskOn(target);
   }
   demand.tasks -= placement.targets.size();
--- a/Courseloom/src/Scheduling/StepDemand.cpp
+++ b/Courseloom/src/Scheduling/StepDemand.cpp
@@ -72,7 +72,7 @@
   for (const std::size_t i : among) {
     const PlannedTarget& target = targets[i];
     if (!target.open && !target.awaited) continue;
-    const bool takesOne = target.single && onProbation == OnProbation::TakesOne;
+    const bool takesOne = (target.single || target.oneStart) && onProbation == OnProbation::TakesOne;
     held += target.capacity.fits(demand.need, std::min(demand.maxPerTarget, takesOne ? 1 : demand.tasks));
     if (held >= demand.tasks) return true;
   }
--- a/Courseloom/src/Scheduling/StepDemand.h
+++ b/Courseloom/src/Scheduling/StepDemand.h
@@ -63,7 +63,7 @@
  * \param speeds how the speeds of targets influence its placement */
 StepDemand makeDemand(const PlannedStep& step, std::size_t index, TargetIndex& targets, double nowMs, SpeedUse speeds);
 
-/** How couldHold() counts a target that is limited to one run until a run shows that it works. */
+/** How couldHold() counts a target that is limited to one run or start until a run shows that it works. */
 enum class OnProbation : std::uint8_t {
   WillPass,  ///< with its total capacity
   TakesOne,  ///< with one run
--- a/Courseloom/src/Scheduling/TargetHealth.cpp
+++ b/Courseloom/src/Scheduling/TargetHealth.cpp
@@ -10,6 +10,12 @@
 void TargetHealth::clear() {
   m_targets.clear();
   m_failedOn.clear();
+  m_voidedOn.clear();
+}
+
+void TargetHealth::forget(const std::string& workflow) {
+  m_failedOn.erase(workflow);
+  std::erase_if(m_voidedOn, [&workflow](const auto& entry) { return entry.first.first == workflow; });
 }
 
 double TargetHealth::penalty(const std::string& target, Time now) const {
@@ -71,6 +77,70 @@
   if (prolongs) markSuspect(score, now);
 }
 
+void TargetHealth::clearVoids(Score& score) {
+  score.voidedStarts.clear();
+  score.closedBy.clear();
+  score.closedUntil = Time{};
+  score.closure = Duration(0);
+}
+
+std::optional<Duration> TargetHealth::voided(const VoidedStart& start, Time now) {
+  m_voidedOn[start.step][start.target] = now + m_options.voidAvoidance;
+  if (!m_options.voidBackoff) return std::nullopt;
+  Score& score = m_targets[start.target];
+  // Starts that were ordered before the closure do not prolong it.
+  if (now < score.closedUntil || start.start == score.closedBy) return std::nullopt;
+  score.voidedStarts.insert(start.start);
+  const bool closedBefore = score.closure > Duration(0);
+  if (!closedBefore && score.voidedStarts.size() < m_options.voidsUntilClosed) return std::nullopt;
+  score.closure = closedBefore ? std::min(2 * score.closure, m_options.longestVoidClosure) : m_options.firstVoidClosure;
+  score.closedUntil = now + score.closure;
+  score.closedBy = start.start;
+  score.voidedStarts.clear();
+  return score.closure;
+}
+
+bool TargetHealth::began(const std::string& target) {
+  const auto found = m_targets.find(target);
+  if (found == m_targets.end()) return false;
+  const bool closedBefore = found->second.closure > Duration(0);
+  clearVoids(found->second);
+  return closedBefore;
+}
+
+bool TargetHealth::countsVoids(const std::string& target) const {
+  const auto found = m_targets.find(target);
+  if (found == m_targets.end()) return false;
+  return !found->second.voidedStarts.empty() || found->second.closure > Duration(0);
+}
+
+bool TargetHealth::closedByVoids(const std::string& target, Time now) const {
+  const auto found = m_targets.find(target);
+  return found != m_targets.end() && now < found->second.closedUntil;
+}
+
+bool TargetHealth::onVoidProbation(const std::string& target, Time now) const {
+  const auto found = m_targets.find(target);
+  if (found == m_targets.end() || found->second.closure == Duration(0)) return false;
+  const Time until = found->second.closedUntil;
+  return now >= until && now < until + m_options.longestProbation;
+}
+
+std::size_t TargetHealth::targetsClosedByVoids(Time now) const {
+  return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(),
+                                                [now](const auto& entry) { return now < entry.second.closedUntil; }));
+}
+
+std::set<std::string> TargetHealth::voidedOn(const std::pair<std::string, StepKey>& step, Time now) const {
+  std::set<std::string> targets;
+  const auto found = m_voidedOn.find(step);
+  if (found == m_voidedOn.end()) return targets;
+  for (const auto& [target, until] : found->second) {
+    if (now < until) targets.insert(target);
+  }
+  return targets;
+}
+
 void TargetHealth::stalled(const std::string& target, Time now) {
   m_targets[target].stalled = true;
   m_targets[target].doubtedUntil = now + m_options.doubtTime;
@@ -94,8 +164,9 @@
 }
 
 bool TargetHealth::tooManySuspect(const std::vector<std::string>& targets, Time now) const {
-  const auto suspects =
-      std::count_if(targets.begin(), targets.end(), [&](const std::string& target) { return suspect(target, now); });
+  const auto suspects = std::count_if(targets.begin(), targets.end(), [&](const std::string& target) {
+    return suspect(target, now) || closedByVoids(target, now);
+  });
   return static_cast<double>(suspects) > m_options.maxSuspectShare * static_cast<double>(targets.size());
 }
 
--- a/Courseloom/src/Scheduling/TargetHealth.h
+++ b/Courseloom/src/Scheduling/TargetHealth.h
@@ -4,8 +4,10 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Courseloom/src/Core/Clock.h"
@@ -33,6 +35,22 @@
   double cautionPenalty = 50.0;   ///< placement cost of a target for failureCaution after a failure
   double maxSuspectShare = 0.5;   ///< if more than this share of the targets is suspect, suspicion closes none of them
   Duration refusalPause = milliseconds(400);  ///< a target gets no new runs for this long after it refused one
+  bool voidBackoff = false;       ///< a target on which several starts in a row never began is closed for a time
+  unsigned voidsUntilClosed = 3;  ///< number of starts in a row that never began after which a target is closed
+  Duration firstVoidClosure = milliseconds(400);  ///< length of the first closure; doubles with each further one
+  Duration longestVoidClosure = milliseconds(12800);
+  /** Time after a voided start for which its gang avoids the target, if others could hold the gang. It covers the start
+   * bound of guaranteed work, within which the gang has to begin elsewhere. */
+  Duration voidAvoidance = milliseconds(3000);
+};
+
+/** \class VoidedStart
+ * \brief A committed start whose run never began on its target.
+ */
+struct VoidedStart {
+  std::string target;
+  std::string start;                     ///< identifies the start; the same for all members of one run of a gang
+  std::pair<std::string, StepKey> step;  ///< workflow and step of the run
 };
 
 /** \class TargetHealth
@@ -42,6 +60,9 @@
  * A suspect target gets no new runs for a time. After that it is on probation and gets one run at a time until one is
  * done or the probation ends. A workflow that fails on one target after another is itself at fault, so its failures no
  * longer count against targets.
+ *
+ * A target on which several starts in a row never began is closed to new runs for a time that doubles with each further
+ * closure. After a closure it gets one start at a time, until a run begins there or longestProbation is over.
  * \sa RunPlanner
  */
 class TargetHealth {
@@ -50,9 +71,18 @@
 
   void clear();
   /** Removes the record of a workflow that has ended. */
-  void forget(const std::string& workflow) { m_failedOn.erase(workflow); }
+  void forget(const std::string& workflow);
   /** Records the committed end of a run. */
   void ended(const std::string& target, const std::string& workflow, schema::RunEndKind kind, Time now);
+  /** Records a start that never began, for which the target itself may be the cause: it was not asked to stop the run,
+   * and it was neither draining nor lost. Members of one gang count once. \returns for how long the target is closed
+   * by it, or nothing */
+  std::optional<Duration> voided(const VoidedStart& start, Time now);
+  /** Records that a run has begun on the target. \returns whether that ends a closure by voids or the time after one in
+   * which the target gets one start at a time */
+  bool began(const std::string& target);
+  /** \returns whether starts that never began are counted against the target. */
+  bool countsVoids(const std::string& target) const;
   /** Records that a run made no progress on the target. */
   void stalled(const std::string& target, Time now);
   /** Records that the target refused a run or never started it. */
@@ -62,7 +92,16 @@
   bool suspect(const std::string& target, Time now) const;
   /** \returns whether the target's suspicion has ended, but the target may get only one run at a time for now. */
   bool onProbation(const std::string& target, Time now) const;
-  /** \returns whether so many of the targets are suspect that the cause is assumed to lie elsewhere. */
+  /** \returns whether the target is closed to new runs because starts never began there, unless tooManySuspect(). */
+  bool closedByVoids(const std::string& target, Time now) const;
+  /** \returns whether a closure by voids is over, but the target may get only one start at a time for now. */
+  bool onVoidProbation(const std::string& target, Time now) const;
+  /** \returns the number of targets that are closed by voids. */
+  std::size_t targetsClosedByVoids(Time now) const;
+  /** \returns the targets on which starts of a step were voided within voidAvoidance. */
+  std::set<std::string> voidedOn(const std::pair<std::string, StepKey>& step, Time now) const;
+  /** \returns whether so many of the targets are suspect or closed by voids that the cause is assumed to lie
+   * elsewhere. */
   bool tooManySuspect(const std::vector<std::string>& targets, Time now) const;
   /** \returns the cost of placing a run on a target now; zero for one in good health. */
   double penalty(const std::string& target, Time now) const;
@@ -83,14 +122,21 @@
     Time cautionUntil{};
     Time doubtedUntil{};
     Time pausedUntil{};
+    std::set<std::string> voidedStarts;  ///< starts that never began since a run last began there or it was closed
+    std::string closedBy;                ///< the start whose void closed the target last
+    Time closedUntil{};                  ///< end of the latest closure by voids
+    Duration closure{};                  ///< length of that closure; zero if a run has begun there since
   };
   void markSuspect(Score& score, Time now);
   static void clearSuspicion(Score& score);
+  static void clearVoids(Score& score);
   void withdrawFailures(const std::string& workflow);
 
   TargetHealthOptions m_options;
   std::map<std::string, Score> m_targets;
   std::map<std::string, std::set<std::string>> m_failedOn;  ///< by workflow: targets on which it has failed
+  std::map<std::pair<std::string, StepKey>, std::map<std::string, Time>>
+      m_voidedOn;  ///< by step and target: end of voidAvoidance
 };
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/VictimSelector.cpp
+++ b/Courseloom/src/Scheduling/VictimSelector.cpp
@@ -89,7 +89,9 @@
     m_remaining.reserve(among.size());
     for (const std::size_t target : among) {
       m_capacities.push_back(capacities[target]);
-      m_remaining.push_back(selector.m_targets[target].open ? demand.remainingOn(target) : 0);
+      const PlannedTarget& planned = selector.m_targets[target];
+      const std::size_t most = planned.oneStart ? 1 : StepDemand::Unlimited;
+      m_remaining.push_back(planned.open ? std::min(demand.remainingOn(target), most) : 0);
     }
     m_versions.assign(among.size(), 0);
     for (std::size_t position = 0; position < among.size(); ++position) updateOffer(position);
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -853,3 +853,68 @@
   test.attend(withRunning(withRunning(test.report(), 0, 1), 1, 1));
   cr_assert(test.ledger.lived({"w", {0, 0, 0}, 1}, 2));
 }
+
+namespace {
+
+/** \returns a ledger whose agent got a start order for run 1 of task 0 on life-1. */
+LedgerFixture withOrderedStart() {
+  LedgerFixture test;
+  test.attend(test.report());
+  test.start(0, 1);
+  test.attend(test.report());
+  return test;
+}
+
+const RunKey OrderedRun{"w", {0, 0, 0}, 1};
+
+}  // namespace
+
+// Guards against closing a healthy target: starts are also voided where the target was about to leave, or where the run
+// was to be stopped before it began, as with the other members of a gang that lost one.
+Test(run_ledger, a_voided_start_counts_only_against_a_target_that_could_have_begun_it) {
+  LedgerFixture test = withOrderedStart();
+  cr_assert(test.ledger.blamesTarget(OrderedRun));
+  test.ledger.requestStop(OrderedRun);
+  cr_assert_not(test.ledger.blamesTarget(OrderedRun), "its stop was requested");
+  LedgerFixture draining = withOrderedStart();
+  schema::AttendRequest leaving = draining.report();
+  leaving.mutable_target()->set_draining(true);
+  draining.ledger.receiveReport(leaving, draining.now);
+  cr_assert_not(draining.ledger.blamesTarget(OrderedRun), "its target drains");
+  LedgerFixture lost = withOrderedStart();
+  schema::AttendRequest silent = lost.report();
+  silent.mutable_target()->set_reachable(false);
+  lost.ledger.receiveReport(silent, lost.now);
+  cr_assert_not(lost.ledger.blamesTarget(OrderedRun), "its target is out of reach");
+  lost.ledger.receiveReport(lost.report(), lost.now);
+  cr_assert_not(lost.ledger.blamesTarget(OrderedRun), "its target was out of reach after the order");
+  LedgerFixture restarted = withOrderedStart();
+  restarted.ledger.receiveReport(restarted.report("life-2"), restarted.now);
+  cr_assert_not(restarted.ledger.blamesTarget(OrderedRun), "its target was restarted");
+  LedgerFixture agent = withOrderedStart();
+  agent.incarnation = 2;
+  agent.ledger.receiveReport(agent.report(), agent.now);
+  cr_assert_not(agent.ledger.blamesTarget(OrderedRun), "another incarnation of the agent got the order");
+}
+
+Test(run_ledger, a_start_that_a_former_leader_ordered_counts_against_no_target) {
+  LedgerFixture test = withOrderedStart();
+  test.ledger.lead(test.table, test.now);
+  test.attend(test.report());
+  cr_assert_not(test.ledger.blamesTarget(OrderedRun));
+}
+
+// Guards against a target that counts as working because a run that began long ago is listed again.
+Test(run_ledger, a_run_is_newly_begun_only_once) {
+  LedgerFixture test = withOrderedStart();
+  cr_assert(test.ledger.newlyBegun(test.report()).empty());
+  const schema::AttendRequest running = withRunning(test.report(), 0, 1);
+  cr_assert_eq(test.ledger.newlyBegun(running).size(), 1);
+  cr_assert(test.ledger.hasUnconfirmedStart("agent"));
+  test.attend(running);
+  cr_assert(test.ledger.newlyBegun(running).empty());
+  cr_assert_not(test.ledger.hasUnconfirmedStart("agent"));
+  test.incarnation = 2;
+  test.attend(test.report());
+  cr_assert(test.ledger.newlyBegun(withRunning(test.report(), 0, 1)).empty(), "only its agent was restarted");
+}
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -635,3 +635,23 @@
   input.addWaitingStep(1, 0, rankOf(2, false));
   cr_assert_eq(input.plan(1).starts.size(), 1);
 }
+
+// Guards against a flood of starts on a target that has just been closed because starts never began there, and against
+// a target that gets no trial start as long as another run goes on there.
+Test(run_planner, a_target_after_a_closure_gets_one_start_beside_its_runs) {
+  PlannerInput input(1);
+  input.addRun(0, 1, LowRank);
+  input.addWaitingStep(3, 1, LowRank);
+  input.addWaitingStep(3, 1, LowRank);
+  cr_assert_eq(input.plan().starts.size(), 6);
+  input.target(0).oneStart = true;
+  cr_assert_eq(input.plan().starts.size(), 1);
+}
+
+Test(run_planner, a_gang_that_needs_several_places_does_not_wait_for_a_target_that_gets_one_start) {
+  PlannerInput input;
+  PlannedStep& step = input.addWaitingStep(4, 1, UrgentRank, true);
+  step.avoided = {"t0", "t1", "t2"};
+  input.target(3).oneStart = true;
+  cr_assert_eq(input.plan().starts.size(), 4);
+}
