Gangs keep cleared targets after a voided start, and stops are bounded

Cause: a guaranteed gang of five whole targets was started eleven times in 6 s. Each time one target voided the start, single tasks took the other targets, and 127 runs in all were stopped for the gang again. Change: with policy.keep_gang_targets on, KeptTargets remembers the targets that were cleared for a gang from its planned start until all members have begun, for at most 4 s. Steps of lower rank do not use them, other steps use them last. For 3 s after the void the gang avoids the target that voided its start if others could hold it. StopBackoff lets each task of a step cause stops once; further stops wait 0.8 s, doubling up to 12.8 s, until the step makes progress. A guaranteed step past guaranteedStopAfterMs may override a delay once. Events StopsDelayed and StopsDelayOverridden, counters stops_delayed and stop_delays_overridden. Conclusion: each target is cleared once for a gang; with the switch off decisions are unchanged.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -83,6 +83,7 @@
     removeOutdated(plan, steps, [&](std::size_t target) { return acceptsStarts(targets[target]); });
   }
   stopPlanned(plan, steps);
+  logStopDelays(plan, steps);
   co_return recordStarts(startsOnRespondingAgents(plan, steps, targets), steps, targets);
 }
 
@@ -105,6 +106,21 @@
   }
 }
 
+void WorkflowRunner::logStopDelays(const RunPlan& plan, const std::vector<PlannedStep>& steps) const {
+  for (const RunPlan::StopDelay& delay : plan.stopDelays) {
+    const PlannedStep& step = steps[delay.step];
+    if (step.workflow == nullptr) continue;
+    m_context.metrics.count(delay.overridden ? "stop_delays_overridden" : "stops_delayed", "all");
+    logEvent(delay.overridden ? schema::StopsDelayOverridden : schema::StopsDelayed,
+             {{"workflow", step.workflow->record.id()},
+              {"occurrence", std::uint64_t{step.key.occurrence}},
+              {"step", std::uint64_t{step.key.step}},
+              {"rank", std::uint64_t{step.rank}},
+              {"waitedMs", static_cast<std::uint64_t>(step.waitedMs)},
+              {"delayMs", static_cast<std::uint64_t>(delay.delayMs)}});
+  }
+}
+
 schema::RecordRuns WorkflowRunner::recordStarts(const std::vector<RunPlan::Start>& starts,
                                                 const std::vector<PlannedStep>& steps,
                                                 const std::vector<PlannedTarget>& targets) const {
@@ -271,6 +287,7 @@
     run.target = target->second;
     run.need = shared->need;
     run.rank = shared->rank;
+    run.begun = track.confirmed || track.firstSeen != Time{};
     run.stopping = track.stopRequested || shared->ended;
     run.preemptible = shared->preemptible;
     if (shared->gang) run.gang = internal::gang_name(key);
@@ -357,10 +374,14 @@
   }
 }
 
-/** \returns the targets on which the workflow has failed. For a step with a task on its last attempt, also the targets
- * on which anything failed recently: where one run failed at once, two of the next three fail as well. */
+/** \returns the targets on which the workflow has failed, or the start of the gang was voided. For a step with a task
+ * on its last attempt, also the targets on which anything failed recently: where one run failed at once, two of the
+ * next three fail as well. */
 std::set<std::string> WorkflowRunner::targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const {
   std::set<std::string> avoided = m_health.failedOn(workflow.record.id());
+  // A gang takes another target in place of the one that voided its start.
+  const bool replaces = m_context.settings.policy().keep_gang_targets() && workflow.step(step.key.step).gang();
+  if (replaces) avoided.merge(m_health.voidedOn({workflow.record.id(), step.key}, BootClock::now()));
   if (!m_context.settings.policy().last_attempts()) return avoided;
   // Usually the set is empty, and no task has to be examined.
   std::set<std::string> doubted = m_health.doubted(BootClock::now());
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -56,6 +56,8 @@
   options.nominations = policy.nominations();
   options.yields = policy.yields();
   options.speeds = policy.speeds();
+  options.keepGangTargets = policy.keep_gang_targets();
+  options.stopBackoff = policy.keep_gang_targets();
   if (policy.stops_in_time()) options.stopMs = settings.control().stop_ms();
   return options;
 }
@@ -93,6 +95,7 @@
   m_tickets.clear();
   m_readySince.clear();
   m_health.clear();
+  m_planner.forgetUnstartedSteps();
   if (leads) m_ledger.lead(table(), BootClock::now(), m_driver.replica().term());
   for (auto& [agent, signal] : m_agentSignals) signal.notify();
   requestPlan();
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -95,6 +95,7 @@
 
   Awaitable<schema::RecordRuns> makePlan();
   void stopPlanned(const RunPlan& plan, const std::vector<PlannedStep>& steps);
+  void logStopDelays(const RunPlan& plan, const std::vector<PlannedStep>& steps) const;
   schema::RecordRuns recordStarts(const std::vector<RunPlan::Start>& starts, const std::vector<PlannedStep>& steps,
                                   const std::vector<PlannedTarget>& targets) const;
   bool acceptsStarts(const PlannedTarget& target) const;
--- a/Courseloom/src/Scheduling/RunPlan.h
+++ b/Courseloom/src/Scheduling/RunPlan.h
@@ -54,6 +54,7 @@
   std::size_t target = 0;  ///< index among the planned targets
   ResourceAmounts need;
   Rank rank = UrgentRank;
+  bool begun = false;        ///< whether it is known to have begun
   bool stopping = false;     ///< whether a stop has been ordered
   bool preemptible = true;   ///< whether it may be preempted
   std::string gang;          ///< identifies the gang's run; empty for a task outside a gang
@@ -106,8 +107,15 @@
     RunKey run;
     std::size_t forStep = 0;  ///< index among the given steps: the step that gets the freed capacity
   };
+  /** Stops for a step that were delayed, or made although they were delayed. */
+  struct StopDelay {
+    std::size_t step = 0;     ///< index among the given steps
+    double delayMs = 0.0;     ///< time until further stops are possible, ms; 0 if the delay was overridden
+    bool overridden = false;  ///< runs were stopped so that a guaranteed step starts within its bound
+  };
   std::vector<Start> starts;
   std::vector<Stop> stops;
+  std::vector<StopDelay> stopDelays;  ///< delays that began or were overridden in this pass
 };
 
 /** \returns the starts whose targets can be reached now; for a gang either all of its starts or none.
@@ -183,6 +191,9 @@
   /** Time from a stop order to the end of the run, ms. With `yields`, work outside guarantees that would be late after
    * this time stops no runs; 0 ignores it. */
   double stopMs = 0.0;
+  /** A gang that lost a member before its start keeps the targets that were cleared for it. Requires `nominations`. */
+  bool keepGangTargets = false;
+  bool stopBackoff = false;        ///< further stops for a step that does not start are delayed
   bool headroom = true;            ///< fully free targets are kept for priority 0
   double headroomWaitMs = 4000.0;  ///< wait after which other work may use these targets, ms
 };
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -28,18 +28,22 @@
   readSteps();
   updateUrgentLimit();
   orderSteps();
+  updateUnstartedSteps();
   const unsigned headroomTargets = m_options.headroom ? keepFullyFree : 0;
   m_pass->placer = std::make_unique<Placer>(m_pass->targets, m_options, loadNominations(), headroomTargets,
                                             m_pass->targets.lateChances(m_urgentLimit));
   findRunsEndingSoon();
   computeFreeCapacities();
+  findHolds();
   m_pass->forecast = std::make_unique<EndForecast>(runs, m_pass->targets, *m_pass->placer);
   m_pass->victimSelector = std::make_unique<VictimSelector>(runs, m_pass->targets, *m_pass->placer, m_pass->endsSoon);
 }
 
 bool RunPlanner::advance(const std::function<bool()>& timeIsUp) {
   while (m_pass->next < m_pass->order.size()) {
-    serve(m_pass->demands[m_pass->order[m_pass->next]]);
+    StepDemand& demand = m_pass->demands[m_pass->order[m_pass->next]];
+    applyHolds(demand.rank);
+    serve(demand);
     ++m_pass->next;
     if (timeIsUp()) break;
   }
@@ -61,6 +65,11 @@
   return plan;
 }
 
+void RunPlanner::forgetUnstartedSteps() {
+  m_stopBackoff.clear();
+  m_keptTargets.clear();
+}
+
 // ---- start of a pass
 
 void RunPlanner::readSteps() {
@@ -126,6 +135,28 @@
   return nominations;
 }
 
+/** Updates what is remembered of steps that have caused stops or were started, and have not begun since. */
+void RunPlanner::updateUnstartedSteps() {
+  StopBackoff::PendingTasks pending;
+  m_stopBackoff.addSteps(pending);
+  m_keptTargets.addSteps(pending);
+  if (pending.empty()) return;
+  for (const StepDemand& demand : m_pass->demands) {
+    const auto found = pending.find(m_pass->names[demand.step]);
+    if (found != pending.end()) found->second += demand.tasks;
+  }
+  for (const PlannedRun& run : m_pass->runs) {
+    if (run.begun && !run.stopping) continue;
+    const auto found = pending.find({run.key.workflow, run.key.task.stepKey()});
+    if (found != pending.end()) ++found->second;
+  }
+  m_stopBackoff.update(pending);
+  m_keptTargets.update(pending, m_pass->nowMs);
+  for (const auto& [gang, entry] : m_keptTargets.entries()) {
+    for (const auto& [target, members] : entry.members) m_lastNominated[gang].insert(target);
+  }
+}
+
 /** Determines the runs that are about to end. Estimates may be wrong, so a run that has been about to end for longer
  * than endsSoonLimitMs is not relied on any more. */
 void RunPlanner::findRunsEndingSoon() {
@@ -157,6 +188,70 @@
   }
 }
 
+// ---- targets that are kept for gangs
+
+/** \returns the number of runs of a step by the id of their target. */
+std::map<std::string, std::size_t> RunPlanner::runsByTarget(const StepName& step) const {
+  std::map<std::string, std::size_t> counts;
+  for (const PlannedRun& run : m_pass->runs) {
+    const bool own = run.key.workflow == step.first && run.key.task.stepKey() == step.second;
+    if (own) ++counts[m_pass->targets[run.target].id];
+  }
+  return counts;
+}
+
+/** Finds the kept targets of gangs that do not wait yet: some of their members have ended, others are still being
+ * stopped. */
+void RunPlanner::findHolds() {
+  if (m_keptTargets.entries().empty()) return;
+  const std::set<StepName> waiting(m_pass->names.begin(), m_pass->names.end());
+  for (const auto& [gang, entry] : m_keptTargets.entries()) {
+    if (waiting.count(gang) > 0) continue;
+    KeptTargets::Entry& hold = m_pass->holds.emplace_back(entry);
+    for (const auto& [target, runs] : runsByTarget(gang)) {
+      const auto found = hold.members.find(target);
+      if (found != hold.members.end()) found->second -= std::min(runs, found->second);
+    }
+  }
+}
+
+/** Keeps the targets of gangs of a higher rank from steps of the given rank, and from those served after them. Steps of
+ * the same rank as the gang choose them last. */
+void RunPlanner::applyHolds(Rank rank) {
+  for (const KeptTargets::Entry& hold : m_pass->holds) {
+    if (hold.rank >= rank) continue;
+    for (const auto& [id, members] : hold.members) {
+      const std::optional<std::size_t> target = m_pass->targets.find(id);
+      for (std::size_t i = 0; target && i < members; ++i) occupy(*target, hold.need);
+    }
+  }
+  std::erase_if(m_pass->holds, [rank](const KeptTargets::Entry& hold) { return hold.rank < rank; });
+}
+
+/** Remembers the targets on which a gang is started, if they were cleared for it. */
+void RunPlanner::keepTargets(const StepDemand& demand, const StepPlacement& placement) {
+  if (!m_options.keepGangTargets || !demand.gang || demand.nominated.empty()) return;
+  KeptTargets::Entry entry;
+  entry.rank = demand.rank;
+  entry.need = demand.need;
+  for (const std::size_t target : placement.targets) ++entry.members[m_pass->targets[target].id];
+  m_keptTargets.keep(m_pass->names[demand.step], std::move(entry), m_pass->nowMs);
+}
+
+/** Holds the targets that are kept for a waiting gang that finds no place yet. */
+void RunPlanner::holdKeptTargets(const StepDemand& demand) {
+  const KeptTargets::Entry* entry = m_keptTargets.find(m_pass->names[demand.step]);
+  if (entry == nullptr) return;
+  StepPlacement held;
+  for (const auto& [id, members] : entry->members) {
+    const std::optional<std::size_t> target = m_pass->targets.find(id);
+    const std::vector<std::size_t>& eligible = *demand.eligible;
+    const bool usable = target && std::find(eligible.begin(), eligible.end(), *target) != eligible.end();
+    if (usable) held.targets.insert(held.targets.end(), members, *target);
+  }
+  nominateTargets(demand, held);
+}
+
 // ---- one step
 
 void RunPlanner::serve(StepDemand& demand) {
@@ -182,6 +277,7 @@
   if (preemptForGang(demand)) return;
   const bool mayReserve = m_pass->placer->reservations() < m_options.reservations;
   if (mayReserve && demand.waitedMs >= m_options.reserveAfterMs) reserve(demand);
+  holdKeptTargets(demand);
 }
 
 namespace internal {
@@ -278,6 +374,7 @@
 }
 
 void RunPlanner::addStarts(StepDemand& demand, const StepPlacement& placement) {
+  keepTargets(demand, placement);
   const PlannedStep& step = m_pass->steps[demand.step];
   const std::size_t first = step.tasks.size() - demand.tasks;
   for (std::size_t i = 0; i < placement.targets.size(); ++i) {
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -12,9 +12,11 @@
 #include <vector>
 
 #include "Courseloom/src/Scheduling/EndForecast.h"
+#include "Courseloom/src/Scheduling/KeptTargets.h"
 #include "Courseloom/src/Scheduling/PlacementCache.h"
 #include "Courseloom/src/Scheduling/Placer.h"
 #include "Courseloom/src/Scheduling/RunPlan.h"
+#include "Courseloom/src/Scheduling/StopBackoff.h"
 #include "Courseloom/src/Scheduling/VictimSelector.h"
 
 namespace courseloom {
@@ -47,12 +49,15 @@
   std::vector<std::string> workflowsOfSteps() const;
   /** Ends a pass. \returns the decisions of the pass */
   RunPlan finish();
+  /** Discards what is remembered of steps that have caused stops or were started, and have not begun since. Called when
+   * a replica begins or ceases to lead; a pass may be under way. */
+  void forgetUnstartedSteps();
 
  private:
   /** Initial slowdown up to which urgent work is assumed to end in time: 0.4, a run time about 1.5 times the usual. */
   static constexpr double FirstUrgentLimit = 0.4;
   /** Identity of a step across passes: its workflow's id, and its key there. */
-  using StepName = std::pair<std::string, StepKey>;
+  using StepName = StopBackoff::StepName;
   using TargetIds = std::map<StepName, std::set<std::string>>;
 
   /** State of one pass. */
@@ -79,6 +84,8 @@
     PlacementCache cache;
     TargetIds nominatedTargets;  ///< ids of the targets that are being freed for a step
     TargetIds reservedTargets;   ///< ids of the targets that are reserved for a gang
+    std::vector<KeptTargets::Entry>
+        holds;  ///< kept for gangs that do not wait yet, until steps of lower rank are served
     RunPlan plan;
   };
 
@@ -87,6 +94,12 @@
   void updateUrgentLimit();
   void orderSteps();
   std::vector<unsigned> loadNominations();
+  void updateUnstartedSteps();
+  std::map<std::string, std::size_t> runsByTarget(const StepName& step) const;
+  void findHolds();
+  void applyHolds(Rank rank);
+  void keepTargets(const StepDemand& demand, const StepPlacement& placement);
+  void holdKeptTargets(const StepDemand& demand);
   void findRunsEndingSoon();
   void computeFreeCapacities();
   PlacementCache::Entry* cacheEntryFor(const StepDemand& demand);
@@ -105,6 +118,10 @@
   bool waitForEnds(const StepDemand& demand);
   bool preempt(const StepDemand& demand);
   bool preemptForGang(const StepDemand& demand);
+  StopBackoff::Permission stopPermission(const StepDemand& demand);
+  bool nominateUpcoming(const StepDemand& demand, const TargetCapacities& capacities);
+  void recordStops(const StepDemand& demand, const VictimSelector::Selection& selection,
+                   const TargetCapacities& capacities, StopBackoff::Permission permission);
   double acceptableLoss(const StepDemand& demand) const;
   bool reliesOnEnds(const StepDemand& demand) const;
   void stop(const StepDemand& demand, const std::vector<std::size_t>& victims);
@@ -113,9 +130,11 @@
 
   RunPlannerOptions m_options;
   std::unique_ptr<Pass> m_pass;
-  TargetGroups m_unsharedGroups;            ///< target groups of the step being served, if its targets are not shared
-  TargetIds m_lastNominated;                ///< targets being freed, of the last pass
-  TargetIds m_lastReserved;                 ///< reserved targets, of the last pass
+  TargetGroups m_unsharedGroups;  ///< target groups of the step being served, if its targets are not shared
+  TargetIds m_lastNominated;      ///< targets being freed, of the last pass
+  TargetIds m_lastReserved;       ///< reserved targets, of the last pass
+  StopBackoff m_stopBackoff;
+  KeptTargets m_keptTargets;
   double m_urgentLimit = FirstUrgentLimit;  ///< moving average of the slowdown that new urgent work allows
   std::map<RunKey, double> m_soonSince;     ///< wall clock since when a run is expected to end soon, ms since 1970
 };
--- a/Courseloom/src/Scheduling/RunPlannerWaiting.cpp
+++ b/Courseloom/src/Scheduling/RunPlannerWaiting.cpp
@@ -87,17 +87,52 @@
       return true;
     }
   }
+  const StopBackoff::Permission permission = stopPermission(demand);
+  if (permission == StopBackoff::Permission::Delayed) return nominateUpcoming(demand, capacities);
   const std::optional<VictimSelector::Selection> selection =
       m_pass->victimSelector->select(demand, groups, withEnds, maxLoss, capacities);
   if (!selection) {
     if (failed != nullptr) PlacementCache::recordFailure(*failed, query);
     return false;
   }
+  recordStops(demand, *selection, capacities, permission);
   stop(demand, selection->victims);
   nominateTargets(demand, selection->placement);
   return true;
 }
 
+/** \returns whether runs may be stopped for a step now. */
+StopBackoff::Permission RunPlanner::stopPermission(const StepDemand& demand) {
+  if (!m_options.stopBackoff) return StopBackoff::Permission::Allowed;
+  const StepName& name = m_pass->names[demand.step];
+  const bool missesBound = demand.rank == GuaranteedRank && demand.waitedMs >= m_options.guaranteedStopAfterMs;
+  const StopBackoff::Permission permission = m_stopBackoff.permissionFor(name, missesBound, m_pass->nowMs);
+  if (permission != StopBackoff::Permission::Delayed) return permission;
+  const double delayMs = m_stopBackoff.takeNewDelay(name, m_pass->nowMs);
+  if (delayMs > 0.0) m_pass->plan.stopDelays.push_back({demand.step, delayMs, false});
+  return permission;
+}
+
+/** Keeps capacity that is being freed for tasks outside a gang without further stops. \returns whether there is any */
+bool RunPlanner::nominateUpcoming(const StepDemand& demand, const TargetCapacities& capacities) {
+  if (demand.gang) return false;
+  const StepPlacement upcoming = m_pass->placer->place(demand, *demand.eligible, capacities);
+  nominateTargets(demand, upcoming);
+  return !upcoming.targets.empty();
+}
+
+void RunPlanner::recordStops(const StepDemand& demand, const VictimSelector::Selection& selection,
+                             const TargetCapacities& capacities, StopBackoff::Permission permission) {
+  if (!m_options.stopBackoff || selection.victims.empty()) return;
+  // Tasks that are placed on capacity that becomes free anyway are not covered by these stops.
+  const std::size_t upcoming =
+      demand.gang ? 0 : m_pass->placer->place(demand, *demand.eligible, capacities).targets.size();
+  const std::size_t placed = selection.placement.targets.size();
+  m_stopBackoff.recordStops(m_pass->names[demand.step], demand.gang, placed - std::min(upcoming, placed), demand.tasks,
+                            permission, m_pass->nowMs);
+  if (permission == StopBackoff::Permission::Overriding) m_pass->plan.stopDelays.push_back({demand.step, 0.0, true});
+}
+
 void RunPlanner::stop(const StepDemand& demand, const std::vector<std::size_t>& victims) {
   if (victims.empty()) return;
   m_pass->victimSelector->stop(victims);
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -636,6 +636,32 @@
   cr_assert_eq(input.plan(1).starts.size(), 1);
 }
 
+// Guards against single tasks that take the targets of a gang while its members are being stopped after one was lost,
+// and against a guaranteed step that waits for such a gang.
+Test(run_planner, targets_of_a_gang_that_lost_a_member_are_kept_from_steps_of_lower_rank) {
+  for (const bool keep : {false, true}) {
+    RunPlannerOptions options;
+    options.keepGangTargets = keep;
+    RunPlanner planner(options);
+    PlannerInput input(2);
+    input.addRun(0, 8, LowRank);
+    input.addRun(1, 8, LowRank);
+    input.addWaitingStep(2, 8, UrgentRank, true);
+    cr_assert_eq(input.planWith(planner).stops.size(), 2);
+    input.removeRuns();
+    cr_assert_eq(input.planWith(planner).starts.size(), 2);
+    PlannerInput later(2);
+    PlannedRun& member = later.addRun(0, 8, UrgentRank);
+    member.key = {"w1", {0, 0, 0}, 1};
+    member.stopping = true;
+    PlannedStep& other = later.addWaitingStep(1, 8, LowRank);
+    later.workflow(0).record.set_id("other");
+    cr_assert_eq(later.planWith(planner).starts.size(), keep ? 0 : 1);
+    other.rank = GuaranteedRank;
+    cr_assert_eq(later.planWith(planner).starts.size(), 1);
+  }
+}
+
 // Guards against a flood of starts on a target that has just been closed because starts never began there, and against
 // a target that gets no trial start as long as another run goes on there.
 Test(run_planner, a_target_after_a_closure_gets_one_start_beside_its_runs) {
