Test of processes: a target that refuses every start

Cause: that WorkflowRunner passes voided and begun runs on to TargetHealth is not covered by the tests without a network. Change: target_troubles has a test with a target that refuses all starts, and then none, with the switches on. Conclusion: the target is closed and restored, all tasks end, and no rule is broken.

--- a/test/target_troubles.cpp
+++ b/test/target_troubles.cpp
@@ -111,6 +111,20 @@
     }
     return text;
   }
+  /** \returns whether the leader's log has an event about target 1. */
+  bool leaderLogged(const std::string& event) const {
+    std::ifstream file(m_cluster.folder() + "/control-1.log");
+    for (std::string line; std::getline(file, line);) {
+      if (line.find(event) != std::string::npos && line.find("i-m1-") != std::string::npos) return true;
+    }
+    return false;
+  }
+  /** Starts the replica again with additional settings. */
+  void restartControl(const std::string& settings) {
+    m_cluster.kill("control-1");
+    std::ofstream(m_cluster.folder() + "/control-1.yaml", std::ios::app) << settings << "\n";
+    m_cluster.start("control-1");
+  }
   SoakCluster& cluster() { return m_cluster; }
 
  private:
@@ -188,3 +202,20 @@
   cr_assert_eq(test.target(1, "/hush?ms=0").status, 200);
   checkNewIncarnation(test);
 }
+
+// Guards against a target that refuses every start and is chosen again at once, and against one that stays closed once
+// it works again.
+Test(target_troubles, a_target_that_refuses_starts_is_closed_until_a_run_begins_there) {
+  FaultyTargets test(firstSeed());
+  test.restartControl("policy: {voidBackoff: true, keepGangTargets: true}");
+  cr_assert(test.setUp());
+  test.target(1, "/refuse?ms=600000&percent=100&of=run-start");
+  // More tasks than the other target has capacity for.
+  cr_assert(test.submit("00000000000000c1", 24, 3000));
+  cr_assert(until([&] { return test.leaderLogged("TargetClosedByVoids"); }), "the target was not closed");
+  test.target(1, "/refuse?ms=0");
+  cr_assert(until([&] { return test.leaderLogged("TargetStartsAgain"); }), "no run began there again");
+  cr_assert(test.completes("00000000000000c1"));
+  const std::string violations = test.violations();
+  cr_assert(violations.empty(), "%s", violations.c_str());
+}
