A member of a gang that is stopped before it began does not pause its target

Cause: the end RunVoided of a member that was stopped because another one was lost closed its target for 0.4 s, as a refusal does. The kept targets were closed to the gang for that time, and it would have had others cleared instead. Change: with policy.keep_gang_targets on, a voided start whose stop had been requested leaves the target's health as it is. No test covers this case alone.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -121,15 +121,16 @@
   const std::vector<RunChange> changes = m_driver.consumeRunChanges();
   const std::vector<std::string> ended = m_driver.consumeEndedWorkflows();
   if (!m_leads) return;
-  const std::set<RunKey> voids = voidsOfTargets(changes);
+  const VoidedStarts voids = findVoidedStarts(changes);
   m_ledger.apply(changes, BootClock::now(), m_changesInherited);
   // This leader proposes its own starts only once it leads, so they are applied after this point.
   if (leads()) m_changesInherited = false;
   for (const RunChange& change : changes) {
     if (change.started) recordFirstStart(change);
     if (!change.started) m_context.metrics.count("run_ends", schema::RunEndKind_Name(change.kind));
-    if (!change.started) recordHealth(change);
-    if (!change.started) recordVoid(change, voids.count(runKeyOf(change.task, change.run.number())) > 0);
+    const RunKey key = runKeyOf(change.task, change.run.number());
+    if (!change.started) recordHealth(change, voids.stopped.count(key) > 0);
+    if (!change.started) recordVoid(change, voids.blamingTarget.count(key) > 0);
     if (!change.started) logCrash(change);
     if (change.started) notifyAgent(change.run.agent());
     if (!change.started) stopGangMembers(change);
@@ -207,9 +208,12 @@
   return statuses;
 }
 
-/** Records the end of a run in its target's health, and logs if the target becomes suspect or trusted by that end. */
-void WorkflowRunner::recordHealth(const RunChange& change) {
+/** Records the end of a run in its target's health, and logs if the target becomes suspect or trusted by that end.
+ * \param stopped whether the run was voided after its stop had been requested */
+void WorkflowRunner::recordHealth(const RunChange& change, bool stopped) {
   const std::string& target = change.run.target();
+  // Members of a gang that lost one before its start are stopped. Their targets refused nothing, and are kept for it.
+  if (stopped && m_context.settings.policy().keep_gang_targets()) return;
   const Time now = BootClock::now();
   const bool doubtedBefore = m_health.suspect(target, now) || m_health.onProbation(target, now);
   m_health.ended(target, change.task.workflow(), change.kind, now);
@@ -220,16 +224,17 @@
       {{"target", target}, {"reason", schema::RunEndKind_Name(change.kind)}, {"workflow", change.task.workflow()}});
 }
 
-/** \returns the voided starts among the changes that count against their targets. To be called before the ledger
- * applies the changes, which removes the runs. */
-std::set<RunKey> WorkflowRunner::voidsOfTargets(const std::vector<RunChange>& changes) const {
-  std::set<RunKey> voids;
+/** \returns the voided starts among the changes. To be called before the ledger applies the changes, which removes the
+ * runs. */
+WorkflowRunner::VoidedStarts WorkflowRunner::findVoidedStarts(const std::vector<RunChange>& changes) const {
+  VoidedStarts voids;
   for (const RunChange& change : changes) {
     if (change.started || change.kind != schema::RunVoided) continue;
     const RunKey key = runKeyOf(change.task, change.run.number());
-    const auto agent = m_ledger.targets().find(change.run.agent());
-    const bool drained = agent != m_ledger.targets().end() && isDrained(agent->second);
-    if (!drained && m_ledger.blamesTarget(key)) voids.insert(key);
+    const auto run = m_ledger.runs().find(key);
+    if (run == m_ledger.runs().end()) continue;
+    if (run->second.stopRequested) voids.stopped.insert(key);
+    if (m_ledger.blamesTarget(key) && !runsInDrainedHall(run->second)) voids.blamingTarget.insert(key);
   }
   return voids;
 }
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -105,8 +105,13 @@
   void applyHallDrains();
   bool isDrained(const TargetTrack& target) const;
   bool runsInDrainedHall(const RunTrack& track) const;
-  void recordHealth(const RunChange& change);
-  std::set<RunKey> voidsOfTargets(const std::vector<RunChange>& changes) const;
+  /** Voided starts among committed changes, by what they show. */
+  struct VoidedStarts {
+    std::set<RunKey> blamingTarget;  ///< they count against their targets
+    std::set<RunKey> stopped;        ///< their stop had been requested
+  };
+  void recordHealth(const RunChange& change, bool stopped);
+  VoidedStarts findVoidedStarts(const std::vector<RunChange>& changes) const;
   void recordVoid(const RunChange& change, bool blamesTarget);
   void recordBegun(const std::string& target);
   void recordStartSurvived(schema::RunEnd& end) const;
