--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -56,10 +56,18 @@
   options.nominations = policy.nominations();
   options.yields = policy.yields();
   options.speeds = policy.speeds();
+  options.keepGangTargets = policy.keep_gang_targets();
+  options.stopBackoff = policy.keep_gang_targets();
   if (policy.stops_in_time()) options.stopMs = settings.control().stop_ms();
   return options;
 }
 
+TargetHealthOptions health_options(const schema::Settings& settings) {
+  TargetHealthOptions options;
+  options.voidBackoff = settings.policy().void_backoff();
+  return options;
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -70,7 +78,8 @@
       m_driver(driver),
       m_tickets(m_strand, std::move(advice), [this] { requestPlan(); }),
       m_ledger(internal::ledger_options(context.settings)),
-      m_planner(internal::planner_options(context.settings)) {}
+      m_planner(internal::planner_options(context.settings)),
+      m_health(internal::health_options(context.settings)) {}
 
 void WorkflowRunner::start() {
   asio::co_spawn(m_strand, tickLoop(), asio::detached);
@@ -86,6 +95,7 @@
   m_tickets.clear();
   m_readySince.clear();
   m_health.clear();
+  m_planner.forgetUnstartedSteps();
   if (leads) m_ledger.lead(table(), BootClock::now(), m_driver.replica().term());
   for (auto& [agent, signal] : m_agentSignals) signal.notify();
   requestPlan();
@@ -111,13 +121,16 @@
   const std::vector<RunChange> changes = m_driver.consumeRunChanges();
   const std::vector<std::string> ended = m_driver.consumeEndedWorkflows();
   if (!m_leads) return;
+  const VoidedStarts voids = findVoidedStarts(changes);
   m_ledger.apply(changes, BootClock::now(), m_changesInherited);
   // This leader proposes its own starts only once it leads, so they are applied after this point.
   if (leads()) m_changesInherited = false;
   for (const RunChange& change : changes) {
     if (change.started) recordFirstStart(change);
     if (!change.started) m_context.metrics.count("run_ends", schema::RunEndKind_Name(change.kind));
-    if (!change.started) recordHealth(change);
+    const RunKey key = runKeyOf(change.task, change.run.number());
+    if (!change.started) recordHealth(change, voids.stopped.count(key) > 0);
+    if (!change.started) recordVoid(change, voids.blamingTarget.count(key) > 0);
     if (!change.started) logCrash(change);
     if (change.started) notifyAgent(change.run.agent());
     if (!change.started) stopGangMembers(change);
@@ -195,9 +208,12 @@
   return statuses;
 }
 
-/** Records the end of a run in its target's health, and logs if the target becomes suspect or trusted by that end. */
-void WorkflowRunner::recordHealth(const RunChange& change) {
+/** Records the end of a run in its target's health, and logs if the target becomes suspect or trusted by that end.
+ * \param stopped whether the run was voided after its stop had been requested */
+void WorkflowRunner::recordHealth(const RunChange& change, bool stopped) {
   const std::string& target = change.run.target();
+  // Members of a gang that lost one before its start are stopped. Their targets refused nothing, and are kept for it.
+  if (stopped && m_context.settings.policy().keep_gang_targets()) return;
   const Time now = BootClock::now();
   const bool doubtedBefore = m_health.suspect(target, now) || m_health.onProbation(target, now);
   m_health.ended(target, change.task.workflow(), change.kind, now);
@@ -208,6 +224,47 @@
       {{"target", target}, {"reason", schema::RunEndKind_Name(change.kind)}, {"workflow", change.task.workflow()}});
 }
 
+/** \returns the voided starts among the changes. To be called before the ledger applies the changes, which removes the
+ * runs. */
+WorkflowRunner::VoidedStarts WorkflowRunner::findVoidedStarts(const std::vector<RunChange>& changes) const {
+  VoidedStarts voids;
+  for (const RunChange& change : changes) {
+    if (change.started || change.kind != schema::RunVoided) continue;
+    const RunKey key = runKeyOf(change.task, change.run.number());
+    const auto run = m_ledger.runs().find(key);
+    if (run == m_ledger.runs().end()) continue;
+    if (run->second.stopRequested) voids.stopped.insert(key);
+    if (m_ledger.blamesTarget(key) && !runsInDrainedHall(run->second)) voids.blamingTarget.insert(key);
+  }
+  return voids;
+}
+
+/** Records what the end of a run shows about starts on its target. Lapsed runs and those of a lost target show nothing:
+ * it is unknown whether they had begun. */
+void WorkflowRunner::recordVoid(const RunChange& change, bool blamesTarget) {
+  const std::string& target = change.run.target();
+  if (change.kind == schema::RunLapsed || change.kind == schema::RunTargetLost) return;
+  if (change.kind != schema::RunVoided) return recordBegun(target);
+  if (!blamesTarget) return;
+  m_context.metrics.count("runs_voided", change.run.agent());
+  const RunKey key = runKeyOf(change.task, change.run.number());
+  const WorkflowState* workflow = table().find(key.workflow);
+  const bool gang = workflow != nullptr && workflow->step(key.task.step).gang();
+  const std::string task =
+      gang ? taskText(makeTaskId(key.workflow, {key.task.occurrence, key.task.step, 0})) : taskText(change.task);
+  const VoidedStart start{target, task + "/" + std::to_string(key.run), {key.workflow, key.task.stepKey()}};
+  const std::optional<Duration> closed = m_health.voided(start, BootClock::now());
+  if (!closed) return;
+  logEvent(schema::TargetClosedByVoids, {{"target", target},
+                                         {"agent", change.run.agent()},
+                                         {"task", taskText(change.task)},
+                                         {"closedMs", static_cast<std::uint64_t>(toMilliseconds(*closed))}});
+}
+
+void WorkflowRunner::recordBegun(const std::string& target) {
+  if (m_health.began(target)) logEvent(schema::TargetStartsAgain, {{"target", target}});
+}
+
 /** Stops the remaining members of a gang after one of them was lost. They would otherwise wait for the lost member
  * until their targets give them up, and the gang's next run can only start once all of them have ended. */
 void WorkflowRunner::stopGangMembers(const RunChange& change) {
@@ -249,6 +306,7 @@
   m_context.metrics.set("workflows_open", static_cast<double>(table().open().size()));
   m_context.metrics.set("runs_active", static_cast<double>(m_ledger.runs().size()));
   m_context.metrics.set("targets_known", static_cast<double>(m_ledger.targets().size()));
+  m_context.metrics.set("targets_closed_by_voids", static_cast<double>(m_health.targetsClosedByVoids(now)));
   m_context.metrics.set("targets_open", static_cast<double>(openTargets));
 }
 
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -95,6 +95,7 @@
 
   Awaitable<schema::RecordRuns> makePlan();
   void stopPlanned(const RunPlan& plan, const std::vector<PlannedStep>& steps);
+  void logStopDelays(const RunPlan& plan, const std::vector<PlannedStep>& steps) const;
   schema::RecordRuns recordStarts(const std::vector<RunPlan::Start>& starts, const std::vector<PlannedStep>& steps,
                                   const std::vector<PlannedTarget>& targets) const;
   bool acceptsStarts(const PlannedTarget& target) const;
@@ -104,7 +105,15 @@
   void applyHallDrains();
   bool isDrained(const TargetTrack& target) const;
   bool runsInDrainedHall(const RunTrack& track) const;
-  void recordHealth(const RunChange& change);
+  /** Voided starts among committed changes, by what they show. */
+  struct VoidedStarts {
+    std::set<RunKey> blamingTarget;  ///< they count against their targets
+    std::set<RunKey> stopped;        ///< their stop had been requested
+  };
+  void recordHealth(const RunChange& change, bool stopped);
+  VoidedStarts findVoidedStarts(const std::vector<RunChange>& changes) const;
+  void recordVoid(const RunChange& change, bool blamesTarget);
+  void recordBegun(const std::string& target);
   void recordStartSurvived(schema::RunEnd& end) const;
   void logCrash(const RunChange& change) const;
   void logGivenUpTasks(const WorkflowState& workflow) const;
