Bands of steps by the shares of their workspaces

Cause: steps are ordered by rank, prospect and objective, whoever submitted them. The mean wait of the worst workspace is 3.2 times the mean of all on the build farm. RunPlanner serves steps by rank, then band, then as before; guaranteed work has no bands. The band of a step falls by one each time that it has waited as long as ageing requires, and within a workspace the order remains. ReferencePlanner has the same order.

--- a/Courseloom/src/Scheduling/RunPlan.h
+++ b/Courseloom/src/Scheduling/RunPlan.h
@@ -68,6 +68,7 @@
   StepKey key;
   std::vector<std::uint32_t> tasks;  ///< indexes of the waiting tasks; all tasks of a gang
   Rank rank = UrgentRank;
+  unsigned band = 0;         ///< steps of a lower band are served first within a rank; see FairShare::bandOf()
   double objectiveMs = 0.0;  ///< wall clock by which the workflow should end, ms since 1970
   double worthlessMs = 0.0;  ///< wall clock after which its result has no value, ms since 1970; 0: never
   double taskWork = 0.0;     ///< estimated work of one task, core-seconds
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <numeric>
+#include <string_view>
+#include <tuple>
 
 #include "Courseloom/src/Scheduling/Lateness.h"
 
@@ -89,12 +91,15 @@
   }
 }
 
-/** Raises the rank of a step that has waited long: strict ranks would starve the lowest class in lasting overload. */
+/** Raises the rank of a step that has waited long: strict ranks would starve the lowest class in lasting overload. Its
+ * band falls by one each time that it has waited as long, so that bands do not starve it either. */
 void RunPlanner::applyAging(StepDemand& demand) const {
   if (m_options.ageAfterEstimates == 0.0) return;
   const Rank agedRank = rankOf(1, false);
-  const bool waitedLong = demand.waitedMs > m_options.ageAfterEstimates * demand.estimateMs;
+  const double agedMs = m_options.ageAfterEstimates * demand.estimateMs;
+  const bool waitedLong = demand.waitedMs > agedMs;
   if (waitedLong && demand.rank > agedRank) demand.rank = agedRank;
+  for (double waitMs = agedMs; demand.band > 0 && demand.waitedMs > waitMs; waitMs += agedMs) --demand.band;
 }
 
 void RunPlanner::orderSteps() {
@@ -109,6 +114,29 @@
     if (byProspect && left.prospect != right.prospect) return left.prospect < right.prospect;
     return left.objectiveMs < right.objectiveMs;
   });
+  orderByBands();
+}
+
+/** Moves steps of a higher band behind the others of their rank. The order within a workspace remains: a step gets at
+ * least the band of each step of its workspace that precedes it. Otherwise aged work, whose band has fallen, would be
+ * served before work of the same workspace that can still end in time, and in lasting overload nearly all would end
+ * late. */
+void RunPlanner::orderByBands() {
+  const auto hasBand = [](const StepDemand& demand) { return demand.band > 0; };
+  if (std::none_of(m_pass->demands.begin(), m_pass->demands.end(), hasBand)) return;
+  std::map<std::tuple<Rank, std::string_view, std::string_view>, unsigned> highest;  // by rank, service and workspace
+  for (const std::size_t i : m_pass->order) {
+    StepDemand& demand = m_pass->demands[i];
+    const schema::Workflow& workflow = m_pass->steps[i].workflow->record;
+    unsigned& band = highest[{demand.rank, workflow.service(), workflow.tenant()}];
+    band = std::max(band, demand.band);
+    demand.band = band;
+  }
+  std::stable_sort(m_pass->order.begin(), m_pass->order.end(), [this](std::size_t a, std::size_t b) {
+    const StepDemand& left = m_pass->demands[a];
+    const StepDemand& right = m_pass->demands[b];
+    return std::tie(left.rank, left.band) < std::tie(right.rank, right.band);
+  });
 }
 
 /** Also sets each demand's own nominated targets. \returns by target the number of steps for which the last pass was
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -22,9 +22,9 @@
 /** \class RunPlanner
  * \brief Decides on which targets waiting tasks start, and which runs are stopped for steps of higher rank.
  *
- * The class uses no clock and does no input or output. Steps are served in the order of rank, then prospect, then
- * objective. A gang is placed as a whole or not at all. Placer chooses the targets of tasks, EndForecast predicts when
- * enough capacity becomes free without stopping a run, and VictimSelector chooses the runs to stop.
+ * The class uses no clock and does no input or output. Steps are served in the order of rank, then band, then
+ * prospect, then objective. A gang is placed as a whole or not at all. Placer chooses the targets of tasks, EndForecast
+ * predicts when enough capacity becomes free without stopping a run, and VictimSelector chooses the runs to stop.
  */
 class RunPlanner {
  public:
@@ -86,6 +86,7 @@
   void applyAging(StepDemand& demand) const;
   void updateUrgentLimit();
   void orderSteps();
+  void orderByBands();
   std::vector<unsigned> loadNominations();
   void findRunsEndingSoon();
   void computeFreeCapacities();
--- a/Courseloom/src/Scheduling/StepDemand.cpp
+++ b/Courseloom/src/Scheduling/StepDemand.cpp
@@ -84,6 +84,7 @@
   StepDemand demand;
   demand.step = index;
   demand.rank = step.rank;
+  if (step.rank != GuaranteedRank) demand.band = step.band;
   demand.prospect = prospectOf(step, nowMs);
   demand.need = resourceAmountsOf(spec);
   demand.tasks = step.tasks.size();
--- a/Courseloom/src/Scheduling/StepDemand.h
+++ b/Courseloom/src/Scheduling/StepDemand.h
@@ -26,6 +26,7 @@
 
   std::size_t step = 0;  ///< index among the given steps
   Rank rank = UrgentRank;
+  unsigned band = 0;  ///< always 0 for guaranteed work; lowered by waiting
   Prospect prospect = Prospect::InTime;
   ResourceAmounts need;   ///< demand of one task
   std::size_t tasks = 0;  ///< number of tasks that wait
--- a/test/reference/ReferencePlanner.cpp
+++ b/test/reference/ReferencePlanner.cpp
@@ -4,6 +4,7 @@
 #include "test/reference/ReferencePlanner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <numeric>
 
@@ -65,6 +66,8 @@
   for (PlannedStep& step : m_steps) {
     const bool waitedLong = step.waitedMs > m_options.ageAfterEstimates * step.estimateMs;
     if (waitedLong && step.rank > agedRank) step.rank = agedRank;
+    const double waits = step.waitedMs / (m_options.ageAfterEstimates * step.estimateMs);
+    step.band -= std::min(step.band, static_cast<unsigned>(std::max(0.0, std::ceil(waits) - 1.0)));
   }
 }
 
@@ -83,6 +86,26 @@
     if (byProspect && leftProspect != rightProspect) return leftProspect < rightProspect;
     return left.objectiveMs < right.objectiveMs;
   });
+  return orderedByBands(order);
+}
+
+/** \returns the steps with those of a higher band behind the others of their rank. A step has at least the band of each
+ * step of its workspace that precedes it in the given order. */
+std::vector<std::size_t> ReferencePlanner::orderedByBands(std::vector<std::size_t> order) const {
+  std::vector<unsigned> bands(m_steps.size(), 0);
+  for (std::size_t i = 0; i < order.size(); ++i) {
+    const PlannedStep& step = m_steps[order[i]];
+    for (std::size_t j = 0; j <= i && step.rank != GuaranteedRank; ++j) {
+      const PlannedStep& before = m_steps[order[j]];
+      const bool sameWorkspace = before.workflow->record.tenant() == step.workflow->record.tenant() &&
+                                 before.workflow->record.service() == step.workflow->record.service();
+      if (before.rank == step.rank && sameWorkspace) bands[order[i]] = std::max(bands[order[i]], before.band);
+    }
+  }
+  std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    if (m_steps[a].rank != m_steps[b].rank) return m_steps[a].rank < m_steps[b].rank;
+    return bands[a] < bands[b];
+  });
   return order;
 }
 
--- a/test/reference/ReferencePlanner.h
+++ b/test/reference/ReferencePlanner.h
@@ -57,6 +57,7 @@
 
   void applyAging();
   std::vector<std::size_t> servingOrder() const;
+  std::vector<std::size_t> orderedByBands(std::vector<std::size_t> order) const;
   void serve(std::size_t index);
   void serveTasks(std::size_t index);
   void serveGang(std::size_t index);
--- a/test/run_planner_reference.cpp
+++ b/test/run_planner_reference.cpp
@@ -147,6 +147,32 @@
   cr_assert_leq(current.lost, expected.lost);
 }
 
+// Bands must not break a rule, and the order with them has to be the same in both planners.
+Test(run_planner_reference, on_200_loads_with_bands_the_rules_hold_and_no_less_work_is_started) {
+  PlanTotals current;
+  PlanTotals expected;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    PlannerLoad load = PlannerLoad::mixed(seed);
+    for (std::size_t i = 0; i < load.steps.size(); ++i) load.steps[i].band = static_cast<unsigned>((seed + 7 * i) % 4);
+    RunPlanner planner;
+    ReferencePlanner reference;
+    for (int pass = 0; pass < PassesPerLoad; ++pass) {
+      const RunPlan plan = planner.plan(load.targets, load.runs, load.steps, load.keepFullyFree, load.nowMs);
+      const RunPlan other = reference.plan(load.targets, load.runs, load.steps, load.keepFullyFree, load.nowMs);
+      const std::string fault = faultOfStarts(load, plan) + faultOfStops(load, plan);
+      cr_assert(fault.empty(), "seed %lu, pass %d: %s", seed, pass, fault.c_str());
+      current.add(totalsOf(load, plan));
+      expected.add(totalsOf(load, other));
+      load.advance(300.0);
+    }
+  }
+  cr_log_info("started %.0f against %.0f core-seconds, urgent %.0f against %.0f", current.started, expected.started,
+              current.startedUrgent, expected.startedUrgent);
+  cr_assert_geq(current.started, expected.started);
+  cr_assert_geq(current.startedUrgent, expected.startedUrgent);
+  cr_assert_leq(current.lost, expected.lost);
+}
+
 // On the load of a full cluster, with which the planner's time is measured, both planners decide the same.
 Test(run_planner_reference, on_a_full_cluster_as_much_is_started_and_stopped) {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
