Steps are served by the shares of their workspaces with policy.fairShares

Cause: the bands of FairShare were not used. Change: with policy.fairShares on, WorkflowRunner computes the demands of workspaces from the recorded use, the committed starts of the active runs and the waiting steps, and sets the bands of steps before each plan. It logs WorkspaceOverShare and WorkspaceWithinShare and records workspace_share_percent once a second. Conclusion: off by default, and nothing is computed while it is off.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -60,6 +60,7 @@
   markGuaranteed();
   std::vector<PlannedStep> steps = planSteps();
   if (steps.empty()) co_return schema::RecordRuns();
+  if (m_context.settings.policy().fair_shares()) assignBands(steps);
   const std::vector<PlannedTarget>& targets = planTargets();
   const std::vector<PlannedRun> active = planRuns(targets);
   const unsigned keepFullyFree = freeTargetsToKeep(active, steps);
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -12,6 +12,7 @@
 #include "Courseloom/src/Control/TicketCache.h"
 #include "Courseloom/src/Membership/RelayDirectory.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
+#include "Courseloom/src/Scheduling/FairShare.h"
 #include "Courseloom/src/Scheduling/RunPace.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
 #include "Courseloom/src/Scheduling/TargetHealth.h"
@@ -140,6 +141,10 @@
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
   std::vector<PlannedStep> planSteps();
   void addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
+  void assignBands(std::vector<PlannedStep>& steps);
+  WorkspaceDemands workspaceDemands(const std::vector<PlannedStep>& steps, std::uint64_t nowMs) const;
+  ResourceTime activeUse(const WorkflowState& workflow, std::uint64_t nowMs) const;
+  void reportShares(const FairShare& shares);
   double objectiveChainMs(const WorkflowState& workflow);
   std::map<std::string, ResourceAmounts> serviceCapacities() const;
   std::set<std::string> targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const;
@@ -155,6 +160,8 @@
   RelayDirectory m_relays;  ///< updated at each tick
   RunPlanner m_planner;
   TargetHealth m_health;
+  ShareReview m_shareReview;
+  Time m_nextShareRecord{};                     ///< when the shares of workspaces are next recorded as a metric
   RunTimeEstimator m_runTimeEstimator;          ///< run time estimates from the log and from the active runs
   std::map<std::string, TargetSpeed> m_speeds;  ///< last logged speed, by target identity
   Time m_nextEstimatorUpdate{};                 ///< time of the next update of the run time estimates
