Load patterns with workspaces that compete, and waits by workspace

Cause: the load replay had one workspace, so the effect of fair shares on waits could not be measured. Change: arrivals have a workspace, results have the waits of each workspace, and sharePatterns has a workspace that submits 20 times its share, two hundred small workspaces against a large one, and all workspaces returning after an outage.

--- a/test/LoadReplay.cpp
+++ b/test/LoadReplay.cpp
@@ -54,6 +54,10 @@
   return profiles[static_cast<std::size_t>(kind)];
 }
 
+std::string workspaceName(unsigned workspace) { return "workspace" + std::to_string(workspace); }
+
+std::uint64_t wallClockOf(double timeMs) { return static_cast<std::uint64_t>(ClockStartMs + timeMs); }
+
 std::string targetName(std::size_t target) { return "t" + std::to_string(target); }
 
 bool within(const std::vector<ReplayFaultPeriod>& periods, double nowMs) {
@@ -74,6 +78,13 @@
   return attainable > 0.0 ? earned / attainable : 0.0;
 }
 
+void ReplayResult::Waits::add(double waitMs, bool started) {
+  ++workflows;
+  totalMs += waitMs;
+  longestMs = std::max(longestMs, waitMs);
+  neverStarted += started ? 0 : 1;
+}
+
 LoadReplay::LoadReplay(const ReplayPattern& pattern, const ReplayVariant& variant, std::uint64_t seed)
     : m_pattern(pattern),
       m_random(seed),
@@ -81,7 +92,9 @@
       m_speeds(variant.speeds),
       m_crashRule(variant.crashes),
       m_commonCauseRule(variant.commonCauseRule),
-      m_trials(variant.trials) {
+      m_trials(variant.trials),
+      m_fairShares(variant.fairShares),
+      m_shareOptions(variant.shares) {
   m_targets.resize(pattern.targets);
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
     m_targets[i].timeFactor = pattern.timeFactors[i % pattern.timeFactors.size()];
@@ -111,6 +124,9 @@
     plan();
   }
   for (const Job& job : m_jobs) {
+    const double waitMs = job.firstStartMs.value_or(m_nowMs) - job.dueMs;
+    m_result.waits[job.workspace].add(waitMs, job.firstStartMs.has_value());
+    m_result.allWaits.add(waitMs, job.firstStartMs.has_value());
     m_result.maxStarts = std::max(m_result.maxStarts, job.startsAfterThirdCrash);
     if (job.givenUp) ++(job.crashing ? m_result.givenUp : m_result.falselyGivenUp);
     if (job.crashing) continue;  // counts neither as attainable nor as earned
@@ -133,10 +149,12 @@
 
 // ---- arrivals
 
-void LoadReplay::addJob(ReplayClass kind) {
+void LoadReplay::addJob(const ReplayArrival& arrival) {
+  const ReplayClass kind = arrival.kind;
   const WorkflowProfile& profile = profileOf(kind);
   Job& job = m_jobs.emplace_back();
   job.kind = kind;
+  job.workspace = arrival.workspace;
   job.dueMs = m_nowMs;
   job.readyMs = m_nowMs;
   const double meanMs = std::clamp(profile.workMs * logNormal(profile.workMsSpread), 300.0, 3.0 * profile.workMs);
@@ -155,6 +173,7 @@
   schema::Workflow& record = job.workflow.record;
   record.set_id("w" + std::to_string(m_jobs.size()));
   record.set_service("s");
+  record.set_tenant(workspaceName(arrival.workspace));
   record.set_queue("q" + std::to_string(static_cast<int>(kind)));
   schema::StepSpec* spec = record.mutable_spec()->add_steps();
   spec->set_count(count);
@@ -171,7 +190,7 @@
 
 void LoadReplay::addArrivals() {
   for (; m_arrived < m_pattern.arrivals.size() && m_pattern.arrivals[m_arrived].atMs <= m_nowMs; ++m_arrived) {
-    addJob(m_pattern.arrivals[m_arrived].kind);
+    addJob(m_pattern.arrivals[m_arrived]);
   }
 }
 
@@ -339,6 +358,7 @@
 
 void LoadReplay::complete(const Run& run) {
   Job& job = m_jobs[run.job];
+  chargeRun(run);
   --job.active[run.task];
   const double cores = static_cast<double>(profileOf(job.kind).cores);
   m_result.worked += cores * run.heldMs / 1000.0;
@@ -356,6 +376,7 @@
  * its end */
 void LoadReplay::stopRun(Run& run, bool lost) {
   Job& job = m_jobs[run.job];
+  chargeRun(run);
   --job.active[run.task];
   const double cores =
       static_cast<double>(profileOf(job.kind).cores) + 8.0 * job.workflow.step(0).need().accelerators();
@@ -517,6 +538,33 @@
   return steps;
 }
 
+void LoadReplay::chargeRun(const Run& run) {
+  const schema::Workflow& record = m_jobs[run.job].workflow.record;
+  m_workspaceUsage.record(record.tenant(), record.service(), record.spec().steps(0).need(),
+                          wallClockOf(run.fromMs - StartDelayMs), wallClockOf(m_nowMs));
+}
+
+/** Sets the bands of the steps, as WorkflowRunner does. */
+void LoadReplay::assignBands(std::vector<PlannedStep>& steps) const {
+  const std::uint64_t nowMs = wallClockOf(m_nowMs);
+  ResourceAmounts capacity;
+  for (std::size_t i = 0; i < m_targets.size(); ++i) capacity.add(Capacity);
+  WorkspaceDemands demands;
+  std::map<std::string, WorkspaceDemand>& ofService = demands["s"];
+  for (const Job& job : m_jobs) {
+    const std::string& workspace = job.workflow.record.tenant();
+    ofService[workspace].past = m_workspaceUsage.usageOf(workspace, "s", nowMs);
+  }
+  for (const Run& run : m_runs) {
+    const schema::Workflow& record = m_jobs[run.job].workflow.record;
+    const std::uint64_t fromMs = wallClockOf(run.fromMs - StartDelayMs);
+    ofService[record.tenant()].active.add(WorkspaceUsage::useBetween(record.spec().steps(0).need(), fromMs, nowMs));
+  }
+  for (const PlannedStep& step : steps) ofService[step.workflow->record.tenant()].waiting = true;
+  const FairShare shares({{"s", capacity}}, demands, WorkspaceUsage::windowS(), m_shareOptions);
+  for (PlannedStep& step : steps) step.band = shares.bandOf(step.workflow->record.tenant(), "s");
+}
+
 void LoadReplay::start(const RunPlan::Start& start, const PlannedStep& step) {
   const std::size_t number = m_jobByWorkflow.at(step.workflow->record.id());
   Job& job = m_jobs[number];
@@ -526,6 +574,7 @@
   run.target = start.target;
   run.fromMs = m_nowMs + StartDelayMs;
   run.share = run.shareAtStart = job.savedShares[start.task];
+  if (!job.firstStartMs) job.firstStartMs = m_nowMs;
   ++job.active[start.task];
   ++job.number[start.task];
   job.workflow.tasks[{0, 0, start.task}].crashes.started();
@@ -535,8 +584,9 @@
 
 void LoadReplay::plan() {
   if (std::fmod(m_nowMs, UpdateEstimatesMs) == 0.0) updateEstimates();
-  const std::vector<PlannedStep> steps = planSteps();
+  std::vector<PlannedStep> steps = planSteps();
   if (steps.empty()) return;
+  if (m_fairShares) assignBands(steps);
   const std::vector<PlannedTarget> targets = planTargets();
   const std::vector<PlannedRun> runs = planRuns();
   const RunPlan plan = m_planner.plan(targets, runs, steps, 2, ClockStartMs + m_nowMs);
--- a/test/LoadReplay.h
+++ b/test/LoadReplay.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "Courseloom/src/Scheduling/FairShare.h"
 #include "Courseloom/src/Scheduling/RunLedger.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
 #include "Courseloom/src/State/RunTimeEstimator.h"
@@ -30,6 +31,7 @@
 struct ReplayArrival {
   double atMs = 0.0;  ///< time since the start of the replay, ms
   ReplayClass kind = ReplayClass::Urgent;
+  unsigned workspace = 0;  ///< number of the workspace that submits it
 };
 
 /** Period during which a fault affects a share of the targets. */
@@ -64,6 +66,10 @@
  * withdrawals. */
 std::vector<ReplayPattern> replayPatterns(std::uint64_t seed);
 
+/** \returns patterns with ten workspaces or more that compete for the targets, drawn from a seed: workspace 0 submits
+ * twenty times its share, workspace 0 competes with two hundred small ones, and all return at the end of an outage. */
+std::vector<ReplayPattern> sharePatterns(std::uint64_t seed);
+
 /** What the planner knows about the speeds of targets. */
 enum class SpeedsKnown : std::uint8_t {
   Nothing,
@@ -105,6 +111,8 @@
   CrashRule crashes = CrashRule::Current;
   bool trials = true;  ///< suspect tasks get trial starts
   CommonCauseRule commonCauseRule = CommonCauseRule::OtherWork;
+  bool fairShares = false;  ///< steps are ordered by the shares of their workspaces
+  FairShareOptions shares = {};
 };
 
 /** \class ReplayResult
@@ -127,7 +135,18 @@
   unsigned givenUp = 0;         ///< number of workflows given up that have a task that crashes targets
   unsigned falselyGivenUp = 0;  ///< number of other workflows given up
   unsigned suspected = 0;       ///< number of lost runs that crashed no target and yet were counted against their tasks
-  unsigned maxStarts = 0;       ///< maximum number of starts of one task after the third crash that it caused
+  /** Waits of the workflows of one workspace from their arrival to their first start, or to the end of the replay. */
+  struct Waits {
+    unsigned workflows = 0;
+    double totalMs = 0.0;
+    double longestMs = 0.0;
+    unsigned neverStarted = 0;
+    void add(double waitMs, bool started);
+    double meanMs() const { return workflows == 0 ? 0.0 : totalMs / workflows; }
+  };
+  std::map<unsigned, Waits> waits;  ///< by workspace
+  Waits allWaits;                   ///< of all workspaces
+  unsigned maxStarts = 0;           ///< maximum number of starts of one task after the third crash that it caused
   /** \returns earned as a share of attainable over all classes, 0 to 1; 0 if nothing is attainable. */
   double worth() const;
 };
@@ -157,6 +176,7 @@
   };
   struct Job {
     ReplayClass kind = ReplayClass::Urgent;
+    unsigned workspace = 0;
     WorkflowState workflow;
     double dueMs = 0.0;                     ///< time of its arrival
     double workMs = 0.0;                    ///< run time of its longest task on a usual target
@@ -168,6 +188,7 @@
     double worth = 0.0;                     ///< if it ends in time
     bool writesCheckpoints = false;         ///< its tasks write checkpoints
     double readyMs = 0.0;                   ///< time since when it waits
+    std::optional<double> firstStartMs;     ///< time of its first start
     double endedMs = 0.0;                   ///< 0 until it ends
     std::optional<std::uint32_t> crashing;  ///< the task that crashes targets
     unsigned crashes = 0;                   ///< number of crashes that this task has caused
@@ -189,7 +210,7 @@
     std::string gang;           ///< empty if it belongs to no gang
   };
 
-  void addJob(ReplayClass kind);
+  void addJob(const ReplayArrival& arrival);
   void addArrivals();
   void advanceRuns();
   void crashTargets();
@@ -213,6 +234,8 @@
   std::vector<PlannedTarget> planTargets() const;
   std::vector<PlannedRun> planRuns() const;
   std::vector<PlannedStep> planSteps();
+  void chargeRun(const Run& run);
+  void assignBands(std::vector<PlannedStep>& steps) const;
   void start(const RunPlan::Start& start, const PlannedStep& step);
   double timeFactor(std::size_t target) const;
   double expectedMs(const Job& job) const;
@@ -235,6 +258,9 @@
   CrashRule m_crashRule;
   CommonCauseRule m_commonCauseRule;
   bool m_trials;
+  bool m_fairShares;
+  FairShareOptions m_shareOptions;
+  WorkspaceUsage m_workspaceUsage;
   RunTimeEstimator m_endedRunsEstimator;  ///< fed with ended runs
   RunTimeEstimator m_runTimeEstimator;    ///< the same plus active runs, if the variant uses them
   ReplayResult m_result;
--- a/test/LoadReplayPatterns.cpp
+++ b/test/LoadReplayPatterns.cpp
@@ -11,10 +11,10 @@
 
 /** Adds arrivals of one kind as a Poisson process. \param perSecond mean rate */
 void addArrivals(ReplayPattern& pattern, std::mt19937_64& random, ReplayClass kind, double fromMs, double untilMs,
-                 double perSecond) {
+                 double perSecond, unsigned workspace = 0) {
   std::exponential_distribution<double> interval(perSecond / 1000.0);
   for (double atMs = fromMs + interval(random); atMs < untilMs; atMs += interval(random))
-    pattern.arrivals.push_back({atMs, kind});
+    pattern.arrivals.push_back({atMs, kind, workspace});
 }
 
 /** \returns the usual mix of workflows for 40 targets, which keeps about 60% of them busy. \param load multiple of it
@@ -28,6 +28,13 @@
   return pattern;
 }
 
+/** Adds the usual mix of one workspace. \param load multiple of the mix that keeps about 60% of 40 targets busy */
+void addWorkspace(ReplayPattern& pattern, std::mt19937_64& random, unsigned workspace, double load) {
+  addArrivals(pattern, random, ReplayClass::Urgent, 0, 34000, 1.3 * load, workspace);
+  addArrivals(pattern, random, ReplayClass::Gangs, 0, 34000, 0.3 * load, workspace);
+  addArrivals(pattern, random, ReplayClass::SingleTasks, 0, 34000, 0.12 * load, workspace);
+}
+
 void sortArrivals(ReplayPattern& pattern) {
   std::stable_sort(pattern.arrivals.begin(), pattern.arrivals.end(),
                    [](const ReplayArrival& a, const ReplayArrival& b) { return a.atMs < b.atMs; });
@@ -79,6 +86,38 @@
   return patterns;
 }
 
+std::vector<ReplayPattern> sharePatterns(std::uint64_t seed) {
+  constexpr double WholeCapacity = 1.0 / 0.6;  // load of the usual mix that would keep all 40 targets busy
+  constexpr unsigned Workspaces = 10;
+  constexpr unsigned SmallWorkspaces = 200;
+  std::mt19937_64 random(seed);
+  std::vector<ReplayPattern> patterns;
+  patterns.emplace_back().name = "one workspace submits twenty times its share";
+  addWorkspace(patterns.back(), random, 0, 20.0 * WholeCapacity / Workspaces);
+  for (unsigned i = 1; i < Workspaces; ++i) {
+    addWorkspace(patterns.back(), random, i, 0.5 * WholeCapacity / Workspaces);
+  }
+
+  patterns.emplace_back().name = "two hundred small workspaces and a large one";
+  addWorkspace(patterns.back(), random, 0, WholeCapacity);
+  for (unsigned i = 1; i <= SmallWorkspaces; ++i) {
+    addWorkspace(patterns.back(), random, i, 0.5 * WholeCapacity / SmallWorkspaces);
+  }
+
+  patterns.emplace_back().name = "all workspaces return";
+  addWorkspace(patterns.back(), random, 0, 5.0 * WholeCapacity / Workspaces);
+  for (unsigned i = 1; i < Workspaces; ++i) {
+    addWorkspace(patterns.back(), random, i, 0.5 * WholeCapacity / Workspaces);
+    for (int j = 0; j < 3; ++j) patterns.back().arrivals.push_back({14000, ReplayClass::Urgent, i});
+    patterns.back().arrivals.push_back({14000, ReplayClass::Gangs, i});
+  }
+  for (int j = 0; j < 20; ++j) patterns.back().arrivals.push_back({14000, ReplayClass::Gangs, 0});
+  patterns.back().controlOutages = {{8000, 14000, 1.0}};
+
+  for (ReplayPattern& pattern : patterns) sortArrivals(pattern);
+  return patterns;
+}
+
 std::vector<ReplayPattern> crashPatterns(std::uint64_t seed) {
   std::mt19937_64 random(seed);
   std::vector<ReplayPattern> patterns;
--- a/test/load_replay.cpp
+++ b/test/load_replay.cpp
@@ -29,6 +29,58 @@
   return sum / static_cast<double>(seeds);
 }
 
+/** \returns the results of a pattern with workspaces, summed over some seeds. */
+ReplayResult sharedReplay(std::size_t pattern, bool fairShares, std::uint64_t seeds) {
+  ReplayResult sum;
+  const auto add = [](ReplayResult::Waits& to, const ReplayResult::Waits& waits) {
+    to.workflows += waits.workflows;
+    to.totalMs += waits.totalMs;
+    to.longestMs = std::max(to.longestMs, waits.longestMs);
+    to.neverStarted += waits.neverStarted;
+  };
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    ReplayVariant variant;
+    variant.fairShares = fairShares;
+    const ReplayResult one = LoadReplay(sharePatterns(seed)[pattern], variant, seed).simulate();
+    for (const auto& [workspace, waits] : one.waits) add(sum.waits[workspace], waits);
+    add(sum.allWaits, one.allWaits);
+  }
+  return sum;
+}
+
+/** \returns the mean wait of the worst workspace, relative to that of all workflows. \param from first workspace that
+ * is considered */
+double worstRelativeWait(const ReplayResult& result, unsigned from = 0) {
+  double worst = 0.0;
+  for (const auto& [workspace, waits] : result.waits) {
+    if (workspace >= from) worst = std::max(worst, waits.meanMs());
+  }
+  return worst / result.allWaits.meanMs();
+}
+
+/** \returns the waits of all workspaces but 0, which is the large one. */
+ReplayResult::Waits waitsOfOthers(const ReplayResult& result) {
+  ReplayResult::Waits others;
+  for (const auto& [workspace, waits] : result.waits) {
+    if (workspace == 0) continue;
+    others.workflows += waits.workflows;
+    others.totalMs += waits.totalMs;
+    others.longestMs = std::max(others.longestMs, waits.longestMs);
+    others.neverStarted += waits.neverStarted;
+  }
+  return others;
+}
+
+void logWaits(const char* what, const ReplayResult& result) {
+  const ReplayResult::Waits others = waitsOfOthers(result);
+  cr_log_info(
+      "%s: worst %.2f of the mean %.0f ms; large %.0f ms, longest %.0f, %u of %u not started; others %.0f ms, "
+      "longest %.0f, %u of %u not started",
+      what, worstRelativeWait(result), result.allWaits.meanMs(), result.waits.at(0).meanMs(),
+      result.waits.at(0).longestMs, result.waits.at(0).neverStarted, result.waits.at(0).workflows, others.meanMs(),
+      others.longestMs, others.neverStarted, others.workflows);
+}
+
 }  // namespace
 
 Test(load_replay, the_same_seed_gives_the_same_result) {
@@ -71,3 +123,37 @@
   without.preemption = false;
   cr_assert(meanWorth("urgent burst", {}, 4) > meanWorth("urgent burst", without, 4));
 }
+
+// With the order by objective alone, workspaces within their share wait behind the backlog of one that submits twenty
+// times its share. The bound is that of the design: no workspace waits more than twice the mean of all.
+Test(load_replay, workspaces_within_their_share_do_not_wait_behind_one_that_submits_twenty_times_its_share) {
+  const ReplayResult off = sharedReplay(0, false, 4);
+  const ReplayResult on = sharedReplay(0, true, 4);
+  logWaits("off", off);
+  logWaits("on", on);
+  cr_assert(worstRelativeWait(on) <= 2.0, "%.2f", worstRelativeWait(on));
+  cr_assert(worstRelativeWait(on, 1) < worstRelativeWait(off, 1), "%.2f, off %.2f", worstRelativeWait(on, 1),
+            worstRelativeWait(off, 1));
+  cr_assert(waitsOfOthers(on).meanMs() < waitsOfOthers(off).meanMs(), "%.0f ms, off %.0f ms",
+            waitsOfOthers(on).meanMs(), waitsOfOthers(off).meanMs());
+}
+
+// Many small workspaces must not be served after a large one, nor keep it from being served at all. A small workspace
+// submits less than one workflow in a replay, so the bound applies to the mean of all small ones and to the large one.
+Test(load_replay, two_hundred_small_workspaces_and_a_large_one_are_all_served) {
+  const ReplayResult off = sharedReplay(1, false, 3);
+  const ReplayResult on = sharedReplay(1, true, 3);
+  logWaits("off", off);
+  logWaits("on", on);
+  cr_assert(waitsOfOthers(on).meanMs() <= 2.0 * on.allWaits.meanMs());
+  cr_assert(on.waits.at(0).meanMs() <= 2.0 * on.allWaits.meanMs());
+}
+
+// After an outage all submit again at once. The order by bands must not delay one of them for the others.
+Test(load_replay, when_all_return_after_an_outage_no_workspace_waits_twice_the_mean) {
+  const ReplayResult off = sharedReplay(2, false, 4);
+  const ReplayResult on = sharedReplay(2, true, 4);
+  logWaits("off", off);
+  logWaits("on", on);
+  cr_assert(worstRelativeWait(on) <= 2.0, "%.2f", worstRelativeWait(on));
+}
