No bands while targets arrive, and fair shares on real processes

Cause: a new leader knew the capacity of one of two targets in its first plan, so the share of a workspace was twice too large, and it logged WorkspaceOverShare and WorkspaceWithinShare within two milliseconds. A workspace that is alone for a moment was logged as within its share for the same reason: the equal share doubled. Change: bands are computed once the targets have reported. A workspace is within its share again only while another one waits. WorkflowDeployment takes the section policy of the replicas' settings.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -60,7 +60,9 @@
   markGuaranteed();
   std::vector<PlannedStep> steps = planSteps();
   if (steps.empty()) co_return schema::RecordRuns();
-  if (m_context.settings.policy().fair_shares()) assignBands(steps);
+  // Before all targets have reported to a new leader, shares of their capacity would be too large.
+  const bool banded = m_context.settings.policy().fair_shares() && !m_ledger.arriving(BootClock::now());
+  if (banded) assignBands(steps);
   const std::vector<PlannedTarget>& targets = planTargets();
   const std::vector<PlannedRun> active = planRuns(targets);
   const unsigned keepFullyFree = freeTargetsToKeep(active, steps);
--- a/Courseloom/src/Scheduling/FairShare.cpp
+++ b/Courseloom/src/Scheduling/FairShare.cpp
@@ -68,11 +68,13 @@
   return found == m_relativeShares.end() ? 0.0 : found->second;
 }
 
-unsigned FairShare::bandOf(const std::string& workspace, const std::string& service) const {
+bool FairShare::othersWait(const std::string& workspace, const std::string& service) const {
   const auto waiting = m_waiting.find(service);
-  if (waiting == m_waiting.end()) return 0;
-  const std::size_t others = waiting->second.size() - waiting->second.count(workspace);
-  if (others == 0) return 0;
+  return waiting != m_waiting.end() && waiting->second.size() > waiting->second.count(workspace);
+}
+
+unsigned FairShare::bandOf(const std::string& workspace, const std::string& service) const {
+  if (!othersWait(workspace, service)) return 0;
   const double share = relativeShare(workspace, service);
   unsigned band = 0;
   for (double limit = m_options.burst; band < MaxBand && share > limit; limit *= 2.0) ++band;
@@ -85,7 +87,8 @@
   for (const auto& [key, share] : shares.relativeShares()) {
     const bool wasOver = m_over.count(key) > 0;
     const bool inBand = shares.bandOf(key.second, key.first) > 0;
-    const bool isOver = inBand || (wasOver && share > 1.0);
+    const bool remains = wasOver && (share > 1.0 || !shares.othersWait(key.second, key.first));
+    const bool isOver = inBand || remains;
     if (isOver) over.insert(key);
     if (isOver != wasOver) changes.push_back({key.first, key.second, isOver, share});
   }
--- a/Courseloom/src/Scheduling/FairShare.h
+++ b/Courseloom/src/Scheduling/FairShare.h
@@ -66,6 +66,8 @@
    * other workspace waits, then one more for each doubling above the burst. Bands are coarse, so that small differences
    * do not change the order by objective. */
   unsigned bandOf(const std::string& workspace, const std::string& service) const;
+  /** \returns whether another workspace than this one waits at a service. */
+  bool othersWait(const std::string& workspace, const std::string& service) const;
   /** \returns the weighted dominant share of a workspace relative to an equal share of what all have used; 1 is exactly
    * its share. */
   double relativeShare(const std::string& workspace, const std::string& service) const;
@@ -81,8 +83,8 @@
 /** \class ShareReview
  * \brief Finds the workspaces whose work begins or ceases to be served after that of others, for the log.
  *
- * A workspace counts as over its share from the first band above 0 until it is within its share again. Who waits
- * changes with nearly every pass and the bands with it, so a band of 0 alone ends nothing.
+ * A workspace counts as over its share from the first band above 0 until it is within its share while another one
+ * waits. Who waits changes with nearly every pass and the bands with it, so a band of 0 alone ends nothing.
  */
 class ShareReview {
  public:
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -56,7 +56,9 @@
  */
 class WorkflowDeployment {
  public:
-  explicit WorkflowDeployment(unsigned agents = 2) : m_ports({21000, 400, 10}), m_base(m_ports.base()) {
+  /** \param policy section `policy` of the replicas' settings, in braces; empty for the defaults */
+  explicit WorkflowDeployment(unsigned agents = 2, std::string policy = "")
+      : m_policy(std::move(policy)), m_ports({21000, 400, 10}), m_base(m_ports.base()) {
     std::string pattern = "/tmp/courseloom-test-XXXXXX";
     m_folder = mkdtemp(pattern.data());
     for (unsigned i = 1; i <= 3; ++i) control(i, true);
@@ -78,7 +80,8 @@
   void control(unsigned i, bool bootstrap) {
     start("control-" + std::to_string(i), "courseloom-control", i,
           "  bootstrap: " + std::string(bootstrap ? "true" : "false") +
-              "\ncontrol: {reserveMb: 1, snapshotEntries: 64}\nedge: {controlEndpoint: " + at(i, ControlPort) + "}\n");
+              "\ncontrol: {reserveMb: 1, snapshotEntries: 64}\nedge: {controlEndpoint: " + at(i, ControlPort) + "}\n" +
+              (m_policy.empty() ? "" : "policy: " + m_policy + "\n"));
   }
   void agent(unsigned i) {
     start("agent-" + std::to_string(i), "courseloom-agent", 10 + i,
@@ -223,6 +226,7 @@
   }
 
   std::string m_folder;
+  std::string m_policy;
   PortClaim m_ports;
   unsigned m_base;
   std::map<std::string, std::unique_ptr<Process>> m_processes;
--- a/test/fair_share.cpp
+++ b/test/fair_share.cpp
@@ -193,6 +193,21 @@
   cr_assert(!last[0].over && last[0].workspace == "large");
 }
 
+// With two workspaces, the share of one halves whenever the other neither waits nor runs: on real processes, one
+// workspace was logged as over and within its share in the same millisecond.
+Test(fair_share, a_workspace_that_is_alone_for_a_moment_is_not_logged_as_within_its_share) {
+  ShareReview review;
+  Competition competition;
+  competition.add("large", 0.5);
+  competition.add("small", 0.0);
+  cr_assert_eq(review.update(competition.shares()).size(), 1);
+  competition.add("small", 0.0, false);
+  cr_assert(competition.shares().relativeShare("large", Service) <= 1.0);
+  cr_assert(review.update(competition.shares()).empty());
+  competition.add("small", 0.5);
+  cr_assert_eq(review.update(competition.shares()).size(), 1);
+}
+
 // A workspace that is removed while it is over its share must not stay in the table.
 Test(fair_share, a_workspace_that_is_gone_is_no_longer_over_its_share) {
   ShareReview review;
--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -215,3 +215,36 @@
   cr_assert(test.until(200, "GET", "/q/00000000000001c2", "", "completed"));
   cr_assert(test.runner(full, "GET", "/starts").has("00000000000001c2"));
 }
+
+// The recorded use has to reach the plans of the leader and of the leader after it. Without prospects and ageing, work
+// of a workspace that submits little waits for the whole backlog of one that submitted before.
+Test(workflows_processes, fair_shares_hold_after_a_change_of_leader) {
+  WorkflowDeployment test(2, "{fairShares: true, prospects: false, ageing: false, headroom: false}");
+  std::string two = configuration(1);
+  two.replace(two.find(R"("tenants":[)"), 11, R"("tenants":[{"name":"u","api_keys":["key-2"]},)");
+  cr_assert_eq(test.configure(two), 200);
+  cr_assert(test.until(200, "GET", "/q/", "", "pending"));
+  // 16 tasks run at once, so this is work for 18 s.
+  for (int i = 0; i < 8; ++i) {
+    cr_assert_eq(test.call("POST", "/q/00000000000000e" + std::to_string(i), job(24, "1500")).status, 200);
+  }
+  const auto submit = [&](const std::string& id) {
+    const auto accepted = [&] { return test.call("POST", "/q/" + id, job(1, "100"), "key-2").status == 200; };
+    for (int tries = 0; tries < 100 && !accepted(); ++tries) pause(50);
+  };
+  const auto awaitEnd = [&](const std::string& id) {
+    const auto done = [&] { return test.call("GET", "/q/" + id, "", "key-2").has("completed"); };
+    for (int tries = 0; tries < 400 && !done(); ++tries) pause(20);
+    cr_assert(done(), "%s: %s", id.c_str(), test.call("GET", "/q/" + id, "", "key-2").body.c_str());
+    cr_assert_not(test.call("GET", "/q/00000000000000e7").has("completed"), "the backlog of the large one remains");
+  };
+  cr_assert(test.until(200, "GET", "/q/00000000000000e3", "", "completed"));
+  submit("00000000000001e0");
+  awaitEnd("00000000000001e0");
+  const unsigned leader = test.leader();
+  cr_assert_gt(test.metric(leader, "courseloom_workspace_share_percent_count"), 0.0);
+  test.kill("control-" + std::to_string(leader));
+  submit("00000000000001e1");
+  awaitEnd("00000000000001e1");
+  cr_assert_gt(test.metric(test.leader(), "courseloom_workspace_share_percent_count"), 0.0, "the new leader has them");
+}
