--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -96,6 +96,7 @@
   m_readySince.clear();
   m_health.clear();
   m_planner.forgetUnstartedSteps();
+  m_shareReview.clear();
   if (leads) m_ledger.lead(table(), BootClock::now(), m_driver.replica().term());
   for (auto& [agent, signal] : m_agentSignals) signal.notify();
   requestPlan();
