Copies of slow runs in the replicated state and the run ledger, and distributions of run times

Cause: A slow run of a step marked as speculative determines the end of its step: the table ignored every start while another run of the task was active.

Change: WorkflowTable accepts a second run that names the only active run, on another target, of a step that is speculative, no gang and not long-running, unless the task is on its last attempt. The first end RunDone counts; the end of the other run only ceases to be active. RunLedger stops the losing run at once and commits no end RunDone while an order for the other run may be in transit. CopyPlanner chooses slow runs and targets.

Conclusion: At most two runs of a task exist, and none begins after the end of the task was committed. Nothing starts copies yet.

--- a/Courseloom/src/Scheduling/CopyPlanner.h
+++ b/Courseloom/src/Scheduling/CopyPlanner.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,8 +19,10 @@
 struct CopyPlannerOptions {
   /** A copy is started if the run's expected remaining time exceeds a fresh run's by this factor. */
   double margin = 1.5;
-  double shareOfRuns = 0.05;          ///< largest share of all active runs that may be copies
-  double shareOfFreeCapacity = 0.25;  ///< largest share of the free accelerators that copies may use in one pass
+  /** Largest share of all active runs that may be copies. One copy is always allowed unless the share is 0: the last
+   * slow run of a step may be the only active run. */
+  double shareOfRuns = 0.05;
+  double shareOfFreeCapacity = 0.25;  ///< largest share of each free resource that copies may use in one pass
   double shortestRunMs = 500.0;       ///< runs that have been active for less are not copied, ms
 };
 
@@ -31,16 +34,27 @@
   std::size_t target = 0;  ///< index among the planned targets
   ResourceAmounts need;
   Rank rank = UrgentRank;
-  double ranMs = 0.0;        ///< time since its start, ms
-  double remainingMs = 0.0;  ///< expected remaining time, ms
-  double freshMs = 0.0;      ///< expected run time of a new run on a usual target from its checkpoint, ms
+  std::vector<std::size_t> eligible;  ///< indexes of the planned targets that may run its step
+  double ranMs = 0.0;                 ///< time since its start, ms
+  double remainingMs = 0.0;           ///< expected remaining time, ms
+  double freshMs = 0.0;               ///< expected run time of a new run on a usual target from its checkpoint, ms
+};
+
+/** \class WaitingWork
+ * \brief A step that still waits after a planning pass.
+ */
+struct WaitingWork {
+  std::string service;
+  Rank rank = UrgentRank;  ///< after ageing
 };
 
 /** \class CopyPlanner
  * \brief Chooses slow runs of speculative steps that get a copy, and the copies' targets.
  *
- * Copies use only capacity that no waiting step of the same or a better rank can use. Of a run and its copy,
- * the one that ends first counts and the other is stopped. The class has no clock.
+ * While a step of the same or a better rank waits at the same service, a run gets no copy. The copy's target must be at
+ * least as fast as that of the slow run. Of a run and its copy, the one that is done first counts and the other is
+ * stopped. The class has no clock. Source of the idea: backup tasks of MapReduce (Dean and Ghemawat, OSDI 2004), chosen
+ * by the expected time to the end as in LATE (Zaharia et al., OSDI 2008).
  */
 class CopyPlanner {
  public:
@@ -52,13 +66,21 @@
 
   explicit CopyPlanner(CopyPlannerOptions options = {}) : m_options(options) {}
   /** \param free free capacity by target after the starts of the planning pass, without its reservations
-   * \param waitingRanks ranks of steps that still wait after the pass \param activeRuns number of all active runs
+   * \param waiting steps that still wait after the pass \param activeRuns number of all active runs
    * \param activeCopies number of copies among them */
   std::vector<Copy> plan(const std::vector<CopyCandidate>& candidates, const std::vector<PlannedTarget>& targets,
-                         std::vector<ResourceAmounts> free, const std::vector<Rank>& waitingRanks,
-                         std::size_t activeRuns, std::size_t activeCopies) const;
+                         TargetCapacities free, const std::vector<WaitingWork>& waiting, std::size_t activeRuns,
+                         std::size_t activeCopies) const;
 
  private:
+  bool isSlow(const CopyCandidate& run) const;
+  /** \returns the candidates that may get a copy, those that are served first in front. */
+  std::vector<const CopyCandidate*> chooseRuns(const std::vector<CopyCandidate>& candidates,
+                                               const std::vector<PlannedTarget>& targets,
+                                               const std::vector<WaitingWork>& waiting) const;
+  std::optional<std::size_t> chooseTarget(const CopyCandidate& run, const std::vector<PlannedTarget>& targets,
+                                          const TargetCapacities& free) const;
+
   CopyPlannerOptions m_options;
 };
 
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -13,8 +13,8 @@
 namespace internal {
 namespace {
 
-/** Runs of a completed workflow or of a task that is done end by themselves, as the other members of a gang do. They
- * are stopped only if they are still active this long after their last progress. */
+/** The other members of a gang that is done end by themselves. They are stopped only if they are still active this long
+ * after their last progress. */
 constexpr Duration DoneGrace = milliseconds(600);
 /** Time after an outage until a leader has been elected and has had reports from its agents. */
 constexpr Duration ElectionAllowance = milliseconds(2000);
@@ -86,6 +86,9 @@
   track.inherited = inherited;
   track.startedAt = now;
   track.percentChanged = now;
+  // The task's other run is done, and its end is being committed: this one must not begin any more.
+  const RunTrack* other = otherRunOf(key);
+  track.stopRequested = other != nullptr && other->doneProposed;
   m_byAgent[run.agent()].insert(key);
 }
 
@@ -190,6 +193,7 @@
   if (before.reachable() && targetLost) recordTargetLoss(report.agent(), target, now);
   if (inReach || target.lastReachable == Time{}) target.lastReachable = now;
   target.reportRequestedAt = Time{};
+  target.withheldEnd = 0;
   std::vector<schema::RunEnd> ends;
   for (const RunKey& key : keys) {
     RunTrack& track = m_runs.at(key);
@@ -211,12 +215,42 @@
     const auto found = m_runs.find(key);
     if (found == m_runs.end() || found->second.agent != report.agent()) continue;
     if (!internal::same_identity(report.target().id(), found->second.target)) continue;
+    if (row.kind() == schema::RunDone && !holdBackOther(key)) {
+      if (target.withheldEnd == 0) target.withheldEnd = row.number();
+      target.withheldFor = otherRunOf(key)->agent;
+      continue;
+    }
+    found->second.doneProposed = row.kind() == schema::RunDone;
     ends.push_back(makeEnd(key, row.kind(), row.checkpoint().empty() ? found->second.checkpoint : row.checkpoint()));
   }
   classifyCrashes(report, before, ends);
   return ends;
 }
 
+/** \returns the other active run of a task; null if there is none. */
+RunTrack* RunLedger::otherRunOf(const RunKey& key) {
+  for (auto run = m_runs.lower_bound({key.workflow, key.task, 0}); run != m_runs.end(); ++run) {
+    if (run->first.workflow != key.workflow || run->first.task != key.task) return nullptr;
+    if (run->first.run != key.run) return &run->second;
+  }
+  return nullptr;
+}
+
+/** Makes sure that no order in transit begins the other run of a task after the end of this one was committed. An other
+ * run that is not known to have begun is stopped. \returns whether the end may be committed now; not while the outcome
+ * of an order for the other run is unknown */
+bool RunLedger::holdBackOther(const RunKey& key) {
+  RunTrack* other = otherRunOf(key);
+  if (!m_options.awaitOtherRun || other == nullptr || other->confirmed || other->endProposed) return true;
+  other->stopRequested = true;
+  return !other->inherited && other->firstOrderedTo == 0;
+}
+
+const TargetTrack* RunLedger::withholds(const std::string& agent) const {
+  const auto found = m_targets.find(agent);
+  return found == m_targets.end() || found->second.withheldEnd == 0 ? nullptr : &found->second;
+}
+
 void RunLedger::applyRunReports(const schema::AttendRequest& report, Time now) {
   TargetTrack& target = m_targets[report.agent()];
   const Time seen = now - milliseconds(report.running_age_ms());
@@ -373,7 +407,9 @@
   if (!over && !track.stopRequested) return false;
   const bool finishing = workflow != nullptr && workflow->record.phase() == schema::WorkflowCompleted;
   const TaskState* task = workflow == nullptr ? nullptr : workflow->task(key.task);
-  const bool endsByItself = finishing || (task != nullptr && task->done);
+  // Of a run and its copy, the one that lost would go on; only members of a gang end by themselves.
+  const bool gang = workflow != nullptr && workflow->step(key.task.step).gang();
+  const bool endsByItself = gang && (finishing || (task != nullptr && task->done));
   if (endsByItself && now < track.percentChanged + internal::DoneGrace) return false;
   return track.stopOrderedAt == Time{} || now >= track.stopOrderedAt + m_options.retryOrdersAfter;
 }
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -46,6 +46,7 @@
   bool waitForLeases = true;       ///< the runs of a silent agent end only after its lease has expired
   bool inheritLeases = true;       ///< a new leader assumes that the former one granted leases until the new one began
   bool withholdEndingRuns = true;  ///< a run whose end is about to be committed gets no start order
+  bool awaitOtherRun = true;  ///< an end RunDone is committed only once no order in transit can begin the task's copy
   bool rejectStaleReports =
       true;  ///< a delayed report neither ends runs nor displaces a newer incarnation of its agent
 };
@@ -58,6 +59,7 @@
   std::string target;
   bool confirmed = false;  ///< the start is known to have been carried out
   bool stopRequested = false;
+  bool doneProposed = false;         ///< an end RunDone of the run was handed over to be committed
   bool endProposed = false;          ///< the end of the run was handed over to be committed
   bool inherited = false;            ///< a former leader may have ordered the start
   std::uint64_t firstOrderedTo = 0;  ///< incarnation of the agent that got the first start order; 0 if there was none
@@ -91,7 +93,10 @@
   Time
       lostSince{};  ///< when the target was last reported unreachable, or replaced without such a report; zero if never
   std::set<std::string> workflowsAtLoss;  ///< workflows that had runs on the target at lostSince
-  Time reportRequestedAt{};    ///< when a report was first requested since the last contact; zero if none was
+  Time reportRequestedAt{};  ///< when a report was first requested since the last contact; zero if none was
+  /** Number of the first end in the newest report that is not to be committed yet; 0 if there is none. */
+  std::uint64_t withheldEnd = 0;
+  std::string withheldFor;     ///< agent of the copy for which that end is withheld
   std::vector<RunKey> strays;  ///< runs reported as running that the log does not hold as active on this incarnation
 };
 
@@ -147,6 +152,9 @@
    * incarnation of the agent. \returns ends to commit; the target may be allowed to forget its ends only after the
    * commit */
   std::vector<schema::RunEnd> receiveReport(const schema::AttendRequest& report, Time now);
+  /** \returns the track of an agent whose newest report has an end that is not to be committed yet, otherwise null.
+   * Such an end must not be acknowledged, so that the agent reports it again. */
+  const TargetTrack* withholds(const std::string& agent) const;
   /** \returns ends of runs whose leases have all expired. */
   std::vector<schema::RunEnd> expire(Time now);
   /** Grants an agent a lease for its runs, beginning now. \returns the length of the lease. It is limited to
@@ -208,6 +216,8 @@
   bool startDue(const RunTrack& track, Time now) const;
   bool stopDue(const RunKey& key, const RunTrack& track, const WorkflowTable& table, Time now) const;
   Time leaseEnd(const std::string& agent) const;
+  RunTrack* otherRunOf(const RunKey& key);
+  bool holdBackOther(const RunKey& key);
   void add(const schema::TaskId& task, const schema::ActiveRun& run, Time now, bool inherited);
 
   RunLedgerOptions m_options;
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -12,6 +12,7 @@
 
 #include "Courseloom/src/Core/Failure.h"
 #include "Courseloom/src/State/CrashRecord.h"
+#include "Courseloom/src/State/RunTimeDistribution.h"
 #include "Courseloom/src/State/RunTimeEstimator.h"
 #include "generated/state.pb.h"
 #include "generated/workflow.pb.h"
@@ -44,12 +45,13 @@
  */
 struct TaskState {
   bool done = false;
-  std::uint32_t failures = 0;             ///< runs that failed; a gang's are counted at its first task
-  std::uint32_t failedRun = 0;            ///< newest run counted in `failures`; 0 is none
-  std::uint32_t lastRun = 0;              ///< highest run number that was committed; 0 is none
-  std::string checkpoint;                 ///< newest one, empty if there is none; a gang's is kept at its first task
-  CrashRecord crashes;                    ///< of targets during its runs; each member of a gang has its own record
-  std::vector<schema::ActiveRun> active;  ///< runs that were committed as started and not as ended
+  std::uint32_t failures = 0;   ///< runs that failed; a gang's are counted at its first task
+  std::uint32_t failedRun = 0;  ///< newest run counted in `failures`; 0 is none
+  std::uint32_t lastRun = 0;    ///< highest run number that was committed; 0 is none
+  std::string checkpoint;       ///< newest one, empty if there is none; a gang's is kept at its first task
+  CrashRecord crashes;          ///< of targets during its runs; each member of a gang has its own record
+  /** Runs that were committed as started and not as ended: at most one, or a run and its copy. */
+  std::vector<schema::ActiveRun> active;
 };
 
 /** \class WorkflowState
@@ -84,6 +86,11 @@
   std::uint32_t nextRun(const TaskKey& key) const;
   /** \returns whether the next failure of a task, or of its gang, ends the workflow. */
   bool onLastAttempt(const TaskKey& key) const;
+  /** \returns whether a task may get a copy of its only active run. No copy is made on the last attempt: the failures
+   * of both runs count, and together they must not exceed the allowed attempts. */
+  bool mayBeCopied(const TaskKey& key) const;
+  /** \returns whether a run is active although its task is done, because another run of the task was done first. */
+  bool isSuperseded(const TaskKey& key) const;
   /** \returns the number of different targets in the crash records of the workflow's tasks. */
   std::size_t crashedTargets() const;
   /** \returns whether the next start of a task must be a trial start, at a target that is kept free of other starts. */
@@ -104,6 +111,7 @@
   bool started = false;                       ///< whether the run started; otherwise it ended
   schema::RunEndKind kind = schema::RunDone;  ///< of an end; without meaning for a start
   std::uint64_t timeMs = 0;                   ///< time of the command that recorded it, ms since 1970
+  bool superseded = false;                    ///< of an end: another run of the task was done before; not for gangs
 };
 
 /** \returns whether a workflow has ended: completed, failed or cancelled. */
@@ -118,7 +126,8 @@
 /** \class WorkflowTable
  * \brief The replicated state of queues and workflows: configuration, workflows, and every run that may exist.
  *
- * A start is recorded before the leader sends its order, and an end is recorded before the target may discard it. The
+ * A start is recorded before the leader sends its order, and an end is recorded before the target may discard it. A
+ * task of a speculative step may have a second run, a copy of a slow one; the first of them that is done counts. The
  * table depends only on the commands and their times, so replicas that apply the same commands hold the same table.
  * \sa ClusterState, RunLedger
  */
@@ -150,6 +159,10 @@
   std::size_t size() const { return m_workflows.size(); }
   /** \returns the run time estimator, updated from the committed runs. */
   const RunTimeEstimator& runTimeEstimator() const { return m_runTimeEstimator; }
+  /** \returns the distribution of a queue's run times relative to the expected ones, from the committed runs. */
+  const RunTimeDistribution& runTimeDistribution(const std::string& queue) const {
+    return m_runTimeDistributions.of(queue);
+  }
   /** \returns the starts and ends of runs that were committed since the last call, in order, and clears the list. */
   std::vector<RunChange> consumeRunChanges();
   /** \returns the ids of workflows that ended since the last call, and clears the list; some may still have active
@@ -164,6 +177,10 @@
  private:
   void recordEnd(const schema::RunEnd& end, std::uint64_t timeMs);
   void recordStart(const schema::RunStart& start, std::uint64_t timeMs);
+  /** Records the end of a run whose task was done by another run: it only ceases to be active. */
+  void recordSupersededEnd(WorkflowState& workflow, const schema::ActiveRun& run, const schema::RunEnd& end);
+  /** Records the run time of a task that was not done before, relative to the one expected on its target. */
+  void recordRunTimeRatio(const WorkflowState& workflow, const schema::ActiveRun& run, const schema::RunEnd& end);
   void recordRunTime(const WorkflowState& workflow, const schema::ActiveRun& run, const schema::RunEnd& end,
                      std::uint64_t timeMs);
   void markDone(WorkflowState& workflow, const TaskKey& key);
@@ -185,6 +202,7 @@
   std::map<std::string, WorkflowState> m_workflows;
   std::set<std::string> m_open;  ///< ids of workflows that have not ended or have active runs
   RunTimeEstimator m_runTimeEstimator;
+  RunTimeDistributions m_runTimeDistributions;
   std::vector<RunChange> m_runChanges;                        ///< since the last call of consumeRunChanges()
   std::vector<std::string> m_justEnded;                       ///< ended since the last call of consumeEnded()
   std::deque<std::pair<std::uint64_t, std::string>> m_ended;  ///< time of the end and id, oldest first
--- a/test/workflow_table.cpp
+++ b/test/workflow_table.cpp
@@ -45,6 +45,33 @@
   table.record(runs, 30);
 }
 
+schema::Workflow makeSpeculativeWorkflow(const std::string& id, unsigned count) {
+  schema::Workflow workflow = makeWorkflow(id, count);
+  workflow.set_max_attempts(3);
+  workflow.mutable_spec()->mutable_steps(0)->set_speculative(true);
+  return workflow;
+}
+
+/** Commits the start of a copy of run `of` on another target. */
+void startCopy(WorkflowTable& table, const std::string& id, const TaskKey& key, std::uint32_t run, std::uint32_t of,
+               const std::string& target = "t2", const std::string& agent = "a2") {
+  schema::RecordRuns runs;
+  schema::RunStart* row = runs.add_starts();
+  *row->mutable_task() = makeTaskId(id, key);
+  row->mutable_run()->set_number(run);
+  row->mutable_run()->set_target(target);
+  row->mutable_run()->set_agent(agent);
+  row->mutable_run()->set_copy_of(of);
+  table.record(runs, 25);
+}
+
+/** \returns a snapshot of a table in its serialised form. */
+std::string snapshotOf(const WorkflowTable& table) {
+  schema::StateSnapshot snapshot;
+  table.save(snapshot);
+  return snapshot.SerializeAsString();
+}
+
 schema::WorkflowPhase phaseOf(const WorkflowTable& table, const std::string& id) {
   return table.find(id)->record.phase();
 }
@@ -241,3 +268,211 @@
     }
   }
 }
+
+// ---- copies of slow runs
+
+// Without the rules of recordStart a task of any step could have two runs at the same time.
+Test(workflow_table, only_a_start_that_names_the_active_run_of_a_speculative_task_adds_a_second_run) {
+  const TaskKey task{0, 0, 0};
+  WorkflowTable table;
+  table.submit(makeSpeculativeWorkflow("w", 1), 10);
+  startCopy(table, "w", task, 1, 1);
+  cr_assert_eq(table.find("w")->activeRuns, 0, "there is no run to copy");
+  start(table, "w", task, 1);
+  start(table, "w", task, 2);
+  cr_assert_eq(table.find("w")->activeRuns, 1, "a start that names no run must be ignored");
+  startCopy(table, "w", task, 3, 2);
+  cr_assert_eq(table.find("w")->activeRuns, 1, "a start that names another run must be ignored");
+  startCopy(table, "w", task, 3, 1, "t", "a2");
+  startCopy(table, "w", task, 3, 1, "t2", "a");
+  cr_assert_eq(table.find("w")->activeRuns, 1, "two runs must not be on one target");
+  startCopy(table, "w", task, 1, 1);
+  cr_assert_eq(table.find("w")->activeRuns, 1, "a run number is used once");
+  startCopy(table, "w", task, 3, 1);
+  cr_assert_eq(table.find("w")->activeRuns, 2);
+  cr_assert_eq(table.find("w")->nextRun(task), 4);
+  startCopy(table, "w", task, 4, 1, "t3", "a3");
+  startCopy(table, "w", task, 4, 3, "t3", "a3");
+  cr_assert_eq(table.find("w")->activeRuns, 2, "a task has at most two runs");
+}
+
+// A copy whose original has ended would be a run from an old checkpoint, or on a target chosen for a copy.
+Test(workflow_table, a_copy_of_a_run_that_has_ended_is_not_started) {
+  for (const schema::RunEndKind kind : {schema::RunLapsed, schema::RunStopped, schema::RunFailed, schema::RunDone}) {
+    WorkflowTable table;
+    table.submit(makeSpeculativeWorkflow("w", 1), 10);
+    start(table, "w", {0, 0, 0}, 1);
+    end(table, "w", {0, 0, 0}, 1, kind);
+    startCopy(table, "w", {0, 0, 0}, 2, 1);
+    cr_assert_eq(table.find("w")->activeRuns, 0, "%s", schema::RunEndKind_Name(kind).c_str());
+  }
+}
+
+// Tasks that do not allow it must never run twice at the same time.
+Test(workflow_table, steps_that_are_not_speculative_gangs_and_long_running_steps_get_no_copies) {
+  schema::Workflow plain = makeSpeculativeWorkflow("plain", 1);
+  plain.mutable_spec()->mutable_steps(0)->set_speculative(false);
+  schema::Workflow gang = makeSpeculativeWorkflow("gang", 2);
+  gang.mutable_spec()->mutable_steps(0)->set_gang(true);
+  schema::Workflow endless = makeSpeculativeWorkflow("endless", 1);
+  endless.mutable_spec()->mutable_steps(0)->set_long_running(true);
+  for (const schema::Workflow& workflow : {plain, gang, endless}) {
+    WorkflowTable table;
+    table.submit(workflow, 10);
+    start(table, workflow.id(), {0, 0, 0}, 1);
+    startCopy(table, workflow.id(), {0, 0, 0}, 2, 1);
+    cr_assert_eq(table.find(workflow.id())->activeRuns, 1, "%s", workflow.id().c_str());
+  }
+}
+
+// The second end must not count the task twice, which would complete a step with unfinished tasks.
+Test(workflow_table, the_first_of_two_ends_in_one_record_counts) {
+  const TaskKey task{0, 0, 0};
+  WorkflowTable table;
+  table.submit(makeSpeculativeWorkflow("w", 2), 10);
+  start(table, "w", task, 1);
+  startCopy(table, "w", task, 2, 1);
+  schema::RecordRuns runs;
+  for (const std::uint32_t run : {2U, 1U}) {
+    schema::RunEnd* row = runs.add_ends();
+    *row->mutable_task() = makeTaskId("w", task);
+    row->set_run(run);
+    row->set_kind(schema::RunDone);
+  }
+  table.record(runs, 30);
+  const WorkflowState& workflow = *table.find("w");
+  cr_assert(workflow.task(task)->done);
+  cr_assert_eq(workflow.doneCounts.at({0, 0}), 1);
+  cr_assert_eq(workflow.activeRuns, 0);
+  cr_assert(workflow.hasWaitingTasks({0, 0}), "the second task waits");
+  cr_assert_eq(phaseOf(table, "w"), schema::WorkflowRunning);
+  const std::vector<RunChange> changes = table.consumeRunChanges();
+  cr_assert_eq(changes.size(), 4);
+  cr_assert_not(changes[2].superseded);
+  cr_assert(changes[3].superseded);
+}
+
+// A losing run that is stopped, fails or is lost with its target says nothing against its task.
+Test(workflow_table, the_end_of_the_losing_run_is_no_failure_no_run_time_and_no_crash) {
+  const TaskKey task{0, 0, 0};
+  for (const schema::RunEndKind kind : {schema::RunFailed, schema::RunTargetLost, schema::RunDone}) {
+    WorkflowTable table;
+    schema::Workflow spec = makeSpeculativeWorkflow("w", 2);
+    spec.set_queue("q");
+    spec.mutable_spec()->mutable_steps(0)->set_estimate_ms(1000);
+    table.submit(spec, 10);
+    start(table, "w", task, 1);
+    startCopy(table, "w", task, 2, 1);
+    end(table, "w", task, 2, schema::RunDone);
+    const TaskState before = *table.find("w")->task(task);
+    schema::RecordRuns runs;
+    schema::RunEnd* row = runs.add_ends();
+    *row->mutable_task() = makeTaskId("w", task);
+    row->set_run(1);
+    row->set_kind(kind);
+    row->set_whole_ms(7000);
+    row->set_checkpoint("late");
+    row->set_crash(schema::CrashAtStart);
+    table.record(runs, 40);
+    const TaskState& after = *table.find("w")->task(task);
+    cr_assert_eq(after.failures, before.failures);
+    cr_assert_not(after.crashes.suspected());
+    cr_assert_eq(table.find("w")->suspectTasks, 0);
+    cr_assert(after.checkpoint.empty());
+    cr_assert(after.active.empty());
+    cr_assert_eq(table.runTimeEstimator().openSteps(), 0, "the run time of a losing run must not be recorded");
+  }
+}
+
+// If a copy were allowed on the last attempt, two failures at once could exceed the allowed number.
+Test(workflow_table, failures_of_both_runs_count_and_never_exceed_the_attempts) {
+  const TaskKey task{0, 0, 0};
+  WorkflowTable table;
+  table.submit(makeSpeculativeWorkflow("w", 1), 10);  // three attempts
+  start(table, "w", task, 1);
+  startCopy(table, "w", task, 2, 1);
+  end(table, "w", task, 2, schema::RunFailed);
+  cr_assert_eq(table.find("w")->task(task)->failures, 1);
+  cr_assert_eq(phaseOf(table, "w"), schema::WorkflowRunning, "the other run goes on");
+  cr_assert_not(table.find("w")->hasWaitingTasks({0, 0}), "the task has a run");
+  startCopy(table, "w", task, 3, 1);
+  end(table, "w", task, 1, schema::RunFailed);
+  end(table, "w", task, 3, schema::RunLapsed);
+  cr_assert_eq(table.find("w")->task(task)->failures, 2);
+  start(table, "w", task, 4);
+  startCopy(table, "w", task, 5, 4);
+  cr_assert_eq(table.find("w")->activeRuns, 1, "the last attempt gets no copy");
+  end(table, "w", task, 4, schema::RunFailed);
+  cr_assert_eq(table.find("w")->task(task)->failures, 3);
+  cr_assert_eq(phaseOf(table, "w"), schema::WorkflowFailed);
+  start(table, "w", task, 6);
+  startCopy(table, "w", task, 6, 4);
+  cr_assert_eq(table.find("w")->activeRuns, 0);
+}
+
+// A cancelled workflow has to stay open until both of its runs have ended, so that both are stopped.
+Test(workflow_table, a_cancelled_workflow_stays_open_until_both_runs_have_ended) {
+  WorkflowTable table;
+  table.submit(makeSpeculativeWorkflow("w", 1), 10);
+  start(table, "w", {0, 0, 0}, 1);
+  startCopy(table, "w", {0, 0, 0}, 2, 1);
+  table.cancel("w", 40);
+  end(table, "w", {0, 0, 0}, 2, schema::RunStopped);
+  cr_assert_eq(table.open().count("w"), 1);
+  end(table, "w", {0, 0, 0}, 1, schema::RunStopped);
+  cr_assert_eq(table.open().count("w"), 0);
+  cr_assert_eq(phaseOf(table, "w"), schema::WorkflowCancelled);
+}
+
+// A new leader from a snapshot has to know both runs, and which of them is the copy.
+Test(workflow_table, a_snapshot_preserves_two_active_runs) {
+  const TaskKey task{0, 0, 0};
+  WorkflowTable table;
+  table.submit(makeSpeculativeWorkflow("w", 2), 10);
+  start(table, "w", task, 1);
+  startCopy(table, "w", task, 2, 1);
+  schema::StateSnapshot snapshot;
+  table.save(snapshot);
+  WorkflowTable loaded;
+  loaded.load(snapshot);
+  cr_assert(snapshotOf(loaded) == snapshotOf(table));
+  cr_assert_eq(loaded.find("w")->activeRuns, 2);
+  cr_assert_eq(loaded.find("w")->activeCounts.at({0, 0}), 1);
+  cr_assert_eq(loaded.find("w")->task(task)->active[1].copy_of(), 1);
+  for (WorkflowTable* each : {&table, &loaded}) end(*each, "w", task, 1, schema::RunDone);
+  for (WorkflowTable* each : {&table, &loaded}) end(*each, "w", task, 2, schema::RunStopped);
+  cr_assert(snapshotOf(loaded) == snapshotOf(table));
+}
+
+// The counts of active tasks must stay right when one of two runs ends.
+Test(workflow_table, waiting_steps_are_known_with_two_runs_of_a_task) {
+  for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seedCount(200); ++seed) {
+    std::mt19937_64 random(seed);
+    WorkflowTable table;
+    const unsigned count = 1 + random() % 3;
+    schema::Workflow spec = makeSpeculativeWorkflow("w", count);
+    spec.set_max_attempts(6);
+    table.submit(spec, 10);
+    for (int action = 0; action < 60; ++action) {
+      const TaskKey key{0, 0, static_cast<std::uint32_t>(random() % count)};
+      const WorkflowState& workflow = *table.find("w");
+      const TaskState* task = workflow.task(key);
+      const std::uint32_t active = task == nullptr || task->active.empty() ? 0 : task->active.front().number();
+      const auto kind = static_cast<schema::RunEndKind>(random() % schema::RunEndKind_ARRAYSIZE);
+      const std::uint32_t run = 1 + random() % workflow.nextRun(key);
+      if (random() % 3 == 0) start(table, "w", key, workflow.nextRun(key));
+      if (random() % 3 == 0) startCopy(table, "w", key, workflow.nextRun(key), active);
+      if (random() % 3 == 0) end(table, "w", key, run, kind);
+      std::size_t runs = 0;
+      for (const auto& [name, state] : workflow.tasks) {
+        runs += state.active.size();
+        cr_assert_leq(state.active.size(), 2);
+        cr_assert_leq(state.failures, 6);
+        if (state.active.size() == 2) cr_assert_neq(state.active[0].agent(), state.active[1].agent());
+      }
+      cr_assert_eq(workflow.activeRuns, runs);
+      cr_assert_eq(workflow.hasWaitingTasks({0, 0}), hasWaitingTasksByScan(workflow, {0, 0}), "seed %llu, action %d",
+                   static_cast<unsigned long long>(seed), action);
+    }
+  }
+}
