Load replay with slow runs and copies

Cause: No test under load showed whether copies limit the slowest run of a step.

Change: A pattern in which 3 of 100 runs of single tasks take seven times as long; the replay starts copies with CopyPlanner if the variant asks for them.

Conclusion: The bound of 2.2 holds where little other work waits and the share of copies suffices for the last runs of steps.

--- a/test/LoadReplay.cpp
+++ b/test/LoadReplay.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
+#include "Courseloom/src/Scheduling/RunPace.h"
 #include "Courseloom/src/Scheduling/Trials.h"
 
 namespace courseloom::test {
@@ -81,7 +83,9 @@
       m_speeds(variant.speeds),
       m_crashRule(variant.crashes),
       m_commonCauseRule(variant.commonCauseRule),
-      m_trials(variant.trials) {
+      m_trials(variant.trials),
+      m_copies(variant.copies),
+      m_copyPlanner(variant.copyPlanner) {
   m_targets.resize(pattern.targets);
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
     m_targets[i].timeFactor = pattern.timeFactors[i % pattern.timeFactors.size()];
@@ -150,6 +154,8 @@
   job.done.assign(count, false);
   job.active.assign(count, 0);
   job.number.assign(count, 0);
+  job.firstStartMs.assign(count, 0.0);
+  job.tookMs.assign(count, 0.0);
   job.worth = profile.worth;
   job.writesCheckpoints = between(0, 1) < profile.checkpointShare;
   schema::Workflow& record = job.workflow.record;
@@ -201,7 +207,7 @@
     run.heldMs += StepMs;
     if (run.share >= 1.0) continue;  // waits for the rest of its gang to end
     run.workedMs += StepMs;
-    run.share = std::min(1.0, run.share + StepMs / (job.taskMs[run.task] * timeFactor(run.target)));
+    run.share = std::min(1.0, run.share + StepMs / (run.slowFactor * job.taskMs[run.task] * timeFactor(run.target)));
   }
 }
 
@@ -343,15 +349,34 @@
   const double cores = static_cast<double>(profileOf(job.kind).cores);
   m_result.worked += cores * run.heldMs / 1000.0;
   job.done[run.task] = true;
+  job.tookMs[run.task] = m_nowMs - job.firstStartMs[run.task];
+  m_result.copiesDoneFirst += run.copy ? 1 : 0;
   if (run.share > run.shareAtStart)
     m_endedRunsEstimator.recordRunTime(stepOf(run), targetName(run.target),
                                        run.workedMs / (run.share - run.shareAtStart), 0);
   const bool ended = std::all_of(job.done.begin(), job.done.end(), [](bool done) { return done; });
   if (!ended) return;
   job.endedMs = m_nowMs;
+  recordSlowest(job);
   m_endedRunsEstimator.closeWorkflow(job.workflow.record.id());
 }
 
+/** Records the spread of the run times of a step of single tasks that has ended. */
+void LoadReplay::recordSlowest(const Job& job) {
+  if (profileOf(job.kind).gang || job.tookMs.size() < 5) return;
+  std::vector<double> took = job.tookMs;
+  std::sort(took.begin(), took.end());
+  m_result.slowestToMedian.push_back(took.back() / took[took.size() / 2]);
+}
+
+/** Ends a run whose task was done by another run first. */
+void LoadReplay::endLosingRun(const Run& run) {
+  Job& job = m_jobs[run.job];
+  --job.active[run.task];
+  const double cores = profileOf(job.kind).cores + 8.0 * job.workflow.step(0).need().accelerators();
+  m_result.lostRunWork += cores * run.heldMs / 1000.0;
+}
+
 /** Ends a run before it is done. \param lost whether it is lost with its target, so that it saves no checkpoint at
  * its end */
 void LoadReplay::stopRun(Run& run, bool lost) {
@@ -386,7 +411,13 @@
     }
     const bool targetLost = run.lost || (leavesAtMs > 0.0 && m_nowMs >= leavesAtMs);
     const bool done = run.gang.empty() ? run.share >= 1.0 : doneGangs.count(run.gang) > 0;
+    const bool loses = run.gang.empty() && m_jobs[run.job].done[run.task];
+    if (loses && run.stopAtMs == 0.0) run.stopAtMs = m_nowMs + StopDelayMs;
     const bool stopped = run.stopAtMs > 0.0 && m_nowMs >= run.stopAtMs;
+    if (loses && (done || targetLost || stopped)) {
+      endLosingRun(run);
+      continue;
+    }
     recordEnd(run, done ? schema::RunDone : schema::RunStopped);
     if (!run.lost && done) {
       complete(run);
@@ -462,7 +493,7 @@
     const Job& job = m_jobs[run.job];
     const schema::StepSpec& spec = job.workflow.step(0);
     PlannedRun& planned = runs.emplace_back();
-    planned.key = {job.workflow.record.id(), {0, 0, run.task}, job.number[run.task]};
+    planned.key = {job.workflow.record.id(), {0, 0, run.task}, run.number};
     planned.target = run.target;
     planned.need = resourceAmountsOf(spec);
     planned.rank = profileOf(job.kind).rank;
@@ -526,8 +557,11 @@
   run.target = start.target;
   run.fromMs = m_nowMs + StartDelayMs;
   run.share = run.shareAtStart = job.savedShares[start.task];
+  if (job.number[start.task] == 0) job.firstStartMs[start.task] = run.fromMs;
   ++job.active[start.task];
-  ++job.number[start.task];
+  run.number = ++job.number[start.task];
+  if (m_pattern.slowRunShare > 0.0 && !step.isGang() && between(0, 1) < m_pattern.slowRunShare)
+    run.slowFactor = m_pattern.slowRunFactor;
   job.workflow.tasks[{0, 0, start.task}].crashes.started();
   if (job.crashing == start.task && job.crashes >= CrashRecord::CrashesAllowed) ++job.startsAfterThirdCrash;
   if (step.isGang()) run.gang = job.workflow.record.id() + "." + std::to_string(job.number[start.task]);
@@ -536,7 +570,7 @@
 void LoadReplay::plan() {
   if (std::fmod(m_nowMs, UpdateEstimatesMs) == 0.0) updateEstimates();
   const std::vector<PlannedStep> steps = planSteps();
-  if (steps.empty()) return;
+  if (steps.empty() && !m_copies) return;
   const std::vector<PlannedTarget> targets = planTargets();
   const std::vector<PlannedRun> runs = planRuns();
   const RunPlan plan = m_planner.plan(targets, runs, steps, 2, ClockStartMs + m_nowMs);
@@ -547,7 +581,79 @@
       ++m_result.stops;
     }
   }
+  if (m_copies) startCopies(targets, runs, steps, plan);
   for (const RunPlan::Start& one : plan.starts) start(one, steps[one.step]);
 }
 
+// ---- copies of slow runs
+
+/** \returns the share of a run's task that its newest checkpoint contains. */
+double LoadReplay::shareAtCheckpoint(const Run& run) const {
+  const Job& job = m_jobs[run.job];
+  return job.writesCheckpoints ? std::max(job.savedShares[run.task], run.share) : job.savedShares[run.task];
+}
+
+/** \param runs the planned runs, in the order of m_runs \param targets number of targets, all of which are eligible */
+std::vector<CopyCandidate> LoadReplay::copyCandidates(const std::vector<PlannedRun>& runs, std::size_t targets) const {
+  std::vector<CopyCandidate> candidates;
+  for (std::size_t r = 0; r < runs.size(); ++r) {
+    const Run& run = m_runs[r];
+    const Job& job = m_jobs[run.job];
+    const bool single = run.gang.empty() && !job.done[run.task] && job.active[run.task] == 1;
+    if (!single || run.lost || run.stopAtMs > 0.0 || m_nowMs < run.fromMs) continue;
+    CopyCandidate& candidate = candidates.emplace_back();
+    candidate.run = runs[r].key;
+    candidate.target = run.target;
+    candidate.need = runs[r].need;
+    candidate.rank = runs[r].rank;
+    candidate.eligible.resize(targets);
+    std::iota(candidate.eligible.begin(), candidate.eligible.end(), 0U);
+    candidate.ranMs = m_nowMs - run.fromMs;
+    const auto percentOf = [](double share) { return static_cast<std::uint32_t>(100.0 * share); };
+    const double leastMs = leastRemainingMs(run.workedMs, percentOf(run.shareAtStart), percentOf(run.share));
+    candidate.remainingMs = std::max(runs[r].remainingMs, leastMs);
+    candidate.freshMs = (1.0 - shareAtCheckpoint(run)) * expectedMs(job);
+  }
+  return candidates;
+}
+
+void LoadReplay::startCopies(const std::vector<PlannedTarget>& targets, const std::vector<PlannedRun>& runs,
+                             const std::vector<PlannedStep>& steps, const RunPlan& plan) {
+  TargetCapacities free;
+  for (const PlannedTarget& target : targets) free.push_back(target.capacity);
+  for (const PlannedRun& run : runs) free[run.target].subtract(run.need);
+  std::vector<std::size_t> left;
+  for (const PlannedStep& step : steps) left.push_back(step.tasks.size());
+  for (const RunPlan::Start& start : plan.starts) {
+    --left[start.step];
+    free[start.target].subtract(resourceAmountsOf(steps[start.step].workflow->step(0)));
+  }
+  std::vector<WaitingWork> waiting;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    if (left[i] > 0) waiting.push_back({"s", m_planner.agedRank(steps[i])});
+  }
+  const auto isCopy = [this](const Run& run) { return run.copy && m_jobs[run.job].active[run.task] > 1; };
+  const auto active = static_cast<std::size_t>(std::count_if(m_runs.begin(), m_runs.end(), isCopy));
+  const std::vector<CopyCandidate> candidates = copyCandidates(runs, targets.size());
+  for (const CopyPlanner::Copy& copy :
+       m_copyPlanner.plan(candidates, targets, std::move(free), waiting, runs.size(), active)) {
+    const std::size_t number = m_jobByWorkflow.at(copy.of.workflow);
+    const auto slow = std::find_if(m_runs.begin(), m_runs.end(), [&copy, number](const Run& run) {
+      return run.job == number && run.task == copy.of.task.index && run.number == copy.of.run;
+    });
+    Run started;
+    started.job = number;
+    started.task = copy.of.task.index;
+    started.target = copy.target;
+    started.copy = true;
+    started.number = ++m_jobs[number].number[started.task];
+    started.fromMs = m_nowMs + StartDelayMs;
+    started.share = started.shareAtStart = shareAtCheckpoint(*slow);
+    if (between(0, 1) < m_pattern.slowRunShare) started.slowFactor = m_pattern.slowRunFactor;
+    ++m_jobs[number].active[started.task];
+    ++m_result.copies;
+    m_runs.push_back(started);
+  }
+}
+
 }  // namespace courseloom::test
--- a/test/LoadReplay.h
+++ b/test/LoadReplay.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "Courseloom/src/Scheduling/CopyPlanner.h"
 #include "Courseloom/src/Scheduling/RunLedger.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
 #include "Courseloom/src/State/RunTimeEstimator.h"
@@ -56,6 +57,8 @@
   std::vector<ReplayFaultPeriod> withdrawals;     ///< targets leave permanently, 2 s after their notice at fromMs
   std::vector<ReplayFaultPeriod> crashes;         ///< targets crash at fromMs and return at untilMs
   double crashingShare = 0.0;   ///< share of the workflows of which one task crashes each target that starts it
+  double slowRunShare = 0.0;    ///< probability that a run outside gangs is slow
+  double slowRunFactor = 7.0;   ///< multiple of its usual run time that such a run takes
   double crashAfterMs = 10.0;   ///< time from the start of such a task to the crash
   double durationMs = 60000.0;  ///< length of the replay
 };
@@ -64,6 +67,10 @@
  * withdrawals. */
 std::vector<ReplayPattern> replayPatterns(std::uint64_t seed);
 
+/** \returns a pattern in which 3 of 100 runs of single tasks take seven times as long, drawn from a seed.
+ * \param load multiple of the usual load; at 1, work waits most of the time, and then no copies are started */
+ReplayPattern slowRunsPattern(std::uint64_t seed, double load);
+
 /** What the planner knows about the speeds of targets. */
 enum class SpeedsKnown : std::uint8_t {
   Nothing,
@@ -103,7 +110,9 @@
   RunPlannerOptions planner;
   SpeedsKnown speeds = SpeedsKnown::FromRuns;
   CrashRule crashes = CrashRule::Current;
-  bool trials = true;  ///< suspect tasks get trial starts
+  bool trials = true;   ///< suspect tasks get trial starts
+  bool copies = false;  ///< slow runs of single tasks get copies
+  CopyPlannerOptions copyPlanner;
   CommonCauseRule commonCauseRule = CommonCauseRule::OtherWork;
 };
 
@@ -127,7 +136,13 @@
   unsigned givenUp = 0;         ///< number of workflows given up that have a task that crashes targets
   unsigned falselyGivenUp = 0;  ///< number of other workflows given up
   unsigned suspected = 0;       ///< number of lost runs that crashed no target and yet were counted against their tasks
-  unsigned maxStarts = 0;       ///< maximum number of starts of one task after the third crash that it caused
+  unsigned copies = 0;          ///< number of copies started
+  unsigned copiesDoneFirst = 0;  ///< number of copies that were done before the run that they copied
+  double lostRunWork = 0.0;      ///< work of runs whose task was done by another run first, core-seconds
+  /** By step of at least five single tasks: time from the first start to the end of its slowest task, divided by the
+   * median of all its tasks. */
+  std::vector<double> slowestToMedian;
+  unsigned maxStarts = 0;  ///< maximum number of starts of one task after the third crash that it caused
   /** \returns earned as a share of attainable over all classes, 0 to 1; 0 if nothing is attainable. */
   double worth() const;
 };
@@ -165,6 +180,8 @@
     std::vector<bool> done;                 ///< by task
     std::vector<unsigned> active;           ///< by task: number of active runs
     std::vector<std::uint32_t> number;      ///< by task: number of its last run
+    std::vector<double> firstStartMs;       ///< by task: time of its first start
+    std::vector<double> tookMs;             ///< by task: time from its first start to its end
     double worth = 0.0;                     ///< if it ends in time
     bool writesCheckpoints = false;         ///< its tasks write checkpoints
     double readyMs = 0.0;                   ///< time since when it waits
@@ -178,6 +195,9 @@
     std::size_t job = 0;  ///< index
     std::uint32_t task = 0;
     std::size_t target = 0;
+    std::uint32_t number = 0;   ///< run number
+    bool copy = false;          ///< copy of another run of the task
+    double slowFactor = 1.0;    ///< multiple of the usual run time that it takes
     double fromMs = 0.0;        ///< time from which it can work
     bool lost = false;          ///< its target has crashed
     bool trial = false;         ///< trial start of a suspect task
@@ -206,6 +226,12 @@
   bool gangIsDone(const Run& run) const;
   void complete(const Run& run);
   void stopRun(Run& run, bool lost);
+  void endLosingRun(const Run& run);
+  void startCopies(const std::vector<PlannedTarget>& targets, const std::vector<PlannedRun>& runs,
+                   const std::vector<PlannedStep>& steps, const RunPlan& plan);
+  std::vector<CopyCandidate> copyCandidates(const std::vector<PlannedRun>& runs, std::size_t targets) const;
+  double shareAtCheckpoint(const Run& run) const;
+  void recordSlowest(const Job& job);
   void plan();
   ObservedStep stepOf(const Run& run) const;
   void updateEstimates();
@@ -235,6 +261,8 @@
   CrashRule m_crashRule;
   CommonCauseRule m_commonCauseRule;
   bool m_trials;
+  bool m_copies;
+  CopyPlanner m_copyPlanner;
   RunTimeEstimator m_endedRunsEstimator;  ///< fed with ended runs
   RunTimeEstimator m_runTimeEstimator;    ///< the same plus active runs, if the variant uses them
   ReplayResult m_result;
--- a/test/LoadReplayPatterns.cpp
+++ b/test/LoadReplayPatterns.cpp
@@ -111,6 +111,15 @@
   return patterns;
 }
 
+ReplayPattern slowRunsPattern(std::uint64_t seed, double load) {
+  std::mt19937_64 random(seed);
+  ReplayPattern pattern = usualPattern("slow runs", random, load);
+  pattern.slowRunShare = 0.03;
+  pattern.durationMs = 120000.0;  // a run that is slow seven times over takes a minute
+  sortArrivals(pattern);
+  return pattern;
+}
+
 std::vector<ReplayPattern> wavePatterns(std::uint64_t seed, std::size_t targets) {
   std::mt19937_64 random(seed);
   std::vector<ReplayPattern> patterns;
--- a/test/load_replay.cpp
+++ b/test/load_replay.cpp
@@ -5,6 +5,8 @@
 
 #include "test/LoadReplay.h"
 
+#include <algorithm>
+
 #include "test/main.h"
 
 using namespace courseloom;
@@ -71,3 +73,41 @@
   without.preemption = false;
   cr_assert(meanWorth("urgent burst", {}, 4) > meanWorth("urgent burst", without, 4));
 }
+
+namespace {
+
+/** \returns a quantile of values. */
+double quantileOf(std::vector<double> values, double quantile) {
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(quantile * static_cast<double>(values.size() - 1))];
+}
+
+}  // namespace
+
+// A step ends with its slowest run. Without copies, one run in 33 that takes seven times as long determines the end of
+// most wide steps. The bound applies where copies are allowed: little other work waits, and the share of copies is
+// large enough for the last runs of a step, which are the slow ones.
+Test(load_replay, copies_limit_the_time_of_the_slowest_run_of_a_step) {
+  std::vector<double> with;
+  std::vector<double> without;
+  double lost = 0.0;
+  double worked = 0.0;
+  for (std::uint64_t seed = 1; seed <= 24; ++seed) {
+    ReplayVariant copies;
+    copies.copies = true;
+    copies.copyPlanner.shareOfRuns = 0.2;
+    const ReplayResult result = LoadReplay(slowRunsPattern(seed, 0.7), copies, seed).simulate();
+    with.insert(with.end(), result.slowestToMedian.begin(), result.slowestToMedian.end());
+    lost += result.lostRunWork;
+    worked += result.worked;
+    const ReplayResult plain = LoadReplay(slowRunsPattern(seed, 0.7), {}, seed).simulate();
+    without.insert(without.end(), plain.slowestToMedian.begin(), plain.slowestToMedian.end());
+    cr_assert_eq(plain.copies, 0);
+    cr_assert_leq(result.copiesDoneFirst, result.copies);
+  }
+  cr_log_info("slowest to median, 90th percentile of %zu steps: %.2f, without copies %.2f; lost %.3f of the work",
+              with.size(), quantileOf(with, 0.9), quantileOf(without, 0.9), lost / worked);
+  cr_assert(quantileOf(without, 0.9) > 2.2, "the load has no slow runs");
+  cr_assert(quantileOf(with, 0.9) <= 2.2, "%.2f", quantileOf(with, 0.9));
+  cr_assert(lost <= 0.05 * worked, "%.0f of %.0f core-seconds", lost, worked);
+}
