Tests that no step relies on the end of a run that has outlived its quantile

Cause: The planner's use of PlannedRun::outlived, the held targets and the elapsed multiple of a run had no test.

Change: Two tests of run_planner and one of objective.

Conclusion: The parts that WorkflowRunner combines are tested alone; their combination is in workflows_processes.

--- a/test/objective.cpp
+++ b/test/objective.cpp
@@ -125,3 +125,12 @@
     cr_assert_geq(atLeast, 0.0);
   }
 }
+
+// The elapsed time of a run that resumed from a checkpoint includes the share that was done before.
+Test(objective, the_elapsed_multiple_of_a_run_includes_its_checkpoint) {
+  RunTrack track;
+  track.startedAt = Time(milliseconds(1000));
+  track.firstPercent = 40;
+  cr_assert_float_eq(passedRatio(track, 2000.0, Time(milliseconds(2000))), 0.9, 1e-9);
+  cr_assert_eq(passedRatio(track, 0.0, Time(milliseconds(2000))), 0.0);
+}
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -306,6 +306,38 @@
   cr_assert(input.plan().stops.empty());
 }
 
+// A run past its expected end was expected to end at once, and guaranteed work waited for it.
+Test(run_planner, nobody_waits_for_a_run_that_has_outlived_its_quantile) {
+  PlannerInput input(1);
+  PlannedRun& run = input.addRun(0, 8, LowRank, 300.0);
+  PlannedStep& step = input.addWaitingStep(1, 8, GuaranteedRank);
+  step.waitedMs = 2000.0;
+  cr_assert(input.plan().stops.empty(), "it is about to end");
+  run.outlived = true;
+  cr_assert_eq(input.plan().stops.size(), 1);
+  run.outlived = false;
+  run.remainingMs = 700.0;
+  step.rank = UrgentRank;
+  step.waitedMs = 0.0;
+  cr_assert(input.plan().stops.empty(), "it ends in time");
+  run.outlived = true;
+  cr_assert_eq(input.plan().stops.size(), 1, "its end is not forecast");
+}
+
+// The copies of the planning pass must not take targets that are reserved or being freed for waiting steps.
+Test(run_planner, targets_that_are_reserved_or_being_freed_are_known_after_a_pass) {
+  PlannerInput input(2);
+  input.addRun(0, 8, LowRank);
+  input.addRun(1, 4, LowRank, 3000.0);
+  input.addWaitingStep(1, 8, GuaranteedRank).waitedMs = 2500.0;
+  RunPlanner planner;
+  cr_assert(planner.heldTargets().empty());
+  const RunPlan plan = input.planWith(planner);
+  cr_assert_eq(plan.stops.size(), 1);
+  const std::string freed = plan.stops[0].run.workflow == "running1" ? "t0" : "t1";
+  cr_assert_eq(planner.heldTargets().count(freed), 1);
+}
+
 Test(run_planner, capacity_of_runs_being_stopped_stays_reserved_and_no_more_runs_are_stopped) {
   PlannerInput input(1);
   input.addRun(0, 8, LowRank).stopping = true;
