Ends of two runs that are both done do not wait for each other

Cause: After a change of leader neither run of a task was known to have begun.

Change: A run whose target lists its end as done is known to have begun, also while that end waits. copies.pml follows.

Conclusion: An end waits only for a run of which nothing is known.

--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -215,6 +215,8 @@
     const auto found = m_runs.find(key);
     if (found == m_runs.end() || found->second.agent != report.agent()) continue;
     if (!internal::same_identity(report.target().id(), found->second.target)) continue;
+    // A run that is done has begun. Otherwise two runs that are both done would each wait for the other one.
+    if (row.kind() == schema::RunDone) found->second.confirmed = true;
     if (row.kind() == schema::RunDone && !holdBackOther(key)) {
       if (target.withheldEnd == 0) target.withheldEnd = row.number();
       target.withheldFor = otherRunOf(key)->agent;
--- a/spec/copies.pml
+++ b/spec/copies.pml
@@ -115,9 +115,9 @@
        if :: late[0] != 0 -> t = 0 :: late[1] != 0 -> t = 1 :: late[2] != 0 -> t = 2 fi;
        if :: grant[t] -> begin(t, late[t]) :: true -> skip fi;
        late[t] = 0; t = 0 }
-  /* A report confirms a run that is running. */
+  /* A report confirms a run that is running or has ended. */
   :: atomic { actives > 0 -> chooseSlot();
-       if :: running[on[s]] == act[s] -> confirmed[s] = true :: else -> skip fi;
+       if :: running[on[s]] == act[s] || listed[on[s]] == act[s] -> confirmed[s] = true :: else -> skip fi;
        s = 0 }
   /* The task ends or fails, and the target lists the end. */
   :: atomic { existing > 0 ->
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -1034,3 +1034,15 @@
   test.commitEnds(std::move(ends));
   cr_assert(test.table.find("w")->task({0, 0, 0})->done);
 }
+
+// After a change of leader neither run was known to have begun, and the ends of both waited for each other for good.
+Test(run_ledger, the_ends_of_two_runs_that_are_both_done_do_not_wait_for_each_other) {
+  CopyFixture test;
+  test.ledger.lead(test.table, test.now);
+  test.attend(withEnd(test.report(), 0, 1, schema::RunDone));
+  cr_assert_not(test.task().done, "the copy may not have begun yet");
+  test.attend(withEnd(fromSecondAgent(test.report()), 0, 2, schema::RunDone));
+  cr_assert(test.task().done);
+  test.attend(withEnd(test.report(), 0, 1, schema::RunDone));
+  cr_assert(test.ledger.runs().empty());
+}
