Tests include the standard headers that they use

Cause: Without the precompiled header the linter did not find std::nan and std::find_if.

Change: Includes of cmath and algorithm.

--- a/test/copy_planner.cpp
+++ b/test/copy_planner.cpp
@@ -5,6 +5,7 @@
 
 #include "Courseloom/src/Scheduling/CopyPlanner.h"
 
+#include <algorithm>
 #include <random>
 
 #include "test/main.h"
--- a/test/run_time_distribution.cpp
+++ b/test/run_time_distribution.cpp
@@ -5,6 +5,8 @@
 
 #include "Courseloom/src/State/RunTimeDistribution.h"
 
+#include <cmath>
+
 #include "Courseloom/src/State/WorkflowTable.h"
 #include "test/main.h"
 
