--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -59,6 +59,13 @@
   return workflows;
 }
 
+std::set<std::string> RunPlanner::heldTargets() const {
+  std::set<std::string> held;
+  for (const auto& [step, targets] : m_lastNominated) held.insert(targets.begin(), targets.end());
+  for (const auto& [step, targets] : m_lastReserved) held.insert(targets.begin(), targets.end());
+  return held;
+}
+
 RunPlan RunPlanner::finish() {
   m_lastNominated = std::move(m_pass->nominatedTargets);
   m_lastReserved = std::move(m_pass->reservedTargets);
@@ -84,7 +91,8 @@
     const SpeedUse use = m_options.speeds ? choice : SpeedUse::None;
     m_pass->demands.push_back(makeDemand(step, i, m_pass->targets, m_pass->nowMs, use));
     m_pass->names.emplace_back(step.workflow->record.id(), step.key);
-    applyAging(m_pass->demands.back());
+    StepDemand& demand = m_pass->demands.back();
+    demand.rank = agedRank(demand.rank, demand.waitedMs, demand.estimateMs);
   }
 }
 
@@ -104,13 +112,17 @@
  * band falls by one each time that it has waited as long, so that bands do not starve it either. */
 void RunPlanner::applyAging(StepDemand& demand) const {
   if (m_options.ageAfterEstimates == 0.0) return;
-  const Rank agedRank = rankOf(1, false);
+  demand.rank = agedRank(demand.rank, demand.waitedMs, demand.estimateMs);
   const double agedMs = m_options.ageAfterEstimates * demand.estimateMs;
-  const bool waitedLong = demand.waitedMs > agedMs;
-  if (waitedLong && demand.rank > agedRank) demand.rank = agedRank;
   for (double waitMs = agedMs; demand.band > 0 && demand.waitedMs > waitMs; waitMs += agedMs) --demand.band;
 }
 
+/** \returns the rank of a step after ageing. */
+Rank RunPlanner::agedRank(Rank rank, double waitedMs, double estimateMs) const {
+  const bool ages = m_options.ageAfterEstimates != 0.0 && waitedMs > m_options.ageAfterEstimates * estimateMs;
+  return ages ? std::min(rank, rankOf(1, false)) : rank;
+}
+
 void RunPlanner::orderSteps() {
   m_pass->order.resize(m_pass->demands.size());
   std::iota(m_pass->order.begin(), m_pass->order.end(), 0U);
@@ -192,7 +204,7 @@
   m_pass->endsSoon.assign(m_pass->runs.size(), false);
   for (std::size_t r = 0; r < m_pass->runs.size(); ++r) {
     const PlannedRun& run = m_pass->runs[r];
-    if (!run.preemptible || run.remainingMs > m_options.endsSoonMs) continue;
+    if (!run.preemptible || run.outlived || run.remainingMs > m_options.endsSoonMs) continue;
     const auto previous = m_soonSince.find(run.key);
     const double from = previous == m_soonSince.end() ? m_pass->nowMs : previous->second;
     since.emplace(run.key, from);
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -52,6 +52,10 @@
   /** Discards what is remembered of steps that have caused stops or were started, and have not begun since. Called when
    * a replica begins or ceases to lead; a pass may be under way. */
   void forgetUnstartedSteps();
+  /** \returns ids of the targets that are reserved or being freed for waiting steps, as of the last finished pass. */
+  std::set<std::string> heldTargets() const;
+  /** \returns the rank of a waiting step after ageing. */
+  Rank agedRank(const PlannedStep& step) const { return agedRank(step.rank, step.waitedMs, step.estimateMs); }
 
  private:
   /** Initial slowdown up to which urgent work is assumed to end in time: 0.4, a run time about 1.5 times the usual. */
@@ -91,6 +95,7 @@
 
   void readSteps();
   void applyAging(StepDemand& demand) const;
+  Rank agedRank(Rank rank, double waitedMs, double estimateMs) const;
   void updateUrgentLimit();
   void orderSteps();
   void orderByBands();
