Admission: work that cannot end while its result is of use is rejected before it is proposed

Cause: no submission was ever rejected. In lasting overload work was accepted that could not end while its result had a value; it took capacity from work that could, and Retry-After did not depend on the backlog. Besides, QueueHandler read the committed workflow and its queue after a suspended commit, when the workflow may have been removed from the table and the configuration replaced.

Change: with policy.admission (off by default) QueueHandler asks AdmissionReview before it proposes a new workflow. AdmissionForecast forecasts the start from the waiting work that the planner serves before it, and ReturnTable keeps the places of rejected callers in the order of their first arrival, bounded and per workspace. WorkflowRunner supplies the backlog through AdmissionSource. Events WorkflowRejected and ReturnPlacesLost, counters by reason and by workspace, a gauge of places. QueueHandler copies the queue's name before the commit.

The null workflow after a commit was not reproduced by a test.

--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -35,7 +35,7 @@
       m_driver(context, m_strand),
       m_jobs(context, m_strand, m_driver),
       m_workflows(context, m_strand, m_driver, m_edges.makeAdvice ? m_edges.makeAdvice(context) : nullptr),
-      m_queues(context, m_driver),
+      m_queues(context, m_driver, m_workflows),
       m_nodes(2 * milliseconds(context.settings.cluster().freshness_lease_ms())),
       m_rpc(context.io),
       m_http(context.io, HttpLimits(),
@@ -57,6 +57,7 @@
     m_nodes.clear();
     m_jobs.lead(leads);
     m_workflows.lead(leads);
+    m_queues.lead(leads);
     m_changed.notify();
   });
   registerHandlers();
--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -4,6 +4,7 @@
 #include "Courseloom/src/Control/QueueHandler.h"
 
 #include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Scheduling/Objective.h"
 
 namespace courseloom {
 
@@ -18,17 +19,29 @@
   return tasks;
 }
 
-/** \returns the accelerators that the step with the highest demand takes if all its tasks run at once. */
-std::uint64_t widest_accelerators(const schema::WorkflowSpec& spec) {
-  std::uint64_t widest = 0;
-  for (const schema::StepSpec& step : spec.steps()) {
-    widest = std::max(widest, std::uint64_t{step.count()} * step.need().accelerators());
-  }
-  return widest;
+AdmissionOptions admission_options(const schema::PolicySettings& policy) {
+  AdmissionOptions options;
+  options.margin = policy.admission_margin();
+  return options;
 }
 }  // namespace
 }  // namespace internal
 
+QueueHandler::QueueHandler(const DaemonContext& context, ReplicaDriver& driver, AdmissionSource& admission)
+    : m_context(context),
+      m_driver(driver),
+      m_admission(admission),
+      m_review(internal::admission_options(context.settings.policy())),
+      m_random(std::random_device()()) {}
+
+void QueueHandler::lead(bool leads) {
+  if (!m_context.settings.policy().admission()) return;
+  const std::size_t places = m_review.clear();
+  // A new leader can't know whether its predecessor rejected callers; without a configuration there were none.
+  const bool lost = leads ? table().configured() : places > 0;
+  if (lost) logEvent(schema::ReturnPlacesLost, {{"leads", leads ? "yes" : "no"}, {"places", std::uint64_t{places}}});
+}
+
 // ---- queue calls
 
 const schema::Queue* QueueHandler::findQueue(const schema::QueueCall& call, std::string& id) const {
@@ -99,24 +112,54 @@
   workflow.set_max_attempts(std::max(1U, queue.max_attempts()));
   workflow.set_stretch(queue.stretch());
   workflow.set_latency_target_ms(queue.latency_target_ms());
+  if (rejects(workflow, answer)) co_return answer;
+  // The configuration may change during the commit, and the queue with it.
+  const std::string queueName = queue.name();
   const Time before = BootClock::now();
   Result<schema::CommandReply> reply =
       co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
   if (!reply) co_return fail(extractFailure(reply));
   const double tookMs = toMilliseconds(BootClock::now() - before);
-  // The committed workflow names the queue: the configuration may have changed meanwhile.
-  const std::string& queueName = table().find(id)->record.queue();
   m_context.metrics.record("workflow_accept_ms", tenant, queueName, tookMs);
   logEvent(schema::WorkflowAccepted, {{"workflow", id},
                                       {"queue", queueName},
                                       {"tenant", tenant},
                                       {"tasks", internal::tasks_of(call.spec())},
-                                      {"accelerators", internal::widest_accelerators(call.spec())},
+                                      {"accelerators", widestAccelerators(call.spec())},
                                       {"configuration", table().configuration().version()},
                                       {"tookMs", static_cast<std::uint64_t>(tookMs)}});
   co_return answer;
 }
 
+/** Decides on the admission of a workflow that is not known yet. \param answer set to the answer of a rejection
+ * \returns whether it is rejected */
+bool QueueHandler::rejects(const schema::Workflow& workflow, schema::QueueAnswer& answer) {
+  if (!m_context.settings.policy().admission()) return false;
+  const std::optional<AdmissionInput> input = m_admission.admissionInput(workflow);
+  if (!input) return false;
+  const auto nowMs = static_cast<std::uint64_t>(toMilliseconds(BootClock::now().time_since_epoch()));
+  const double spread = std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
+  const AdmissionVerdict verdict = m_review.decide(workflow.id(), workflow.service(), *input, nowMs, spread);
+  m_context.metrics.set("return_places", static_cast<double>(m_review.places()));
+  if (verdict.accepted()) {
+    m_admission.addToBacklog(workflow.service(), input->submission);
+    return false;
+  }
+  const std::string reason = reasonName(verdict.reason);
+  m_context.metrics.count("workflow_rejections", reason);
+  m_context.metrics.count("workflow_rejections_by_workspace", workflow.tenant());
+  logEvent(schema::WorkflowRejected, {{"workflow", workflow.id()},
+                                      {"queue", workflow.queue()},
+                                      {"tenant", workflow.tenant()},
+                                      {"reason", reason},
+                                      {"expectedStartMs", static_cast<std::uint64_t>(verdict.expectedStartMs)},
+                                      {"retryAfterMs", std::uint64_t{verdict.retryAfterMs}}});
+  answer.set_outcome(schema::QueueBusy);
+  answer.set_retry_after_ms(verdict.retryAfterMs);
+  answer.set_detail("the backlog is too long: " + reason);
+  return true;
+}
+
 Awaitable<Result<schema::QueueAnswer>> QueueHandler::cancel(const std::string& tenant, std::string id) {
   schema::QueueAnswer answer = stateOf(tenant, id);
   if (answer.outcome() == schema::WorkflowUnknown || isEnded(answer.phase())) co_return answer;
--- a/Courseloom/src/Control/QueueHandler.h
+++ b/Courseloom/src/Control/QueueHandler.h
@@ -3,8 +3,10 @@
 
 #pragma once
 
+#include <random>
 #include <string>
 
+#include "Courseloom/src/Control/AdmissionReview.h"
 #include "Courseloom/src/Control/ReplicaDriver.h"
 
 namespace courseloom {
@@ -18,7 +20,11 @@
  */
 class QueueHandler {
  public:
-  QueueHandler(const DaemonContext& context, ReplicaDriver& driver) : m_context(context), m_driver(driver) {}
+  /** \param admission supplies what the admission of new workflows depends on */
+  QueueHandler(const DaemonContext& context, ReplicaDriver& driver, AdmissionSource& admission);
+
+  /** Starts or stops acting as leader: the places of rejected callers are lost. */
+  void lead(bool leads);
 
   /** Handles a caller's submission, cancellation or query. \returns NoLeader where this replica cannot serve it */
   Awaitable<Result<schema::QueueAnswer>> call(schema::QueueCall call);
@@ -38,11 +44,15 @@
   Awaitable<Result<schema::QueueAnswer>> submit(const schema::QueueCall& call, const schema::Queue& queue,
                                                 std::string tenant, std::string id);
   Awaitable<Result<schema::QueueAnswer>> cancel(const std::string& tenant, std::string id);
+  bool rejects(const schema::Workflow& workflow, schema::QueueAnswer& answer);
   schema::QueueAnswer stateOf(const std::string& tenant, const std::string& id) const;
   std::uint32_t pendingOf(const std::string& queue) const;
 
   DaemonContext m_context;
   ReplicaDriver& m_driver;
+  AdmissionSource& m_admission;
+  AdmissionReview m_review;
+  std::mt19937 m_random;  ///< spreads the times at which rejected callers return
 };
 
 }  // namespace courseloom
--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -31,8 +31,6 @@
 /** Run time that a stopped gang is assumed to lose in addition to its progress, ms: it has to wait until all its
  * members can be placed again. */
 constexpr double GangRestartMs = 2000.0;
-/** A workflow is worthless to its caller once it takes this many times its objective. */
-constexpr double WorthlessAfter = 3.0;
 /** Assumed peak demand of urgent work before any was observed, accelerators. */
 constexpr double FirstUrgentPeak = 16.0;
 /** Time constant of the exponential decay of the urgent peak, ms; the peak falls to about a third in this time. */
@@ -151,6 +149,12 @@
  * of priority 0 in the order of submission; a workflow that exceeds what is left of it is skipped. */
 void WorkflowRunner::markGuaranteed() {
   m_guaranteed.clear();
+  assignGuarantees(m_guaranteed);
+}
+
+/** \param guaranteed the workflows within their tenants' guarantees are added here \returns what is left of each
+ * tenant's guarantee, in accelerators */
+std::map<std::string, std::uint64_t> WorkflowRunner::assignGuarantees(std::set<std::string>& guaranteed) const {
   std::map<std::string, std::uint64_t> left;
   for (const schema::Tenant& tenant : table().configuration().tenants()) {
     left[tenant.name()] = tenant.guaranteed_accelerators();
@@ -163,15 +167,13 @@
     }
   }
   for (const auto& [submitted, workflow] : bySubmission) {
-    std::uint64_t need = 0;
-    for (const schema::StepSpec& step : workflow->record.spec().steps()) {
-      need = std::max<std::uint64_t>(need, std::uint64_t{step.count()} * step.need().accelerators());
-    }
+    const std::uint64_t need = widestAccelerators(workflow->record.spec());
     std::uint64_t& unassigned = left[workflow->record.tenant()];
     if (need == 0 || need > unassigned) continue;
     unassigned -= need;
-    m_guaranteed.insert(workflow->record.id());
+    guaranteed.insert(workflow->record.id());
   }
+  return left;
 }
 
 Rank WorkflowRunner::rankOfWorkflow(const WorkflowState& workflow) const {
@@ -339,9 +341,8 @@
       step.estimateMs = expectedMs(record.queue(), spec);
       step.taskWork = internal::cores_of(spec) * step.estimateMs / internal::MillisecondsPerSecond;
       step.objectiveMs =
-          static_cast<double>(due) + record.stretch() * objectiveChainMs(workflow) + record.latency_target_ms();
-      step.worthlessMs =
-          static_cast<double>(due) + internal::WorthlessAfter * (step.objectiveMs - static_cast<double>(due));
+          static_cast<double>(due) + record.stretch() * objectiveChainMs(record) + record.latency_target_ms();
+      step.worthlessMs = static_cast<double>(due) + WorthlessAfter * (step.objectiveMs - static_cast<double>(due));
       const StepName name{record.id(), key};
       const Time now = BootClock::now();
       step.waitedMs = toMilliseconds(now - m_readySince.try_emplace(name, now).first->second);
@@ -370,12 +371,12 @@
 }
 
 /** \returns the expected run time of a workflow's longest chain of steps, ms, on which its objective is based. */
-double WorkflowRunner::objectiveChainMs(const WorkflowState& workflow) {
+double WorkflowRunner::objectiveChainMs(const schema::Workflow& record) {
   if (!m_serviceCapacities) m_serviceCapacities = serviceCapacities();
-  const auto found = m_serviceCapacities->find(workflow.record.service());
+  const auto found = m_serviceCapacities->find(record.service());
   const bool waves = m_context.settings.policy().waves() && found != m_serviceCapacities->end();
-  const TaskTime taskMs = [&](const schema::StepSpec& step) { return expectedMs(workflow.record.queue(), step); };
-  return criticalPathMs(workflow.record.spec(), taskMs, waves ? found->second : ResourceAmounts());
+  const TaskTime taskMs = [&](const schema::StepSpec& step) { return expectedMs(record.queue(), step); };
+  return criticalPathMs(record.spec(), taskMs, waves ? found->second : ResourceAmounts());
 }
 
 /** \returns the total capacity of each service's targets, whether they are open now or not. */
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -86,6 +86,7 @@
   m_tickets.clear();
   m_readySince.clear();
   m_health.clear();
+  m_backlogsUpdated = Time{};
   if (leads) m_ledger.lead(table(), BootClock::now(), m_driver.replica().term());
   for (auto& [agent, signal] : m_agentSignals) signal.notify();
   requestPlan();
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "Courseloom/src/Control/AdmissionReview.h"
 #include "Courseloom/src/Control/ReplicaDriver.h"
 #include "Courseloom/src/Control/TicketCache.h"
 #include "Courseloom/src/Membership/RelayDirectory.h"
@@ -46,7 +47,7 @@
  * Every start is committed before its order is sent. Every end is committed before the target may discard it. All
  * functions run on the control strand. RunLedger and RunPlanner make all decisions; they do no input or output.
  */
-class WorkflowRunner {
+class WorkflowRunner : public AdmissionSource {
  public:
   /** \param advice advice service; if null, no step needs a ticket */
   WorkflowRunner(const DaemonContext& context, ControlStrand strand, ReplicaDriver& driver,
@@ -74,6 +75,8 @@
   std::vector<schema::TargetStatus> targetStatus() const;
   /** Ends all delayed replies to agents with a failure, so that the agents try other replicas. */
   void releaseWaiters();
+  std::optional<AdmissionInput> admissionInput(const schema::Workflow& workflow) override;
+  void addToBacklog(const std::string& service, const Submission& submission) override;
   /** Sets the function that returns the control replicas; replies to agents list them. */
   void setMembersSource(std::function<std::vector<ReplicaId>()> source) { m_membersSource = std::move(source); }
 
@@ -119,6 +122,11 @@
   void updateGauges();
   void reviewGuarantees();
   void markGuaranteed();
+  std::map<std::string, std::uint64_t> assignGuarantees(std::set<std::string>& guaranteed) const;
+  void updateBacklogs();
+  void addBacklogOf(const WorkflowState& workflow, std::uint64_t nowMs);
+  ResourceWork workOf(const std::string& queue, const schema::StepSpec& step, std::uint32_t tasks) const;
+  Rank rankOfSubmission(const schema::Workflow& workflow) const;
   Rank rankOfWorkflow(const WorkflowState& workflow) const;
   unsigned freeTargetsToKeep(const std::vector<PlannedRun>& runs, const std::vector<PlannedStep>& steps);
   bool endsAfterTarget(const RunKey& key, const RunTrack& track) const;
@@ -140,7 +148,7 @@
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
   std::vector<PlannedStep> planSteps();
   void addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
-  double objectiveChainMs(const WorkflowState& workflow);
+  double objectiveChainMs(const schema::Workflow& record);
   std::map<std::string, ResourceAmounts> serviceCapacities() const;
   std::set<std::string> targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const;
   const std::vector<std::string>& openTargets(const std::string& service);
@@ -175,6 +183,13 @@
   std::map<std::string, const schema::Queue*> m_queues;  ///< by name, in configuration m_queuesVersion
   std::uint64_t m_queuesVersion = 0;
   std::map<std::string, std::vector<std::string>> m_openTargets;  ///< by service; computed on first use in a plan
+  /** Accepted work and capacity of one service, as input of admissions. */
+  struct ServiceBacklog {
+    std::vector<BacklogEntry> entries;
+    ResourceWork capacity;  ///< of the open targets, without what long-running work holds
+  };
+  std::map<std::string, ServiceBacklog> m_backlogs;  ///< by service, as of m_backlogsUpdated
+  Time m_backlogsUpdated{};                          ///< zero if they have to be computed anew
   double m_urgentPeak = 0.0;    ///< decaying maximum of accelerators that work of priority 0 needs at once
   Time m_urgentPeakUpdated{};   ///< when m_urgentPeak was last updated; zero before the first plan
   Duration m_planDuration{};    ///< duration of the last plan
--- a/Courseloom/src/Scheduling/AdmissionForecast.h
+++ b/Courseloom/src/Scheduling/AdmissionForecast.h
@@ -7,7 +7,6 @@
 #include <string>
 #include <vector>
 
-#include "Courseloom/src/Scheduling/ResourceAmounts.h"
 #include "Courseloom/src/Scheduling/RunPlan.h"
 
 namespace courseloom {
@@ -16,24 +15,42 @@
  * \brief Margins and limits for the admission of new workflows.
  */
 struct AdmissionOptions {
-  /** A workflow is rejected only if its expected end exceeds the time after which its result has no value by this
-   * factor, since a forecast may be too long or too short and a rejected workflow is lost for certain. */
+  /** A workflow is rejected only if its expected end exceeds its limit (its objective, or the time after which its
+   * result has no value) by this factor, since a forecast may be too long or too short and a rejected workflow is lost
+   * for certain. */
   double margin = 1.5;
-  /** Largest share of the backlog of one rank that one workspace may hold while others wait. */
+  /** Largest share of the backlog of one rank that one workspace may hold while others wait; above it the workspace has
+   * no margin. */
   double workspaceShare = 0.5;
   /** Backlog, as a time at full capacity, below which workspaceShare is not enforced, ms. */
   double freeBacklogMs = 2000.0;
+  /** Largest share of the wait with which a workflow is still in time that the places of rejected callers may take up.
+   * Callers that never return then cannot close a service to others. */
+  double placesShare = 0.5;
+  /** Share of the capacity that is assumed to be left for late work, however much new work arrives. */
+  double leastShareLeft = 0.05;
   std::uint32_t shortestRetryMs = 200;
   std::uint32_t longestRetryMs = 5000;
 };
 
+/** \class ResourceWork
+ * \brief Accelerators and cores: as a capacity, or, multiplied by ms, as an amount of work.
+ */
+struct ResourceWork {
+  double accelerators = 0.0;
+  double cores = 0.0;
+};
+
 /** \class BacklogEntry
- * \brief Accepted work of one rank and workspace at one service that has not ended.
+ * \brief Accepted work of one workflow at one service that has not been started, and whose result still has a value:
+ * the planner serves worthless work last. Active runs do not count: they end while the waiting work starts, so a
+ * forecast without them is rather too short than too long.
  */
 struct BacklogEntry {
   Rank rank = UrgentRank;
   std::string workspace;
-  double work = 0.0;  ///< remaining accelerator-milliseconds; core-milliseconds where no accelerators are needed
+  ResourceWork work;
+  double objectiveMs = 0.0;  ///< as PlannedStep::objectiveMs
 };
 
 /** \class Submission
@@ -42,9 +59,21 @@
 struct Submission {
   Rank rank = UrgentRank;  ///< GuaranteedRank if it fits into what is left of its workspace's guarantee
   std::string workspace;
-  double work = 0.0;          ///< as in BacklogEntry
-  double criticalPathMs = 0;  ///< run time if it started immediately, ms
-  double usefulMs = 0;        ///< time from now after which its result has no value, ms; 0: never
+  ResourceWork work;
+  double criticalPathMs = 0.0;       ///< run time if it started immediately, ms
+  double inTimeMs = 0.0;             ///< time from now until its objective, ms
+  double usefulMs = 0.0;             ///< time from now after which its result has no value, ms; 0: never
+  double objectiveMs = 0.0;          ///< as PlannedStep::objectiveMs, if it were accepted now
+  std::uint64_t firstArrivalMs = 0;  ///< steady clock when it was first submitted, ms
+};
+
+/** \class AcceptedInflow
+ * \brief Work accepted lately at one service, as rates: amounts for each ms.
+ */
+struct AcceptedInflow {
+  ResourceWork better;  ///< of ranks that are better after ageing
+  ResourceWork same;    ///< of the submission's rank
+  ResourceWork own;     ///< of the submission's rank and workspace
 };
 
 /** \class AdmissionVerdict
@@ -56,24 +85,50 @@
   Reason reason = Reason::Accepted;
   double expectedStartMs = 0.0;    ///< from now, ms
   std::uint32_t retryAfterMs = 0;  ///< time until the next attempt after a rejection, ms
+
+  bool accepted() const { return reason == Reason::Accepted; }
 };
 
+/** \returns the rank that work of a rank reaches at last: the planner's ageing gives waiting work of every lower
+ * priority the rank of priority 1. Without this, a flood of priority 1 would keep lower priorities rejected for good.
+ */
+Rank agedRank(Rank rank);
+
+/** \returns the name of a reason in events and metrics. */
+const char* reasonName(AdmissionVerdict::Reason reason);
+
 /** \class AdmissionForecast
  * \brief Decides whether a new workflow can still end while its result has a value for its caller.
  *
  * It addresses lasting overload, in which work that cannot end in time takes capacity from work that can. Guaranteed
- * work is always accepted. The class has no clock and no random source.
+ * work is always accepted. A workflow is expected to start once the waiting work that is served before it has passed
+ * through the service's capacity: work of a better rank, and work of its rank with an earlier objective, where all
+ * priorities from 1 count as one rank because of the planner's ageing. Rejected callers that are expected to return and
+ * arrived first count as well, so that they are admitted first. If less of that work waits in its workspace than the
+ * workspace's equal part of the capacity serves, the forecast is that of this part: a workspace is not rejected for the
+ * backlog of others.
+ *
+ * A workflow that is expected to end in time, with the margin, is accepted. The planner serves late work after all work
+ * that can still end in time, so late work only gets the share of the capacity that newly accepted work leaves, and its
+ * start is expected later by that factor. The class has no clock and no random source.
  */
 class AdmissionForecast {
  public:
   explicit AdmissionForecast(AdmissionOptions options = {}) : m_options(options) {}
-  /** \param backlog accepted work at the service, for its open targets \param capacity accelerators (or cores) of the
-   * open targets \param spread random value from 0 to 1, so that rejected callers do not all return at
-   * the same time */
-  AdmissionVerdict decide(const Submission& submission, const std::vector<BacklogEntry>& backlog, double capacity,
-                          double spread) const;
+  /** \param backlog accepted work at the service
+   * \param places rejected workflows of the service that are expected to return, without the submitted one
+   * \param capacity capacity of the open targets; without any, each workflow is accepted
+   * \param spread random value from 0 to 1, so that rejected callers do not all return at the same time */
+  AdmissionVerdict decide(const Submission& submission, const std::vector<BacklogEntry>& backlog,
+                          const std::vector<const Submission*>& places, const ResourceWork& capacity,
+                          const AcceptedInflow& inflow, double spread) const;
 
  private:
+  double longestWaitMs(const Submission& submission, double margin, double shareUsed) const;
+  bool exceedsPart(const Submission& submission, const std::vector<BacklogEntry>& backlog,
+                   const std::vector<const Submission*>& places, double capacity) const;
+  std::uint32_t retryAfterMs(double excessMs, double spread) const;
+
   AdmissionOptions m_options;
 };
 
--- a/Courseloom/src/Scheduling/Objective.cpp
+++ b/Courseloom/src/Scheduling/Objective.cpp
@@ -36,6 +36,14 @@
   return static_cast<unsigned>(waves);
 }
 
+std::uint64_t widestAccelerators(const schema::WorkflowSpec& spec) {
+  std::uint64_t widest = 0;
+  for (const schema::StepSpec& step : spec.steps()) {
+    widest = std::max(widest, std::uint64_t{step.count()} * step.need().accelerators());
+  }
+  return widest;
+}
+
 double criticalPathMs(const schema::WorkflowSpec& spec, const TaskTime& taskMs, const ResourceAmounts& capacity) {
   std::vector<double> ends;
   double longest = 0.0;
--- a/Courseloom/src/Scheduling/Objective.h
+++ b/Courseloom/src/Scheduling/Objective.h
@@ -9,6 +9,9 @@
 
 namespace courseloom {
 
+/** A workflow is worthless to its caller once it takes this many times its objective. */
+inline constexpr double WorthlessAfter = 3.0;
+
 /** Returns the expected run time of one task of a step, ms. */
 using TaskTime = std::function<double(const schema::StepSpec& step)>;
 
@@ -17,6 +20,9 @@
  * \param capacity total capacity of the service's targets; an amount of 0 is not known yet and does not limit */
 unsigned wavesOf(const schema::StepSpec& step, const ResourceAmounts& capacity);
 
+/** \returns the accelerators that the step with the highest demand takes if all its tasks run at once. */
+std::uint64_t widestAccelerators(const schema::WorkflowSpec& spec);
+
 /** \returns the length of a workflow's critical path, ms: the longest chain of steps, where each step takes the run
  * time of a task times its number of waves.
  *
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -56,7 +56,9 @@
  */
 class WorkflowDeployment {
  public:
-  explicit WorkflowDeployment(unsigned agents = 2) : m_ports({21000, 400, 10}), m_base(m_ports.base()) {
+  /** \param controlExtra further sections of the replicas' settings */
+  explicit WorkflowDeployment(unsigned agents = 2, std::string controlExtra = "")
+      : m_controlExtra(std::move(controlExtra)), m_ports({21000, 400, 10}), m_base(m_ports.base()) {
     std::string pattern = "/tmp/courseloom-test-XXXXXX";
     m_folder = mkdtemp(pattern.data());
     for (unsigned i = 1; i <= 3; ++i) control(i, true);
@@ -78,7 +80,8 @@
   void control(unsigned i, bool bootstrap) {
     start("control-" + std::to_string(i), "courseloom-control", i,
           "  bootstrap: " + std::string(bootstrap ? "true" : "false") +
-              "\ncontrol: {reserveMb: 1, snapshotEntries: 64}\nedge: {controlEndpoint: " + at(i, ControlPort) + "}\n");
+              "\ncontrol: {reserveMb: 1, snapshotEntries: 64}\nedge: {controlEndpoint: " + at(i, ControlPort) + "}\n" +
+              m_controlExtra);
   }
   void agent(unsigned i) {
     start("agent-" + std::to_string(i), "courseloom-agent", 10 + i,
@@ -103,6 +106,13 @@
                  {{"Host", "h.example"}, {"Authorization", "Bearer " + key}, {"Content-Type", "application/json"}},
                  milliseconds(5000)});
   }
+  /** \returns the answer to a submission as text, with its header. */
+  std::string submitRaw(const std::string& path, const std::string& body) {
+    return sendRaw(at(20, ClientPort), "POST " + path +
+                                           " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\n"
+                                           "Content-Type: application/json\r\nConnection: close\r\nContent-Length: " +
+                                           std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
   /** Repeats a call until its status and body match, for at most 20 s. \param text part of the body */
   bool until(unsigned status, const std::string& method, const std::string& path, const std::string& body = "",
              const std::string& text = "") {
@@ -222,6 +232,7 @@
     m_processes[name]->printLogIfNotReady();
   }
 
+  std::string m_controlExtra;
   std::string m_folder;
   PortClaim m_ports;
   unsigned m_base;
--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -215,3 +215,32 @@
   cr_assert(test.until(200, "GET", "/q/00000000000001c2", "", "completed"));
   cr_assert(test.runner(full, "GET", "/starts").has("00000000000001c2"));
 }
+
+// Guards against a backlog that grows without bound: once new work cannot end while its result is of use, it is
+// rejected as work that did not run, and it is accepted after the backlog is gone. Known work and work within a
+// guarantee are accepted all the same.
+Test(workflows_processes, a_rejected_submission_did_not_run_and_is_accepted_later) {
+  WorkflowDeployment test(2, "policy: {admission: true}\n");
+  test.setUp();
+  // Until the targets have arrived, everything is accepted.
+  pause(6000);
+  const auto idOf = [](unsigned i) { return "/q/00000000000f" + std::to_string(1000 + i); };
+  unsigned accepted = 0;
+  std::string answer;
+  while (accepted < 400) {
+    answer = test.submitRaw(idOf(accepted), job(8, "1000"));
+    if (answer.find(" 200 ") == std::string::npos) break;
+    ++accepted;
+  }
+  cr_assert_geq(accepted, 3, "an empty system takes work");
+  cr_assert_lt(accepted, 400, "nothing was rejected");
+  cr_assert(answer.find(" 503 ") != std::string::npos, "%s", answer.c_str());
+  cr_assert(answer.find("Retry-After: ") != std::string::npos, "%s", answer.c_str());
+  cr_assert_eq(test.call("GET", idOf(accepted)).status, 410, "it did not run");
+  cr_assert_eq(test.call("POST", idOf(0), job(8, "1000")).status, 200, "it is known already");
+  const unsigned leader = test.leader();
+  cr_assert_geq(test.metric(leader, "courseloom_workflow_rejections_total"), 1.0);
+  for (unsigned i = 0; i < accepted; ++i) cr_assert_eq(test.call("DELETE", idOf(i)).status, 200);
+  cr_assert(test.until(200, "POST", idOf(accepted), job(8, "50")));
+  cr_assert(test.until(200, "GET", idOf(accepted), "", "completed"));
+}
