Admission: late work does not delay work that is in time, unless new work takes the whole capacity

Cause: in the replay of load with the real planner, 3 of 30 replays had one workflow each that the forecast rejected at its arrival and that ended in time: late work counted as ahead of it, but the planner serves work that is in time first.

Change: backlog entries say whether they are late. A workflow that is expected to end in time without the late work is accepted while newly accepted work takes less than the capacity. LoadReplay judges each arrival and counts the rejected workflows that ended in time.

--- a/Courseloom/src/Control/WorkflowAdmission.cpp
+++ b/Courseloom/src/Control/WorkflowAdmission.cpp
@@ -60,7 +60,7 @@
 
 void WorkflowRunner::addToBacklog(const std::string& service, const Submission& submission) {
   m_backlogs[service].entries.push_back(
-      BacklogEntry{submission.rank, submission.workspace, submission.work, submission.objectiveMs});
+      BacklogEntry{submission.rank, submission.workspace, submission.work, submission.objectiveMs, false});
 }
 
 /** \returns the rank of a new workflow. Its guarantee is judged by the open workflows as they are now: the marks of the
@@ -102,7 +102,7 @@
   const schema::Workflow& record = workflow.record;
   const auto found = m_backlogs.find(record.service());
   if (found == m_backlogs.end()) return;
-  BacklogEntry entry{rankOfWorkflow(workflow), record.tenant(), {}, 0.0};
+  BacklogEntry entry{rankOfWorkflow(workflow), record.tenant(), {}, 0.0, false};
   for (std::uint32_t occurrence = 0; occurrence < workflow.occurrences(); ++occurrence) {
     if (workflow.dueMs(occurrence) > nowMs) break;
     for (int s = 0; s < record.spec().steps_size(); ++s) {
@@ -125,6 +125,7 @@
   const double allowedMs = record.stretch() * chainMs + record.latency_target_ms();
   const auto dueMs = static_cast<double>(workflow.dueMs(0));
   entry.objectiveMs = dueMs + allowedMs;
+  entry.late = static_cast<double>(nowMs) + chainMs > entry.objectiveMs;
   // The planner serves worthless work last, so it is not ahead of new work.
   const bool worthless = allowedMs > 0.0 && static_cast<double>(nowMs) + chainMs > dueMs + WorthlessAfter * allowedMs;
   if (worthless) return;
--- a/Courseloom/src/Scheduling/AdmissionForecast.cpp
+++ b/Courseloom/src/Scheduling/AdmissionForecast.cpp
@@ -41,12 +41,14 @@
 
 /** Work that waits before a submission, as times at full capacity, ms. */
 struct WaitingWork {
-  double betterMs = 0.0;     ///< of better ranks
-  double sameMs = 0.0;       ///< of its rank
-  double ownMs = 0.0;        ///< of its rank and workspace
-  double placesMs = 0.0;     ///< of rejected callers
-  double ownPlacesMs = 0.0;  ///< of rejected callers of its workspace
-  double workspaces = 1.0;   ///< number of workspaces that wait with its rank, its own included
+  double betterMs = 0.0;      ///< of better ranks
+  double sameMs = 0.0;        ///< of its rank
+  double sameInTimeMs = 0.0;  ///< the same without late work
+  double ownMs = 0.0;         ///< of its rank and workspace
+  double ownInTimeMs = 0.0;   ///< the same without late work
+  double placesMs = 0.0;      ///< of rejected callers
+  double ownPlacesMs = 0.0;   ///< of rejected callers of its workspace
+  double workspaces = 1.0;    ///< number of workspaces that wait with its rank, its own included
 };
 
 WaitingWork waiting_work(const Submission& submission, const std::vector<BacklogEntry>& backlog,
@@ -59,7 +61,10 @@
     if (sameRank && ms > 0.0) workspaces.insert(entry.workspace);
     if (!is_ahead(entry, submission)) continue;
     (sameRank ? sums.sameMs : sums.betterMs) += ms;
-    if (sameRank && entry.workspace == submission.workspace) sums.ownMs += ms;
+    const bool own = sameRank && entry.workspace == submission.workspace;
+    if (own) sums.ownMs += ms;
+    if (sameRank && !entry.late) sums.sameInTimeMs += ms;
+    if (own && !entry.late) sums.ownInTimeMs += ms;
   }
   for (const Submission* place : places) {
     if (agedRank(place->rank) == agedRank(submission.rank)) workspaces.insert(place->workspace);
@@ -99,6 +104,15 @@
   return std::max(margin * submission.inTimeMs - runMs, shareLeft * (margin * submission.usefulMs - runMs));
 }
 
+/** \returns the time by which a wait exceeds the longest one with which a workflow is accepted, ms; at most 0 if it is
+ * accepted. \param inTimeMs wait if the workflow is served before late work \param allMs wait if it is not
+ * \param shareUsed as for longestWaitMs() */
+double AdmissionForecast::excessMs(const Submission& submission, double margin, double inTimeMs, double allMs,
+                                   double shareUsed) const {
+  const bool servedFirst = shareUsed < 1.0 && inTimeMs <= longestWaitMs(submission, margin, 1.0);
+  return servedFirst ? 0.0 : allMs - longestWaitMs(submission, margin, shareUsed);
+}
+
 AdmissionVerdict AdmissionForecast::decide(const Submission& submission, const std::vector<BacklogEntry>& backlog,
                                            const std::vector<const Submission*>& places, const ResourceWork& capacity,
                                            const AcceptedInflow& inflow, double spread) const {
@@ -111,25 +125,27 @@
   const internal::WaitingWork waiting = internal::waiting_work(submission, backlog, places, available);
   // As if newly accepted work took the whole capacity, which is when places matter.
   const double mostPlacesMs = m_options.placesShare * longestWaitMs(submission, m_options.margin, 1.0);
-  // The wait in the order of all workspaces, and the wait in an equal part of the capacity.
-  const double waitingMs = waiting.betterMs + waiting.sameMs;
-  const double inOrderMs = waitingMs + std::min(waiting.placesMs, mostPlacesMs);
   const double parts = waiting.workspaces;
-  const double byPartMs =
-      waiting.betterMs + parts * waiting.ownMs + std::min(parts * waiting.ownPlacesMs, mostPlacesMs);
+  // The waits in the order of all workspaces, and in an equal part of the capacity.
+  const double aheadMs = waiting.betterMs + std::min(waiting.placesMs, mostPlacesMs);
+  const double ownAheadMs = waiting.betterMs + std::min(parts * waiting.ownPlacesMs, mostPlacesMs);
   const double allShare = shareOf(inflow.better) + shareOf(inflow.same);
-  const double inOrderLimitMs = longestWaitMs(submission, m_options.margin, allShare);
-  const double byPartLimitMs =
-      longestWaitMs(submission, m_options.margin, shareOf(inflow.better) + parts * shareOf(inflow.own));
-  const double withoutMarginMs = longestWaitMs(submission, 1.0, allShare);
-  verdict.expectedStartMs = std::min(inOrderMs, byPartMs);
-  if (inOrderMs > inOrderLimitMs && byPartMs > byPartLimitMs) {
+  const double partShare = shareOf(inflow.better) + parts * shareOf(inflow.own);
+  const double excess = std::min(
+      excessMs(submission, m_options.margin, aheadMs + waiting.sameInTimeMs, aheadMs + waiting.sameMs, allShare),
+      excessMs(submission, m_options.margin, ownAheadMs + parts * waiting.ownInTimeMs,
+               ownAheadMs + parts * waiting.ownMs, partShare));
+  const double waitingMs = waiting.betterMs + waiting.sameMs;
+  const double excessWithoutMargin =
+      excessMs(submission, 1.0, waiting.betterMs + waiting.sameInTimeMs, waitingMs, allShare);
+  verdict.expectedStartMs = std::min(aheadMs + waiting.sameMs, ownAheadMs + parts * waiting.ownMs);
+  if (excess > 0.0) {
     verdict.reason = AdmissionVerdict::Reason::TooLate;
-    verdict.retryAfterMs = retryAfterMs(std::min(inOrderMs - inOrderLimitMs, byPartMs - byPartLimitMs), spread);
-  } else if (waitingMs > std::max(withoutMarginMs, m_options.freeBacklogMs) &&
+    verdict.retryAfterMs = retryAfterMs(excess, spread);
+  } else if (excessWithoutMargin > 0.0 && waitingMs > m_options.freeBacklogMs &&
              exceedsPart(submission, backlog, places, available)) {
     verdict.reason = AdmissionVerdict::Reason::WorkspaceLimit;
-    verdict.retryAfterMs = retryAfterMs(waitingMs - withoutMarginMs, spread);
+    verdict.retryAfterMs = retryAfterMs(excessWithoutMargin, spread);
   }
   return verdict;
 }
--- a/Courseloom/src/Scheduling/AdmissionForecast.h
+++ b/Courseloom/src/Scheduling/AdmissionForecast.h
@@ -51,6 +51,7 @@
   std::string workspace;
   ResourceWork work;
   double objectiveMs = 0.0;  ///< as PlannedStep::objectiveMs
+  bool late = false;         ///< it can no longer end by its objective: the planner serves it after work that can
 };
 
 /** \class Submission
@@ -109,8 +110,10 @@
  * backlog of others.
  *
  * A workflow that is expected to end in time, with the margin, is accepted. The planner serves late work after all work
- * that can still end in time, so late work only gets the share of the capacity that newly accepted work leaves, and its
- * start is expected later by that factor. The class has no clock and no random source.
+ * that can still end in time. Late work therefore does not delay work that is in time, unless new work takes the whole
+ * capacity: then every workflow that is accepted leaves a late one behind for good, and late work counts too. Late work
+ * only gets the share of the capacity that newly accepted work leaves, and its start is expected later by that factor.
+ * The class has no clock and no random source.
  */
 class AdmissionForecast {
  public:
@@ -125,6 +128,7 @@
 
  private:
   double longestWaitMs(const Submission& submission, double margin, double shareUsed) const;
+  double excessMs(const Submission& submission, double margin, double inTimeMs, double allMs, double shareUsed) const;
   bool exceedsPart(const Submission& submission, const std::vector<BacklogEntry>& backlog,
                    const std::vector<const Submission*>& places, double capacity) const;
   std::uint32_t retryAfterMs(double excessMs, double spread) const;
--- a/test/LoadReplay.cpp
+++ b/test/LoadReplay.cpp
@@ -111,6 +111,7 @@
     plan();
   }
   for (const Job& job : m_jobs) {
+    m_result.rejections += job.rejected ? 1 : 0;
     m_result.maxStarts = std::max(m_result.maxStarts, job.startsAfterThirdCrash);
     if (job.givenUp) ++(job.crashing ? m_result.givenUp : m_result.falselyGivenUp);
     if (job.crashing) continue;  // counts neither as attainable nor as earned
@@ -126,6 +127,7 @@
     ++results.ended;
     const bool late = tookMs > objectiveMs;
     results.late += late ? 1 : 0;
+    m_result.rejectedInTime += !late && job.rejected ? 1 : 0;
     results.earned += late ? LateShare * job.worth : job.worth;
   }
   return m_result;
@@ -169,9 +171,46 @@
   if (m_pattern.crashingShare > 0.0 && between(0, 1) < m_pattern.crashingShare) job.crashing = m_random() % count;
 }
 
+/** \returns whether AdmissionForecast rejects a job that has just arrived; it is replayed all the same. */
+bool LoadReplay::wouldReject(const Job& job) {
+  const auto workOf = [this](const Job& one) {
+    const schema::StepSpec& spec = one.workflow.step(0);
+    double tasks = 0.0;
+    for (std::size_t i = 0; i < one.done.size(); ++i) tasks += !one.done[i] && one.active[i] == 0 ? 1.0 : 0.0;
+    const double taskMs = tasks * expectedMs(one);
+    return ResourceWork{spec.need().accelerators() * taskMs, spec.need().cpu_milli() / 1000.0 * taskMs};
+  };
+  const auto objectiveMsOf = [this](const Job& one) {
+    return profileOf(one.kind).stretch * expectedMs(one) + profileOf(one.kind).latencyMs;
+  };
+  std::vector<BacklogEntry> backlog;
+  for (const Job& other : m_jobs) {
+    const double worthlessMs = other.dueMs + WorthlessAfter * objectiveMsOf(other);
+    if (&other == &job || other.endedMs > 0.0 || other.givenUp || m_nowMs + expectedMs(other) > worthlessMs) continue;
+    backlog.push_back({profileOf(other.kind).rank, "", workOf(other), other.dueMs + objectiveMsOf(other),
+                       m_nowMs + expectedMs(other) > other.dueMs + objectiveMsOf(other)});
+  }
+  ResourceWork capacity;
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    if (!isOpen(i)) continue;
+    capacity.accelerators += static_cast<double>(Capacity.accelerators);
+    capacity.cores += static_cast<double>(Capacity.cpuMilli) / 1000.0;
+  }
+  Submission submission;
+  submission.rank = profileOf(job.kind).rank;
+  submission.work = workOf(job);
+  submission.criticalPathMs = expectedMs(job);
+  submission.inTimeMs = objectiveMsOf(job);
+  submission.usefulMs = WorthlessAfter * submission.inTimeMs;
+  submission.objectiveMs = m_nowMs + objectiveMsOf(job);
+  const AdmissionInput input{submission, &backlog, capacity};
+  return !m_admission.decide(job.workflow.record.id(), "s", input, static_cast<std::uint64_t>(m_nowMs), 0.5).accepted();
+}
+
 void LoadReplay::addArrivals() {
   for (; m_arrived < m_pattern.arrivals.size() && m_pattern.arrivals[m_arrived].atMs <= m_nowMs; ++m_arrived) {
     addJob(m_pattern.arrivals[m_arrived].kind);
+    m_jobs.back().rejected = wouldReject(m_jobs.back());
   }
 }
 
--- a/test/LoadReplay.h
+++ b/test/LoadReplay.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "Courseloom/src/Control/AdmissionReview.h"
 #include "Courseloom/src/Scheduling/RunLedger.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
 #include "Courseloom/src/State/RunTimeEstimator.h"
@@ -128,6 +129,8 @@
   unsigned falselyGivenUp = 0;  ///< number of other workflows given up
   unsigned suspected = 0;       ///< number of lost runs that crashed no target and yet were counted against their tasks
   unsigned maxStarts = 0;       ///< maximum number of starts of one task after the third crash that it caused
+  unsigned rejections = 0;      ///< number of workflows that AdmissionForecast would have rejected at their arrival
+  unsigned rejectedInTime = 0;  ///< number of these that ended in time
   /** \returns earned as a share of attainable over all classes, 0 to 1; 0 if nothing is attainable. */
   double worth() const;
 };
@@ -173,6 +176,7 @@
     unsigned crashes = 0;                   ///< number of crashes that this task has caused
     unsigned startsAfterThirdCrash = 0;     ///< number of starts of this task since its third crash
     bool givenUp = false;
+    bool rejected = false;  ///< AdmissionForecast would have rejected it at its arrival
   };
   struct Run {
     std::size_t job = 0;  ///< index
@@ -190,6 +194,7 @@
   };
 
   void addJob(ReplayClass kind);
+  bool wouldReject(const Job& job);
   void addArrivals();
   void advanceRuns();
   void crashTargets();
@@ -237,6 +242,7 @@
   bool m_trials;
   RunTimeEstimator m_endedRunsEstimator;  ///< fed with ended runs
   RunTimeEstimator m_runTimeEstimator;    ///< the same plus active runs, if the variant uses them
+  AdmissionReview m_admission;
   ReplayResult m_result;
 };
 
--- a/test/admission_forecast.cpp
+++ b/test/admission_forecast.cpp
@@ -89,8 +89,11 @@
     m_backlog.clear();
     for (const Work* waiting : m_waiting) {
       if (waiting->prospect(nowMs) == Prospect::Worthless) continue;
-      m_backlog.push_back(BacklogEntry{
-          waiting->rank, waiting->workspace, {waiting->accelerators * waiting->runMs, 0.0}, waiting->objectiveMs()});
+      m_backlog.push_back(BacklogEntry{waiting->rank,
+                                       waiting->workspace,
+                                       {waiting->accelerators * waiting->runMs, 0.0},
+                                       waiting->objectiveMs(),
+                                       waiting->prospect(nowMs) != Prospect::InTime});
     }
     return AdmissionInput{submissionOf(work, nowMs), &m_backlog, ResourceWork{Capacity, 0.0}};
   }
@@ -173,7 +176,7 @@
 
 AdmissionVerdict decideAgainst(const Submission& submission, double waitingMs, const std::string& holder,
                                const std::vector<const Submission*>& places = {}, double inflow = 0.0) {
-  const std::vector<BacklogEntry> backlog{{UrgentRank, holder, {waitingMs * Capacity, 0.0}, 0.0}};
+  const std::vector<BacklogEntry> backlog{{UrgentRank, holder, {waitingMs * Capacity, 0.0}, 0.0, false}};
   return AdmissionForecast().decide(submission, backlog, places, {Capacity, 0.0}, {{}, {inflow, 0.0}, {inflow, 0.0}},
                                     0.5);
 }
@@ -196,7 +199,7 @@
 Test(admission_forecast, work_without_an_objective_or_a_known_capacity_is_accepted) {
   Submission submission = submissionOf(Work{}, 0);
   cr_assert_not(decideAgainst(submission, 1e7, "a").accepted());
-  const std::vector<BacklogEntry> backlog{{GuaranteedRank, "a", {1e9, 0.0}, 0.0}};
+  const std::vector<BacklogEntry> backlog{{GuaranteedRank, "a", {1e9, 0.0}, 0.0, false}};
   cr_assert(AdmissionForecast().decide(submission, backlog, {}, {0.0, 0.0}, {}, 0.5).accepted());
   submission.usefulMs = 0.0;
   cr_assert(decideAgainst(submission, 1e7, "a").accepted());
@@ -213,10 +216,10 @@
 // Guards against a forecast that counts work which the planner serves later: of a lower rank, or due later.
 Test(admission_forecast, only_work_that_is_served_before_counts) {
   Submission submission = submissionOf(Work{}, 1000);
-  const std::vector<BacklogEntry> behind{{UrgentRank + 1, "a", {1e9, 0.0}, 0.0},
-                                         {UrgentRank, "a", {1e9, 0.0}, submission.objectiveMs + 1.0}};
+  const std::vector<BacklogEntry> behind{{UrgentRank + 1, "a", {1e9, 0.0}, 0.0, false},
+                                         {UrgentRank, "a", {1e9, 0.0}, submission.objectiveMs + 1.0, false}};
   cr_assert(AdmissionForecast().decide(submission, behind, {}, {Capacity, 0.0}, {}, 0.5).accepted());
-  const std::vector<BacklogEntry> ahead{{UrgentRank, "a", {1e9, 0.0}, submission.objectiveMs - 1.0}};
+  const std::vector<BacklogEntry> ahead{{UrgentRank, "a", {1e9, 0.0}, submission.objectiveMs - 1.0, false}};
   cr_assert_not(AdmissionForecast().decide(submission, ahead, {}, {Capacity, 0.0}, {}, 0.5).accepted());
 }
 
@@ -373,7 +376,7 @@
 
 Test(admission_forecast, callers_are_told_different_times_within_the_limits) {
   const Submission submission = submissionOf(Work{}, 0);
-  const std::vector<BacklogEntry> backlog{{GuaranteedRank, "a", {1e9, 0.0}, 0.0}};
+  const std::vector<BacklogEntry> backlog{{GuaranteedRank, "a", {1e9, 0.0}, 0.0, false}};
   const auto retryMs = [&](double spread) {
     return AdmissionForecast().decide(submission, backlog, {}, {Capacity, 0.0}, {}, spread).retryAfterMs;
   };
@@ -385,7 +388,7 @@
 
 // Guards against a place that improves by retries, and against a table that grows with them.
 Test(admission_forecast, a_caller_that_retries_at_once_and_forever_gains_nothing) {
-  std::vector<BacklogEntry> backlog{{GuaranteedRank, "a", {1e9, 0.0}, 0.0}};
+  std::vector<BacklogEntry> backlog{{GuaranteedRank, "a", {1e9, 0.0}, 0.0, false}};
   AdmissionReview review;
   const auto submit = [&](const std::string& id, std::uint64_t nowMs) {
     const AdmissionInput input{submissionOf(Work{}, nowMs), &backlog, ResourceWork{Capacity, 0.0}};
--- a/test/load_replay.cpp
+++ b/test/load_replay.cpp
@@ -71,3 +71,15 @@
   without.preemption = false;
   cr_assert(meanWorth("urgent burst", {}, 4) > meanWorth("urgent burst", without, 4));
 }
+
+// Guards against rejections of work that the planner serves in time. The replay judges each arrival and then takes it,
+// whatever the verdict is. None of the patterns is a lasting overload, for which AdmissionForecast is meant.
+Test(load_replay, work_that_ends_in_time_is_not_rejected_on_any_pattern) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    for (const ReplayPattern& pattern : replayPatterns(seed)) {
+      const ReplayResult result = LoadReplay(pattern, {}, seed).simulate();
+      cr_expect_eq(result.rejectedInTime, 0, "%s, seed %lu: %u of %u rejections", pattern.name.c_str(), seed,
+                   result.rejectedInTime, result.rejections);
+    }
+  }
+}
