Admission: a test of the leader's loss between rejection and return

Cause: the loss of the leader between a rejection and the caller's return was only tested without processes. The linter asks for a reference where the queue's name has to be copied.

Change: a test on processes; the copy is marked for the linter.

Conclusion: a caller that was rejected by a lost leader is accepted by the next one.

--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -114,7 +114,7 @@
   workflow.set_latency_target_ms(queue.latency_target_ms());
   if (rejects(workflow, answer)) co_return answer;
   // The configuration may change during the commit, and the queue with it.
-  const std::string queueName = queue.name();
+  const std::string queueName = queue.name();  // NOLINT(performance-unnecessary-copy-initialization)
   const Time before = BootClock::now();
   Result<schema::CommandReply> reply =
       co_await m_driver.submit(std::move(command), BootClock::now() + internal::CommitLimit);
--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -244,3 +244,19 @@
   cr_assert(test.until(200, "POST", idOf(accepted), job(8, "50")));
   cr_assert(test.until(200, "GET", idOf(accepted), "", "completed"));
 }
+
+// Guards against a rejection that outlives its leader: the next one knows neither the place nor the backlog's forecast
+// of its predecessor, and the caller that returns is served like a new one.
+Test(workflows_processes, a_caller_that_was_rejected_by_a_lost_leader_is_accepted_by_the_next) {
+  WorkflowDeployment test(2, "policy: {admission: true}\n");
+  test.setUp();
+  pause(6000);
+  const auto idOf = [](unsigned i) { return "/q/00000000000e" + std::to_string(1000 + i); };
+  unsigned accepted = 0;
+  while (accepted < 400 && test.call("POST", idOf(accepted), job(8, "50")).status == 200) ++accepted;
+  cr_assert_lt(accepted, 400, "nothing was rejected");
+  test.kill("control-" + std::to_string(test.leader()));
+  cr_assert(test.until(200, "POST", idOf(accepted), job(8, "50")));
+  cr_assert(test.until(200, "GET", idOf(accepted), "", "completed"));
+  cr_assert(test.until(200, "GET", idOf(0), "", "completed"), "it was accepted by the lost leader");
+}
