Early answers: a test of the probe at a relay

Cause: the probe at relays was not tested. The linter found a narrowing conversion in LoadReplay.

Change: a test of a submission through a relay to a leader without power, with and without the setting; an explicit conversion.

Conclusion: a relay reports a call that it did not send as one that did not run.

--- a/test/LoadReplay.cpp
+++ b/test/LoadReplay.cpp
@@ -178,7 +178,8 @@
     double tasks = 0.0;
     for (std::size_t i = 0; i < one.done.size(); ++i) tasks += !one.done[i] && one.active[i] == 0 ? 1.0 : 0.0;
     const double taskMs = tasks * expectedMs(one);
-    return ResourceWork{spec.need().accelerators() * taskMs, spec.need().cpu_milli() / 1000.0 * taskMs};
+    return ResourceWork{spec.need().accelerators() * taskMs,
+                        static_cast<double>(spec.need().cpu_milli()) / 1000.0 * taskMs};
   };
   const auto objectiveMsOf = [this](const Job& one) {
     return profileOf(one.kind).stretch * expectedMs(one) + profileOf(one.kind).latencyMs;
--- a/test/queue_gateway.cpp
+++ b/test/queue_gateway.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "Courseloom/src/Membership/ControlRelay.h"
 #include "Courseloom/src/Runtime/OneShot.h"
 #include "Courseloom/src/Transport/RpcServer.h"
 #include "test/main.h"
@@ -20,6 +21,7 @@
 namespace {
 
 const std::string Replica = "127.0.9.31";
+const std::string RelayNode = "127.0.9.32";
 constexpr Duration CallerTime = milliseconds(3000);
 
 /** \class PausedReplica
@@ -111,6 +113,42 @@
   return end;
 }
 
+Awaitable<void> askRelay(std::shared_ptr<RpcClient> relay, CallResult& end) {
+  schema::QueueCall call;
+  call.set_kind(schema::QueueSubmit);
+  Result<schema::QueueAnswer> answer =
+      co_await relay->call<schema::QueueAnswer>("queue", call, BootClock::now() + milliseconds(1500));
+  end.answered = static_cast<bool>(answer);
+  if (!answer) end.ran = extractFailure(answer).ran;
+  end.ended = true;
+}
+
+/** \returns the result of a submission through a relay to a leader that lost power, as submitAfterLossOfPower().
+ * \param probes whether the relay probes silent connections */
+CallResult relayAfterLossOfPower(bool probes) {
+  asio::io_context power;
+  asio::io_context io;
+  PausedReplica replica(power, milliseconds(0));
+  ControlRelay relay(io, clusterAt(replica.port), [] { return true; });
+  relay.probeBeforeQueueCalls(probes);
+  schema::NodeSettings node;
+  node.set_address(RelayNode);
+  const auto client = std::make_shared<RpcClient>(io, RelayNode, relay.start(node).value());
+  CallResult acknowledged;
+  asio::co_spawn(io, askRelay(client, acknowledged), asio::detached);
+  for (int i = 0; i < 400 && !acknowledged.ended; ++i) {
+    power.run_for(milliseconds(2));
+    io.run_for(milliseconds(2));
+  }
+  cr_assert(acknowledged.answered);
+  io.run_for(milliseconds(50));
+  CallResult end;
+  asio::co_spawn(io, askRelay(client, end), asio::detached);
+  for (int i = 0; i < 400 && !end.ended; ++i) io.run_for(milliseconds(10));
+  cr_assert(end.ended);
+  return end;
+}
+
 /** \returns the result of a submission while nothing listens at the leader's address.
  * \param usual duration of recent acknowledgements */
 CallResult submitWithoutLeader(Duration usual, bool earlyAnswers) {
@@ -171,6 +209,14 @@
   cr_assert(end.took < CallerTime * 2 / 3, "the caller can retry in the rest of its time");
 }
 
+// Guards against the same doubt at a relay, which holds connections of its own to the replicas.
+Test(queue_gateway, a_submission_through_a_relay_to_a_leader_without_power_did_not_run) {
+  const CallResult end = relayAfterLossOfPower(true);
+  cr_assert_not(end.answered);
+  cr_assert(end.ran == Ran::No);
+  cr_assert(relayAfterLossOfPower(false).ran == Ran::Unknown, "without the setting nothing changes");
+}
+
 // Guards against a change of behaviour with the switch off.
 Test(queue_gateway, without_early_answers_silent_connections_are_not_probed) {
   const CallResult end = submitAfterLossOfPower(false);
