--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -104,6 +104,7 @@
   m_health.clear();
   m_planner.forgetUnstartedSteps();
   m_shareReview.clear();
+  m_backlogsUpdated = Time{};
   if (leads) m_ledger.lead(table(), BootClock::now(), m_driver.replica().term());
   for (auto& [agent, signal] : m_agentSignals) signal.notify();
   requestPlan();
--- a/test/LoadReplay.h
+++ b/test/LoadReplay.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "Courseloom/src/Control/AdmissionReview.h"
 #include "Courseloom/src/Scheduling/CopyPlanner.h"
 #include "Courseloom/src/Scheduling/FairShare.h"
 #include "Courseloom/src/Scheduling/RunLedger.h"
@@ -160,7 +161,9 @@
   /** By step of at least five single tasks: time from the first start to the end of its slowest task, divided by the
    * median of all its tasks. */
   std::vector<double> slowestToMedian;
-  unsigned maxStarts = 0;  ///< maximum number of starts of one task after the third crash that it caused
+  unsigned maxStarts = 0;       ///< maximum number of starts of one task after the third crash that it caused
+  unsigned rejections = 0;      ///< number of workflows that AdmissionForecast would have rejected at their arrival
+  unsigned rejectedInTime = 0;  ///< number of these that ended in time
   /** \returns earned as a share of attainable over all classes, 0 to 1; 0 if nothing is attainable. */
   double worth() const;
 };
@@ -210,6 +213,7 @@
     unsigned crashes = 0;                   ///< number of crashes that this task has caused
     unsigned startsAfterThirdCrash = 0;     ///< number of starts of this task since its third crash
     bool givenUp = false;
+    bool rejected = false;  ///< AdmissionForecast would have rejected it at its arrival
   };
   struct Run {
     std::size_t job = 0;  ///< index
@@ -230,6 +234,7 @@
   };
 
   void addJob(const ReplayArrival& arrival);
+  bool wouldReject(const Job& job);
   void addArrivals();
   void advanceRuns();
   void crashTargets();
@@ -290,6 +295,7 @@
   CopyPlanner m_copyPlanner;
   RunTimeEstimator m_endedRunsEstimator;  ///< fed with ended runs
   RunTimeEstimator m_runTimeEstimator;    ///< the same plus active runs, if the variant uses them
+  AdmissionReview m_admission;
   ReplayResult m_result;
 };
 
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -106,6 +106,13 @@
                  {{"Host", "h.example"}, {"Authorization", "Bearer " + key}, {"Content-Type", "application/json"}},
                  milliseconds(5000)});
   }
+  /** \returns the answer to a submission as text, with its header. */
+  std::string submitRaw(const std::string& path, const std::string& body) {
+    return sendRaw(at(20, ClientPort), "POST " + path +
+                                           " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\n"
+                                           "Content-Type: application/json\r\nConnection: close\r\nContent-Length: " +
+                                           std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
   /** Repeats a call until its status and body match, for at most 20 s. \param text part of the body */
   bool until(unsigned status, const std::string& method, const std::string& path, const std::string& body = "",
              const std::string& text = "") {
--- a/test/load_replay.cpp
+++ b/test/load_replay.cpp
@@ -197,3 +197,15 @@
   cr_assert(quantileOf(with, 0.9) <= 2.2, "%.2f", quantileOf(with, 0.9));
   cr_assert(lost <= 0.05 * worked, "%.0f of %.0f core-seconds", lost, worked);
 }
+
+// Guards against rejections of work that the planner serves in time. The replay judges each arrival and then takes it,
+// whatever the verdict is. None of the patterns is a lasting overload, for which AdmissionForecast is meant.
+Test(load_replay, work_that_ends_in_time_is_not_rejected_on_any_pattern) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    for (const ReplayPattern& pattern : replayPatterns(seed)) {
+      const ReplayResult result = LoadReplay(pattern, {}, seed).simulate();
+      cr_expect_eq(result.rejectedInTime, 0, "%s, seed %lu: %u of %u rejections", pattern.name.c_str(), seed,
+                   result.rejectedInTime, result.rejections);
+    }
+  }
+}
