--- a/test/LoadReplayPatterns.cpp
+++ b/test/LoadReplayPatterns.cpp
@@ -33,6 +33,17 @@
                    [](const ReplayArrival& a, const ReplayArrival& b) { return a.atMs < b.atMs; });
 }
 
+/** Adds four gangs that need four whole targets each, and after them twice 200 single tasks, which fill 25 targets,
+ * followed half a second later by four such gangs: together one target more than there are. The first gangs come alone,
+ * since nothing is known about the demand of gangs before. */
+void addBulkBeforeGangs(ReplayPattern& pattern) {
+  for (const double atMs : {1000.0, 15000.0, 29000.0}) {
+    if (atMs > 1000.0) pattern.arrivals.push_back({atMs, ReplayClass::SingleTasks, 200, 1});
+    for (int i = 0; i < 4; ++i) pattern.arrivals.push_back({atMs + 500.0, ReplayClass::Gangs, 4, 8, atMs > 1000.0});
+  }
+  pattern.durationMs = 150000.0;  // the last stragglers take 80 s
+}
+
 }  // namespace
 
 std::vector<ReplayPattern> replayPatterns(std::uint64_t seed) {
@@ -75,6 +86,20 @@
   patterns.back().timeFactors = {0.8, 1.0, 1.25};
   patterns.back().estimateSpread = 0.8;
 
+  patterns.emplace_back().name = "bulk before gangs";
+  patterns.back().checkpointEveryMs = 2000.0;
+  addBulkBeforeGangs(patterns.back());
+
+  patterns.push_back(usualPattern("bulk before gangs, mixed load", random, 0.3));
+  patterns.back().checkpointEveryMs = 2000.0;
+  addBulkBeforeGangs(patterns.back());
+
+  patterns.push_back(usualPattern("bulk before gangs, stragglers", random, 0.3));
+  patterns.back().checkpointEveryMs = 2000.0;
+  patterns.back().stragglerShare = 0.03;
+  patterns.back().progressKnown = false;
+  addBulkBeforeGangs(patterns.back());
+
   for (ReplayPattern& pattern : patterns) sortArrivals(pattern);
   return patterns;
 }
