--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -68,6 +68,27 @@
   add("spreads-after-1").spreadAfterEstimates = 1.0;
   add("gang-loss-ratio-0.3").gangLossRatio = 0.3;
   add("loss-ratio-1.5").lossRatio = 1.5;
+  add("fill-limit").fillLimit = true;
+  add("fill-limit-ages").fillLimit = true;
+  variants.back().checkpointAges = true;
+  add("checkpoint-ages");
+  variants.back().checkpointAges = true;
+  add("fill-hold-0").fillLimit = true;
+  variants.back().planner.fillHoldMs = 0.0;
+  add("fill-decay-60s").fillLimit = true;
+  variants.back().planner.fillDecayMs = 60000.0;
+  add("fill-share-0.3").fillLimit = true;
+  variants.back().planner.fillShare = 0.3;
+  add("fill-fixed-0.2").fillLimit = true;
+  variants.back().planner.fillFixedShare = 0.2;
+  add("fill-fixed-0.4").fillLimit = true;
+  variants.back().planner.fillFixedShare = 0.4;
+  add("quantile-dates").quantileDates = true;
+  add("fill-and-quantile").fillLimit = true;
+  variants.back().planner.quantileDates = true;
+  add("fill-and-median").fillLimit = true;
+  variants.back().planner.quantileDates = true;
+  variants.back().dateQuantile = 0.5;
   return variants;
 }
 
@@ -79,6 +100,13 @@
   Mean late;
   Mean wastedWork;
   Mean stops;
+  Mean youngStops;
+  Mean stoppedShare;  ///< share of the runs that were stopped
+  Mean wastedShare;   ///< share of the run time that was lost
+  Mean neverEnded;    ///< workflows of single tasks that did not end
+  std::vector<double> gangWaitsMs;
+  std::vector<double> largeGangWaitsMs;
+  std::vector<double> bulkGangWaitsMs;
 };
 
 /** Adds the result of one seed to a row. \param baseWorth worth of the first variant on the same seed */
@@ -92,6 +120,15 @@
   row.late.add(result.classes[0].late + result.classes[0].unfinished);
   row.wastedWork.add(result.wastedWork);
   row.stops.add(result.stops);
+  row.youngStops.add(result.youngStops);
+  if (result.starts > 0) row.stoppedShare.add(static_cast<double>(result.stops) / result.starts);
+  if (result.runMs > 0.0) row.wastedShare.add(result.wastedRunMs / result.runMs);
+  row.neverEnded.add(result.classes[2].neverEnded);
+  const std::vector<double>& waits = result.classes[1].waitsMs;
+  row.gangWaitsMs.insert(row.gangWaitsMs.end(), waits.begin(), waits.end());
+  row.bulkGangWaitsMs.insert(row.bulkGangWaitsMs.end(), result.bulkGangWaitsMs.begin(), result.bulkGangWaitsMs.end());
+  row.largeGangWaitsMs.insert(row.largeGangWaitsMs.end(), result.largeGangWaitsMs.begin(),
+                              result.largeGangWaitsMs.end());
 }
 
 void print(const std::string& variant, const Row& row) {
@@ -100,6 +137,17 @@
       "wasted work %.0f  stops %.0f\n",
       variant.c_str(), row.worth.mean(), row.worth.error(), row.gain.mean(), row.gain.error(), row.classes[0].mean(),
       row.classes[1].mean(), row.classes[2].mean(), row.late.mean(), row.wastedWork.mean(), row.stops.mean());
+  Mean bulkWaits;
+  for (const double waitMs : row.bulkGangWaitsMs) bulkWaits.add(waitMs);
+  std::printf(
+      "  %-18s waits of gangs p50 %.2f p90 %.2f s, of large ones p90 %.2f s, after a bulk mean %.2f p90 %.2f s  "
+      "stopped %.1f%% (young %.1f)  "
+      "wasted "
+      "%.1f%%  single tasks not ended %.2f\n",
+      "", quantileOf(row.gangWaitsMs, 0.5) / 1000.0, quantileOf(row.gangWaitsMs, 0.9) / 1000.0,
+      quantileOf(row.largeGangWaitsMs, 0.9) / 1000.0, bulkWaits.mean() / 1000.0,
+      quantileOf(row.bulkGangWaitsMs, 0.9) / 1000.0, 100.0 * row.stoppedShare.mean(), row.youngStops.mean(),
+      100.0 * row.wastedShare.mean(), row.neverEnded.mean());
 }
 
 }  // namespace
