--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -36,6 +36,10 @@
 /** Time constant of the exponential decay of the urgent peak, ms; the peak falls to about a third in this time. */
 constexpr double UrgentPeakFadeMs = 20000.0;
 constexpr double AcceleratorsPerTarget = 8.0;
+/** Shortest time between two events FillLimitChanged: the limit may change with each plan. */
+constexpr Duration FillEventInterval = milliseconds(5000);
+/** Age up to which a stopped run counts as young, ms. */
+constexpr double YoungRunMs = 2000.0;
 
 std::string gang_name(const RunKey& key) {
   return key.workflow + "." + std::to_string(key.task.occurrence) + "." + std::to_string(key.task.step) + "." +
@@ -57,7 +61,10 @@
   updateEstimator();
   markGuaranteed();
   std::vector<PlannedStep> steps = planSteps();
-  if (steps.empty() && !makesCopies()) co_return schema::RecordRuns();
+  if (steps.empty() && !makesCopies()) {
+    observeGangs();
+    co_return schema::RecordRuns();
+  }
   // Before all targets have reported to a new leader, shares of their capacity would be too large.
   const bool banded = m_context.settings.policy().fair_shares() && !m_ledger.arriving(BootClock::now());
   if (banded) assignBands(steps);
@@ -67,6 +74,7 @@
   const Term term = m_driver.replica().term();
   const Duration share = milliseconds(m_context.settings.control().plan_share_ms());
   m_planner.begin(targets, active, steps, keepFullyFree, static_cast<double>(wallClockMs()));
+  recordFillLimit();
   Time shareEnds = BootClock::now() + share;
   bool yielded = false;
   while (!m_planner.advance([&shareEnds] { return BootClock::now() >= shareEnds; })) {
@@ -97,8 +105,18 @@
   return track.report.id() == target.id && !isDrained(track);
 }
 
+/** Counts the stop of a run that has run only briefly: little work is lost, but the run was started slightly too early.
+ */
+void WorkflowRunner::countYoungStop(const RunKey& key) {
+  const auto run = m_ledger.runs().find(key);
+  if (run == m_ledger.runs().end()) return;
+  const double ranMs = toMilliseconds(BootClock::now() - run->second.startedAt);
+  if (ranMs < internal::YoungRunMs) m_context.metrics.count("runs_stopped_young", "all");
+}
+
 void WorkflowRunner::stopPlanned(const RunPlan& plan, const std::vector<PlannedStep>& steps) {
   for (const RunPlan::Stop& stop : plan.stops) {
+    countYoungStop(stop.run);
     notifyAgent(m_ledger.requestStop(stop.run));
     const PlannedStep& step = steps[stop.forStep];
     logEvent(schema::RunPreempted, {{"task", taskText(makeTaskId(stop.run.workflow, stop.run.task))},
@@ -306,7 +324,9 @@
     run.preemptible = shared->preemptible;
     if (shared->gang) run.gang = internal::gang_name(key);
     const double ranMs = toMilliseconds(now - track.startedAt);
-    const double lostMs = shared->checkpointable ? std::min(ranMs, internal::CheckpointLossMs) : ranMs;
+    const double checkpointLossMs =
+        shared->reportsCheckpoints ? sinceCheckpointMs(track, now) : std::min(ranMs, internal::CheckpointLossMs);
+    const double lostMs = shared->checkpointable ? checkpointLossMs : ranMs;
     const double restartMs = shared->gang ? internal::GangRestartMs : 0.0;
     run.lostWork = shared->cores * (lostMs + restartMs) / internal::MillisecondsPerSecond;
     // The original run goes on if its copy is stopped, so that no work is lost.
@@ -317,6 +337,39 @@
   return runs;
 }
 
+/** \returns whether any active run of a run's step has reported a checkpoint. Otherwise, the runs may be of a kind that
+ * writes one only when it is stopped. */
+bool WorkflowRunner::stepReportsCheckpoints(const RunKey& key) const {
+  const std::map<RunKey, RunTrack>& runs = m_ledger.runs();
+  for (auto run = runs.find(key); run != runs.end(); ++run) {
+    const bool sameStep = run->first.workflow == key.workflow && run->first.task.stepKey() == key.task.stepKey();
+    if (!sameStep) return false;
+    if (run->second.checkpointAt != Time{}) return true;
+  }
+  return false;
+}
+
+/** Records the gangs that run while nothing waits. */
+void WorkflowRunner::observeGangs() {
+  if (!m_context.settings.policy().fill_limit()) return;
+  const std::vector<PlannedTarget>& targets = planTargets();
+  m_planner.observe(targets, planRuns(targets), static_cast<double>(wallClockMs()));
+}
+
+/** Sets the gauges of the fill limit and logs its changes. */
+void WorkflowRunner::recordFillLimit() {
+  const std::size_t kept = m_planner.fillLimits().kept();
+  m_context.metrics.set("targets_kept_for_gangs", static_cast<double>(kept));
+  m_context.metrics.set("targets_fully_free", static_cast<double>(m_planner.fullyFreeTargets()));
+  const Time now = BootClock::now();
+  if (kept == m_keptLogged || now < m_nextFillEvent) return;
+  m_nextFillEvent = now + internal::FillEventInterval;
+  logEvent(schema::FillLimitChanged, {{"kept", std::uint64_t{kept}},
+                                      {"before", std::uint64_t{m_keptLogged}},
+                                      {"fullyFree", std::uint64_t{m_planner.fullyFreeTargets()}}});
+  m_keptLogged = kept;
+}
+
 internal::StepRunInfo WorkflowRunner::stepRunInfo(const RunKey& key) const {
   internal::StepRunInfo shared;
   shared.name = {key.workflow, key.task.stepKey()};
@@ -329,6 +382,7 @@
   shared.preemptible = !step.long_running();
   shared.gang = step.gang();
   shared.checkpointable = step.checkpointable();
+  shared.reportsCheckpoints = m_context.settings.policy().fill_limit() && stepReportsCheckpoints(key);
   shared.cores = internal::cores_of(step);
   shared.speculative = step.speculative();
   shared.expectedMs = expectedMs(shared.workflow->record.queue(), step);
@@ -375,6 +429,7 @@
       step.rank = rankOfWorkflow(workflow);
       step.avoided = targetsToAvoid(workflow, step);
       step.estimateMs = expectedMs(record.queue(), spec);
+      step.estimateQuantileMs = quantileMs(record.queue(), step.estimateMs);
       step.taskWork = internal::cores_of(spec) * step.estimateMs / internal::MillisecondsPerSecond;
       step.objectiveMs =
           static_cast<double>(due) + record.stretch() * objectiveChainMs(record) + record.latency_target_ms();
--- a/Courseloom/src/Control/WorkflowRunTimes.cpp
+++ b/Courseloom/src/Control/WorkflowRunTimes.cpp
@@ -176,6 +176,12 @@
   return std::max(expectedLeftMs, wholeMs * runTimes->meanRemainingRatio(passed));
 }
 
+/** \returns the quantile of a task's run time on a usual target, ms; 0 if forecasts use no distributions. */
+double WorkflowRunner::quantileMs(const std::string& queue, double expectedMs) const {
+  const RunTimeDistribution* runTimes = runTimesOf(queue);
+  return runTimes == nullptr ? 0.0 : expectedMs * runTimes->remainingRatio(0.0, internal::ForecastQuantile);
+}
+
 /** Sets the forecasts of a planned run's end. Where the run's own progress is known, it replaces the distribution. */
 void WorkflowRunner::forecastEnd(PlannedRun& run, const RunTrack& track, const internal::StepRunInfo& shared) const {
   run.remainingMs = remainingMs(track, shared.expectedMs, shared.runTimes);
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -58,6 +58,9 @@
   options.speeds = policy.speeds();
   options.keepGangTargets = policy.keep_gang_targets();
   options.stopBackoff = policy.keep_gang_targets();
+  options.fillLimit = policy.fill_limit();
+  options.fillShare = policy.fill_share();
+  options.quantileDates = policy.quantile_dates();
   if (policy.stops_in_time()) options.stopMs = settings.control().stop_ms();
   return options;
 }
@@ -105,6 +108,7 @@
   m_planner.forgetUnstartedSteps();
   m_shareReview.clear();
   m_backlogsUpdated = Time{};
+  m_planner.clearFillLimits();
   if (leads) m_ledger.lead(table(), BootClock::now(), m_driver.replica().term());
   for (auto& [agent, signal] : m_agentSignals) signal.notify();
   requestPlan();
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -38,6 +38,7 @@
   bool speculative = false;                       ///< its tasks may have copies
   double expectedMs = 0.0;                        ///< expected run time of a task on a usual target
   const RunTimeDistribution* runTimes = nullptr;  ///< of its queue; null if forecasts do not use them
+  bool reportsCheckpoints = false;                ///< the age of the newest checkpoint is known and counts as lost work
 
   /** \returns whether a run belongs to this step. */
   bool covers(const RunKey& key) const { return key.task.stepKey() == name.second && key.workflow == name.first; }
@@ -124,6 +125,9 @@
   bool acceptsStarts(const PlannedTarget& target) const;
   std::vector<RunPlan::Start> startsOnRespondingAgents(const RunPlan& plan, const std::vector<PlannedStep>& steps,
                                                        const std::vector<PlannedTarget>& targets);
+  void countYoungStop(const RunKey& key);
+  void observeGangs();
+  void recordFillLimit();
   void reviewRuns();
   void applyHallDrains();
   bool isDrained(const TargetTrack& target) const;
@@ -165,6 +169,7 @@
   double timeFactor(const std::string& target) const;
   double remainingMs(const RunTrack& track, double usualMs, const RunTimeDistribution* runTimes) const;
   const RunTimeDistribution* runTimesOf(const std::string& queue) const;
+  double quantileMs(const std::string& queue, double expectedMs) const;
   void forecastEnd(PlannedRun& run, const RunTrack& track, const internal::StepRunInfo& shared) const;
   std::optional<double> fullRunTimeMs(const RunKey& key, const RunTrack& track) const;
   bool startedFromBeginning(const RunKey& key) const;
@@ -175,6 +180,7 @@
   void updateTargetDescriptions();
   const std::vector<PlannedTarget>& planTargets();
   static void alignGangEnds(std::vector<PlannedRun>& runs);
+  bool stepReportsCheckpoints(const RunKey& key) const;
   internal::StepRunInfo stepRunInfo(const RunKey& key) const;
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
   std::vector<PlannedStep> planSteps();
@@ -229,10 +235,12 @@
   };
   std::map<std::string, ServiceBacklog> m_backlogs;  ///< by service, as of m_backlogsUpdated
   Time m_backlogsUpdated{};                          ///< zero if they have to be computed anew
-  double m_urgentPeak = 0.0;    ///< decaying maximum of accelerators that work of priority 0 needs at once
-  Time m_urgentPeakUpdated{};   ///< when m_urgentPeak was last updated; zero before the first plan
-  Duration m_planDuration{};    ///< duration of the last plan
-  bool m_guaranteesFit = true;  ///< as last logged
+  double m_urgentPeak = 0.0;     ///< decaying maximum of accelerators that work of priority 0 needs at once
+  Time m_urgentPeakUpdated{};    ///< when m_urgentPeak was last updated; zero before the first plan
+  std::size_t m_keptLogged = 0;  ///< targets kept for gangs as last logged
+  Time m_nextFillEvent{};        ///< earliest time of the next event FillLimitChanged
+  Duration m_planDuration{};     ///< duration of the last plan
+  bool m_guaranteesFit = true;   ///< as last logged
   bool m_leads = false;
   bool m_changesInherited = false;  ///< true until this leader may have proposed runs itself: run changes applied until
                                     ///< then come from former leaders
--- a/Courseloom/src/Scheduling/RunPace.h
+++ b/Courseloom/src/Scheduling/RunPace.h
@@ -35,5 +35,8 @@
  * run was first seen, and the time since the start of the run. \param wholeMs expected run time of the whole task on
  * its target, ms; 0 gives 0 */
 double passedRatio(const RunTrack& track, double wholeMs, Time now);
+/** \returns the run time since the newest checkpoint that a run has reported, or since its start before the first one,
+ * ms. A stop loses it. Never negative. */
+double sinceCheckpointMs(const RunTrack& track, Time now);
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunPlan.h
+++ b/Courseloom/src/Scheduling/RunPlan.h
@@ -72,12 +72,13 @@
   StepKey key;
   std::vector<std::uint32_t> tasks;  ///< indexes of the waiting tasks; all tasks of a gang
   Rank rank = UrgentRank;
-  unsigned band = 0;         ///< steps of a lower band are served first within a rank; see FairShare::bandOf()
-  double objectiveMs = 0.0;  ///< wall clock by which the workflow should end, ms since 1970
-  double worthlessMs = 0.0;  ///< wall clock after which its result has no value, ms since 1970; 0: never
-  double taskWork = 0.0;     ///< estimated work of one task, core-seconds
-  double estimateMs = 0.0;   ///< expected run time of one task, ms
-  double waitedMs = 0.0;     ///< time since the step became ready, ms
+  unsigned band = 0;                ///< steps of a lower band are served first within a rank; see FairShare::bandOf()
+  double objectiveMs = 0.0;         ///< wall clock by which the workflow should end, ms since 1970
+  double worthlessMs = 0.0;         ///< wall clock after which its result has no value, ms since 1970; 0: never
+  double taskWork = 0.0;            ///< estimated work of one task, core-seconds
+  double estimateMs = 0.0;          ///< expected run time of one task, ms
+  double waitedMs = 0.0;            ///< time since the step became ready, ms
+  double estimateQuantileMs = 0.0;  ///< quantile of the run time of one task, ms; 0 if no distribution is known
   bool isUrgent() const { return rank <= UrgentRank; }
   bool isGang() const { return workflow->step(key.step).gang(); }
   std::set<std::string> avoided;  ///< targets on which it has failed; used only if no other target could hold it
@@ -196,8 +197,15 @@
   double stopMs = 0.0;
   /** A gang that lost a member before its start keeps the targets that were cleared for it. Requires `nominations`. */
   bool keepGangTargets = false;
-  bool stopBackoff = false;        ///< further stops for a step that does not start are delayed
-  bool headroom = true;            ///< fully free targets are kept for priority 0
+  bool stopBackoff = false;  ///< further stops for a step that does not start are delayed
+  /** Reservations are dated, and backfill is checked, by quantiles of run times where they are known. */
+  bool quantileDates = false;
+  bool fillLimit = false;        ///< steps of small tasks leave fully free targets to gangs outside priority 0
+  double fillShare = 0.5;        ///< largest share of the targets that they leave free
+  double fillFixedShare = 0.0;   ///< share that they always leave free, regardless of the demand of gangs; 0: by demand
+  double fillHoldMs = 10000.0;   ///< time for which the observed demand of gangs is kept before it decays, ms
+  double fillDecayMs = 20000.0;  ///< time constant of this decay, ms
+  bool headroom = true;          ///< fully free targets are kept for priority 0
   double headroomWaitMs = 4000.0;  ///< wait after which other work may use these targets, ms
 };
 
--- a/test/LoadReplay.h
+++ b/test/LoadReplay.h
@@ -33,7 +33,10 @@
 struct ReplayArrival {
   double atMs = 0.0;  ///< time since the start of the replay, ms
   ReplayClass kind = ReplayClass::Urgent;
-  unsigned workspace = 0;  ///< number of the workspace that submits it
+  unsigned workspace = 0;          ///< number of the workspace that submits it
+  std::uint32_t tasks = 0;         ///< number of tasks; 0: drawn
+  std::uint32_t accelerators = 0;  ///< accelerators of a task; 0: drawn
+  bool afterBulk = false;          ///< a gang just after a bulk of single tasks, whose wait is reported separately
 };
 
 /** Period during which a fault affects a share of the targets. */
@@ -59,11 +62,14 @@
   std::vector<ReplayFaultPeriod> slowPeriods;     ///< run times on the targets are three times as long
   std::vector<ReplayFaultPeriod> withdrawals;     ///< targets leave permanently, 2 s after their notice at fromMs
   std::vector<ReplayFaultPeriod> crashes;         ///< targets crash at fromMs and return at untilMs
-  double crashingShare = 0.0;   ///< share of the workflows of which one task crashes each target that starts it
-  double slowRunShare = 0.0;    ///< probability that a run outside gangs is slow
-  double slowRunFactor = 7.0;   ///< multiple of its usual run time that such a run takes
-  double crashAfterMs = 10.0;   ///< time from the start of such a task to the crash
-  double durationMs = 60000.0;  ///< length of the replay
+  double slowRunShare = 0.0;                      ///< probability that a run outside gangs is slow
+  double slowRunFactor = 7.0;                     ///< multiple of its usual run time that such a run takes
+  double crashingShare = 0.0;      ///< share of the workflows of which one task crashes each target that starts it
+  double crashAfterMs = 10.0;      ///< time from the start of such a task to the crash
+  double stragglerShare = 0.0;     ///< probability that a task of a step of single tasks takes seven times as long
+  bool progressKnown = true;       ///< remaining times are extrapolated from the progress of runs
+  double checkpointEveryMs = 0.0;  ///< time between two checkpoints of a run; 0: one is written when it is stopped
+  double durationMs = 60000.0;     ///< length of the replay
 };
 
 /** \returns the patterns of the benchmark, drawn from a seed: bursts, targets of different speeds, outages and
@@ -122,6 +128,8 @@
   CommonCauseRule commonCauseRule = CommonCauseRule::OtherWork;
   bool fairShares = false;  ///< steps are ordered by the shares of their workspaces
   FairShareOptions shares = {};
+  double dateQuantile = 0.9;    ///< quantile of run times that the planner gets
+  bool checkpointAges = false;  ///< the time since the newest checkpoint counts as lost work, not a fixed time
 };
 
 /** \class ReplayResult
@@ -134,16 +142,11 @@
     unsigned ended = 0;       ///< number of workflows that ended, late ones included
     unsigned late = 0;        ///< number of workflows that ended after their objective
     unsigned unfinished = 0;  ///< number of workflows that did not end, or ended so late that they were worthless
+    unsigned neverEnded = 0;  ///< number of workflows that did not end at all
+    /** By workflow: time from its arrival to its first start, or to the end of the replay if there was none. */
+    std::vector<double> waitsMs;
   };
   std::array<Class, ReplayClasses> classes;
-  double wastedWork = 0.0;      ///< work lost with runs that ended early and had no checkpoint, core-seconds
-  double worked = 0.0;          ///< work of runs that completed, core-seconds
-  unsigned stops = 0;           ///< number of runs stopped by the planner
-  unsigned crashes = 0;         ///< number of targets crashed by tasks
-  unsigned lostRuns = 0;        ///< number of runs lost with a crashed target
-  unsigned givenUp = 0;         ///< number of workflows given up that have a task that crashes targets
-  unsigned falselyGivenUp = 0;  ///< number of other workflows given up
-  unsigned suspected = 0;       ///< number of lost runs that crashed no target and yet were counted against their tasks
   /** Waits of the workflows of one workspace from their arrival to their first start, or to the end of the replay. */
   struct Waits {
     unsigned workflows = 0;
@@ -161,13 +164,30 @@
   /** By step of at least five single tasks: time from the first start to the end of its slowest task, divided by the
    * median of all its tasks. */
   std::vector<double> slowestToMedian;
-  unsigned maxStarts = 0;       ///< maximum number of starts of one task after the third crash that it caused
   unsigned rejections = 0;      ///< number of workflows that AdmissionForecast would have rejected at their arrival
   unsigned rejectedInTime = 0;  ///< number of these that ended in time
+  double wastedWork = 0.0;      ///< work lost with runs that ended early and had no checkpoint, core-seconds
+  double worked = 0.0;          ///< work of runs that completed, core-seconds
+  std::vector<double> largeGangWaitsMs;  ///< waits of gangs of priority 1 that need 24 accelerators or more
+  std::vector<double> bulkGangWaitsMs;   ///< waits of gangs that arrive just after a bulk of single tasks
+  double runMs = 0.0;                    ///< total time of all runs
+  double wastedRunMs = 0.0;              ///< part of it that was lost with runs that ended early
+  unsigned starts = 0;                   ///< number of runs
+  unsigned youngStops = 0;               ///< number of stops of runs younger than 2 s
+  unsigned stops = 0;                    ///< number of runs stopped by the planner
+  unsigned crashes = 0;                  ///< number of targets crashed by tasks
+  unsigned lostRuns = 0;                 ///< number of runs lost with a crashed target
+  unsigned givenUp = 0;                  ///< number of workflows given up that have a task that crashes targets
+  unsigned falselyGivenUp = 0;           ///< number of other workflows given up
+  unsigned suspected = 0;  ///< number of lost runs that crashed no target and yet were counted against their tasks
+  unsigned maxStarts = 0;  ///< maximum number of starts of one task after the third crash that it caused
   /** \returns earned as a share of attainable over all classes, 0 to 1; 0 if nothing is attainable. */
   double worth() const;
 };
 
+/** \returns a quantile of some values; 0 if there are none. */
+double quantileOf(std::vector<double> values, double quantile);
+
 /** \class LoadReplay
  * \brief Discrete-time simulation of a seeded load with the real planner and run time estimator.
  *
@@ -205,9 +225,10 @@
     std::vector<double> firstRunMs;         ///< by task: time of its first start
     std::vector<double> tookMs;             ///< by task: time from its first start to its end
     double worth = 0.0;                     ///< if it ends in time
+    bool afterBulk = false;                 ///< as in ReplayArrival
     bool writesCheckpoints = false;         ///< its tasks write checkpoints
-    double readyMs = 0.0;                   ///< time since when it waits
     std::optional<double> firstStartMs;     ///< time of its first start
+    double readyMs = 0.0;                   ///< time since when it waits
     double endedMs = 0.0;                   ///< 0 until it ends
     std::optional<std::uint32_t> crashing;  ///< the task that crashes targets
     unsigned crashes = 0;                   ///< number of crashes that this task has caused
@@ -230,6 +251,8 @@
     double shareAtStart = 0.0;  ///< share at its start
     double workedMs = 0.0;      ///< time for which it worked
     double heldMs = 0.0;        ///< the same plus the time for which it waited for the rest of its gang to end
+    double savedShare = 0.0;    ///< share at its newest checkpoint
+    double savedHeldMs = 0.0;   ///< heldMs at its newest checkpoint
     std::string gang;           ///< empty if it belongs to no gang
   };
 
@@ -259,6 +282,9 @@
   void recordSlowest(const Job& job);
   void plan();
   ObservedStep stepOf(const Run& run) const;
+  double expectedRunMs(const Run& run) const;
+  double remainingQuantileMs(const Run& run) const;
+  double quantileRatio(ReplayClass kind, double passedRatio) const;
   void updateEstimates();
   TargetSlowdown slowdownOf(std::size_t target) const;
   std::vector<PlannedTarget> planTargets() const;
@@ -284,6 +310,7 @@
   std::size_t m_arrived = 0;  ///< number of arrivals so far
   double m_nowMs = 0.0;       ///< time since the start of the replay
   RunPlanner m_planner;
+  bool m_quantilesUsed;
   SpeedsKnown m_speeds;
   CrashRule m_crashRule;
   CommonCauseRule m_commonCauseRule;
@@ -293,6 +320,10 @@
   WorkspaceUsage m_workspaceUsage;
   bool m_copies;
   CopyPlanner m_copyPlanner;
+  double m_dateQuantile;
+  bool m_checkpointAges;
+  std::array<std::vector<double>, ReplayClasses>
+      m_ratios;                           ///< run times of ended runs as multiples of the expected one
   RunTimeEstimator m_endedRunsEstimator;  ///< fed with ended runs
   RunTimeEstimator m_runTimeEstimator;    ///< the same plus active runs, if the variant uses them
   AdmissionReview m_admission;
