Apply ageing to the bands of steps again

Cause: the merge of two parts left applyAging() without a caller, so that bands did not fall with the wait. Change: readSteps() calls it. Measured: run_planner_shares, each_further_wait_lowers_the_band, covers it. Conclusion: as designed.

--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -108,7 +108,7 @@
     m_pass->demands.push_back(makeDemand(step, i, m_pass->targets, m_pass->nowMs, use));
     m_pass->names.emplace_back(step.workflow->record.id(), step.key);
     StepDemand& demand = m_pass->demands.back();
-    demand.rank = agedRank(demand.rank, demand.waitedMs, demand.estimateMs);
+    applyAging(demand);
   }
 }
 
