--- a/Courseloom/src/Replication/LeaderSpeed.cpp
+++ b/Courseloom/src/Replication/LeaderSpeed.cpp
@@ -14,7 +14,7 @@
 /** Share of the factor below which a slow leader counts as recovered. The gap keeps a delay near the limit from
  * restarting the time for which the leader must have been slow. */
 constexpr double RecoveredShare = 0.5;
-/** With a single peer it is unknown which of the two is the exception. */
+/** With a single peer it is unknown whether the leader is slow or the peer is fast. */
 constexpr std::size_t FewestPeers = 2;
 
 double median_ms(std::vector<double> values) {
--- a/Courseloom/src/Scheduling/AdmissionForecast.cpp
+++ b/Courseloom/src/Scheduling/AdmissionForecast.cpp
@@ -12,7 +12,7 @@
 namespace internal {
 namespace {
 
-/** Longest retry time relative to the shortest one for the same backlog. */
+/** Difference between the longest and the shortest retry time for the same backlog, relative to the shortest one. */
 constexpr double RetrySpread = 0.5;
 
 /** \returns the amount of the resource that limits a submission: accelerators if it needs any, otherwise cores. */
@@ -31,7 +31,7 @@
   return static_cast<double>(submission.firstArrivalMs) + submission.usefulMs;
 }
 
-/** \returns whether a rejected workflow is to be admitted before a submission: it arrived first, and it is as urgent.
+/** \returns whether a rejected workflow is admitted before a submission: it arrived earlier and is at least as urgent.
  */
 bool has_place_ahead(const Submission& place, const Submission& submission) {
   if (place.firstArrivalMs >= submission.firstArrivalMs) return false;
@@ -98,7 +98,7 @@
  * \param shareUsed share of the capacity that newly accepted work takes: late work is served with the rest */
 double AdmissionForecast::longestWaitMs(const Submission& submission, double margin, double shareUsed) const {
   // Work that would end too late even if it started at once is not late because of the backlog: its estimate or its
-  // objective is wrong, and its caller would return forever.
+  // objective is wrong. The critical path is limited here, since the work would otherwise be rejected at every attempt.
   const double runMs = std::min(submission.criticalPathMs, submission.usefulMs);
   const double shareLeft = std::max(m_options.leastShareLeft, 1.0 - shareUsed);
   return std::max(margin * submission.inTimeMs - runMs, shareLeft * (margin * submission.usefulMs - runMs));
@@ -123,10 +123,10 @@
     return internal::limiting_amount(submission, work) / available;
   };
   const internal::WaitingWork waiting = internal::waiting_work(submission, backlog, places, available);
-  // As if newly accepted work took the whole capacity, which is when places matter.
+  // Computed as if newly accepted work took the whole capacity, since rejected callers matter only then.
   const double mostPlacesMs = m_options.placesShare * longestWaitMs(submission, m_options.margin, 1.0);
   const double parts = waiting.workspaces;
-  // The waits in the order of all workspaces, and in an equal part of the capacity.
+  // The wait is forecast twice: in the order of all workspaces, and with the workspace's equal part of the capacity.
   const double aheadMs = waiting.betterMs + std::min(waiting.placesMs, mostPlacesMs);
   const double ownAheadMs = waiting.betterMs + std::min(parts * waiting.ownPlacesMs, mostPlacesMs);
   const double allShare = shareOf(inflow.better) + shareOf(inflow.same);
@@ -150,8 +150,8 @@
   return verdict;
 }
 
-/** \returns whether a submission's workspace holds more than its part of the backlog of its rank while others wait.
- * Ranks that ageing makes equal count as one. */
+/** \returns whether a submission's workspace holds more than workspaceShare of the backlog of its rank while others
+ * wait. Ranks that ageing makes equal count as one. */
 bool AdmissionForecast::exceedsPart(const Submission& submission, const std::vector<BacklogEntry>& backlog,
                                     const std::vector<const Submission*>& places, double capacity) const {
   double own = 0.0;
--- a/Courseloom/src/Scheduling/AdmissionForecast.h
+++ b/Courseloom/src/Scheduling/AdmissionForecast.h
@@ -24,8 +24,8 @@
   double workspaceShare = 0.5;
   /** Backlog, as a time at full capacity, below which workspaceShare is not enforced, ms. */
   double freeBacklogMs = 2000.0;
-  /** Largest share of the wait with which a workflow is still in time that the places of rejected callers may take up.
-   * Callers that never return then cannot close a service to others. */
+  /** Rejected workflows whose callers are expected to return may account for at most this share of the longest wait
+   * with which a workflow is still in time. Otherwise, callers that never return would close a service to others. */
   double placesShare = 0.5;
   /** Share of the capacity that is assumed to be left for late work, however much new work arrives. */
   double leastShareLeft = 0.05;
@@ -44,7 +44,7 @@
 /** \class BacklogEntry
  * \brief Accepted work of one workflow at one service that has not been started, and whose result still has a value:
  * the planner serves worthless work last. Active runs do not count: they end while the waiting work starts, so a
- * forecast without them is rather too short than too long.
+ * forecast that omits them is too short rather than too long.
  */
 struct BacklogEntry {
   Rank rank = UrgentRank;
@@ -90,9 +90,9 @@
   bool accepted() const { return reason == Reason::Accepted; }
 };
 
-/** \returns the rank that work of a rank reaches at last: the planner's ageing gives waiting work of every lower
- * priority the rank of priority 1. Without this, a flood of priority 1 would keep lower priorities rejected for good.
- */
+/** \returns the best rank that work of a rank reaches by waiting: the planner's ageing gives work of every lower
+ * priority the rank of priority 1. Without this, a lasting high load of priority 1 would keep lower priorities
+ * rejected. */
 Rank agedRank(Rank rank);
 
 /** \returns the name of a reason in events and metrics. */
@@ -105,15 +105,15 @@
  * work is always accepted. A workflow is expected to start once the waiting work that is served before it has passed
  * through the service's capacity: work of a better rank, and work of its rank with an earlier objective, where all
  * priorities from 1 count as one rank because of the planner's ageing. Rejected callers that are expected to return and
- * arrived first count as well, so that they are admitted first. If less of that work waits in its workspace than the
- * workspace's equal part of the capacity serves, the forecast is that of this part: a workspace is not rejected for the
- * backlog of others.
+ * arrived first count as well, so that they are admitted first. The start is also forecast with only the workspace's
+ * own work of this rank and an equal part of the capacity, and the more favourable forecast applies: a workspace is not
+ * rejected for the backlog of others.
  *
  * A workflow that is expected to end in time, with the margin, is accepted. The planner serves late work after all work
  * that can still end in time. Late work therefore does not delay work that is in time, unless new work takes the whole
- * capacity: then every workflow that is accepted leaves a late one behind for good, and late work counts too. Late work
- * only gets the share of the capacity that newly accepted work leaves, and its start is expected later by that factor.
- * The class has no clock and no random source.
+ * capacity: then each workflow that is accepted displaces a late one permanently, so late work counts as well. Late
+ * work only gets the share of the capacity that newly accepted work leaves, and its start is expected later by that
+ * factor. The class has no clock and no random source.
  */
 class AdmissionForecast {
  public:
--- a/Courseloom/src/Scheduling/CopyPlanner.cpp
+++ b/Courseloom/src/Scheduling/CopyPlanner.cpp
@@ -51,8 +51,9 @@
   ResourceAmounts m_capacity;
 };
 
-/** Smallest difference of two slowdowns that counts: a tenth, as for single targets. Without it, the noise of the
- * estimates would exclude nearly all targets as slower than the one with the smallest estimate. */
+/** Smallest difference of two slowdowns that counts; the same as the slowdown from which a single target counts as
+ * slow. Without it, the noise of the estimates would exclude nearly all targets as slower than the one with the
+ * smallest estimate. */
 constexpr double MinNotableDifference = 0.1;
 
 /** \returns whether a target is slower than another one by more than the uncertainty of the estimates. */
--- a/Courseloom/src/Scheduling/FairShare.h
+++ b/Courseloom/src/Scheduling/FairShare.h
@@ -20,12 +20,13 @@
 struct FairShareOptions {
   /** Multiple of its fair share that a workspace may have used before its steps are served after those of others. */
   double burst = 1.5;
-  /** Share of the service's capacity that counts as used at least, 0 to 1: about what one run of 8.5 s on all targets
-   * leaves in a window of 43 s. Without it, the first run after an idle time would be far above an equal share of the
-   * little that was used. */
+  /** Smallest share of the service's capacity, 0 to 1, that is assumed to have been used when equal shares are
+   * computed. Without it, the first run after an idle time would be far above an equal share of the little that was
+   * used. */
   double leastUse = 0.2;
-  /** Multiple of the mean use of all workspaces from which a workspace competes that neither waits nor runs. If only
-   * those that wait or run counted, an equal share would change with each short task of a small workspace. */
+  /** A workspace that neither waits nor runs still competes if its use is at least this multiple of the mean use of all
+   * workspaces. If only those that wait or run counted, an equal share would change with each short task of a small
+   * workspace. */
   double notableUse = 0.1;
 };
 
--- a/Courseloom/src/Scheduling/FillLimit.cpp
+++ b/Courseloom/src/Scheduling/FillLimit.cpp
@@ -53,7 +53,7 @@
   const auto shareOf = [targets](double share) {
     return static_cast<std::size_t>(share * static_cast<double>(targets));
   };
-  // Rounded, not rounded up: the decaying peak never becomes 0.
+  // Rounded to the nearest number: the decaying peak never becomes 0, so rounding up would always keep a target.
   const auto missing = static_cast<std::size_t>(std::lround(std::max(0.0, m_peak.value - m_held)));
   const std::size_t wanted = m_options.fixedShare > 0.0 ? shareOf(m_options.fixedShare) : missing;
   if (wanted == 0) return {};
--- a/Courseloom/src/Scheduling/FillLimit.h
+++ b/Courseloom/src/Scheduling/FillLimit.h
@@ -16,13 +16,13 @@
  * \brief Limits of the number of whole targets that are kept free for gangs.
  */
 struct FillLimitOptions {
-  /** Time for which the maximum of the gang demand is kept before it decays, ms. With a decay from the first moment,
-   * gangs that came back after 3 s missed 2 of their 16 targets. */
+  /** Time for which the maximum of the gang demand is kept before it decays, ms. With an immediate decay, gangs that
+   * return after a short pause would find fewer whole targets than they need. */
   double holdMs = 10000.0;
   double decayMs = 20000.0;     ///< time constant of the decay of the observed gang demand, ms
   double largestShare = 0.5;    ///< largest share of the targets kept for gangs; the rest stays usable for other work
   double longestWaitMs = 4000;  ///< wait after which a step may use the kept targets, ms
-  /** Share of the targets that is kept regardless of the observed demand, as an alternative to it; 0: by demand. */
+  /** Share of the targets that is kept regardless of the observed demand; 0: the number is derived from the demand. */
   double fixedShare = 0.0;
 };
 
@@ -48,7 +48,7 @@
  * \brief Limits how many fully free targets of one service small tasks may occupy, so that gangs find whole targets.
  *
  * It addresses a load in which single tasks occupy each accelerator as soon as it becomes free, so that a gang that
- * needs eight at once on several targets never finds them free and has to stop other runs.
+ * needs all accelerators of several targets at once never finds them free and has to stop other runs.
  */
 class FillLimit {
  public:
--- a/Courseloom/src/Scheduling/KeptTargets.h
+++ b/Courseloom/src/Scheduling/KeptTargets.h
@@ -25,7 +25,8 @@
  * \brief Remembers the targets that were cleared for a gang, from its planned start until all its members have begun.
  *
  * If a member of the gang is lost before it begins, the other members are stopped and the gang waits again. Without
- * this, other work takes their targets meanwhile, and it is stopped for the gang once more. The class has no clock.
+ * this, other work would take their targets in the meantime and would be stopped for the gang again. The class has no
+ * clock.
  * \sa RunPlanner
  */
 class KeptTargets {
--- a/Courseloom/src/Scheduling/Placer.cpp
+++ b/Courseloom/src/Scheduling/Placer.cpp
@@ -23,8 +23,9 @@
 /** Cost of a fully free target for a step that leaves such targets to gangs. It exceeds slowTargetDiscount, so that
  * the speed of a target never outweighs it, but not the penalties of failing targets and of those being freed. */
 constexpr double FullyFreeCost = 15.0;
-/** Additional cost in the rack that has the most fully free targets, if gangs need one rack; less in other racks. Small
- * tasks use up the racks with the fewest ones first, so that several gangs find a rack each. */
+/** Additional cost of a fully free target in the rack that has the most of them, if gangs need one rack; proportionally
+ * less in other racks. Small tasks thus use up the racks with the fewest fully free targets first, so that several
+ * gangs find a rack each. */
 constexpr double FullRackCost = 4.0;
 /** Cost of a trial start on a target with other runs, which a crash would end; and per accelerator in use there. */
 constexpr double CrashCost = 100.0;
--- a/Courseloom/src/Scheduling/Placer.h
+++ b/Courseloom/src/Scheduling/Placer.h
@@ -74,7 +74,8 @@
   bool respectsHeadroom(const StepDemand& demand) const;
   /** \returns whether the step has to leave fully free targets to gangs. Gangs and urgent steps never have to. */
   bool respectsFillLimit(const StepDemand& demand) const;
-  /** \returns the time, ms, after which a step that starts now no longer delays a reservation. */
+  /** \returns the run time, ms, that is assumed for a step's tasks when backfill is checked: a step that starts now
+   * delays the reservations that begin earlier than this. */
   double backfillMs(const StepDemand& demand) const;
   /** \returns the number of open targets that have all of their accelerators free. */
   std::size_t countFullyFree(const TargetCapacities& capacities) const;
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -215,7 +215,8 @@
     const auto found = m_runs.find(key);
     if (found == m_runs.end() || found->second.agent != report.agent()) continue;
     if (!internal::same_identity(report.target().id(), found->second.target)) continue;
-    // A run that is done has begun. Otherwise two runs that are both done would each wait for the other one.
+    // A run that is done has begun. If it did not count as begun, two runs that are both done would each wait for the
+    // other one.
     if (row.kind() == schema::RunDone) found->second.confirmed = true;
     if (row.kind() == schema::RunDone && !holdBackOther(key)) {
       if (target.withheldEnd == 0) target.withheldEnd = row.number();
@@ -238,8 +239,8 @@
   return nullptr;
 }
 
-/** Makes sure that no order in transit begins the other run of a task after the end of this one was committed. An other
- * run that is not known to have begun is stopped. \returns whether the end may be committed now; not while the outcome
+/** Ensures that no order in transit begins the other run of a task after the end of this one was committed. The other
+ * run is stopped if it is not known to have begun. \returns whether the end may be committed now; not while the outcome
  * of an order for the other run is unknown */
 bool RunLedger::holdBackOther(const RunKey& key) {
   RunTrack* other = otherRunOf(key);
@@ -448,7 +449,7 @@
   if (!over && !track.stopRequested) return false;
   const bool finishing = workflow != nullptr && workflow->record.phase() == schema::WorkflowCompleted;
   const TaskState* task = workflow == nullptr ? nullptr : workflow->task(key.task);
-  // Of a run and its copy, the one that lost would go on; only members of a gang end by themselves.
+  // Only members of a gang end by themselves. Of a run and its copy, the one that was not done first would continue.
   const bool gang = workflow != nullptr && workflow->step(key.task.step).gang();
   const bool endsByItself = gang && (finishing || (task != nullptr && task->done));
   if (endsByItself && now < track.percentChanged + internal::DoneGrace) return false;
--- a/Courseloom/src/Scheduling/RunPace.h
+++ b/Courseloom/src/Scheduling/RunPace.h
@@ -32,11 +32,11 @@
 double leastRemainingMs(double elapsedMs, std::uint32_t firstPercent, std::uint32_t percent);
 
 /** \returns the time for which a task has run, as a multiple of its expected run time: the share that was done when the
- * run was first seen, and the time since the start of the run. \param wholeMs expected run time of the whole task on
+ * run was first seen plus the time since the start of the run. \param wholeMs expected run time of the whole task on
  * its target, ms; 0 gives 0 */
 double passedRatio(const RunTrack& track, double wholeMs, Time now);
 /** \returns the run time since the newest checkpoint that a run has reported, or since its start before the first one,
- * ms. A stop loses it. Never negative. */
+ * ms. This run time is lost if the run is stopped. Never negative. */
 double sinceCheckpointMs(const RunTrack& track, Time now);
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/RunPlan.h
+++ b/Courseloom/src/Scheduling/RunPlan.h
@@ -111,7 +111,7 @@
     RunKey run;
     std::size_t forStep = 0;  ///< index among the given steps: the step that gets the freed capacity
   };
-  /** Stops for a step that were delayed, or made although they were delayed. */
+  /** A delay of the stops for a step, reported when the delay begins or is overridden. */
   struct StopDelay {
     std::size_t step = 0;     ///< index among the given steps
     double delayMs = 0.0;     ///< time until further stops are possible, ms; 0 if the delay was overridden
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -125,7 +125,7 @@
 }
 
 /** Raises the rank of a step that has waited long: strict ranks would starve the lowest class in lasting overload. Its
- * band falls by one each time that it has waited as long, so that bands do not starve it either. */
+ * band is lowered by one for each multiple of this wait, so that bands do not starve it either. */
 void RunPlanner::applyAging(StepDemand& demand) const {
   if (m_options.ageAfterEstimates == 0.0) return;
   demand.rank = agedRank(demand.rank, demand.waitedMs, demand.estimateMs);
@@ -191,7 +191,7 @@
   return nominations;
 }
 
-/** Updates what is remembered of steps that have caused stops or were started, and have not begun since. */
+/** Updates the records of steps for which runs were stopped or that were started, and that have not begun since. */
 void RunPlanner::updateUnstartedSteps() {
   StopBackoff::PendingTasks pending;
   m_stopBackoff.addSteps(pending);
@@ -256,7 +256,7 @@
   return counts;
 }
 
-/** Finds the kept targets of gangs that do not wait yet: some of their members have ended, others are still being
+/** Finds the kept targets of gangs that do not wait again yet: some of their members have ended, others are still being
  * stopped. */
 void RunPlanner::findHolds() {
   if (m_keptTargets.entries().empty()) return;
@@ -294,7 +294,7 @@
   m_keptTargets.keep(m_pass->names[demand.step], std::move(entry), m_pass->nowMs);
 }
 
-/** Holds the targets that are kept for a waiting gang that finds no place yet. */
+/** Holds the targets that are kept for a waiting gang that cannot be placed yet. */
 void RunPlanner::holdKeptTargets(const StepDemand& demand) {
   const KeptTargets::Entry* entry = m_keptTargets.find(m_pass->names[demand.step]);
   if (entry == nullptr) return;
@@ -369,8 +369,8 @@
   return !demand.isUrgent() && demand.waitedMs > m_options.spreadAfterEstimates * demand.estimateMs;
 }
 
-/** \returns the time, ms, which decides what reservations a step would delay; 0 if there are none, since
- * all estimates then lead to the same result. */
+/** \returns the time, ms, that decides which reservations a step would delay; 0 if there are none, since all estimates
+ * then lead to the same result. */
 double RunPlanner::reservationDelayMs(const StepDemand& demand) const {
   return m_pass->placer->reservations() == 0 ? 0.0 : m_pass->placer->backfillMs(demand);
 }
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -58,8 +58,8 @@
   void clearFillLimits() { m_fillLimits.clear(); }
   /** Ends a pass. \returns the decisions of the pass */
   RunPlan finish();
-  /** Discards what is remembered of steps that have caused stops or were started, and have not begun since. Called when
-   * a replica begins or ceases to lead; a pass may be under way. */
+  /** Discards the records of steps for which runs were stopped or that were started, and that have not begun since.
+   * Called when a replica begins or ceases to lead; a pass may be under way. */
   void forgetUnstartedSteps();
   /** \returns ids of the targets that are reserved or being freed for waiting steps, as of the last finished pass. */
   std::set<std::string> heldTargets() const;
--- a/Courseloom/src/Scheduling/RunPlannerWaiting.cpp
+++ b/Courseloom/src/Scheduling/RunPlannerWaiting.cpp
@@ -113,7 +113,8 @@
   return permission;
 }
 
-/** Keeps capacity that is being freed for tasks outside a gang without further stops. \returns whether there is any */
+/** Nominates targets on which capacity is already being freed for the tasks of a step that is not a gang, without
+ * further stops. \returns whether there are any */
 bool RunPlanner::nominateUpcoming(const StepDemand& demand, const TargetCapacities& capacities) {
   if (demand.gang) return false;
   const StepPlacement upcoming = m_pass->placer->place(demand, *demand.eligible, capacities);
--- a/Courseloom/src/Scheduling/StopBackoff.h
+++ b/Courseloom/src/Scheduling/StopBackoff.h
@@ -16,19 +16,20 @@
  * \brief How long further stops for a step are delayed.
  */
 struct StopBackoffOptions {
-  /** Delay after the first stops, ms. A stop takes 400 ms and the start after it about as long, so that stops that lead
-   * to a start are not followed by others. */
+  /** Delay after the first stops, ms. It covers the usual time of a stop and of the start after it, so that no further
+   * runs are stopped for a step that is about to start. */
   double firstDelayMs = 800.0;
-  double longestDelayMs = 12800.0;  ///< the delay doubles with each further stops up to this, ms
+  double longestDelayMs = 12800.0;  ///< the delay doubles with each further round of stops up to this, ms
 };
 
 /** \class StopBackoff
  * \brief Bounds how often runs are stopped for one step that does not start.
  *
- * A step whose starts are voided waits again, and the runs that have taken its place meanwhile would be stopped again
- * and again. Each task of a step may therefore cause one stop of the runs in its way; further stops are delayed until
- * the back-off is over, or until the step makes progress: all tasks of a gang have begun, or one of another step. The
- * class has no clock. Its records are bounded by the steps that wait or start. \sa RunPlanner
+ * A step whose starts are voided waits again, and the runs that have started on its targets in the meantime would be
+ * stopped repeatedly. Each task of a step may therefore cause one stop of the runs in its way; further stops are
+ * delayed until the back-off is over, or until the step makes progress, that is, until all tasks of a gang, or one task
+ * of any other step, have begun. The class has no clock. Its records are bounded by the steps that wait or start.
+ * \sa RunPlanner
  */
 class StopBackoff {
  public:
--- a/Courseloom/src/State/RunTimeDistribution.cpp
+++ b/Courseloom/src/State/RunTimeDistribution.cpp
@@ -14,14 +14,14 @@
 
 /** Exponent of the Pareto tail. With 2, the mean remaining time of a run in the tail equals its elapsed time. */
 constexpr double TailExponent = 2.0;
-/** Number of ratios above the elapsed one below which the Pareto tail is used instead of them: the mean of fewer varies
- * by more than half if they are exponentially distributed. */
+/** With fewer ratios above the elapsed one, the Pareto tail is used instead of them: for exponentially distributed
+ * ratios, the relative standard error of their mean would exceed a half. */
 constexpr std::ptrdiff_t MinInTail = 4;
 /** Recorded ratios are limited to this range, so that one wrong estimate does not determine a mean. */
 constexpr double MinRatio = 0.01;
 constexpr double MaxRatio = 100.0;
-/** Size of the default distribution, and exponent of its log-logistic shape: 6 in 100 runs take twice as long as
- * expected. */
+/** Size of the default distribution, and exponent of its log-logistic shape: 6 in 100 runs take at least twice as long
+ * as expected. */
 constexpr std::size_t DefaultRatios = 64;
 constexpr double DefaultShape = 4.0;
 
--- a/Courseloom/src/State/RunTimeDistribution.h
+++ b/Courseloom/src/State/RunTimeDistribution.h
@@ -15,10 +15,10 @@
 /** \class RunTimeDistribution
  * \brief Distribution of run times of one queue, relative to the expected run time of each run.
  *
- * Most runs end near their expected time, but a few in a hundred take several times as long. The conditional remaining
- * time of a run that is past its expected end shows this, where a single expected end would stay at zero. Beyond the
- * recorded runs, the tail is that of a Pareto distribution: the longer a run has taken, the longer it is expected to
- * take.
+ * Most runs end near their expected time, but a few in a hundred take several times as long. The remaining time is
+ * therefore conditional on the elapsed time: a single expected end would leave a run that is past it a remaining time
+ * of zero. Beyond the recorded runs, the tail is that of a Pareto distribution: the longer a run has taken, the longer
+ * it is expected to take.
  */
 class RunTimeDistribution {
  public:
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -20,8 +20,8 @@
   return gang ? TaskKey{key.occurrence, key.step, 0} : key;
 }
 
-/** \returns whether a start may add a run to a task that has `active` runs: there is none, or the start is a copy of
- * the only one on another target. */
+/** \returns whether a start may add a run to a task that has `active` runs: there is none, or the start copies the only
+ * one to another target. */
 bool may_start(const WorkflowState& workflow, const TaskKey& key, const std::vector<schema::ActiveRun>& active,
                const schema::ActiveRun& run) {
   if (active.empty()) return run.copy_of() == 0;
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -176,7 +176,8 @@
    * runs. */
   std::vector<std::string> consumeEnded();
 
-  /** Adds the configuration, the workflows, the run time estimates and the use by workspaces to a snapshot. */
+  /** Adds the configuration, the workflows, the run time estimates and distributions, and the use by workspaces to a
+   * snapshot. */
   void save(schema::StateSnapshot& snapshot) const;
   /** Reads the table from a snapshot. To be called only on a table without workflows: existing ones are kept. */
   void load(const schema::StateSnapshot& snapshot);
--- a/Courseloom/src/State/WorkspaceUsage.h
+++ b/Courseloom/src/State/WorkspaceUsage.h
@@ -36,10 +36,11 @@
  public:
   /** Largest number of entries, one for each workspace and service. */
   static constexpr std::size_t MaxEntries = 4096;
-  /** Time after which a use counts half, ms: several run times of the usual workflows, 2.5 to 8.5 s, so that a share is
+  /** Time after which a use counts half, ms. It is several times the usual run time of a workflow, so that a share is
    * an average over several runs, and short enough that a burst is forgotten within a few minutes. */
   static constexpr double HalfLifeMs = 30000.0;
-  /** \returns the time, s, by which a use that has been constant for long is multiplied in its decayed sum. */
+  /** \returns the time constant of the decay, s: the decayed sum of a constant use approaches its rate multiplied by
+   * this time. */
   static double windowS();
   /** \returns the decayed use of a run that holds its resources from one time to another, as of the end of this time;
    * nothing if it ends before it starts. \param need what the run holds \param fromMs, toMs ms since 1970 */
