--- a/Courseloom/src/Control/AdmissionReview.h
+++ b/Courseloom/src/Control/AdmissionReview.h
@@ -29,7 +29,7 @@
 class AdmissionSource {
  public:
   virtual ~AdmissionSource() = default;
-  /** \returns the input for a workflow, or nothing if it has to be accepted: its times are its own (occurrences), it is
+  /** \returns the input for a workflow, or nothing if it has to be accepted: it has scheduled occurrences, it is
    * long-running, or the leader does not know its targets yet */
   virtual std::optional<AdmissionInput> admissionInput(const schema::Workflow& workflow) = 0;
   /** Counts a workflow that was accepted as backlog before it is committed, since further submissions arrive meanwhile.
@@ -41,8 +41,8 @@
  * \brief Decides on submissions in the order of their first arrival. It has no clock and no random source.
  *
  * The first arrival of a workflow counts only for its admission. Once accepted, its objective and its waiting time
- * count from the committed submission, which every later leader knows; a time that a caller could lengthen by
- * submitting early would raise its rank.
+ * count from the committed submission, which every later leader knows. If they counted from the first arrival, a caller
+ * could gain priority by submitting early.
  */
 class AdmissionReview {
  public:
@@ -50,7 +50,7 @@
   /** \param nowMs steady clock, ms \param spread as for AdmissionForecast::decide() */
   AdmissionVerdict decide(const std::string& workflow, const std::string& service, const AdmissionInput& input,
                           std::uint64_t nowMs, double spread);
-  /** Forgets all rejected callers and all accepted work. \returns how many callers had a place */
+  /** Forgets all rejected callers and all accepted work. \returns how many rejected workflows were recorded */
   std::size_t clear();
   std::size_t places() const { return m_returns.size(); }
 
--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -37,7 +37,7 @@
 void QueueHandler::lead(bool leads) {
   if (!m_context.settings.policy().admission()) return;
   const std::size_t places = m_review.clear();
-  // A new leader can't know whether its predecessor rejected callers; without a configuration there were none.
+  // A new leader does not know whether its predecessor rejected callers; without a configuration there were none.
   const bool lost = leads ? table().configured() : places > 0;
   if (lost) logEvent(schema::ReturnPlacesLost, {{"leads", leads ? "yes" : "no"}, {"places", std::uint64_t{places}}});
 }
--- a/Courseloom/src/Control/QueueHandler.h
+++ b/Courseloom/src/Control/QueueHandler.h
@@ -23,7 +23,7 @@
   /** \param admission supplies what the admission of new workflows depends on */
   QueueHandler(const DaemonContext& context, ReplicaDriver& driver, AdmissionSource& admission);
 
-  /** Starts or stops acting as leader: the places of rejected callers are lost. */
+  /** Starts or stops acting as leader. The places of rejected callers (see ReturnTable) are lost. */
   void lead(bool leads);
 
   /** Handles a caller's submission, cancellation or query. \returns NoLeader where this replica cannot serve it */
--- a/Courseloom/src/Control/ReturnTable.h
+++ b/Courseloom/src/Control/ReturnTable.h
@@ -18,6 +18,8 @@
 /** \class ReturnTable
  * \brief Stores when rejected workflows were first submitted, so that callers who return keep their place.
  *
+ * The place of a rejected workflow is its position among the others by the time of its first submission.
+ *
  * The table is in the leader's memory and bounded. When it is full, the workspace with the most places loses the one
  * with the earliest due time, so that no workspace can remove the places of another that has fewer. After a change of
  * leader the places are lost, and a caller who returns counts as new. Times are those of a steady clock, since the
--- a/Courseloom/src/Control/WorkflowAdmission.cpp
+++ b/Courseloom/src/Control/WorkflowAdmission.cpp
@@ -13,8 +13,8 @@
 namespace internal {
 namespace {
 
-/** Age at which the backlogs are computed anew. It takes a pass over all open workflows; accepted submissions are added
- * in between. */
+/** Age at which the backlogs are computed anew. The computation visits all open workflows; in between, accepted
+ * submissions are added one by one. */
 constexpr Duration BacklogValidity = milliseconds(100);
 constexpr double CpuMilliPerCore = 1000.0;
 
--- a/Courseloom/src/Control/WorkflowAgents.cpp
+++ b/Courseloom/src/Control/WorkflowAgents.cpp
@@ -18,8 +18,8 @@
 /** Maximum number of relays in a reply. One would be enough, but a failure that cuts off the asking node may cut off
  * some relays too. */
 constexpr std::size_t MaxRelaysPerReply = 4;
-/** Time after which an agent reports an end again that could not be committed yet. Covers a round trip to the agent on
- * whose answer the end waits. */
+/** Time after which an agent repeats the report of an end that could not be committed yet. Allows for a round trip to
+ * the agent of the task's other run, whose report the end waits for. */
 constexpr Duration WithheldEndRetry = milliseconds(50);
 
 /** \returns a hash of the replicas and relays that a reply lists; never 0. */
@@ -28,7 +28,7 @@
   return XXH64(reply.relays().data(), sizeof(std::uint32_t) * reply.relays_size(), members) | 1U;
 }
 
-/** \returns the row of a report that contains a run's end; null if the end follows from the report otherwise. */
+/** \returns the row of a report that contains a run's end; null if the report implies the end without listing it. */
 const schema::EndReport* row_of(const schema::RunEnd& end, const schema::AttendRequest& report) {
   const RunKey key = runKeyOf(end.task(), end.run());
   for (const schema::EndReport& row : report.ends()) {
@@ -112,8 +112,8 @@
   return runs;
 }
 
-/** \returns the number of the first end in an agent's newest report that is not to be committed yet, 0 if there is
- * none. Has the agent of the copy answered, on whose answer the end waits. */
+/** \returns the number of the first end in an agent's newest report that must not be committed yet, 0 if there is
+ * none. Ends the delay of the reply to the agent of the other run, since the end waits for that agent's next report. */
 std::uint64_t WorkflowRunner::findWithheldEnd(const std::string& agent) {
   const TargetTrack* withholding = m_ledger.withholds(agent);
   if (withholding == nullptr) return 0;
--- a/Courseloom/src/Control/WorkflowCopies.cpp
+++ b/Courseloom/src/Control/WorkflowCopies.cpp
@@ -109,8 +109,9 @@
   return eligible;
 }
 
-/** \returns the free capacity that copies may use: what runs and the plan's starts leave, without targets that are
- * reserved or being freed for waiting steps, that get a trial start, or that are kept fully free for priority 0. */
+/** \returns the free capacity that copies may use, by target: what runs and the plan's starts leave. It is zero on
+ * targets that are reserved or being freed for waiting steps, get a trial start, or are kept fully free for priority 0.
+ */
 TargetCapacities WorkflowRunner::freeForCopies(const RunPlan& plan, const std::vector<PlannedStep>& steps,
                                                const std::vector<PlannedTarget>& targets,
                                                const std::vector<PlannedRun>& active, unsigned keepFullyFree) const {
@@ -186,7 +187,8 @@
                      [&key](const schema::ActiveRun& run) { return run.number() == key.run && run.copy_of() != 0; });
 }
 
-/** Has the losing run stopped without delay once a task is done, and counts how copies end. */
+/** Notifies the agent of the remaining run once a task is done, so that the run is stopped without delay, and counts
+ * how copies end. */
 void WorkflowRunner::observeCopies(const RunChange& change) {
   const WorkflowState* workflow = table().find(change.task.workflow());
   if (workflow == nullptr) return;
--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -105,8 +105,8 @@
   return track.report.id() == target.id && !isDrained(track);
 }
 
-/** Counts the stop of a run that has run only briefly: little work is lost, but the run was started slightly too early.
- */
+/** Counts the stop of a run that has run only briefly. Many such stops show that work is started just before other work
+ * displaces it. */
 void WorkflowRunner::countYoungStop(const RunKey& key) {
   const auto run = m_ledger.runs().find(key);
   if (run == m_ledger.runs().end()) return;
@@ -337,8 +337,8 @@
   return runs;
 }
 
-/** \returns whether any active run of a run's step has reported a checkpoint. Otherwise, the runs may be of a kind that
- * writes one only when it is stopped. */
+/** \returns whether the given run, or an active run of the same step after it, has reported a checkpoint. Otherwise,
+ * the step's runs may write a checkpoint only when they are stopped. */
 bool WorkflowRunner::stepReportsCheckpoints(const RunKey& key) const {
   const std::map<RunKey, RunTrack>& runs = m_ledger.runs();
   for (auto run = runs.find(key); run != runs.end(); ++run) {
@@ -447,8 +447,8 @@
 }
 
 /** \returns the targets on which the workflow has failed, or the start of the gang was voided. For a step with a task
- * on its last attempt, also the targets on which anything failed recently: where one run failed at once, two of the
- * next three fail as well. */
+ * on its last attempt, also the targets on which anything failed recently: after one failed run, the next ones on a
+ * target often fail as well. */
 std::set<std::string> WorkflowRunner::targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const {
   std::set<std::string> avoided = m_health.failedOn(workflow.record.id());
   // A gang takes another target in place of the one that voided its start.
--- a/Courseloom/src/Control/WorkflowRunTimes.cpp
+++ b/Courseloom/src/Control/WorkflowRunTimes.cpp
@@ -24,7 +24,7 @@
  * uint32. */
 constexpr double MaxFullRunTimeMs = 1e9;
 constexpr double WholePercent = 100.0;
-/** Quantile of the run times up to which the end of a run is relied on: one run in ten takes longer. */
+/** Quantile of the run times by which the end of a run is forecast: one run in ten takes longer. */
 constexpr double ForecastQuantile = 0.9;
 
 const char* name_of(TargetSpeed speed) {
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -227,7 +227,8 @@
 void WorkflowRunner::recordHealth(const RunChange& change, bool stopped) {
   if (change.superseded) return;
   const std::string& target = change.run.target();
-  // Members of a gang that lost one before its start are stopped. Their targets refused nothing, and are kept for it.
+  // If one member of a gang is lost before it starts, the others are stopped. Their targets did not refuse a start, and
+  // are kept for the gang.
   if (stopped && m_context.settings.policy().keep_gang_targets()) return;
   const Time now = BootClock::now();
   const bool doubtedBefore = m_health.suspect(target, now) || m_health.onProbation(target, now);
@@ -254,7 +255,7 @@
   return voids;
 }
 
-/** Records what the end of a run shows about starts on its target. Lapsed runs and those of a lost target show nothing:
+/** Records whether the target of an ended run carries out starts. Lapsed runs and those of a lost target are ignored:
  * it is unknown whether they had begun. */
 void WorkflowRunner::recordVoid(const RunChange& change, bool blamesTarget) {
   const std::string& target = change.run.target();
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -204,7 +204,7 @@
   RelayDirectory m_relays;  ///< updated at each tick
   RunPlanner m_planner;
   CopyPlanner m_copyPlanner;
-  double m_lostCopySeconds = 0.0;  ///< core-seconds of runs whose task was done by another run first
+  double m_lostCopySeconds = 0.0;  ///< core-seconds of runs whose task another run completed first
   TargetHealth m_health;
   ShareReview m_shareReview;
   Time m_nextShareRecord{};                     ///< when the shares of workspaces are next recorded as a metric
--- a/Courseloom/src/Control/WorkflowShares.cpp
+++ b/Courseloom/src/Control/WorkflowShares.cpp
@@ -33,8 +33,8 @@
   reportShares(shares);
 }
 
-/** \returns the use and the demand of all workspaces of the configuration that run, wait or have used a service that is
- * in use now. */
+/** \returns the use and the demand of workspaces, by service. Covers the services that have open workflows, and for
+ * each of them all workspaces of the configuration. */
 WorkspaceDemands WorkflowRunner::workspaceDemands(const std::vector<PlannedStep>& steps, std::uint64_t nowMs) const {
   WorkspaceDemands demands;
   for (const std::string& id : table().open()) {
@@ -72,7 +72,7 @@
   return use;
 }
 
-/** Logs the workspaces that begin or cease to be served after others, and records the shares from time to time. */
+/** Logs the workspaces that begin or cease to be served after others, and records the shares at ShareRecordInterval. */
 void WorkflowRunner::reportShares(const FairShare& shares) {
   for (const ShareReview::Change& change : m_shareReview.update(shares)) {
     logEvent(change.over ? schema::WorkspaceOverShare : schema::WorkspaceWithinShare,
@@ -84,7 +84,7 @@
   if (now < m_nextShareRecord) return;
   m_nextShareRecord = now + internal::ShareRecordInterval;
   for (const auto& [key, share] : shares.relativeShares()) {
-    if (share == 0.0) continue;  // as most workspaces at most services
+    if (share == 0.0) continue;  // most workspaces use few of the services
     m_context.metrics.record("workspace_share_percent", key.second, key.first, internal::Percent * share);
   }
 }
--- a/Courseloom/src/Entry/AcknowledgementTimes.cpp
+++ b/Courseloom/src/Entry/AcknowledgementTimes.cpp
@@ -11,7 +11,7 @@
 
 namespace internal {
 namespace {
-/** Number of times below which a quantile would depend on single values. */
+/** Least number of recorded times for a quantile; with fewer, single values would determine it. */
 constexpr std::size_t FewestTimes = 8;
 }  // namespace
 }  // namespace internal
--- a/Courseloom/src/Entry/AcknowledgementTimes.h
+++ b/Courseloom/src/Entry/AcknowledgementTimes.h
@@ -15,8 +15,8 @@
 /** \class AcknowledgementTimes
  * \brief Recent times from the sending of a submission to the leader's acknowledgement.
  *
- * Only the attempt that was acknowledged counts, not the search for a leader before it: otherwise an outage would
- * shorten the search in the next one.
+ * Only the attempt that was acknowledged counts, not the search for a leader before it. Otherwise the long searches of
+ * one outage would shorten the time for which a leader is sought in the next one.
  *
  * Entries use a quantile of these times to answer a caller early while no leader is known: once less time is left than
  * an acknowledgement takes, further waiting only reduces the caller's time for another attempt. Safe for concurrent
--- a/Courseloom/src/Entry/EntryLimits.cpp
+++ b/Courseloom/src/Entry/EntryLimits.cpp
@@ -22,10 +22,10 @@
 constexpr std::uint64_t MemoryPerBodyShare = 4;
 /** Calls that one core serves in a second, each with its round trip to control. */
 constexpr double CallsPerCoreSecond = 2000.0;
-/** Time within which an admitted call should have had its share of processor and link, s. Callers usually allow a few
- * seconds, of which an acknowledgement takes a part. */
+/** Time within which the entry should have processed and transferred an admitted call, s. Callers usually allow a few
+ * seconds, of which the acknowledgement by control takes a part. */
 constexpr double TurnSeconds = 1.0;
-/** An entry of any size serves at least this much, so that small resources do not close it. */
+/** Lower bounds of the limits, so that an entry with few resources still serves calls. */
 constexpr std::uint64_t FewestConnections = 64;
 constexpr std::uint64_t FewestInFlight = 16;
 constexpr std::uint64_t FewestBodyBytes = 256 * 1024;
--- a/Courseloom/src/Entry/EntryLimits.h
+++ b/Courseloom/src/Entry/EntryLimits.h
@@ -26,8 +26,8 @@
 /** Kinds of calls at an entry. Near the limits, the calls that cost their callers least to repeat are rejected first.
  */
 enum class CallUrgency : std::uint8_t {
-  Query,         ///< changes nothing; the next query has the same answer
-  Submission,    ///< hands in work
+  Query,         ///< changes nothing and can be repeated at any time
+  Submission,    ///< adds work
   Cancellation,  ///< frees capacity
 };
 
--- a/Courseloom/src/Entry/QueueGateway.cpp
+++ b/Courseloom/src/Entry/QueueGateway.cpp
@@ -24,9 +24,9 @@
 constexpr int UnconfirmedNumerator = 9;
 constexpr int UnconfirmedDenominator = 10;
 
-/** Share of the recent acknowledgements that took less than the time by which an early answer is given. */
+/** Quantile of recent acknowledgement times. A caller is answered early once its remaining time is shorter. */
 constexpr double EarlyQuantile = 0.95;
-/** Shortest time for which a leader is sought before an early answer: one attempt at a replica that answers. */
+/** Shortest time for which a leader is sought before an early answer: enough for one attempt at a replica. */
 constexpr Duration ShortestSearch = milliseconds(200);
 
 /** \returns whether no leader could be reached. */
@@ -71,8 +71,8 @@
   if (earlyAnswers) m_control.probeBeforeQueueCalls(true);
 }
 
-/** \returns the time for which a submission that certainly did not run is tried: at most `budget`, and less if most
- * acknowledgements took longer than the rest of the caller's time after it. */
+/** \returns the time after which a submission that certainly did not run is given up. It is at most `budget`, and
+ * shorter if the caller's remaining time would otherwise fall below what most acknowledgements took. */
 Duration QueueGateway::shortenedBudget(Duration allowed, Duration budget) const {
   const Duration usual = m_acknowledgements.quantile(internal::EarlyQuantile, Duration(0));
   return std::min(budget, std::max(allowed - usual, internal::ShortestSearch));
--- a/Courseloom/src/Entry/QueueGateway.h
+++ b/Courseloom/src/Entry/QueueGateway.h
@@ -16,7 +16,7 @@
  *
  * Only the leader knows the configuration in force. A call that certainly did not run is given up early enough that the
  * caller can retry it within its own deadline. With early answers, a submission for which no leader was found is given
- * up as soon as the caller's remaining time is shorter than most acknowledgements took lately. At the limits of the
+ * up as soon as the caller's remaining time is shorter than most recent acknowledgements took. At the limits of the
  * entry, a call is rejected before it is sent.
  */
 class QueueGateway {
--- a/Courseloom/src/Membership/ControlClient.cpp
+++ b/Courseloom/src/Membership/ControlClient.cpp
@@ -24,8 +24,9 @@
 /** Minimum interval between probes for a replica that answers directly, while a relay is in use. */
 constexpr Duration ProbeInterval = milliseconds(500);
 constexpr Duration ProbeTimeout = milliseconds(300);
-/** Silence of a connection after which a queue call probes it. A call to a replica that lost power is in doubt only if
- * it was sent within this time after the loss; the probe costs one round trip. */
+/** Silence of a connection after which it is probed before a queue call is sent; the probe costs one round trip. The
+ * outcome of a call to a replica that lost power is unknown only if the call was sent within this time after the loss.
+ */
 constexpr Duration ProbeAfter = milliseconds(20);
 constexpr const char* PeerPrefix = "replica ";
 
--- a/Courseloom/src/Transport/Http2Connection.cpp
+++ b/Courseloom/src/Transport/Http2Connection.cpp
@@ -31,7 +31,8 @@
 constexpr std::uint32_t MaxStreams = 16384;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusFailed = 500;
-/** Silence after a probe for which the connection is taken to be broken. A shorter one may be due to a busy peer. */
+/** Time without any data after a probe from which the connection counts as broken. A busy peer may cause a shorter one.
+ */
 constexpr Duration ProbeSilence = milliseconds(300);
 
 /** \returns the read buffer of this thread, which all connections served by the thread share in turn. */
--- a/Courseloom/src/Transport/Http2Connection.h
+++ b/Courseloom/src/Transport/Http2Connection.h
@@ -60,8 +60,9 @@
   /** Makes one call (client side). \param deadline instant at which the call is given up \returns the serialized reply
    */
   Awaitable<Result<std::string>> call(std::string method, std::string body, Time deadline);
-  /** Asks the peer for a sign of life (HTTP/2 PING, client side). If nothing at all arrives for ProbeSilence, the
-   * connection is closed. \param deadline instant at which the probe is given up \returns whether the peer answered */
+  /** Checks with an HTTP/2 PING whether the peer responds (client side). Closes the connection if the probe is not
+   * answered by the deadline, nothing else has arrived since, and at least ProbeSilence has passed.
+   * \param deadline instant at which the probe is given up \returns whether the peer answered */
   Awaitable<bool> probe(Time deadline);
   /** \returns whether the peer has sent something within a time before now. */
   bool heardWithin(Duration time) const { return m_heard && BootClock::now() < m_lastReceived + time; }
--- a/Courseloom/src/Transport/RpcClient.h
+++ b/Courseloom/src/Transport/RpcClient.h
@@ -20,7 +20,7 @@
   /** A call that could not be sent by then is given up. */
   Time sendBy = Time::max();
   /** A connection on which nothing was received for this long is probed before the call is sent; 0: never. A peer that
-   * has lost power neither answers nor closes its connections, and a call that was written to it is in doubt. */
+   * has lost power neither answers nor closes its connections, and it is unknown whether a call sent to it ran. */
   Duration probeAfter{0};
 };
 
--- a/spec/copies.pml
+++ b/spec/copies.pml
@@ -35,7 +35,7 @@
 bool grant[TARGETS];    /* the lease is valid */
 
 /* State of the leader. */
-bool known[TARGETS];    /* whether the leader assumes that a lease may still be valid */
+bool known[TARGETS];    /* the leader assumes that a lease may still be valid */
 bool ordered[SLOTS];    /* this leader or a former one may have sent the order */
 bool confirmed[SLOTS];
 bool stopping[SLOTS];
--- a/test/AgentFixture.h
+++ b/test/AgentFixture.h
@@ -39,7 +39,7 @@
   bool reportsStalledRun = false;       ///< lists a run without progress
   std::vector<schema::EndReport> ends;  ///< the ends that it lists
   Duration answerDelay{};               ///< delay of answers to polls
-  /** The next answer to a poll is one that was made before the others and lists run 1 of the first task as running. */
+  /** The next answer to a poll is older than the previous ones and lists run 1 of the first task as running. */
   bool answersLateWithFirstRun = false;
   bool moreEnds = false;     ///< whether it has more ends than it lists
   std::set<RunKey> running;  ///< accepted starts without an accepted stop; those in `ends` are not listed
--- a/test/LoadReplay.h
+++ b/test/LoadReplay.h
@@ -36,7 +36,7 @@
   unsigned workspace = 0;          ///< number of the workspace that submits it
   std::uint32_t tasks = 0;         ///< number of tasks; 0: drawn
   std::uint32_t accelerators = 0;  ///< accelerators of a task; 0: drawn
-  bool afterBulk = false;          ///< a gang just after a bulk of single tasks, whose wait is reported separately
+  bool afterBulk = false;          ///< a gang that follows a bulk of single tasks; its wait is reported separately
 };
 
 /** Period during which a fault affects a share of the targets. */
--- a/test/LoadReplayPatterns.cpp
+++ b/test/LoadReplayPatterns.cpp
@@ -40,9 +40,9 @@
                    [](const ReplayArrival& a, const ReplayArrival& b) { return a.atMs < b.atMs; });
 }
 
-/** Adds four gangs that need four whole targets each, and after them twice 200 single tasks, which fill 25 targets,
- * followed half a second later by four such gangs: together one target more than there are. The first gangs come alone,
- * since nothing is known about the demand of gangs before. */
+/** Adds four gangs that need four whole targets each. Then, twice, adds 200 single tasks, which fill 25 targets, and
+ * half a second later four such gangs; together they need one target more than there are. The first gangs come alone,
+ * so that the demand of gangs is known before the single tasks arrive. */
 void addBulkBeforeGangs(ReplayPattern& pattern) {
   for (const double atMs : {1000.0, 15000.0, 29000.0}) {
     if (atMs > 1000.0) pattern.arrivals.push_back({atMs, ReplayClass::SingleTasks, 0, 200, 1});
--- a/test/admission_forecast.cpp
+++ b/test/admission_forecast.cpp
@@ -195,7 +195,7 @@
   }
 }
 
-// Guards against a rejection by missing data: no open target, no objective.
+// Guards against a rejection because of missing data: no open target, no objective.
 Test(admission_forecast, work_without_an_objective_or_a_known_capacity_is_accepted) {
   Submission submission = submissionOf(Work{}, 0);
   cr_assert_not(decideAgainst(submission, 1e7, "a").accepted());
@@ -270,9 +270,9 @@
 
 }  // namespace
 
-// Guards against an admission that leaves capacity unused in lasting overload, and against one that accepts in vain: at
-// least nine tenths of the capacity serve work that is of use, and most of the work that would end without a value is
-// rejected.
+// Guards against an admission that leaves capacity unused in lasting overload, and against one that accepts work which
+// ends without a value: at least nine tenths of the capacity serve work that is of use, and most of the work that would
+// end without a value is rejected.
 Test(admission_forecast, in_overload_work_is_rejected_that_would_be_accepted_in_vain) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     const double load = 1.0 + 0.4 * static_cast<double>(seed);
@@ -348,8 +348,8 @@
   }
 }
 
-// Guards against a closed service: callers that were rejected and never return take up at most half of the wait at
-// which others are accepted.
+// Guards against a service that accepts nothing because of rejected callers that never return: their places take up at
+// most half of the longest wait at which others are accepted.
 Test(admission_forecast, places_of_callers_that_do_not_return_leave_room_for_others) {
   const Submission submission = submissionOf(Work{}, 1000);
   Submission place = submissionOf(Work{}, 0);
@@ -374,6 +374,7 @@
   cr_assert(decideAgainst(submission, waitMs, "b", {&waiting}).accepted(), "the other one holds the backlog");
 }
 
+// Guards against callers that all return at the same time.
 Test(admission_forecast, callers_are_told_different_times_within_the_limits) {
   const Submission submission = submissionOf(Work{}, 0);
   const std::vector<BacklogEntry> backlog{{GuaranteedRank, "a", {1e9, 0.0}, 0.0, false}};
--- a/test/copy_planner.cpp
+++ b/test/copy_planner.cpp
@@ -164,6 +164,7 @@
   cr_assert_eq(test.plan().at(0).target, 1);
 }
 
+// Guards against a limited number of copies that is spent on the runs that gain least.
 Test(copy_planner, the_best_rank_and_the_largest_gain_are_served_first) {
   CopyPlannerFixture test;
   test.activeRuns = 40;  // two copies
--- a/test/entry_limits.cpp
+++ b/test/entry_limits.cpp
@@ -1,8 +1,8 @@
 // This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
 // SPDX-License-Identifier: MPL-2.0
 
-// Limits of an entry by the resources of its instance. Entries of one deployment may differ by a factor of three, so
-// one constant either overloads the small ones or leaves the large ones unused.
+// Tests of the limits of an entry by the resources of its instance. Entries of one deployment may have instances of
+// different sizes, so one constant would either overload the small ones or leave the large ones unused.
 
 #include <deque>
 #include <random>
@@ -51,6 +51,7 @@
 
 }  // namespace
 
+// Guards against a change of the limits with the setting off.
 Test(entry_limits, without_the_switch_the_settings_hold) {
   schema::EntrySettings settings = settingsOf(0.01, 16, 300, 0.1);
   settings.set_instance_limits(false);
@@ -59,6 +60,7 @@
   cr_assert_eq(limits.inFlight, 2048);
 }
 
+// Guards against limits that do not depend on a resource, or exceed it.
 Test(entry_limits, a_larger_instance_admits_more) {
   const EntryLimits small = deriveEntryLimits(settingsOf(0.09, 120, 3075, 1.5), 0);
   const EntryLimits large = deriveEntryLimits(settingsOf(0.3, 400, 10250, 5.0), 0);
@@ -80,6 +82,7 @@
   cr_assert_gt(tiny.bodyBytes, 0);
 }
 
+// Guards against more connections than the process may open descriptors.
 Test(entry_limits, the_limit_of_the_process_counts_if_the_settings_name_none) {
   cr_assert_leq(deriveEntryLimits(settingsOf(1.0, 0, 0, 0.0), 1024).connections, 1024);
 }
@@ -101,6 +104,7 @@
   }
 }
 
+// Guards against a few calls with large bodies that take all memory.
 Test(entry_limits, large_bodies_are_limited_by_their_bytes) {
   const EntryLimits limits{4096, 1000, 1000};
   cr_assert(admitsCall(limits, CallUrgency::Submission, 1, 900));
--- a/test/fair_share.cpp
+++ b/test/fair_share.cpp
@@ -39,6 +39,7 @@
 
 }  // namespace
 
+// Guards against shares that are not relative to an equal share by weight.
 Test(fair_share, equal_use_is_exactly_the_share) {
   Competition competition;
   for (const char* name : {"a", "b", "c", "d"}) competition.add(name, 0.25);
@@ -48,7 +49,7 @@
   }
 }
 
-// One workspace of many that takes nearly all capacity is what the class is for.
+// Guards against one workspace of many that takes nearly all capacity.
 Test(fair_share, a_workspace_far_above_its_share_is_in_a_higher_band) {
   Competition competition;
   competition.add("large", 0.8);
@@ -68,7 +69,7 @@
   cr_assert_eq(competition.bandOf("a", tight), 1);
 }
 
-// After an idle time, the first runs are all that was used.
+// After an idle time, the first runs are the only recorded use, and their workspace must not be served last for them.
 Test(fair_share, the_first_runs_after_an_idle_time_change_no_band) {
   Competition competition;
   competition.add("first", 0.01);
@@ -76,7 +77,7 @@
   cr_assert_eq(competition.bandOf("first"), 0);
 }
 
-// Work-conserving: order among the steps of one workspace must not change.
+// Bands must not change the order of steps if all of them belong to one workspace.
 Test(fair_share, a_workspace_that_waits_alone_is_in_band_0) {
   Competition competition;
   competition.add("large", 1.0);
@@ -86,7 +87,7 @@
   cr_assert_gt(competition.bandOf("large"), 0);
 }
 
-// Demand at one service says nothing about another.
+// The use of one service must not place a workspace behind others at another service.
 Test(fair_share, services_are_independent) {
   WorkspaceDemands demands;
   demands["s"]["large"].past.acceleratorSeconds = 100.0 * WindowS;
@@ -109,7 +110,7 @@
   cr_assert_eq(competition.bandOf("heavy"), 0);
 }
 
-// A workspace could take all memory while it uses no accelerator.
+// Otherwise a workspace could take all memory while it uses no accelerator.
 Test(fair_share, the_dominant_resource_counts) {
   Competition competition;
   competition.add("memory", 0.0).past.memoryMbSeconds = 0.9 * 1000000.0 * WindowS;
@@ -119,7 +120,7 @@
   cr_assert_eq(competition.bandOf("processors"), 0);
 }
 
-// Runs of minutes would be charged only at their end.
+// Otherwise long runs would be charged only at their end.
 Test(fair_share, active_runs_count_as_use) {
   Competition competition;
   competition.add("large", 0.0).active.acceleratorSeconds = 0.9 * 100.0 * WindowS;
@@ -128,6 +129,7 @@
   cr_assert_gt(competition.bandOf("large"), 0);
 }
 
+// Guards against shares so small that a large workspace is not told apart from many small ones.
 Test(fair_share, one_large_workspace_is_served_after_200_small_ones) {
   Competition competition;
   competition.add("large", 0.5);
@@ -155,7 +157,8 @@
   cr_assert_eq(FairShare({{Service, {}}}, demands, WindowS).bandOf("a", Service), 0);
 }
 
-// A step of the base has one band more for each doubling; without a highest band, ageing could not promise a bound.
+// Each doubling of the share beyond the burst raises the band by one. Without a highest band, ageing could not bound
+// the wait of a step.
 Test(fair_share, bands_are_coarse_and_bounded) {
   FairShareOptions options;
   options.burst = 1.0;
@@ -193,8 +196,8 @@
   cr_assert(!last[0].over && last[0].workspace == "large");
 }
 
-// With two workspaces, the share of one halves whenever the other neither waits nor runs: on real processes, one
-// workspace was logged as over and within its share in the same millisecond.
+// With two workspaces, the share of one halves whenever the other neither waits nor runs. The
+// workspace must not be logged as over and within its share again and again.
 Test(fair_share, a_workspace_that_is_alone_for_a_moment_is_not_logged_as_within_its_share) {
   ShareReview review;
   Competition competition;
--- a/test/fill_limit.cpp
+++ b/test/fill_limit.cpp
@@ -69,6 +69,7 @@
   cr_assert_eq(limit.targetsToKeep(40, 3).targets, 0, "the headroom alone is no reason for a limit");
 }
 
+// Guards against a limit that counts only one of several gangs that wait at the same time.
 Test(fill_limit, targets_are_kept_for_the_gangs_that_wait_at_once) {
   FillLimit limit;
   limit.update({waiting(3), waiting(4)}, NowMs);
@@ -89,7 +90,8 @@
   cr_assert_eq(limit.targetsToKeep(40).targets, 0);
 }
 
-// There are few updates while nothing waits. The demand of a gang that ran until now must not count as long ago.
+// There are few updates while nothing waits. The demand of a gang that ran until now must not decay from the last
+// update on.
 Test(fill_limit, the_demand_is_taken_to_be_unchanged_between_two_updates) {
   FillLimit limit;
   limit.update({running(8)}, NowMs);
@@ -105,6 +107,7 @@
   cr_assert_eq(limit.targetsToKeep(40).targets, 8);
 }
 
+// Targets that gangs already hold must not be kept free a second time.
 Test(fill_limit, targets_held_by_running_gangs_are_subtracted) {
   FillLimit limit;
   limit.update({waiting(8)}, NowMs);
@@ -132,6 +135,7 @@
   cr_assert_eq(limit.targetsToKeep(40, 2).targets, 8);
 }
 
+// Guards against a configured share that the observed demand changes.
 Test(fill_limit, a_fixed_share_is_kept_whatever_gangs_need) {
   FillLimitOptions options;
   options.fixedShare = 0.2;
@@ -150,6 +154,7 @@
   cr_assert_eq(limit.targetsToKeep(40).inRack, 2, "no more than are kept at all");
 }
 
+// Guards against a limit for work that fits nowhere else or is urgent, and against small tasks that wait for good.
 Test(fill_limit, the_limit_applies_to_small_tasks_until_their_longest_wait) {
   const FillLimit limit;
   cr_assert(limit.appliesTo(false, false, OneAccelerator, WholeTarget, 0.0));
@@ -160,6 +165,8 @@
   cr_assert_not(limit.appliesTo(false, false, OneAccelerator, WholeTarget, 4000.0), "no step starves");
 }
 
+// Guards against targets kept for gangs that fit on shared targets, or for urgent gangs, for which the headroom is
+// kept.
 Test(fill_limits, gangs_outside_priority_0_count_with_the_targets_that_they_need_entirely) {
   LimitsInput input(40);
   input.addWaitingGang(3, 8);
@@ -172,6 +179,7 @@
   cr_assert_not(limits.appliesTo("other", false, false, OneAccelerator, 0.0));
 }
 
+// Guards against targets that are lost to a gang while its runs are being stopped.
 Test(fill_limits, runs_of_gangs_hold_their_targets_until_they_are_stopped) {
   LimitsInput input(40);
   for (std::size_t i = 0; i < 4; ++i) {
@@ -187,7 +195,7 @@
   cr_assert_eq(input.update(limits).targets, 4, "the gang will need its targets again");
 }
 
-// A gang of one rack came back just after its end and found too few of the kept targets in any rack.
+// Otherwise a gang of one rack that returns just after its end finds too few of the kept targets in any rack.
 Test(fill_limits, the_demand_in_one_rack_does_not_decay_while_the_gang_runs) {
   LimitsInput input(40);
   for (std::size_t i = 0; i < 40; ++i) input.targets[i].rack = "r" + std::to_string(i / 8);
@@ -215,6 +223,7 @@
   cr_assert_eq(input.update(limits).targets, 0);
 }
 
+// The demand seen by a former term must not keep targets free under a new one.
 Test(fill_limits, a_new_leader_builds_the_demand_from_the_gangs_that_wait) {
   LimitsInput input(40);
   input.addWaitingGang(6, 8);
@@ -380,7 +389,7 @@
 
 }  // namespace
 
-// The load that the limit addresses: single tasks occupy each accelerator as soon as it becomes free, and gangs that
+// The load for which the limit is made: single tasks occupy each accelerator as soon as it becomes free, and gangs that
 // arrive just after them wait until whole targets are free again.
 Test(fill_limit_planner, gangs_that_arrive_after_a_bulk_of_single_tasks_start_at_once) {
   const BulkResult off = simulateBulk({});
@@ -408,6 +417,7 @@
   cr_assert_leq(*small.waitMs, 4000.0);
 }
 
+// A new leader knows no demand of gangs yet, and must not keep targets free without one.
 Test(fill_limit_planner, a_new_leader_decides_as_with_the_switch_off_until_gangs_wait) {
   PlannerSimulation simulation(8, withFillLimit());
   simulation.add(4, 8, GangRank, true, 1000.0);
@@ -457,7 +467,7 @@
   cr_assert(simulation.targetsOf(small) == partlyUsed);
 }
 
-// Two gangs that need one rack each found only one rack with enough fully free targets.
+// Otherwise two gangs that need one rack each find only one rack with enough fully free targets.
 Test(fill_limit_planner, small_tasks_use_up_the_racks_with_the_fewest_fully_free_targets_first) {
   PlannerSimulation simulation(16, withFillLimit());
   for (int i = 0; i < 2; ++i) {
--- a/test/leader_speed.cpp
+++ b/test/leader_speed.cpp
@@ -1,7 +1,8 @@
 // This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
 // SPDX-License-Identifier: MPL-2.0
 
-// A leader on a slow instance answers its peers in time to stay leader, while each commit waits for it.
+// Tests of LeaderSpeed and of transfers of leadership. A leader on a slow instance answers its peers in time to stay
+// leader, while each commit waits for it.
 
 #include "Courseloom/src/Replication/LeaderSpeed.h"
 
@@ -48,6 +49,7 @@
 
 }  // namespace
 
+// Guards against commits that wait for a slow leader for good, and against transfers while its delay is usual.
 Test(leader_speed, a_leader_that_is_much_slower_than_its_peers_hands_over_to_the_fastest) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     SpeedRun speed(seed);
@@ -66,12 +68,14 @@
   }
 }
 
+// Guards against leadership that moves back and forth between slow replicas.
 Test(leader_speed, transfers_are_limited_to_one_per_interval) {
   SpeedRun speed(1);
   speed.run(milliseconds(31000), 6.0, 6.0);
   cr_assert_eq(speed.run(milliseconds(29000), 300.0, 6.0).size(), 1);
 }
 
+// Guards against a transfer, which interrupts commits, for a delay that ends by itself.
 Test(leader_speed, a_short_stall_is_no_reason_for_a_transfer) {
   SpeedRun speed(1);
   speed.run(milliseconds(31000), 6.0, 6.0);
@@ -81,6 +85,7 @@
   }
 }
 
+// A transfer must not interrupt a membership change that is not committed yet.
 Test(leader_speed, no_transfer_during_a_membership_change) {
   SpeedRun speed(1);
   speed.run(milliseconds(31000), 6.0, 6.0);
@@ -121,6 +126,7 @@
   cr_assert(cluster.violation().empty(), "%s", cluster.violation().c_str());
 }
 
+// Guards against a transfer that another replica wins.
 Test(leader_speed, a_transfer_reaches_the_chosen_replica) {
   ClusterFaults none{0.0, 0.0, false, false, false, false, false};
   ReplicaCluster cluster(5, 8, none);
--- a/test/load_replay.cpp
+++ b/test/load_replay.cpp
@@ -128,7 +128,7 @@
 }
 
 // With the order by objective alone, workspaces within their share wait behind the backlog of one that submits twenty
-// times its share. The bound is that of the design: no workspace waits more than twice the mean of all.
+// times its share. The required bound: no workspace waits more than twice the mean of all.
 Test(load_replay, workspaces_within_their_share_do_not_wait_behind_one_that_submits_twenty_times_its_share) {
   const ReplayResult off = sharedReplay(0, false, 4);
   const ReplayResult on = sharedReplay(0, true, 4);
@@ -195,8 +195,8 @@
 
 }  // namespace
 
-// A step ends with its slowest run. Without copies, one run in 33 that takes seven times as long determines the end of
-// most wide steps. The bound applies where copies are allowed: little other work waits, and the share of copies is
+// A step ends with its slowest run. Without copies, a few runs that take much longer than the others determine the end
+// of most wide steps. The bound applies where copies are allowed: little other work waits, and the share of copies is
 // large enough for the last runs of a step, which are the slow ones.
 Test(load_replay, copies_limit_the_time_of_the_slowest_run_of_a_step) {
   std::vector<double> with;
--- a/test/objective.cpp
+++ b/test/objective.cpp
@@ -114,7 +114,7 @@
                "an ended member has no remaining time");
 }
 
-// A slow run was recognised only after a tenth of its work, which took it most of the time that a new run needs.
+// Guards against a slow run that is recognised only after so much of its work that a copy comes too late.
 Test(objective, little_progress_bounds_the_remaining_time_of_a_run) {
   cr_assert_eq(leastRemainingMs(1000.0, 0, 1), 0.0, "the run may have just begun its work");
   cr_assert_float_eq(leastRemainingMs(1000.0, 0, 3), 24000.0, 1e-6);
--- a/test/queue_gateway.cpp
+++ b/test/queue_gateway.cpp
@@ -201,7 +201,7 @@
 }
 
 // Calls in flight at a replica without power must not fill the memory of the entry: further ones are rejected at once,
-// and their rejection is true, since they are never sent.
+// and did not run, since they are never sent.
 Test(queue_gateway, a_call_beyond_the_limits_of_the_entry_is_rejected_and_not_sent) {
   asio::io_context io;
   PausedReplica replica(io, milliseconds(60000));
@@ -231,7 +231,7 @@
 }
 
 // Guards against a submission that counts as in doubt although the leader had lost power before it was sent: the caller
-// was held for nine tenths of its time and then told that the outcome is unknown.
+// would wait for most of its time and then be told that the outcome is unknown.
 Test(queue_gateway, a_submission_to_a_leader_without_power_did_not_run) {
   const CallResult end = submitAfterLossOfPower(true);
   cr_assert_not(end.answered);
@@ -254,8 +254,8 @@
   cr_assert(end.ran == Ran::Unknown);
 }
 
-// Guards against holding a caller that can no longer be acknowledged in time: acknowledgements take 2.4 s, so 0.6 s
-// after its beginning a call of 3 s is hopeless unless a leader is known.
+// Guards against further waiting of a caller that can no longer be acknowledged in time: acknowledgements take 2.4 s,
+// so a call of 3 s cannot succeed any more if no leader is known after 0.6 s.
 Test(queue_gateway, a_caller_is_answered_once_acknowledgements_take_longer_than_the_rest_of_its_time) {
   const CallResult end = submitWithoutLeader(milliseconds(2400), true);
   cr_assert(end.ran == Ran::No);
@@ -274,7 +274,8 @@
   }
 }
 
-// Guards against a lost in-doubt call: a leader that answers probes but not the call keeps it in doubt until the end.
+// Guards against an early answer to a call that was sent: while the leader answers probes but not the call, the call
+// may have run.
 Test(queue_gateway, a_call_that_was_sent_stays_in_doubt_with_early_answers) {
   asio::io_context io;
   PausedReplica replica(io, milliseconds(2200));
@@ -287,6 +288,7 @@
   cr_assert(end.answered, "the caller had time left when the replica answered");
 }
 
+// Guards against early answers that depend on single acknowledgements or on outdated ones.
 Test(queue_gateway, quantiles_need_eight_acknowledgements_and_cover_the_newest_ones) {
   AcknowledgementTimes times;
   for (int i = 0; i < 7; ++i) times.record(milliseconds(500));
--- a/test/run_agent.cpp
+++ b/test/run_agent.cpp
@@ -244,8 +244,7 @@
   cr_assert_eq(fixture.target.starts, 2);
 }
 
-// Guards against refusals without a cause: an agent refused 111 starts in a row with the text `no room left` only, and
-// nothing showed what it counted as used.
+// Guards against refusals without a cause: the text `no room left` alone does not show what the agent counts as used.
 Test(run_agent, a_refusal_for_lack_of_capacity_names_what_is_counted_and_a_blocking_run) {
   CapacityLeader leader;
   AgentFixture fixture(leader);
@@ -275,9 +274,9 @@
   cr_assert_not(leader.voided.has_blocking());
 }
 
-// Guards against a target that starts nothing more: an older list of the target, which arrived after a newer one,
-// brought back a run whose end was committed already. No later list removed it, and beside a run of unknown demand no
-// start counts as fitting on the target.
+// Guards against a target that starts nothing more: an older list of the target, which arrives after a newer one, must
+// not bring back a run whose end is committed already. Beside a run of unknown demand no start counts as fitting on the
+// target.
 Test(run_agent, a_delayed_list_of_the_target_brings_back_no_ended_run) {
   NextRunLeader leader;
   AgentFixture fixture(leader);
--- a/test/run_agent_target_restart.cpp
+++ b/test/run_agent_target_restart.cpp
@@ -348,10 +348,10 @@
   cr_assert_eq(fixture.starts("a.0.0.0"), 1, "the task was started again after its end was acknowledged");
 }
 
-// Guards against two concurrent runs of a task. A start order that was sent just after a restart reached the new
-// incarnation, which had not announced itself yet and carried out the start late. The hold had ended by the clock of
-// the former incarnation, so the agent reported the run as lapsed, and the leader placed the next run. By the clock of
-// the new incarnation the order was not late, and its token was not too low, so the run began 55 ms after the next one.
+// Guards against two concurrent runs of a task. A start order that is sent just after a restart reaches the new
+// incarnation, which has not announced itself yet and carries out the start late. By the clock of the former
+// incarnation the hold has ended, and the leader places the next run once the run is reported as lapsed. By the clock
+// of the new one the order is not late, and without a newer token the first run would begin beside the next one.
 Test(run_agent_target_restart, a_run_lapses_only_when_the_next_incarnation_cannot_start_it_any_more) {
   RestartFixture fixture;
   fixture.run(4500);  // a new agent assumes that holds of its former incarnation last up to 6 s
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -910,6 +910,7 @@
   cr_assert_not(agent.ledger.blamesTarget(OrderedRun), "another incarnation of the agent got the order");
 }
 
+// A new leader does not know what became of an order of its predecessor, and must not close a healthy target for it.
 Test(run_ledger, a_start_that_a_former_leader_ordered_counts_against_no_target) {
   LedgerFixture test = withOrderedStart();
   test.ledger.lead(test.table, test.now);
@@ -1101,7 +1102,7 @@
   cr_assert(test.table.find("w")->task({0, 0, 0})->done);
 }
 
-// After a change of leader neither run was known to have begun, and the ends of both waited for each other for good.
+// After a change of leader neither run is known to have begun. The ends of both must not wait for each other for good.
 Test(run_ledger, the_ends_of_two_runs_that_are_both_done_do_not_wait_for_each_other) {
   CopyFixture test;
   test.ledger.lead(test.table, test.now);
@@ -1113,8 +1114,8 @@
   cr_assert(test.ledger.runs().empty());
 }
 
-// Lost work was assumed to be the same at any time since the newest checkpoint, so that runs were stopped as often
-// just before a checkpoint as just after one.
+// If lost work were the same at any time since the newest checkpoint, runs would be stopped as often just before a
+// checkpoint as just after one.
 Test(run_ledger, the_time_since_the_newest_checkpoint_is_known_from_reports) {
   LedgerFixture test;
   test.start(0, 1);
--- a/test/run_ledger_seeded.cpp
+++ b/test/run_ledger_seeded.cpp
@@ -699,12 +699,14 @@
   cr_assert(violation.empty(), "%s", violation.c_str());
 }
 
+// Shows that the simulation finds a copy that begins after the end of its task.
 Test(run_ledger_seeded, fails_if_an_end_is_committed_while_an_order_for_the_copy_is_in_transit) {
   RunLedgerOptions options;
   options.awaitOtherRun = false;
   cr_assert_not(firstViolation(400, options, {}, "a start after a committed end", false, true).empty());
 }
 
+// Shows that the simulation finds a third run of a task.
 Test(run_ledger_seeded, fails_with_copies_if_runs_of_a_silent_agent_end_before_its_lease) {
   RunLedgerOptions options;
   options.waitForLeases = false;
--- a/test/run_planner.cpp
+++ b/test/run_planner.cpp
@@ -306,7 +306,7 @@
   cr_assert(input.plan().stops.empty());
 }
 
-// A run past its expected end was expected to end at once, and guaranteed work waited for it.
+// Guards against work that waits for a run past its expected end, as if the run ended at once.
 Test(run_planner, nobody_waits_for_a_run_that_has_outlived_its_quantile) {
   PlannerInput input(1);
   PlannedRun& run = input.addRun(0, 8, LowRank, 300.0);
@@ -404,6 +404,7 @@
   cr_assert(input.plan().starts.empty(), "with the switch off, the expected end counts");
 }
 
+// Guards against work that fills the gap before a reservation and delays the waiting gang.
 Test(run_planner, work_whose_quantile_ends_after_the_date_of_a_reservation_does_not_fill_the_gap) {
   PlannerInput input(2);
   input.addRun(0, 8, LowRank, 1000.0).remainingQuantileMs = 5000.0;
@@ -703,8 +704,8 @@
   cr_assert_eq(input.plan(1).starts.size(), 1);
 }
 
-// Guards against single tasks that take the targets of a gang while its members are being stopped after one was lost,
-// and against a guaranteed step that waits for such a gang.
+// Guards against single tasks that take the targets of a gang while its members are being stopped after one was lost.
+// Guaranteed work must not wait for such a gang.
 Test(run_planner, targets_of_a_gang_that_lost_a_member_are_kept_from_steps_of_lower_rank) {
   for (const bool keep : {false, true}) {
     RunPlannerOptions options;
@@ -741,6 +742,7 @@
   cr_assert_eq(input.plan().starts.size(), 1);
 }
 
+// Guards against a gang that waits for a target which cannot take all of its members, instead of using avoided ones.
 Test(run_planner, a_gang_that_needs_several_places_does_not_wait_for_a_target_that_gets_one_start) {
   PlannerInput input;
   PlannedStep& step = input.addWaitingStep(4, 1, UrgentRank, true);
--- a/test/run_planner_shares.cpp
+++ b/test/run_planner_shares.cpp
@@ -219,7 +219,7 @@
 
 // ---- order
 
-// The order by objective alone serves the workspace first that has the largest backlog.
+// The order by objective alone would serve the workspace first that has the largest backlog.
 Test(run_planner_shares, within_a_rank_a_lower_band_is_served_before_a_nearer_objective) {
   BandedSteps steps;
   steps.add(NormalRank, 1, 4000);
@@ -236,6 +236,7 @@
   cr_assert_eq(steps.first(), 1);
 }
 
+// The share of a workspace must not overrule priorities.
 Test(run_planner_shares, the_rank_precedes_the_band) {
   BandedSteps steps;
   steps.add(rankOf(2, false), 0, 4000);
@@ -243,6 +244,7 @@
   cr_assert_eq(steps.first(), 1);
 }
 
+// Guards against bands that replace the order by objective.
 Test(run_planner_shares, within_a_band_the_nearer_objective_is_served_first) {
   BandedSteps steps;
   steps.add(NormalRank, 1, 9000);
@@ -272,7 +274,8 @@
   }
 }
 
-// Raised to the rank of priority 1, aged work of the lowest class must not be last there for its band.
+// Aged work of the lowest class is raised to the rank of priority 1, and must not be served last there because of its
+// band.
 Test(run_planner_shares, aged_work_of_the_lowest_class_does_not_starve_through_its_band) {
   const double agedMs = RunPlannerOptions().ageAfterEstimates * RunMs;
   BandedSteps steps;
@@ -281,9 +284,8 @@
   cr_assert_eq(steps.first(), 1);
 }
 
-// The band of aged work falls. In a trial, late work of a workspace above its share was therefore served before its
-// work that was still in time; nearly all of it ended late, and the worth of a load of 20 times the share fell from
-// 0.72 to 0.44.
+// The band of aged work falls. Late work of a workspace above its share must not be served before its work that is
+// still in time, or nearly all of its work would end late.
 Test(run_planner_shares, within_a_workspace_the_order_is_that_without_bands) {
   const double agedMs = RunPlannerOptions().ageAfterEstimates * RunMs;
   BandedSteps steps;
@@ -306,7 +308,7 @@
 
 // ---- workspaces that compete
 
-// Capacity that nobody else requests must not be withheld from a workspace above its share.
+// Capacity that no other workspace requests must not be withheld from a workspace above its share.
 Test(run_planner_shares, a_workspace_above_its_share_uses_all_that_others_leave) {
   SharedService service(2);
   service.submit("small");
@@ -340,6 +342,7 @@
   cr_assert_gt(waitOfSmall(false), RunMs);
 }
 
+// Guards against many small workspaces that wait behind the backlog of a large one.
 Test(run_planner_shares, two_hundred_small_workspaces_start_before_more_work_of_a_large_one) {
   SharedService service(25);
   service.submit("large", 600);
@@ -350,7 +353,7 @@
   for (int i = 0; i < 200; ++i) cr_assert_eq(service.started("w" + std::to_string(i), arriveMs), 1, "w%d", i);
 }
 
-// Ten workspaces, one of which submits twenty times its share, the others half of theirs. Bound of the design: the mean
+// Ten workspaces, one of which submits twenty times its share, the others half of theirs. The required bound: the mean
 // wait of the worst workspace is at most twice the mean of all.
 Test(run_planner_shares, one_workspace_that_submits_twenty_times_its_share_delays_only_itself) {
   std::map<bool, double> ofOthers;
--- a/test/run_time_distribution.cpp
+++ b/test/run_time_distribution.cpp
@@ -59,7 +59,8 @@
 
 }  // namespace
 
-// A run past its expected end was expected to end at once, so others waited for it again and again.
+// Guards against forecasts that expect a run past its expected end to end at once, so that others wait for it again and
+// again.
 Test(run_time_distribution, a_run_past_its_expected_end_is_expected_to_be_a_slow_one) {
   const RunTimeDistribution distribution = withStragglers();
   cr_assert(distribution.meanRemainingRatio(0.0) > 0.9 && distribution.meanRemainingRatio(0.0) < 1.5);
@@ -104,7 +105,7 @@
   }
 }
 
-// The wait for a whole step is that for its slowest run.
+// A step ends with its slowest run, so one slow run in many determines the end of a wide step.
 Test(run_time_distribution, a_wide_step_almost_surely_has_a_slow_run) {
   const RunTimeDistribution distribution = withStragglers();
   cr_assert(distribution.slowestExceeds(2.0, 1) > 0.02 && distribution.slowestExceeds(2.0, 1) < 0.04);
@@ -164,6 +165,7 @@
   cr_assert(table.runTimeDistribution("old").ratios().empty());
 }
 
+// An unbounded table would grow with each name of a queue.
 Test(run_time_distribution, the_number_of_queues_is_bounded) {
   RunTimeDistributions distributions;
   for (std::size_t i = 0; i < RunTimeDistributions::MaxQueues + 5; ++i) distributions.record(std::to_string(i), 1.0);
--- a/test/stop_backoff.cpp
+++ b/test/stop_backoff.cpp
@@ -223,6 +223,7 @@
 
 }  // namespace
 
+// Guards against runs that are stopped without a limit for a step that never starts.
 Test(stop_backoff, further_stops_are_delayed_by_a_backoff_that_doubles) {
   StopBackoff backoff;
   cr_assert(backoff.permissionFor(Step, false, StartMs) == Permission::Allowed);
@@ -239,7 +240,7 @@
   }
 }
 
-// Guards against a delay of stops for the other tasks of a step that are no repetition.
+// Guards against delayed stops for tasks of a step for which no run was stopped before.
 Test(stop_backoff, each_task_of_a_step_may_cause_stops_once_without_delay) {
   StopBackoff backoff;
   backoff.recordStops(Step, false, 2, 5, Permission::Allowed, StartMs);
@@ -248,6 +249,7 @@
   cr_assert(backoff.permissionFor(Step, false, StartMs) == Permission::Delayed);
 }
 
+// Guards against a delay that outlives its reason.
 Test(stop_backoff, progress_of_a_step_ends_its_delay) {
   StopBackoff tasks;
   tasks.recordStops(Step, false, 5, 5, Permission::Allowed, StartMs);
@@ -287,7 +289,7 @@
   cr_assert(pending.empty());
 }
 
-// A new leader begins anew: it does not know which stops led to a start meanwhile.
+// A new leader does not know which stops led to a start meanwhile, so outdated delays must not remain.
 Test(stop_backoff, after_a_change_of_leader_nothing_is_delayed) {
   StopBackoff backoff;
   backoff.recordStops(Step, true, 5, 5, Permission::Allowed, StartMs);
@@ -295,6 +297,7 @@
   cr_assert(backoff.permissionFor(Step, false, StartMs) == Permission::Allowed);
 }
 
+// Guards against targets that stay free after their gang has begun, or for a gang that never begins.
 Test(stop_backoff, targets_are_kept_until_the_gang_has_begun_or_the_time_is_over) {
   KeptTargets kept;
   kept.keep(Step, {GuaranteedRank, {}, {{"t1", 1}}, 0.0}, StartMs);
@@ -307,8 +310,8 @@
   cr_assert_null(kept.find(Step), "the gang has begun");
 }
 
-// The fault itself, with the switches off: each time a start of the gang is voided, single tasks take its other
-// targets, and are stopped for it again. One gang was started eleven times so, and 127 runs were stopped.
+// Shows the fault with the switches off: each time a start of the gang is voided, single tasks take its other targets,
+// and are stopped for it again.
 Test(stop_backoff, without_the_switches_runs_are_stopped_again_for_each_voided_start) {
   VoidingCluster cluster(RunPlannerOptions(), 6000.0);
   cluster.runUntil(6000.0);
--- a/test/target_health.cpp
+++ b/test/target_health.cpp
@@ -47,7 +47,7 @@
 
 }  // namespace
 
-// Guards against a target that voids every start and is chosen again at once, 111 times in a row.
+// Guards against a target that voids every start and is chosen again at once each time.
 Test(target_health, a_target_is_closed_after_three_voided_starts_in_a_row) {
   VoidingTarget test;
   cr_assert_eq(test.voidStarts(2), Duration(0));
@@ -59,7 +59,7 @@
   cr_assert_not(test.closed());
 }
 
-// Guards against one retry per 0.4 s without an end at a target that never starts anything.
+// Guards against frequent retries without an end at a target that never starts anything.
 Test(target_health, each_further_closure_is_twice_as_long_up_to_a_limit) {
   VoidingTarget test;
   Duration closure = test.voidStarts(3);
@@ -80,8 +80,8 @@
   cr_assert_not(test.closed());
 }
 
-// Guards against a flood of starts on a target right after its closure, and against a closure for good of a target on
-// which several places are needed at once.
+// Guards against many starts on a target right after its closure, and against a target that never again gets several
+// starts at once.
 Test(target_health, a_target_gets_one_start_at_a_time_after_a_closure_for_a_limited_time) {
   VoidingTarget test;
   test.voidStarts(3);
@@ -92,6 +92,7 @@
   cr_assert_not(test.health.onVoidProbation("t", test.now));
 }
 
+// Guards against a target that works again and remains closed or limited to one start.
 Test(target_health, one_begun_run_restores_a_target) {
   VoidingTarget test;
   test.voidStarts(3);
@@ -103,6 +104,7 @@
   cr_assert_eq(test.voidStart(), Duration(milliseconds(400)), "the length of the closure begins anew");
 }
 
+// Guards against a closure of a target that starts most of its runs.
 Test(target_health, voids_with_a_begun_run_in_between_are_not_in_a_row) {
   VoidingTarget test;
   for (int i = 0; i < 5; ++i) {
@@ -123,7 +125,7 @@
   cr_assert_gt(test.voidStart("gang/4"), Duration(0));
 }
 
-// Guards against a fleet without any open target: if so many void starts, the cause lies elsewhere.
+// Guards against a service without any open target: if many targets void starts at once, the cause lies elsewhere.
 Test(target_health, a_mass_of_targets_that_void_at_once_is_recognised) {
   VoidingTarget test;
   const std::vector<std::string> targets{"t0", "t1", "t2", "t3"};
@@ -145,6 +147,7 @@
   cr_assert_eq(test.voidStart(), Duration(milliseconds(400)));
 }
 
+// Guards against a change of behaviour with the setting off.
 Test(target_health, without_the_switch_voids_close_no_target) {
   VoidingTarget test{TargetHealthOptions()};
   cr_assert_eq(test.voidStarts(100), Duration(0));
--- a/test/workflow_table.cpp
+++ b/test/workflow_table.cpp
@@ -296,7 +296,8 @@
   cr_assert_eq(table.find("w")->activeRuns, 2, "a task has at most two runs");
 }
 
-// A copy whose original has ended would be a run from an old checkpoint, or on a target chosen for a copy.
+// If the original has ended, its copy would start from an outdated checkpoint, or on a target that was chosen for a
+// copy only.
 Test(workflow_table, a_copy_of_a_run_that_has_ended_is_not_started) {
   for (const schema::RunEndKind kind : {schema::RunLapsed, schema::RunStopped, schema::RunFailed, schema::RunDone}) {
     WorkflowTable table;
@@ -444,7 +445,7 @@
   cr_assert(snapshotOf(loaded) == snapshotOf(table));
 }
 
-// The counts of active tasks must stay right when one of two runs ends.
+// The counts of active tasks must stay correct when one of two runs ends.
 Test(workflow_table, waiting_steps_are_known_with_two_runs_of_a_task) {
   for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seedCount(200); ++seed) {
     std::mt19937_64 random(seed);
--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -249,8 +249,8 @@
   cr_assert_gt(test.metric(test.leader(), "courseloom_workspace_share_percent_count"), 0.0, "the new leader has them");
 }
 
-// A slow run of a speculative step determined the end of its workflow. The copy has to be done first, and the slow run
-// has to be stopped instead of running to its end.
+// Guards against a slow run of a speculative step that determines the end of its workflow, and against one that runs to
+// its end although its copy is done.
 Test(workflows_processes, a_copy_of_a_slow_run_is_done_first_and_the_slow_run_is_stopped) {
   WorkflowDeployment test(2, "{copies: true, remainingTimes: true, headroom: false}");
   test.setUp();
--- a/test/workspace_usage.cpp
+++ b/test/workspace_usage.cpp
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: MPL-2.0
 
 // Tests of WorkspaceUsage, and of how WorkflowTable charges runs to workspaces: the recorded use has to be the same on
-// each replica, bounded, and gone with its workspace.
+// each replica, bounded, and removed with its workspace.
 
 #include "Courseloom/src/State/WorkspaceUsage.h"
 
@@ -116,6 +116,7 @@
                  WorkspaceUsage::useBetween(resources(8, 4, 100), Start, Start + 5000)));
 }
 
+// Guards against use that counts for another workspace or at another service.
 Test(workspace_usage, workspaces_and_services_are_charged_apart) {
   WorkspaceUsage usage;
   usage.record("a", "s", resources(8), Start, Start + 1000);
@@ -123,6 +124,7 @@
   cr_assert(usage.usageOf("a", "other", Start + 1000).acceleratorSeconds == 0.0);
 }
 
+// Clocks of successive leaders may differ. A negative duration must not reduce the recorded use.
 Test(workspace_usage, a_run_that_ended_before_it_started_adds_nothing) {
   WorkspaceUsage usage;
   usage.record("a", "s", resources(8), Start + 1000, Start);
@@ -201,7 +203,7 @@
 
 // ---- charged by the table
 
-// Use that is not charged, because a run was stopped, failed or lapsed, would be free of cost for its workspace.
+// Otherwise the use of runs that are stopped, fail or lapse would not count for their workspace.
 Test(workspace_usage, each_end_of_any_kind_is_charged_from_the_committed_start) {
   const std::vector<schema::RunEndKind> kinds = {schema::RunDone, schema::RunFailed, schema::RunStopped,
                                                  schema::RunLapsed, schema::RunTargetLost};
