--- a/Courseloom/src/Control/WorkflowCopies.cpp
+++ b/Courseloom/src/Control/WorkflowCopies.cpp
@@ -8,6 +8,7 @@
 
 #include "Courseloom/src/Control/WorkflowRunner.h"
 #include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Scheduling/Objective.h"
 
 namespace courseloom {
 
@@ -15,15 +16,8 @@
 namespace {
 
 constexpr double WholePercent = 100.0;
-/** Cores that one accelerator counts for when work is measured in core seconds. */
-constexpr double AcceleratorCores = 8.0;
 constexpr double MillisecondsPerSecond = 1000.0;
 
-double cores_of(const schema::StepSpec& step) {
-  return static_cast<double>(step.need().cpu_milli()) / MillisecondsPerSecond +
-         AcceleratorCores * step.need().accelerators();
-}
-
 }  // namespace
 }  // namespace internal
 
@@ -206,7 +200,7 @@
   }
   if (change.superseded) {
     const auto ranMs = static_cast<double>(change.timeMs - std::min(change.timeMs, change.run.started_ms()));
-    m_lostCopySeconds += internal::cores_of(step) * ranMs / internal::MillisecondsPerSecond;
+    m_lostCopySeconds += coresOf(step) * ranMs / internal::MillisecondsPerSecond;
     m_context.metrics.set("copies_lost_core_seconds", m_lostCopySeconds);
   }
   if (!copy) return;
--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -23,8 +23,6 @@
 namespace internal {
 namespace {
 
-/** Cores that one accelerator counts for when work is measured in core seconds. */
-constexpr double AcceleratorCores = 8.0;
 constexpr double MillisecondsPerSecond = 1000.0;
 /** Run time that a checkpointable task loses when it is stopped, ms. */
 constexpr double CheckpointLossMs = 300.0;
@@ -46,12 +44,6 @@
          std::to_string(key.run);
 }
 
-/** \returns the cores that a task of a step takes, with its accelerators converted to cores. */
-double cores_of(const schema::StepSpec& step) {
-  return static_cast<double>(step.need().cpu_milli()) / MillisecondsPerSecond +
-         AcceleratorCores * step.need().accelerators();
-}
-
 }  // namespace
 }  // namespace internal
 
@@ -383,7 +375,7 @@
   shared.gang = step.gang();
   shared.checkpointable = step.checkpointable();
   shared.reportsCheckpoints = m_context.settings.policy().fill_limit() && stepReportsCheckpoints(key);
-  shared.cores = internal::cores_of(step);
+  shared.cores = coresOf(step);
   shared.speculative = step.speculative();
   shared.expectedMs = expectedMs(shared.workflow->record.queue(), step);
   shared.runTimes = runTimesOf(shared.workflow->record.queue());
@@ -430,7 +422,7 @@
       step.avoided = targetsToAvoid(workflow, step);
       step.estimateMs = expectedMs(record.queue(), spec);
       step.estimateQuantileMs = quantileMs(record.queue(), step.estimateMs);
-      step.taskWork = internal::cores_of(spec) * step.estimateMs / internal::MillisecondsPerSecond;
+      step.taskWork = coresOf(spec) * step.estimateMs / internal::MillisecondsPerSecond;
       step.objectiveMs =
           static_cast<double>(due) + record.stretch() * objectiveChainMs(record) + record.latency_target_ms();
       step.worthlessMs = static_cast<double>(due) + WorthlessAfter * (step.objectiveMs - static_cast<double>(due));
--- a/Courseloom/src/Scheduling/Objective.cpp
+++ b/Courseloom/src/Scheduling/Objective.cpp
@@ -36,6 +36,12 @@
   return static_cast<unsigned>(waves);
 }
 
+double coresOf(const schema::StepSpec& step) {
+  constexpr double CpuMilliPerCore = 1000.0;
+  constexpr double AcceleratorCores = 8.0;
+  return static_cast<double>(step.need().cpu_milli()) / CpuMilliPerCore + AcceleratorCores * step.need().accelerators();
+}
+
 std::uint64_t widestAccelerators(const schema::WorkflowSpec& spec) {
   std::uint64_t widest = 0;
   for (const schema::StepSpec& step : spec.steps()) {
--- a/Courseloom/src/Scheduling/Objective.h
+++ b/Courseloom/src/Scheduling/Objective.h
@@ -20,6 +20,9 @@
  * \param capacity total capacity of the service's targets; an amount of 0 is not known yet and does not limit */
 unsigned wavesOf(const schema::StepSpec& step, const ResourceAmounts& capacity);
 
+/** \returns the cores that a task of a step takes, with each of its accelerators counted as eight cores. */
+double coresOf(const schema::StepSpec& step);
+
 /** \returns the accelerators that the step with the highest demand takes if all its tasks run at once. */
 std::uint64_t widestAccelerators(const schema::WorkflowSpec& spec);
 
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -97,7 +97,7 @@
   Time reportRequestedAt{};  ///< when a report was first requested since the last contact; zero if none was
   /** Number of the first end in the newest report that is not to be committed yet; 0 if there is none. */
   std::uint64_t withheldEnd = 0;
-  std::string withheldFor;     ///< agent of the copy for which that end is withheld
+  std::string withheldFor;     ///< agent of the other run of the task, for which that end is withheld
   std::vector<RunKey> strays;  ///< runs reported as running that the log does not hold as active on this incarnation
 };
 
--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -275,8 +275,8 @@
 }
 
 // Guards against a backlog that grows without bound: once new work cannot end while its result is of use, it is
-// rejected as work that did not run, and it is accepted after the backlog is gone. Known work and work within a
-// guarantee are accepted all the same.
+// rejected as work that did not run, and it is accepted after the backlog is gone. A workflow that is known
+// already is accepted all the same.
 Test(workflows_processes, a_rejected_submission_did_not_run_and_is_accepted_later) {
   WorkflowDeployment test(2, "{admission: true}");
   test.setUp();
