A run whose start was not answered waits for the fence of each successor, also of one that refuses polls

Cause: expireRuns asked only whether a successor had answered a poll. One that had announced itself, or that refused all calls, did not count, so the run lapsed by the clock of the former incarnation. The successor's clock starts anew and it has seen no token, so it carries out the delayed start. Evidence: with polls and stops refused (of=hold,run-stop) and a start delayed by 2.8 s, the agent logged RunSettled RunLapsed 1.4 s after RunInDoubt, and the next incarnation began the run 1.1 s after that. Change: a run that may still begin in a successor lapses only once the newest known incarnation has accepted a poll under a newer step, or when the successor's run would have ended (LateCallLimit plus the longest hold). Signs of a successor are an answered poll, an announcement, or a refusal after a call without an answer. Runs that the former incarnation has listed lapse with their hold, also beside a successor that is not fenced. The event LapseDelayed tells which runs wait. The fixture of the restart tests has files of its own. spec/run.pml stays: it lets a run lapse only after the fence, which is stricter.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -26,6 +26,8 @@
 constexpr Duration HoldMargin = milliseconds(50);
 /** Added to the end of the latest hold before the runs of a silent target count as lapsed. */
 constexpr Duration LapseSlack = milliseconds(200);
+/** Longest time after which a target may still carry out a call that it has not answered. */
+constexpr Duration LateCallLimit = milliseconds(6000);
 /** Pause after a call that failed. */
 constexpr Duration FailedPause = milliseconds(150);
 /** Pause before a refused stop is retried. It is short because a refusal arrives at once and a run with an
@@ -173,7 +175,11 @@
     endIncarnation();
     co_return false;
   }
-  if (!answer) recordUnansweredCall();
+  if (!answer) {
+    recordUnansweredCall();
+    m_target->successorFenced = false;  // the successor may have been replaced by another one
+  }
+  if (answer && answer->verdict == TargetVerdict::Refused) recordRefusedCall();
   recordFailedPoll();
   co_return false;
 }
@@ -203,6 +209,7 @@
   }
   m_target->failures = 0;
   m_target->unansweredSince = Time{};
+  m_target->refusedAfterLoss = false;
   m_target->report.set_reachable(true);
   // Answers on different connections may arrive in another order. Older lists would bring back runs that have ended.
   if (answer.clockMs < m_target->listedAtMs) return;
@@ -214,6 +221,7 @@
   if (m_target->progress.note(m_target->running, receivedAt)) notifyPendingChanges();
   for (const schema::RunReport& row : answer.running) {
     LocalRun& run = m_runs[runKeyOf(row.task(), row.run())];
+    run.listed = true;
     if (run.knownSince == Time{}) run.knownSince = receivedAt;
   }
   for (const schema::EndReport& end : answer.ends) {
@@ -265,6 +273,12 @@
   if (m_target->unansweredSince == Time{}) m_target->unansweredSince = BootClock::now();
 }
 
+/** Records a refusal. A refusal does not name the refusing incarnation. After an unanswered call it may be a successor
+ * that has not announced itself yet. */
+void RunAgentService::recordRefusedCall() {
+  if (m_target->unansweredSince != Time{}) m_target->refusedAfterLoss = true;
+}
+
 /** Makes the target unreachable with its next failed poll at the latest. */
 void RunAgentService::allowNoMoreFailures() {
   m_target->failures = std::max(m_target->failures, UnreachableAfterFailures - 1);
@@ -289,17 +303,55 @@
 }
 
 /** Settles the runs whose holds have ended as lapsed. The holds were for the clock of the current incarnation. A
- * successor has a clock of its own, by which a delayed start is not late, so it has to be fenced first. The runs that
- * it has begun end with its own lists, once it is current. */
+ * successor has a clock of its own, by which a delayed start is not late, so that runs which it may still begin wait.
+ * The runs that it has begun end with its own lists, once it is current. */
 void RunAgentService::expireRuns() {
-  if (!m_target->successor.empty() && !m_target->successorFenced) return;
-  const std::map<RunKey, LocalRun> runs = m_runs;
-  for (const auto& [key, run] : runs) {
-    if (m_target->successorRuns.count(key) > 0) continue;
+  const Time now = BootClock::now();
+  std::vector<RunKey> lapsed;
+  for (auto& [key, run] : m_runs) {
+    if (m_target->successorRuns.count(key) == 0 && !delaysLapse(key, run, now)) lapsed.push_back(key);
+  }
+  for (const RunKey& key : lapsed) {
     settle(makeTaskId(key.workflow, key.task), key.run, schema::RunLapsed, "the target is silent");
   }
 }
 
+/** \returns whether there are signs that the current incarnation has a successor. Each incarnation announces itself
+ * when it starts, so there is none while nothing is received from the target. */
+bool RunAgentService::mayHaveSuccessor() const {
+  return !m_target->successor.empty() || !m_announced.empty() || m_target->refusedAfterLoss;
+}
+
+/** \returns whether the newest known incarnation refuses the calls that were sent to the current one. */
+bool RunAgentService::isSuccessorFenced() const {
+  const auto isKnown = [this](const auto& announced) { return announced.first == m_target->successor; };
+  return m_target->successorFenced && std::all_of(m_announced.begin(), m_announced.end(), isKnown);
+}
+
+/** \returns the latest time at which a successor can have a run whose start call was sent to the current incarnation;
+ * zero if the current one has carried out the call. The successor begins the run with a hold of full length. */
+Time RunAgentService::latestEndInSuccessor(const LocalRun& run) const {
+  if (run.listed || run.neverStarted) return Time{};
+  const schema::RunnerSettings& settings = m_context.settings.runner();
+  const Duration transit = run.startAnswered ? milliseconds(settings.order_limit_ms()) : internal::LateCallLimit;
+  const Time begun = std::max(run.startSentAt + transit, m_startedAt + internal::LateCallLimit);
+  return begun + milliseconds(settings.max_hold_ms()) * internal::SlowClockDenominator / internal::SlowClockNumerator;
+}
+
+/** \returns whether a run must not lapse yet, since an unfenced successor may begin it or may have begun it. */
+bool RunAgentService::delaysLapse(const RunKey& key, LocalRun& run, Time now) {
+  if (!mayHaveSuccessor() || isSuccessorFenced() || now > latestEndInSuccessor(run)) return false;
+  if (std::exchange(run.lapseDelayed, true)) return true;
+  logEvent(schema::LapseDelayed,
+           {{"task", taskText(makeTaskId(key.workflow, key.task))},
+            {"run", std::uint64_t{key.run}},
+            {"target", m_target->report.id()},
+            {"successor", m_target->successor},
+            {"announced", m_announced.empty() ? "" : m_announced.begin()->first},
+            {"waitMs", static_cast<std::uint64_t>(toMilliseconds(latestEndInSuccessor(run) - now))}});
+  return true;
+}
+
 Awaitable<void> RunAgentService::pollLoop() {
   while (true) {
     if (!m_target) {
@@ -432,6 +484,7 @@
   const Time until = latestHoldEnd();
   m_holdsEndBy = std::max(m_holdsEndBy, until);
   m_target->orderedAt[key] = BootClock::now();
+  m_runs[key].startSentAt = BootClock::now();
   const TargetStart start{order, deadlineOnTarget(until), token()};
   Result<TargetAnswer> answer =
       co_await m_port->start(incarnation, start, milliseconds(m_context.settings.runner().order_limit_ms()));
@@ -442,6 +495,7 @@
     const auto found = m_runs.find(key);
     if (found == m_runs.end()) co_return;  // the run has ended already
     found->second.busy = false;
+    found->second.startAnswered = true;
     if (found->second.knownSince == Time{}) found->second.knownSince = BootClock::now();
     schema::StartReport& started = m_started[key];
     *started.mutable_task() = order.task();
@@ -453,7 +507,10 @@
   const bool refused = answer && answer->verdict == TargetVerdict::Refused && answer->reason != "old";
   const bool otherLife = answer && answer->verdict == TargetVerdict::OtherIncarnation;
   const auto own = m_runs.find(key);
-  if (own != m_runs.end()) own->second.neverStarted = refused || otherLife;
+  if (own != m_runs.end()) {
+    own->second.neverStarted = refused || otherLife;
+    own->second.startAnswered = answer.has_value();
+  }
   if (otherLife) {
     endIncarnation();
     co_return;
@@ -486,6 +543,7 @@
     // A refused stop has changed nothing at the target: a delayed start could still begin the run afterwards.
     if (answer && answer->verdict == TargetVerdict::Accepted) break;
     if (answer) {
+      recordRefusedCall();
       logEvent(schema::StopRefused, {{"task", taskText(order.task())},
                                      {"run", std::uint64_t{order.run()}},
                                      {"target", incarnation},
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -68,9 +68,13 @@
     std::optional<RunKey> blocking;  ///< the largest of these runs, or one of unknown demand; none if there are no runs
   };
   struct LocalRun {
-    bool busy = false;          ///< a call to the target about this run is in progress
-    bool neverStarted = false;  ///< the target answered the start call and did not begin the run
-    Time knownSince{};          ///< when the target was first known to have the run; zero while that is not confirmed
+    bool busy = false;           ///< a call to the target about this run is in progress
+    bool neverStarted = false;   ///< the target answered the start call and did not begin the run
+    bool startAnswered = false;  ///< the target answered the start call, so that it does not carry it out any more
+    bool listed = false;         ///< the current incarnation has listed the run
+    bool lapseDelayed = false;   ///< the run would have lapsed, but a successor may still begin it
+    Time startSentAt{};          ///< when this agent sent the start call; zero if it has sent none
+    Time knownSince{};           ///< when the target was first known to have the run; zero while that is not confirmed
     std::optional<CapacityRefusal> refusal;  ///< set if this agent refused its start for lack of capacity
   };
   /** Whether the loss of a target is attributed to one of the runs that were there. */
@@ -95,6 +99,7 @@
     unsigned failures = 0;                               ///< number of failed polls in a row
     std::string successor;           ///< incarnation that answered a poll in place of this one; empty for none
     bool successorFenced = false;    ///< the successor has answered a poll under a newer fence step
+    bool refusedAfterLoss = false;   ///< a call was refused after one without answer, perhaps by a successor
     std::set<RunKey> successorRuns;  ///< runs that the successor listed then
     std::uint64_t step = 0;  ///< fence step of the newest token under which this incarnation has answered a poll
     bool fenced = false;     ///< this incarnation or a successor refused the newest poll because its token was too low
@@ -147,7 +152,12 @@
   void handleSuccessor(const TargetAnswer& answer, std::uint64_t step);
   void recordUnansweredCall();
   void recordFailedPoll();
+  void recordRefusedCall();
   void expireRuns();
+  bool mayHaveSuccessor() const;
+  bool isSuccessorFenced() const;
+  Time latestEndInSuccessor(const LocalRun& run) const;
+  bool delaysLapse(const RunKey& key, LocalRun& run, Time now);
   void allowNoMoreFailures();
   void endIncarnation();
   bool canRelay() const;
@@ -192,7 +202,8 @@
   HttpServer m_registration;
   HttpServer m_http;
   std::uint64_t m_agentIncarnation;
-  std::uint64_t m_sequence = 0;  ///< number of the newest report
+  Time m_startedAt = BootClock::now();  ///< a former process of this agent may have sent calls until then
+  std::uint64_t m_sequence = 0;         ///< number of the newest report
   ReportedTarget m_reported;
   std::uint64_t m_directory = 0;        ///< version of the newest list of replicas and relays received
   std::atomic<std::uint32_t> m_waitMs;  ///< how long the leader may hold back replies, ms; read from any thread
--- a/test/run_agent_target_restart.cpp
+++ b/test/run_agent_target_restart.cpp
@@ -20,220 +20,12 @@
 //
 // The agent runs between a leader with a real table and ledger, and a target that speaks the platform's protocol.
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/json/parse.hpp>
-
-#include "Courseloom/src/Transport/HttpClient.h"
-#include "platform/Endpoints.h"
-#include "test/AgentFixture.h"
+#include "test/RestartFixture.h"
 #include "test/main.h"
-#include "test/standins/RunnerTarget.h"
 
 using namespace courseloom;
 using namespace courseloom::test;
 
-namespace asio = boost::asio;
-
-namespace {
-
-const std::string Address = "127.0.9.2";
-constexpr std::size_t RunsPerTarget = 4;
-
-/** \class TableLeader
- * \brief A leader with a table and a ledger. It places waiting tasks on the only target.
- */
-class TableLeader : public FakeLeader {
- public:
-  TableLeader() : m_ledger(options()) { m_ledger.lead(m_table, BootClock::now(), m_term); }
-
-  /** Submits a workflow of `count` tasks. \param payload run time of each task, ms */
-  void submit(const std::string& id, const std::string& payload, unsigned count = 1) {
-    schema::Workflow workflow;
-    workflow.set_id(id);
-    workflow.set_max_attempts(3);
-    workflow.mutable_spec()->set_payload(payload);
-    workflow.mutable_spec()->add_steps()->set_count(count);
-    m_table.submit(workflow, 1);
-  }
-  bool isDone(const std::string& id) const { return m_table.find(id)->record.phase() == schema::WorkflowCompleted; }
-  /** \returns whether the log holds an active run of the first task. */
-  bool hasActiveRun(const std::string& id) const {
-    const TaskState* task = m_table.find(id)->task({0, 0, 0});
-    return task != nullptr && !task->active.empty();
-  }
-  /** Replaces the leader by another replica, which knows only the committed state. */
-  void replaceLeader() {
-    m_ledger = RunLedger(options());
-    m_ledger.lead(m_table, BootClock::now(), ++m_term);
-  }
-
-  Awaitable<Result<schema::AttendReply>> attend(schema::AttendRequest request) override {
-    const Time now = BootClock::now();
-    if (m_ledger.isSuperseded(request)) co_return fail(Failure{FailureCode::Fenced, Ran::No, "test", "", "", 0});
-    schema::AttendReply answer;
-    answer.set_term(m_term);
-    commit(m_ledger.receiveReport(request, now), {});
-    if (!m_ledger.isCurrent(request)) co_return answer;
-    recordTarget(request.target());
-    commit(m_ledger.expire(now), {});
-    place(now);
-    for (schema::RunOrder& order : m_ledger.issueOrders("agent", m_table, now)) *answer.add_orders() = std::move(order);
-    answer.set_grant_ms(static_cast<std::uint32_t>(toMilliseconds(m_ledger.grant("agent", now))));
-    answer.set_ends_target(request.target().id());
-    for (const schema::EndReport& row : request.ends()) {
-      answer.set_ends_taken(std::max<std::uint64_t>(answer.ends_taken(), row.number()));
-    }
-    const std::uint64_t term = m_term;
-    co_await sleepFor(milliseconds(20));
-    if (term != m_term) co_return fail(Failure{FailureCode::NoLeader, Ran::No, "test", "", "", 0});
-    co_return answer;
-  }
-
-  std::vector<std::string> incarnations;  ///< incarnations of the target in the order of their reports
-  bool draining = false;                  ///< whether the target was last reported as draining
-
- private:
-  static RunLedgerOptions options() {
-    RunLedgerOptions options;
-    options.grant = milliseconds(1500);
-    options.slack = milliseconds(100);
-    options.retryOrdersAfter = milliseconds(250);
-    return options;
-  }
-  void recordTarget(const schema::TargetReport& report) {
-    if (report.id().empty()) return;
-    if (incarnations.empty() || incarnations.back() != report.id()) incarnations.push_back(report.id());
-    draining = report.draining();
-  }
-  void place(Time now) {
-    schema::RecordRuns runs;
-    if (!m_ledger.open("agent", now)) return;
-    std::size_t load = m_ledger.runs().size();
-    for (const std::string& id : m_table.open()) {
-      const WorkflowState& workflow = *m_table.find(id);
-      for (std::uint32_t index = 0; index < workflow.step(0).count() && load < RunsPerTarget; ++index) {
-        const TaskState* task = workflow.task({0, 0, index});
-        if (task != nullptr && (task->done || !task->active.empty())) continue;
-        schema::RunStart* row = runs.add_starts();
-        *row->mutable_task() = makeTaskId(id, {0, 0, index});
-        row->mutable_run()->set_number(workflow.nextRun({0, 0, index}));
-        row->mutable_run()->set_target(m_ledger.targets().at("agent").report.id());
-        row->mutable_run()->set_agent("agent");
-        ++load;
-      }
-    }
-    if (runs.starts_size() > 0) record(runs);
-  }
-  void commit(std::vector<schema::RunEnd> ends, std::vector<schema::RunStart> starts) {
-    schema::RecordRuns runs;
-    for (schema::RunEnd& end : ends) *runs.add_ends() = std::move(end);
-    for (schema::RunStart& start : starts) *runs.add_starts() = std::move(start);
-    if (runs.ends_size() + runs.starts_size() > 0) record(runs);
-  }
-  void record(const schema::RecordRuns& runs) {
-    m_table.record(runs, 2);
-    m_ledger.apply(m_table.consumeRunChanges(), BootClock::now());
-  }
-
-  WorkflowTable m_table;
-  RunLedger m_ledger;
-  std::uint64_t m_term = 1;
-};
-
-/** \class RestartFixture
- * \brief An agent, its target and its leader on one thread.
- */
-class RestartFixture {
- public:
-  /** \param statesStartTime whether the target states the start time of its incarnation */
-  explicit RestartFixture(bool statesStartTime = true) : m_server(io) {
-    m_server.handle<schema::AttendRequest>(
-        "attend", [this](schema::AttendRequest request, std::string) { return leader.attend(std::move(request)); });
-    const unsigned port = m_server.start(Address, 0).value();
-    m_registrationPort = port + 1;
-    RunnerOptions options;
-    options.address = Address;
-    options.agent = Address + ":" + std::to_string(m_registrationPort);
-    options.statesStartTime = statesStartTime;
-    m_target = std::make_unique<RunnerTarget>(io, options);
-    const unsigned targetPort = m_target->start();
-    cr_assert(targetPort != 0, "the target cannot listen on its port");
-    m_settings.mutable_node()->set_name("agent");
-    m_settings.mutable_node()->set_address(Address);
-    m_settings.mutable_cluster()->set_seed_rpc_port(port);
-    m_settings.mutable_cluster()->set_election_timeout_ms(400);
-    m_settings.mutable_cluster()->add_seeds()->set_endpoint(Address + ":1");
-    m_settings.mutable_runner()->set_order_limit_ms(300);
-    m_settings.mutable_runner()->set_attend_ms(200);
-    m_settings.mutable_runner()->set_look_ms(100);
-    m_settings.mutable_runner()->set_max_hold_ms(6000);
-    m_settings.mutable_runner()->set_target_endpoint(Address + ":" + std::to_string(targetPort));
-    m_settings.mutable_edge()->set_control_endpoint(options.agent);
-    RunAgentProtocol protocol{platform::makeTargetPort, platform::answerRegistration};
-    m_agent = std::make_unique<RunAgentService>(DaemonContext{io, m_settings, m_metrics}, std::move(protocol));
-    cr_assert(static_cast<bool>(m_agent->start()), "the agent cannot listen on its ports");
-    waitFor([this] { return !leader.incarnations.empty(); });
-    cr_assert_not(leader.incarnations.empty(), "the target was not found");
-  }
-
-  void run(std::int64_t ms) { io.run_for(milliseconds(ms)); }
-  /** Runs until a condition holds, for at most 400 steps of 10 ms. \returns whether it holds */
-  bool waitFor(const std::function<bool()>& condition) {
-    for (int i = 0; i < 400 && !condition(); ++i) run(10);
-    return condition();
-  }
-  bool waitForDone(const std::string& id) {
-    return waitFor([this, &id] { return leader.isDone(id); });
-  }
-  /** Sends a control call of the test to the target. \returns the body of the answer, `{}` if there is none */
-  std::string callTarget(const std::string& path) {
-    std::optional<HttpResponse> answer;
-    asio::co_spawn(io, answerCall(path, answer), asio::detached);
-    waitFor([&answer] { return answer.has_value(); });
-    return answer ? answer->body() : std::string("{}");
-  }
-  /** \returns how often a task was started. */
-  std::int64_t starts(const std::string& task) {
-    const boost::json::object counts = boost::json::parse(callTarget("/starts")).as_object();
-    const boost::json::object& starts = counts.at("starts").as_object();
-    return starts.contains(task) ? starts.at(task).to_number<std::int64_t>() : 0;
-  }
-  /** Sends a registration message of the target to the agent. \returns the status of the answer, or 0 without one */
-  unsigned sendToAgent(const std::string& path, const std::string& body) {
-    std::optional<unsigned> status;
-    asio::co_spawn(io, sendMessage(path, body, status), asio::detached);
-    waitFor([&status] { return status.has_value(); });
-    return status.value_or(0);
-  }
-  /** \returns the identity of the target's present incarnation. */
-  std::string identity() const { return m_target->id(); }
-
-  asio::io_context io;
-  TableLeader leader;
-
- private:
-  Awaitable<void> answerCall(std::string path, std::optional<HttpResponse>& answer) {
-    answer = co_await m_target->answer(HttpRequest(boost::beast::http::verb::post, path, 11));
-  }
-  Awaitable<void> sendMessage(std::string path, std::string body, std::optional<unsigned>& status) {
-    HttpClient client(io, Address, m_registrationPort, 0);
-    HttpRequest request(boost::beast::http::verb::post, path, 11);
-    request.body() = std::move(body);
-    Result<HttpResponse> response = co_await client.exchange("word", request, milliseconds(1000), 4096);
-    status = response ? response->result_int() : 0;
-  }
-
-  RpcServer m_server;
-  schema::Settings m_settings;
-  Histograms m_metrics;
-  unsigned m_registrationPort = 0;
-  std::unique_ptr<RunnerTarget> m_target;
-  std::unique_ptr<RunAgentService> m_agent;
-};
-
-}  // namespace
-
 Test(run_agent_target_restart, runs_of_a_former_incarnation_are_started_again) {
   RestartFixture fixture;
   fixture.leader.submit("a", "600", 3);
@@ -405,3 +197,46 @@
   cr_assert(fixture.waitForDone("b"));
   cr_assert_eq(fixture.leader.incarnations.size(), 2);
 }
+
+// Guards against two concurrent runs of a task. The next incarnation has announced itself, refuses polls and stops, and
+// carries out the former incarnation's start after the hold has ended by the former incarnation's clock.
+Test(run_agent_target_restart, a_run_does_not_lapse_while_an_announced_incarnation_can_still_start_it) {
+  RestartFixture fixture;
+  fixture.restartWithDelayedStart("/refuse?ms=4500&of=hold,run-stop");
+  cr_assert(fixture.waitFor([&] { return fixture.starts("a.0.0.0") == 1; }), "the delayed start was not carried out");
+  cr_assert(fixture.leader.hasActiveRun("a"), "the run began after the leader had counted it as lapsed");
+  cr_assert(fixture.waitForDone("a"));
+  cr_assert_eq(fixture.starts("a.0.0.0"), 1);
+}
+
+// As above, with an incarnation whose heartbeats do not arrive: refusals after unanswered calls may be its own.
+Test(run_agent_target_restart, a_run_does_not_lapse_while_an_incarnation_that_refuses_calls_can_still_start_it) {
+  RestartFixture fixture;
+  fixture.callTarget("/hush?ms=9500");
+  fixture.restartWithDelayedStart("/refuse?ms=4500&of=hold,run-stop");
+  cr_assert(fixture.waitFor([&] { return fixture.starts("a.0.0.0") == 1; }), "the delayed start was not carried out");
+  cr_assert(fixture.leader.hasActiveRun("a"), "the run began after the leader had counted it as lapsed");
+  cr_assert(fixture.waitForDone("a"));
+  cr_assert_eq(fixture.starts("a.0.0.0"), 1);
+}
+
+// Guards against a task that is never started again since its target refuses calls for good.
+Test(run_agent_target_restart, a_run_lapses_although_the_next_incarnation_refuses_all_calls) {
+  RestartFixture fixture;
+  fixture.restartWithDelayedStart("/refuse?ms=30000&of=hold,run-stop", 60000);
+  fixture.run(9500);
+  cr_assert(fixture.leader.hasActiveRun("a"), "a start that the next incarnation can carry out does not lapse yet");
+  cr_assert(fixture.waitFor([&] { return !fixture.leader.hasActiveRun("a"); }), "the task is never started again");
+}
+
+// A start that the former incarnation has carried out cannot reach the next one, so its run lapses with the hold.
+Test(run_agent_target_restart, a_run_that_the_former_incarnation_has_listed_lapses_with_its_hold) {
+  RestartFixture fixture;
+  fixture.run(4500);
+  fixture.leader.submit("a", "9000");
+  cr_assert(fixture.waitFor([&] { return fixture.starts("a.0.0.0") == 1; }));
+  fixture.run(300);
+  fixture.callTarget("/refuse?ms=5500&of=hold,run-stop");
+  fixture.callTarget("/crash?same=1");
+  cr_assert(fixture.waitFor([&] { return !fixture.leader.hasActiveRun("a"); }), "the run did not lapse");
+}
--- a/test/standins/RunnerTarget.h
+++ b/test/standins/RunnerTarget.h
@@ -36,10 +36,10 @@
  * \brief A fault that affects a share of the orders for a while.
  */
 struct InjectedFault {
-  Time until{};           ///< end of the fault
-  unsigned percent = 0;   ///< affected share of the orders
-  std::string orderKind;  ///< the only affected kind of order; empty for all
-  unsigned afterMs = 0;   ///< delay of late orders, ms; 0 for a random one
+  Time until{};            ///< end of the fault
+  unsigned percent = 0;    ///< affected share of the orders
+  std::string orderKinds;  ///< the only affected kinds of orders, separated by commas; empty for all
+  unsigned afterMs = 0;    ///< delay of late orders, ms; 0 for a random one
 
   /** \returns the fault that the query of a control call describes. It begins now. */
   static InjectedFault fromQuery(const std::string& path);
@@ -109,16 +109,14 @@
   std::deque<HttpRequest> m_formerHeartbeats;  ///< the last ones of the former incarnation
   Time m_noHeartbeatUntil{};                   ///< end of the fault that suppresses heartbeats
   Time m_nextHeartbeat{};
-  std::int64_t m_executedToken = 0;        ///< highest token of an executed order; orders with lower ones are refused
-  std::int64_t m_receivedToken = 0;        ///< highest token of any received order, executed or not
-  std::int64_t m_formerReceivedToken = 0;  ///< m_receivedToken at the end of the former incarnation
-  std::int64_t m_heldUntil = 0;            ///< end of the hold, by its clock, ms
-  std::int64_t m_recordedLapse = 0;        ///< end of the hold whose expiry was recorded last
-  unsigned m_timePercent = 100;            ///< run time of newly started tasks, percent of the specified one
-  Time m_failUntil{};                      ///< until then started tasks fail at once
-  Time m_stalledUntil{};                   ///< until then no order is executed
-  Time m_downUntil{};                      ///< until then a crashed target answers no calls
-  unsigned m_crashes = 0;                  ///< crashes caused by tasks
+  std::int64_t m_executedToken = 0;  ///< highest token of an executed order; orders with lower ones are refused
+  std::int64_t m_heldUntil = 0;      ///< end of the hold, by its clock, ms
+  std::int64_t m_recordedLapse = 0;  ///< end of the hold whose expiry was recorded last
+  unsigned m_timePercent = 100;      ///< run time of newly started tasks, percent of the specified one
+  Time m_failUntil{};                ///< until then started tasks fail at once
+  Time m_stalledUntil{};             ///< until then no order is executed
+  Time m_downUntil{};                ///< until then a crashed target answers no calls
+  unsigned m_crashes = 0;            ///< crashes caused by tasks
   InjectedFault m_refuseFault;
   InjectedFault m_lateFault;
   unsigned m_refused = 0;       ///< orders refused by a fault
--- a/test/standins/runner.cpp
+++ b/test/standins/runner.cpp
@@ -23,8 +23,9 @@
 //   POST /refuse?ms=N&percent=P&of=X   for N ms, refuses P percent of the orders with 429 or 503
 //   POST /late?ms=N&percent=P&of=X     for N ms, gives P percent of the orders no answer, and executes them 0.3 to 4 s
 //                                      later, or after=MS later, possibly out of order
-// X is run-start, run-stop or hold; all if omitted. With --events each start, end, discarded end, expired hold and end
-// of an incarnation is a line of a file: `MICROSECONDS started|ended|noted|lapsed|over INCARNATION TASK RUN HOW`.
+// X is one or several of run-start, run-stop and hold, separated by commas; all if omitted. With --events each start,
+// end, discarded end, expired hold and end of an incarnation is a line of a file: `MICROSECONDS
+// started|ended|noted|lapsed|over INCARNATION TASK RUN HOW`.
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
