--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -47,6 +47,13 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+/** \returns the lowest number of listed ends; 0 for an empty list. */
+std::uint64_t lowest_number(const std::vector<schema::EndReport>& ends) {
+  const auto isLower = [](const auto& left, const auto& right) { return left.number() < right.number(); };
+  const auto lowest = std::min_element(ends.begin(), ends.end(), isLower);
+  return lowest == ends.end() ? 0 : lowest->number();
+}
+
 /** \returns whether a demand blocks more of a target than another one: accelerators are the scarcest resource. */
 bool is_larger(const ResourceAmounts& left, const ResourceAmounts& right) {
   return std::tie(left.accelerators, left.cpuMilli, left.memoryMb) >
@@ -144,6 +151,16 @@
   return deadlineOnTarget(until);
 }
 
+/** \returns the number up to which the target may discard its ends; 0 if it lists none that are committed. Another
+ * incarnation may carry out the poll late. Its first ends have the same numbers, and it must not discard them before
+ * they are read. Therefore only polls that have something to discard carry a number, and none do after an unanswered
+ * poll or an announcement. */
+std::uint64_t RunAgentService::endsToDiscard() const {
+  const bool mayBeOther = m_target->failures > 0 || !m_announced.empty();
+  const bool listsCommitted = m_target->firstListedEnd != 0 && m_target->firstListedEnd <= m_target->endsTaken;
+  return mayBeOther || !listsCommitted ? 0 : m_target->endsTaken;
+}
+
 Awaitable<bool> RunAgentService::poll(std::uint32_t waitMs) {
   const std::string incarnation = m_target->report.id();
   TargetHold hold;
@@ -154,9 +171,7 @@
   const bool newStep = m_target->fenced || !m_target->successor.empty();
   const std::uint64_t step = newStep ? nextFenceStep() : m_target->step;
   hold.token = Fence::token(step, m_term);
-  // After an unanswered poll or an announcement another incarnation may answer. Its first ends have the same numbers,
-  // and it must not forget them.
-  hold.lastSeen = m_target->failures > 0 || !m_announced.empty() ? 0 : m_target->endsTaken;
+  hold.lastSeen = endsToDiscard();
   hold.waitMs = waitMs;
   const Duration limit = milliseconds(waitMs) + milliseconds(m_context.settings.runner().order_limit_ms());
   const Time sentAt = BootClock::now();
@@ -217,6 +232,7 @@
   recordClock(answer.clockMs);
   m_target->running = answer.running;
   m_target->moreEnds = answer.moreEnds;
+  m_target->firstListedEnd = internal::lowest_number(answer.ends);
   m_target->polledAt = receivedAt;
   if (m_target->progress.note(m_target->running, receivedAt)) notifyPendingChanges();
   for (const schema::RunReport& row : answer.running) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -108,6 +108,7 @@
     std::map<RunKey, Time> orderedAt;  ///< time of the start call of each run, until the target lists the run's end
     std::map<std::uint64_t, schema::EndReport> ends;  ///< ends listed by the target and not committed yet, by number
     bool moreEnds = false;                            ///< the newest poll did not list all ends
+    std::uint64_t firstListedEnd = 0;                 ///< lowest number in the newest list of ends; 0 for an empty list
     std::vector<schema::RunReport> running;           ///< running runs as of the newest answered poll
     Time polledAt{};                                  ///< when the newest answer to a poll arrived
     std::uint64_t listedAtMs = 0;                     ///< the target's clock when it made the newest applied lists, ms
@@ -171,6 +172,7 @@
   std::uint64_t nextFenceStep() { return m_fence.nextStep(wallClockMs()); }
   std::uint64_t deadlineOnTarget(Time until) const;
   void recordClock(std::uint64_t clockMs);
+  std::uint64_t endsToDiscard() const;
   Time latestHoldEnd() const;
   std::optional<std::uint64_t> holdDeadline();
 
--- a/test/run_agent_target_restart.cpp
+++ b/test/run_agent_target_restart.cpp
@@ -240,3 +240,21 @@
   fixture.callTarget("/crash?same=1");
   cr_assert(fixture.waitFor([&] { return !fixture.leader.hasActiveRun("a"); }), "the run did not lapse");
 }
+
+// Guards against a run that is started again after its end was noted. A poll of the former incarnation, carried out by
+// the next one, must not let that one discard the end of a run that it has begun in the meantime.
+Test(run_agent_target_restart, a_delayed_poll_of_the_former_incarnation_discards_no_ends_of_the_next) {
+  RestartFixture fixture;
+  fixture.leader.submit("b", "30", 4);
+  cr_assert(fixture.waitForDone("b"));
+  fixture.run(300);
+  fixture.callTarget("/late?ms=400&of=run-start&after=1000");
+  fixture.leader.submit("a", "200");
+  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 1; }), "no start call was delayed");
+  fixture.callTarget("/late?ms=400&of=hold&after=1600");
+  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 2; }), "no poll was delayed");
+  fixture.callTarget("/refuse?ms=2500&of=hold,run-stop");
+  fixture.callTarget("/crash?same=1");
+  cr_assert(fixture.waitForDone("a"));
+  cr_assert_eq(fixture.starts("a.0.0.0"), 1, "the task was started again after its end had been discarded");
+}
