A run in doubt ends although its target refuses every stop

What callers saw: a task whose start got no answer was never started again while its target answered polls and refused each stop. Cause: stopRun repeated the stop until one was accepted, and polls that are answered extend the hold, so the run did not lapse either. Evidence: the new test refused_stops failed on the commit before (the task was not started again within 9 s). Ruled out: taking a refusal for a confirmation, which is the fault of docs/incidents/two-runs-of-one-task.md. Change: once the target's clock has passed the deadline of the start call, and LateCallLimit has passed since the call, the run cannot begin any more; the agent reads the lists and reports the run as void if they do not contain it.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -500,8 +500,10 @@
   const Time until = latestHoldEnd();
   m_holdsEndBy = std::max(m_holdsEndBy, until);
   m_target->orderedAt[key] = BootClock::now();
-  m_runs[key].startSentAt = BootClock::now();
-  const TargetStart start{order, deadlineOnTarget(until), token()};
+  LocalRun& run = m_runs[key];
+  run.startSentAt = BootClock::now();
+  run.startDeadlineMs = deadlineOnTarget(until);
+  const TargetStart start{order, run.startDeadlineMs, token()};
   Result<TargetAnswer> answer =
       co_await m_port->start(incarnation, start, milliseconds(m_context.settings.runner().order_limit_ms()));
   if (!isCurrentIncarnation(incarnation)) co_return;
@@ -540,7 +542,16 @@
   co_await stopRun(std::move(order));
 }
 
-/** Sends stop calls for a run until the target confirms one, then reads the outcome from the target's lists. */
+/** \returns whether the target refuses the start call of a run by its deadline, and the call is too old to be carried
+ * out by a successor, so that the run cannot begin any more. */
+bool RunAgentService::isStartTooLate(const RunKey& key) const {
+  const LocalRun& run = m_runs.at(key);
+  if (run.startSentAt == Time{} || BootClock::now() <= run.startSentAt + internal::LateCallLimit) return false;
+  return m_target->clockMs > run.startDeadlineMs;
+}
+
+/** Sends stop calls for a run until the target confirms one or the run cannot begin any more, then reads the outcome
+ * from the target's lists. */
 Awaitable<void> RunAgentService::stopRun(schema::RunOrder order) {
   const std::string& incarnation = order.target();
   const RunKey key = runKeyOf(order.task(), order.run());
@@ -558,6 +569,7 @@
     }
     // A refused stop has changed nothing at the target: a delayed start could still begin the run afterwards.
     if (answer && answer->verdict == TargetVerdict::Accepted) break;
+    if (isStartTooLate(key)) break;
     if (answer) {
       recordRefusedCall();
       logEvent(schema::StopRefused, {{"task", taskText(order.task())},
@@ -569,7 +581,7 @@
     if (answer) refusedPause = std::min(2 * refusedPause, internal::MaxRefusedPause);
     if (!isOpen(incarnation, key)) co_return;
   }
-  // Only a poll sent after the confirmation shows whether the target had the run, and only if it lists the run or
+  // Only a poll sent after that shows whether the target had the run, and only if it lists the run or
   // leaves out no ends.
   while (!co_await poll(0) || (m_target->moreEnds && !isListed(key))) {
     co_await sleepFor(internal::FailedPause);
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -74,7 +74,8 @@
     bool listed = false;         ///< the current incarnation has listed the run
     bool lapseDelayed = false;   ///< the run would have lapsed, but a successor may still begin it
     Time startSentAt{};          ///< when this agent sent the start call; zero if it has sent none
-    Time knownSince{};           ///< when the target was first known to have the run; zero while that is not confirmed
+    std::uint64_t startDeadlineMs = 0;  ///< deadline of the start call on the target's clock, ms
+    Time knownSince{};  ///< when the target was first known to have the run; zero while that is not confirmed
     std::optional<CapacityRefusal> refusal;  ///< set if this agent refused its start for lack of capacity
   };
   /** Whether the loss of a target is attributed to one of the runs that were there. */
@@ -158,6 +159,7 @@
   bool mayHaveSuccessor() const;
   bool isSuccessorFenced() const;
   Time latestEndInSuccessor(const LocalRun& run) const;
+  bool isStartTooLate(const RunKey& key) const;
   bool delaysLapse(const RunKey& key, LocalRun& run, Time now);
   void allowNoMoreFailures();
   void endIncarnation();
