Runs that stall together make their target suspect once

Cause: each stalled run doubled the suspicion of its target. A target that hung for a moment with four or five runs was avoided for 32 s rather than 4 s, and runs that had been placed there while too many targets were suspect prolonged it again. Ruled out: reservations (the targets are closed before any reservation looks at them), a change of leader (none), drains (none). Change: stalls during a suspicion do not prolong it, as failures already do not. Measured: the new case of target_health failed before and passes; run_ledger 62, load_replay 12 passed.

--- a/Courseloom/src/Scheduling/TargetHealth.cpp
+++ b/Courseloom/src/Scheduling/TargetHealth.cpp
@@ -142,9 +142,11 @@
 }
 
 void TargetHealth::stalled(const std::string& target, Time now) {
-  m_targets[target].stalled = true;
-  m_targets[target].doubtedUntil = now + m_options.doubtTime;
-  markSuspect(m_targets[target], now);
+  Score& score = m_targets[target];
+  score.stalled = true;
+  score.doubtedUntil = now + m_options.doubtTime;
+  // All runs of a target that hangs stall together. Stalls during a suspicion therefore do not prolong it.
+  if (now >= score.suspectUntil) markSuspect(score, now);
 }
 
 void TargetHealth::refused(const std::string& target, Time now) {
--- a/test/target_health.cpp
+++ b/test/target_health.cpp
@@ -1,7 +1,7 @@
 // This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
 // SPDX-License-Identifier: MPL-2.0
 
-// Tests of TargetHealth for targets on which starts never begin. Lengths of closures are those of
+// Tests of TargetHealth for targets on which runs stall or starts never begin. Lengths of closures are those of
 // docs/design/hard-load.md: 0.4 s, doubling up to 12.8 s.
 
 #include "Courseloom/src/Scheduling/TargetHealth.h"
@@ -165,3 +165,25 @@
   test.health.forget("w");
   cr_assert(test.health.voidedOn({"w", {0, 0}}, test.now).empty());
 }
+
+// Guards against healthy targets that stay empty while work waits: a target that hung for a moment with five runs was
+// avoided for 32 s, since each of them doubled the suspicion.
+Test(target_health, runs_that_stall_together_make_a_target_suspect_once) {
+  TargetHealth health;
+  Time now = Time(milliseconds(1000000));
+  for (int run = 0; run < 5; ++run) health.stalled("t", now);
+  health.stalled("t", now + milliseconds(2000));
+  cr_assert(health.suspect("t", now + milliseconds(3999)));
+  cr_assert_not(health.suspect("t", now + milliseconds(4000)), "runs that stalled together count repeatedly");
+  cr_assert(health.onProbation("t", now + milliseconds(4000)));
+}
+
+Test(target_health, a_stall_after_a_suspicion_doubles_the_next_one) {
+  TargetHealth health;
+  Time now = Time(milliseconds(1000000));
+  health.stalled("t", now);
+  now += milliseconds(5000);
+  health.stalled("t", now);
+  cr_assert(health.suspect("t", now + milliseconds(7999)));
+  cr_assert_not(health.suspect("t", now + milliseconds(8000)));
+}
