--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -18,16 +18,8 @@
 namespace internal {
 namespace {
 
-/** The target's clock may run slower than the agent's. The agent assumes that it advances by at least 98 ms in each
- * 100 ms. */
-constexpr std::int64_t SlowClockNumerator = 98;
-constexpr std::int64_t SlowClockDenominator = 100;
 /** Subtracted from the end of each hold, so that the hold ends before the lease does. */
 constexpr Duration HoldMargin = milliseconds(50);
-/** Added to the end of the latest hold before the runs of a silent target count as lapsed. */
-constexpr Duration LapseSlack = milliseconds(200);
-/** Longest time after which a target may still carry out a call that it has not answered. */
-constexpr Duration LateCallLimit = milliseconds(6000);
 /** Pause after a call that failed. */
 constexpr Duration FailedPause = milliseconds(150);
 /** Pause before a refused stop is retried. It is short because a refusal arrives at once and a run with an
@@ -124,7 +116,7 @@
   const auto awake = std::chrono::steady_clock::now() - m_target->clockAwakeAt;
   const Duration sinceRead = std::min(now - m_target->clockAt, std::chrono::duration_cast<Duration>(awake));
   const Duration ahead = until - now + sinceRead;
-  const Duration shown = ahead * internal::SlowClockNumerator / internal::SlowClockDenominator;
+  const Duration shown = ahead * SlowClockNumerator / SlowClockDenominator;
   return m_target->clockMs + static_cast<std::uint64_t>(toMilliseconds(shown));
 }
 
@@ -284,90 +276,6 @@
   if (!answer) logFailure(schema::PeerFailed, extractFailure(answer));
 }
 
-/** Records when the target first failed to answer a call since the last successful poll or start. */
-void RunAgentService::recordUnansweredCall() {
-  if (m_target->unansweredSince == Time{}) m_target->unansweredSince = BootClock::now();
-}
-
-/** Records a refusal. A refusal does not name the refusing incarnation. After an unanswered call it may be a successor
- * that has not announced itself yet. */
-void RunAgentService::recordRefusedCall() {
-  if (m_target->unansweredSince != Time{}) m_target->refusedAfterLoss = true;
-}
-
-/** Makes the target unreachable with its next failed poll at the latest. */
-void RunAgentService::allowNoMoreFailures() {
-  m_target->failures = std::max(m_target->failures, UnreachableAfterFailures - 1);
-}
-
-/** Handles the answer that a target of another identity runs at the address: the current incarnation has ended. */
-void RunAgentService::endIncarnation() {
-  settleAll(schema::RunTargetLost, "another life answers");
-  allowNoMoreFailures();
-  recordFailedPoll();
-}
-
-/** Counts a poll that the current incarnation has not answered. Its runs lapse after the end of the latest hold. */
-void RunAgentService::recordFailedPoll() {
-  ++m_target->failures;
-  if (m_target->failures == UnreachableAfterFailures) {
-    logEvent(schema::TargetLost, {{"target", m_target->report.id()}});
-    m_target->report.set_reachable(false);
-    notifyPendingChanges();
-  }
-  if (BootClock::now() > m_holdsEndBy + internal::LapseSlack) expireRuns();
-}
-
-/** Settles the runs whose holds have ended as lapsed. The holds were for the clock of the current incarnation. A
- * successor has a clock of its own, by which a delayed start is not late, so that runs which it may still begin wait.
- * The runs that it has begun end with its own lists, once it is current. */
-void RunAgentService::expireRuns() {
-  const Time now = BootClock::now();
-  std::vector<RunKey> lapsed;
-  for (auto& [key, run] : m_runs) {
-    if (m_target->successorRuns.count(key) == 0 && !delaysLapse(key, run, now)) lapsed.push_back(key);
-  }
-  for (const RunKey& key : lapsed) {
-    settle(makeTaskId(key.workflow, key.task), key.run, schema::RunLapsed, "the target is silent");
-  }
-}
-
-/** \returns whether there are signs that the current incarnation has a successor. Each incarnation announces itself
- * when it starts, so there is none while nothing is received from the target. */
-bool RunAgentService::mayHaveSuccessor() const {
-  return !m_target->successor.empty() || !m_announced.empty() || m_target->refusedAfterLoss;
-}
-
-/** \returns whether the newest known incarnation refuses the calls that were sent to the current one. */
-bool RunAgentService::isSuccessorFenced() const {
-  const auto isKnown = [this](const auto& announced) { return announced.first == m_target->successor; };
-  return m_target->successorFenced && std::all_of(m_announced.begin(), m_announced.end(), isKnown);
-}
-
-/** \returns the latest time at which a successor can have a run whose start call was sent to the current incarnation;
- * zero if the current one has carried out the call. The successor begins the run with a hold of full length. */
-Time RunAgentService::latestEndInSuccessor(const LocalRun& run) const {
-  if (run.listed || run.neverStarted) return Time{};
-  const schema::RunnerSettings& settings = m_context.settings.runner();
-  const Duration transit = run.startAnswered ? milliseconds(settings.order_limit_ms()) : internal::LateCallLimit;
-  const Time begun = std::max(run.startSentAt + transit, m_startedAt + internal::LateCallLimit);
-  return begun + milliseconds(settings.max_hold_ms()) * internal::SlowClockDenominator / internal::SlowClockNumerator;
-}
-
-/** \returns whether a run must not lapse yet, since an unfenced successor may begin it or may have begun it. */
-bool RunAgentService::delaysLapse(const RunKey& key, LocalRun& run, Time now) {
-  if (!mayHaveSuccessor() || isSuccessorFenced() || now > latestEndInSuccessor(run)) return false;
-  if (std::exchange(run.lapseDelayed, true)) return true;
-  logEvent(schema::LapseDelayed,
-           {{"task", taskText(makeTaskId(key.workflow, key.task))},
-            {"run", std::uint64_t{key.run}},
-            {"target", m_target->report.id()},
-            {"successor", m_target->successor},
-            {"announced", m_announced.empty() ? "" : m_announced.begin()->first},
-            {"waitMs", static_cast<std::uint64_t>(toMilliseconds(latestEndInSuccessor(run) - now))}});
-  return true;
-}
-
 Awaitable<void> RunAgentService::pollLoop() {
   while (true) {
     if (!m_target) {
@@ -542,14 +450,6 @@
   co_await stopRun(std::move(order));
 }
 
-/** \returns whether the target refuses the start call of a run by its deadline, and the call is too old to be carried
- * out by a successor, so that the run cannot begin any more. */
-bool RunAgentService::isStartTooLate(const RunKey& key) const {
-  const LocalRun& run = m_runs.at(key);
-  if (run.startSentAt == Time{} || BootClock::now() <= run.startSentAt + internal::LateCallLimit) return false;
-  return m_target->clockMs > run.startDeadlineMs;
-}
-
 /** Sends stop calls for a run until the target confirms one or the run cannot begin any more, then reads the outcome
  * from the target's lists. */
 Awaitable<void> RunAgentService::stopRun(schema::RunOrder order) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -61,6 +61,10 @@
 
   /** Number of failed polls in a row after which the target counts as unreachable and gets no new runs. */
   static constexpr unsigned UnreachableAfterFailures = 2;
+  /** The target's clock may run slower than the agent's. The agent assumes that it advances by at least 98 ms in each
+   * 100 ms. */
+  static constexpr std::int64_t SlowClockNumerator = 98;
+  static constexpr std::int64_t SlowClockDenominator = 100;
 
   /** Why a start does not fit on the target. */
   struct CapacityRefusal {
