--- a/test/standins/RunnerTarget.cpp
+++ b/test/standins/RunnerTarget.cpp
@@ -57,6 +57,15 @@
 /** Closes the connection of the request that is being answered, as the end of the process would. */
 struct ProcessTerminated : std::exception {};
 
+/** \returns the fencing token of an order, or 0 if the request has none. */
+std::int64_t tokenOf(const HttpRequest& request) {
+  boost::system::error_code error;
+  const json::value body = json::parse(request.body(), error);
+  const json::object* order = error ? nullptr : body.if_object();
+  const json::value* token = order == nullptr ? nullptr : order->if_contains("fencing_token");
+  return token == nullptr ? 0 : token->to_number<std::int64_t>(error);
+}
+
 /** \returns the number in a path's query, or `defaultValue` if the query does not contain it. */
 unsigned queryNumber(const std::string& path, const std::string& name, unsigned defaultValue) {
   const std::string text = queryText(path, name);
@@ -159,6 +168,7 @@
   m_ends.clear();
   m_lastEnd = 0;
   m_executedToken = 0;
+  m_formerReceivedToken = m_receivedToken;
   m_nextHeartbeat = m_downUntil;  // a process registers when it starts
   m_heldUntil = 0;
   m_recordedLapse = 0;
@@ -241,6 +251,7 @@
     co_return jsonResponse(200, "{}");
   }
   if (BootClock::now() < m_downUntil) throw ProcessTerminated();
+  m_receivedToken = std::max(m_receivedToken, tokenOf(request));
   if (m_refuseFault.affects(path, m_random)) {
     ++m_refused;
     co_return jsonResponse(m_random() % 2 == 0 ? 429 : 503, "");
@@ -252,8 +263,13 @@
 
 Awaitable<HttpResponse> RunnerTarget::executeLate(HttpRequest request) {
   ++m_pendingLate;
+  const unsigned incarnation = m_incarnation;
   const unsigned drawnMs = std::uniform_int_distribution<unsigned>(ShortestLateMs, LongestLateMs)(m_random);
   co_await sleepFor(milliseconds(m_lateFault.afterMs > 0 ? m_lateFault.afterMs : drawnMs));
+  const auto isHeldBack = [&] {
+    return m_options.holdsBackLateOrders && m_incarnation != incarnation && m_executedToken <= m_formerReceivedToken;
+  };
+  while (isHeldBack()) co_await sleepFor(CheckInterval);
   --m_pendingLate;
   ++m_executedLate;
   HttpResponse unsent = co_await executeOrder(std::move(request));
--- a/test/standins/RunnerTarget.h
+++ b/test/standins/RunnerTarget.h
@@ -30,6 +30,9 @@
   std::uint64_t seed = 1;       ///< seed of its random numbers
   /** States the start time of its incarnation, as the platform does since identities are reused. */
   bool statesStartTime = true;
+  /** Carries out late orders of a former incarnation only once the present one has accepted a poll under a newer token.
+   */
+  bool holdsBackLateOrders = false;
 };
 
 /** \class InjectedFault
@@ -109,14 +112,16 @@
   std::deque<HttpRequest> m_formerHeartbeats;  ///< the last ones of the former incarnation
   Time m_noHeartbeatUntil{};                   ///< end of the fault that suppresses heartbeats
   Time m_nextHeartbeat{};
-  std::int64_t m_executedToken = 0;  ///< highest token of an executed order; orders with lower ones are refused
-  std::int64_t m_heldUntil = 0;      ///< end of the hold, by its clock, ms
-  std::int64_t m_recordedLapse = 0;  ///< end of the hold whose expiry was recorded last
-  unsigned m_timePercent = 100;      ///< run time of newly started tasks, percent of the specified one
-  Time m_failUntil{};                ///< until then started tasks fail at once
-  Time m_stalledUntil{};             ///< until then no order is executed
-  Time m_downUntil{};                ///< until then a crashed target answers no calls
-  unsigned m_crashes = 0;            ///< crashes caused by tasks
+  std::int64_t m_executedToken = 0;        ///< highest token of an executed order; orders with lower ones are refused
+  std::int64_t m_receivedToken = 0;        ///< highest token of any received order, executed or not
+  std::int64_t m_formerReceivedToken = 0;  ///< m_receivedToken at the end of the former incarnation
+  std::int64_t m_heldUntil = 0;            ///< end of the hold, by its clock, ms
+  std::int64_t m_recordedLapse = 0;        ///< end of the hold whose expiry was recorded last
+  unsigned m_timePercent = 100;            ///< run time of newly started tasks, percent of the specified one
+  Time m_failUntil{};                      ///< until then started tasks fail at once
+  Time m_stalledUntil{};                   ///< until then no order is executed
+  Time m_downUntil{};                      ///< until then a crashed target answers no calls
+  unsigned m_crashes = 0;                  ///< crashes caused by tasks
   InjectedFault m_refuseFault;
   InjectedFault m_lateFault;
   unsigned m_refused = 0;       ///< orders refused by a fault
--- a/test/standins/runner.cpp
+++ b/test/standins/runner.cpp
@@ -49,6 +49,8 @@
   app.add_option("--events", options.events, "File for events");
   app.add_option("--clock-percent", options.clockPercent, "Speed of its clock, percent");
   app.add_option("--seed", options.seed, "Of what it draws");
+  app.add_flag("--hold-back-late-orders", options.holdsBackLateOrders,
+               "Carries out late orders of a former incarnation only once the present one was polled");
   CLI11_PARSE(app, argc, argv);
   asio::io_context io;
   RunnerTarget runner(io, options);
