A refused stop of a run that has begun is sent again, however old the run is

What callers would have seen: a cancelled workflow whose task goes on. Cause: isStartTooLate asked only for the age of the start call and its deadline. For a run that was running for longer than 6 s both had passed, so the first refused stop ended the agent's repeats; the leader's next order came 1.5 s later, or not at all while it was out of reach. Change: the question is asked only of runs that are not known to have begun.

--- a/Courseloom/src/Agent/RunAgentLapses.cpp
+++ b/Courseloom/src/Agent/RunAgentLapses.cpp
@@ -113,11 +113,12 @@
   return true;
 }
 
-/** \returns whether the target refuses the start call of a run by its deadline, and the call is too old to be carried
- * out by a successor, so that the run cannot begin any more. */
+/** \returns whether a run that is not known to have begun cannot begin any more: the target refuses its start call by
+ * the deadline, and the call is too old to be carried out by a successor. */
 bool RunAgentService::isStartTooLate(const RunKey& key) const {
   const LocalRun& run = m_runs.at(key);
-  if (run.startSentAt == Time{} || BootClock::now() <= run.startSentAt + internal::LateCallLimit) return false;
+  if (run.knownSince != Time{} || run.startSentAt == Time{}) return false;
+  if (BootClock::now() <= run.startSentAt + internal::LateCallLimit) return false;
   return m_target->clockMs > run.startDeadlineMs;
 }
 
--- a/test/RestartFixture.h
+++ b/test/RestartFixture.h
@@ -21,6 +21,8 @@
   TableLeader();
   /** Submits a workflow of `count` tasks. \param payload run time of each task, ms */
   void submit(const std::string& id, const std::string& payload, unsigned count = 1);
+  /** Cancels a workflow, so that its runs are stopped. */
+  void cancel(const std::string& id) { m_table.cancel(id, 1); }
   bool isDone(const std::string& id) const { return m_table.find(id)->record.phase() == schema::WorkflowCompleted; }
   /** \returns whether the log holds an active run of the first task. */
   bool hasActiveRun(const std::string& id) const;
--- a/test/refused_stops.cpp
+++ b/test/refused_stops.cpp
@@ -21,3 +21,18 @@
   cr_assert(fixture.waitForDone("a"), "the task was never started again");
   cr_assert_eq(fixture.starts("a.0.0.0"), 1);
 }
+
+// Guards against a run that goes on after its workflow was cancelled: a refused stop of a run that has begun has to be
+// sent again, however long ago the run was started.
+Test(refused_stops, a_refused_stop_of_a_running_run_is_sent_again) {
+  RestartFixture fixture;
+  fixture.leader.submit("a", "60000");
+  cr_assert(fixture.waitFor([&] { return fixture.countOf("running") == 1; }));
+  fixture.run(7000);
+  fixture.callTarget("/refuse?ms=400&of=run-stop");
+  fixture.leader.cancel("a");
+  cr_assert(fixture.waitFor([&] { return fixture.countOf("refused") > 0; }), "no stop was refused");
+  fixture.leader.unreachable = true;
+  fixture.run(1000);
+  cr_assert_eq(fixture.countOf("running"), 0, "the agent did not send the stop again");
+}
