Agent: a run is neither void, lost nor lapsed while its start call is in transit

Cause: each of these runs was concluded by what one incarnation of the target had confirmed, and a later one, which knew of no stop, end or token, carried the start out. Where a silent target showed no sign of a successor, or its successor was fenced, a run lapsed with the hold of the former incarnation. Change: one predicate, isStartInTransit, for all ways to conclude a run (LateCalls.h). A confirmed stop makes a run void only once its start is not in transit and a poll that was sent after that shows that it did not begin (VoidDelayed). The loss with an incarnation likewise. A run that was not listed lapses once no incarnation can have it, whatever signs there are. A stop order for a run that a former process may have started counts as one whose start may be in transit.

--- a/Courseloom/src/Agent/RunAgentLapses.cpp
+++ b/Courseloom/src/Agent/RunAgentLapses.cpp
@@ -16,8 +16,8 @@
 
 /** Added to the end of the latest hold before the runs of a silent target count as lapsed. */
 constexpr Duration LapseSlack = milliseconds(200);
-/** Longest time after which a target may still carry out a call that it has not answered. */
-constexpr Duration LateCallLimit = milliseconds(6000);
+/** Interval at which a start call is checked for whether it is in transit. */
+constexpr Duration TransitCheckInterval = milliseconds(50);
 
 }  // namespace
 }  // namespace internal
@@ -27,12 +27,6 @@
   if (m_target->unansweredSince == Time{}) m_target->unansweredSince = BootClock::now();
 }
 
-/** Records a refusal. A refusal does not name the refusing incarnation. After an unanswered call it may be a successor
- * that has not announced itself yet. */
-void RunAgentService::recordRefusedCall() {
-  if (m_target->unansweredSince != Time{}) m_target->refusedAfterLoss = true;
-}
-
 /** Makes the target unreachable with its next failed poll at the latest. */
 void RunAgentService::allowNoMoreFailures() {
   m_target->failures = std::max(m_target->failures, UnreachableAfterFailures - 1);
@@ -70,38 +64,34 @@
   }
 }
 
-/** \returns whether there are signs that the current incarnation has a successor. Each incarnation announces itself
- * when it starts, so there is none while nothing is received from the target. */
-bool RunAgentService::mayHaveSuccessor() const {
-  return !m_target->successor.empty() || !m_announced.empty() || m_target->refusedAfterLoss;
-}
-
 /** \returns whether the newest known incarnation refuses the calls that were sent to the current one. */
 bool RunAgentService::isSuccessorFenced() const {
   const auto isKnown = [this](const auto& announced) { return announced.first == m_target->successor; };
   return m_target->successorFenced && std::all_of(m_announced.begin(), m_announced.end(), isKnown);
 }
 
-/** \returns the latest time at which the start call of a run can be carried out; zero if it has been already. */
+/** \returns the latest time at which the start call of a run can be carried out; zero if no call was sent, or if the
+ * current incarnation has carried it out or refused it. */
 Time RunAgentService::latestStart(const LocalRun& run) const {
   if (run.listed || run.neverStarted) return Time{};
-  const Duration answerLimit = milliseconds(m_context.settings.runner().order_limit_ms());
-  const Duration transit = run.startAnswered ? answerLimit : internal::LateCallLimit;
-  return std::max(run.startSentAt + transit, m_startedAt + internal::LateCallLimit);
+  const Time former = run.orderedBefore ? m_startedAt + LateCallLimit : Time{};
+  if (run.startSentAt == Time{}) return former;
+  if (run.startAnsweredAt != Time{}) return run.startAnsweredAt;
+  return std::max(former, run.startSentAt + LateCallLimit);
 }
 
 /** \returns the latest time at which a successor can have a run whose start call was sent to the current incarnation;
- * zero if the current one has carried out the call. The successor begins the run with a hold of full length. */
+ * zero if the current one has carried out the call. */
 Time RunAgentService::latestEndInSuccessor(const LocalRun& run) const {
-  const Time begun = latestStart(run);
-  if (begun == Time{}) return begun;
-  const Duration longestHold = milliseconds(m_context.settings.runner().max_hold_ms());
-  return begun + longestHold * SlowClockDenominator / SlowClockNumerator;
+  if (latestStart(run) == Time{}) return Time{};
+  const Time lastSent = std::max({run.startSentAt, m_lastHoldSentAt, m_startedAt});
+  return latestEndOfLateRuns(lastSent, milliseconds(m_context.settings.runner().max_hold_ms()));
 }
 
-/** \returns whether a run must not lapse yet, since an unfenced successor may begin it or may have begun it. */
+/** \returns whether a run must not lapse yet: its start call is in transit, or an unfenced successor may have begun it.
+ */
 bool RunAgentService::delaysLapse(const RunKey& key, LocalRun& run, Time now) {
-  if (!mayHaveSuccessor() || isSuccessorFenced() || now > latestEndInSuccessor(run)) return false;
+  if (!isStartInTransit(run) && (isSuccessorFenced() || now > latestEndInSuccessor(run))) return false;
   if (std::exchange(run.lapseDelayed, true)) return true;
   logEvent(schema::LapseDelayed,
            {{"task", taskText(makeTaskId(key.workflow, key.task))},
@@ -117,27 +107,58 @@
  * the deadline, and the call is too old to be carried out by a successor. */
 bool RunAgentService::isStartTooLate(const RunKey& key) const {
   const LocalRun& run = m_runs.at(key);
-  if (run.knownSince != Time{} || run.startSentAt == Time{}) return false;
-  if (BootClock::now() <= run.startSentAt + internal::LateCallLimit) return false;
+  const bool maySent = run.startSentAt != Time{} || run.orderedBefore;
+  if (run.knownSince != Time{} || !maySent || isStartInTransit(run)) return false;
   return m_target->clockMs > run.startDeadlineMs;
 }
 
-/** Records the loss of a run with its incarnation. A start call that was not answered is refused by the next
- * incarnation under the same identity, which is fenced, but not by one that replaces that soon; so its loss is not
- * reported before the call cannot be carried out any more. \param next the next incarnation */
+/** Waits until the start call of a run is in transit no more. The current incarnation has confirmed a stop of the run
+ * and refuses the call, but it may end before the call arrives, and the next one knows of no stop. */
+Awaitable<void> RunAgentService::awaitStartInTransit(const std::string& incarnation, RunKey key) {
+  const Duration wait = latestStart(m_runs.at(key)) - BootClock::now();
+  if (wait < Duration(0)) co_return;
+  logEvent(schema::VoidDelayed, {{"task", taskText(makeTaskId(key.workflow, key.task))},
+                                 {"run", std::uint64_t{key.run}},
+                                 {"target", incarnation},
+                                 {"waitMs", static_cast<std::uint64_t>(toMilliseconds(wait))}});
+  const auto isWaiting = [&] {
+    return isOpen(incarnation, key) && isStartInTransit(m_runs.at(key)) && !isListed(key);
+  };
+  while (isWaiting()) co_await sleepFor(internal::TransitCheckInterval);
+}
+
+/** Records the loss of a run with its incarnation. A start call in transit is refused by the next incarnation under the
+ * same identity, which is fenced, but not by one that replaces that soon; so its loss is not reported before the call
+ * cannot be carried out any more. \param next the next incarnation */
 void RunAgentService::recordLossWithIncarnation(const RunKey& key, const LocalRun& run, const std::string& next) {
-  const bool sameIdentity = TargetIncarnation::named(next).id == TargetIncarnation::named(m_target->report.id()).id;
-  const bool unanswered = run.startSentAt != Time{} && !run.startAnswered;
-  const Time until = latestStart(run);
-  if (!sameIdentity || !unanswered || until <= BootClock::now()) return recordLost(key, schema::RunTargetLost);
-  m_startsInTransit[key] = {makeLostRun(key, schema::RunTargetLost), until};
+  if (!hasCurrentIdentity(next) || !isStartInTransit(run)) return recordLost(key, schema::RunTargetLost);
+  m_startsInTransit[key] = {makeLostRun(key, schema::RunTargetLost), latestStart(run)};
+}
+
+/** \returns whether an incarnation has the identity of the current one, so that it may carry out calls to that. */
+bool RunAgentService::hasCurrentIdentity(const std::string& incarnation) const {
+  return m_target && TargetIncarnation::named(incarnation).id == TargetIncarnation::named(m_target->report.id()).id;
+}
+
+/** Lets the losses of all starts in transit be reported: a target of another identity refuses the calls. */
+void RunAgentService::endStartsInTransit() {
+  for (auto& [key, start] : m_startsInTransit) start.until = Time{};
+}
+
+/** \returns whether a start call that can be carried out until the given time is settled: the current incarnation has
+ * answered a poll that was sent later, so that its lists show the run if it has begun; or the run would be over. */
+bool RunAgentService::isTransitSettled(Time until) const {
+  const Time lastSent = std::max(until - LateCallLimit, m_lastHoldSentAt);
+  const Duration longestHold = milliseconds(m_context.settings.runner().max_hold_ms());
+  return m_target->answeredSentAt > until || BootClock::now() > latestEndOfLateRuns(lastSent, longestHold);
 }
 
 /** Adds the runs whose start call may still be carried out to a report. The losses of the others can be reported now.
  */
 void RunAgentService::reportStartsInTransit(schema::AttendRequest& request) {
+  request.set_former_calls_in_transit(!isTransitSettled(m_startedAt + LateCallLimit));
   for (auto start = m_startsInTransit.begin(); start != m_startsInTransit.end();) {
-    if (BootClock::now() <= start->second.until) {
+    if (!isTransitSettled(start->second.until)) {
       schema::StartReport* row = request.add_in_transit();
       *row->mutable_task() = start->second.lost.task();
       row->set_run(start->second.lost.run());
--- a/Courseloom/src/Agent/RunAgentLeader.cpp
+++ b/Courseloom/src/Agent/RunAgentLeader.cpp
@@ -168,6 +168,7 @@
   if (found != m_runs.end() && found->second.busy) return;
   if (order.kind() == schema::OrderStop) {
     if (isListedAsEnded(key)) return notifyPendingChanges();  // the leader has not received the report of the end yet
+    if (found == m_runs.end()) m_runs[key].orderedBefore = true;
     m_runs[key].busy = true;
     asio::co_spawn(m_strand, stopRun(order), asio::detached);
     return;
@@ -185,7 +186,9 @@
   }
   LocalRun& run = m_runs[key];
   run.busy = true;
-  asio::co_spawn(m_strand, startRun(order), asio::detached);
+  run.orderedBefore = order.ordered_before();
+  const bool formerInTransit = isStartInTransit(run);
+  asio::co_spawn(m_strand, formerInTransit ? stopRun(order) : startRun(order), asio::detached);
 }
 
 /** Drops what need not be reported again: the leader has applied a report and committed its ends. */
--- a/Courseloom/src/Agent/RunAgentLives.cpp
+++ b/Courseloom/src/Agent/RunAgentLives.cpp
@@ -133,6 +133,7 @@
                                       {"former", m_target ? m_target->report.id() : ""},
                                       {"sequence", announcement.sequence}});
   for (const auto& [key, run] : m_runs) recordLossWithIncarnation(key, run, incarnation);
+  if (!hasCurrentIdentity(incarnation)) endStartsInTransit();
   m_target = TargetState();
   applyAnnouncement(announcement);
   m_runs.clear();
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -140,6 +140,7 @@
   if (!hasLease() || m_target->failures > 0 || m_target->clockMs == 0) return std::nullopt;
   const Time until = latestHoldEnd();
   m_holdsEndBy = std::max(m_holdsEndBy, until);
+  m_lastHoldSentAt = BootClock::now();
   return deadlineOnTarget(until);
 }
 
@@ -186,7 +187,6 @@
     recordUnansweredCall();
     m_target->successorFenced = false;  // the successor may have been replaced by another one
   }
-  if (answer && answer->verdict == TargetVerdict::Refused) recordRefusedCall();
   recordFailedPoll();
   co_return false;
 }
@@ -216,7 +216,7 @@
   }
   m_target->failures = 0;
   m_target->unansweredSince = Time{};
-  m_target->refusedAfterLoss = false;
+  m_target->answeredSentAt = std::max(m_target->answeredSentAt, sentAt);
   m_target->report.set_reachable(true);
   // Answers on different connections may arrive in another order. Older lists would bring back runs that have ended.
   if (answer.clockMs < m_target->listedAtMs) return;
@@ -228,7 +228,9 @@
   m_target->polledAt = receivedAt;
   if (m_target->progress.note(m_target->running, receivedAt)) notifyPendingChanges();
   for (const schema::RunReport& row : answer.running) {
-    LocalRun& run = m_runs[runKeyOf(row.task(), row.run())];
+    const RunKey key = runKeyOf(row.task(), row.run());
+    LocalRun& run = m_runs[key];
+    m_startsInTransit.erase(key);
     run.listed = true;
     if (run.knownSince == Time{}) run.knownSince = receivedAt;
   }
@@ -237,6 +239,7 @@
     const bool added = m_target->ends.emplace(end.number(), end).second;
     const RunKey key = runKeyOf(end.task(), end.run());
     forgetRun(key);
+    m_startsInTransit.erase(key);
     m_target->orderedAt.erase(key);
     if (added) notifyPendingChanges();
   }
@@ -410,6 +413,7 @@
   m_target->orderedAt[key] = BootClock::now();
   LocalRun& run = m_runs[key];
   run.startSentAt = BootClock::now();
+  m_lastHoldSentAt = run.startSentAt;
   run.startDeadlineMs = deadlineOnTarget(until);
   const TargetStart start{order, run.startDeadlineMs, token()};
   Result<TargetAnswer> answer =
@@ -421,7 +425,7 @@
     const auto found = m_runs.find(key);
     if (found == m_runs.end()) co_return;  // the run has ended already
     found->second.busy = false;
-    found->second.startAnswered = true;
+    found->second.startAnsweredAt = BootClock::now();
     if (found->second.knownSince == Time{}) found->second.knownSince = BootClock::now();
     schema::StartReport& started = m_started[key];
     *started.mutable_task() = order.task();
@@ -435,7 +439,7 @@
   const auto own = m_runs.find(key);
   if (own != m_runs.end()) {
     own->second.neverStarted = refused || otherLife;
-    own->second.startAnswered = answer.has_value();
+    if (answer) own->second.startAnsweredAt = BootClock::now();
   }
   if (otherLife) {
     endIncarnation();
@@ -471,7 +475,6 @@
     if (answer && answer->verdict == TargetVerdict::Accepted) break;
     if (isStartTooLate(key)) break;
     if (answer) {
-      recordRefusedCall();
       logEvent(schema::StopRefused, {{"task", taskText(order.task())},
                                      {"run", std::uint64_t{order.run()}},
                                      {"target", incarnation},
@@ -481,6 +484,8 @@
     if (answer) refusedPause = std::min(2 * refusedPause, internal::MaxRefusedPause);
     if (!isOpen(incarnation, key)) co_return;
   }
+  co_await awaitStartInTransit(incarnation, key);
+  if (!isOpen(incarnation, key)) co_return;
   // Only a poll sent after that shows whether the target had the run, and only if it lists the run or
   // leaves out no ends.
   while (!co_await poll(0) || (m_target->moreEnds && !isListed(key))) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -20,6 +20,7 @@
 #include "Courseloom/src/Runtime/ChangeSignal.h"
 #include "Courseloom/src/Runtime/Daemon.h"
 #include "Courseloom/src/Runtime/OneShot.h"
+#include "Courseloom/src/Scheduling/LateCalls.h"
 #include "Courseloom/src/Scheduling/RunLedger.h"
 
 namespace courseloom {
@@ -61,10 +62,6 @@
 
   /** Number of failed polls in a row after which the target counts as unreachable and gets no new runs. */
   static constexpr unsigned UnreachableAfterFailures = 2;
-  /** The target's clock may run slower than the agent's. The agent assumes that it advances by at least 98 ms in each
-   * 100 ms. */
-  static constexpr std::int64_t SlowClockNumerator = 98;
-  static constexpr std::int64_t SlowClockDenominator = 100;
 
   /** Why a start does not fit on the target. */
   struct CapacityRefusal {
@@ -74,10 +71,11 @@
   struct LocalRun {
     bool busy = false;           ///< a call to the target about this run is in progress
     bool neverStarted = false;   ///< the target answered the start call and did not begin the run
-    bool startAnswered = false;  ///< the target answered the start call, so that it does not carry it out any more
     bool listed = false;         ///< the current incarnation has listed the run
     bool lapseDelayed = false;   ///< the run would have lapsed, but a successor may still begin it
+    bool orderedBefore = false;  ///< a former process of this agent may have sent the start call
     Time startSentAt{};          ///< when this agent sent the start call; zero if it has sent none
+    Time startAnsweredAt{};      ///< when the target answered it, so that it is in transit no more; zero if it has not
     std::uint64_t startDeadlineMs = 0;  ///< deadline of the start call on the target's clock, ms
     Time knownSince{};  ///< when the target was first known to have the run; zero while that is not confirmed
     std::optional<CapacityRefusal> refusal;  ///< set if this agent refused its start for lack of capacity
@@ -93,7 +91,7 @@
     bool committed = false;  ///< the leader has committed the report
     Time keptUntil{};  ///< set when committed; the leases of all orders sent before the commit have expired by then
   };
-  /** A run of a former incarnation whose start call was not answered. The current incarnation is fenced and refuses the
+  /** A run of a former incarnation whose start call is in transit. The current incarnation is fenced and refuses the
    * call, but a further one could still carry it out. */
   struct StartInTransit {
     schema::LostRun lost;  ///< the loss, to be reported once the call cannot be carried out any more
@@ -110,7 +108,6 @@
     unsigned failures = 0;                               ///< number of failed polls in a row
     std::string successor;           ///< incarnation that answered a poll in place of this one; empty for none
     bool successorFenced = false;    ///< the successor has answered a poll under a newer fence step
-    bool refusedAfterLoss = false;   ///< a call was refused after one without answer, perhaps by a successor
     std::set<RunKey> successorRuns;  ///< runs that the successor listed then
     std::uint64_t step = 0;  ///< fence step of the newest token under which this incarnation has answered a poll
     bool fenced = false;     ///< this incarnation or a successor refused the newest poll because its token was too low
@@ -122,6 +119,7 @@
     std::uint64_t firstListedEnd = 0;                 ///< lowest number in the newest list of ends; 0 for an empty list
     std::vector<schema::RunReport> running;           ///< running runs as of the newest answered poll
     Time polledAt{};                                  ///< when the newest answer to a poll arrived
+    Time answeredSentAt{};                            ///< when the newest answered poll was sent
     std::uint64_t listedAtMs = 0;                     ///< the target's clock when it made the newest applied lists, ms
     ProgressWatch progress;
   };
@@ -164,14 +162,14 @@
   void handleSuccessor(const TargetAnswer& answer, std::uint64_t step);
   void recordUnansweredCall();
   void recordFailedPoll();
-  void recordRefusedCall();
   void expireRuns();
-  bool mayHaveSuccessor() const;
   bool isSuccessorFenced() const;
   Time latestStart(const LocalRun& run) const;
+  bool isStartInTransit(const LocalRun& run) const { return BootClock::now() <= latestStart(run); }
   Time latestEndInSuccessor(const LocalRun& run) const;
   bool isStartTooLate(const RunKey& key) const;
   bool delaysLapse(const RunKey& key, LocalRun& run, Time now);
+  Awaitable<void> awaitStartInTransit(const std::string& incarnation, RunKey key);
   void allowNoMoreFailures();
   void endIncarnation();
   bool canRelay() const;
@@ -199,7 +197,10 @@
   void recordLost(const RunKey& key, schema::RunEndKind kind);
   schema::LostRun makeLostRun(const RunKey& key, schema::RunEndKind kind) const;
   void recordLossWithIncarnation(const RunKey& key, const LocalRun& run, const std::string& next);
+  bool isTransitSettled(Time until) const;
   void reportStartsInTransit(schema::AttendRequest& request);
+  bool hasCurrentIdentity(const std::string& incarnation) const;
+  void endStartsInTransit();
   CrashEvidence crashEvidenceOf(const RunKey& key) const;
   std::optional<CapacityRefusal> findCapacityRefusal(const schema::RunOrder& order) const;
   static void logCapacityRefusal(const schema::RunOrder& order, const CapacityRefusal& refusal);
@@ -248,6 +249,7 @@
   Duration m_longestLease{};   ///< longest lease that any leader has granted
   Time m_leaderLastContact{};  ///< when a leader last answered
   Time m_holdsEndBy{};         ///< latest deadline of all holds that the target may have received
+  Time m_lastHoldSentAt{};     ///< when a call that extends the target's holds was last sent
   bool m_following = false;    ///< a leader has answered and has not been lost since
   bool m_hasPendingChanges = false;
   bool m_stopping = false;
--- a/test/run_agent_outcomes.cpp
+++ b/test/run_agent_outcomes.cpp
@@ -80,12 +80,9 @@
     if (request.ends_size() > 0 && !settled) {
       settled = true;
       startsBefore = target->starts;
-      target->silent = false;
-    }
-    if (orderOnce(request, answer)) {
-      target->silent = true;
-      co_return answer;
+      target->refusesStarts = false;
     }
+    if (orderOnce(request, answer)) co_return answer;
     if (m_ordered && !m_copied && request.wait_ms() > 0) {
       m_copied = true;
       for (int i = 0; i < 100 && !settled; ++i) co_await sleepFor(milliseconds(10));
@@ -243,7 +240,7 @@
   end.set_number(5);
   *end.mutable_task() = startOrder().task();
   end.set_run(1);
-  fixture.run(milliseconds(600));
+  fixture.run(milliseconds(6600));  // until then, starts of a former process of the agent may be in transit
   cr_assert_eq(fixture.target.lastSeen, 5);
   fixture.target.busyIncarnation = "i-2";
   fixture.announce("i-2", 1);
@@ -261,6 +258,8 @@
   cr_assert_not(leader.reportedTooSoon, "an end was reported after %u stops, none of which was accepted",
                 fixture.target.stopsToRefuse);
   cr_assert(fixture.target.stopsAccepted > 0, "the stop was not sent again");
+  cr_assert_not(leader.reportedVoided, "the next incarnation could still carry the start out");
+  fixture.run(milliseconds(4700));
   cr_assert(leader.reportedVoided, "a run whose stop is confirmed was not reported as voided");
 }
 
@@ -359,9 +358,8 @@
 Test(run_agent_outcomes, a_copy_of_an_order_does_not_start_a_settled_run) {
   CopyLeader leader;
   AgentFixture fixture(leader, false, 300);
-  fixture.target.refusesStarts = false;
   fixture.run(milliseconds(3000));
-  cr_assert(leader.settled, "the run of the silent target was not settled");
+  cr_assert(leader.settled, "the run that the target refused was not settled");
   cr_assert(leader.copyArrived);
   cr_assert_eq(fixture.target.starts, leader.startsBefore, "a run that the leader counts as over was started");
 }
--- a/test/run_agent_target_restart.cpp
+++ b/test/run_agent_target_restart.cpp
@@ -127,16 +127,21 @@
   cr_assert_eq(fixture.starts("c.0.0.3"), 1);
 }
 
-// The order gets no answer and its run is stopped, so the task is started again and done. After the crash the delayed
-// order reaches an incarnation that knows neither the stop nor the end, and whose clock is before the order's deadline.
+// The order gets no answer and its run is stopped. After the crash the delayed order reaches an incarnation that knows
+// nothing of the stop, and whose clock is before the order's deadline. It was polled under a newer token by then.
 Test(run_agent_target_restart, an_order_to_a_former_incarnation_starts_nothing_in_the_next) {
   RestartFixture fixture;
   fixture.callTarget("/late?ms=150&of=run-start&after=1500");
   fixture.leader.submit("a", "30");
-  cr_assert(fixture.waitForDone("a"));
-  fixture.run(100);
+  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 1; }), "no start call was delayed");
+  fixture.run(500);
   fixture.callTarget("/crash?same=1");
   fixture.run(2000);
+  cr_assert_eq(fixture.countOf("cameLate"), 1);
+  cr_assert_eq(fixture.starts("a.0.0.0"), 0, "the next incarnation carried out the order");
+  fixture.run(2500);
+  cr_assert(fixture.waitForDone("a"));
+  fixture.run(300);
   cr_assert_eq(fixture.starts("a.0.0.0"), 1, "the task was started again after its end was acknowledged");
 }
 
@@ -153,10 +158,13 @@
   fixture.callTarget("/crash?same=1");
   fixture.leader.submit("a", "200");
   cr_assert(fixture.waitFor([&] { return fixture.leader.hasActiveRun("a"); }), "no run was placed");
+  fixture.run(5700);
+  cr_assert(fixture.leader.hasActiveRun("a"), "the run is over while its start is in transit");
+  cr_assert_eq(fixture.countOf("cameLate"), 1);
+  cr_assert_eq(fixture.starts("a.0.0.0"), 0, "the next incarnation, which was polled under a newer token, began it");
   cr_assert(fixture.waitFor([&] { return !fixture.leader.hasActiveRun("a"); }), "the run did not lapse");
-  fixture.run(1500);
-  cr_assert_eq(fixture.starts("a.0.0.0"), 0, "the run began after the leader had counted it as lapsed");
   cr_assert(fixture.waitForDone("a"));
+  fixture.run(300);
   cr_assert_eq(fixture.starts("a.0.0.0"), 1);
 }
 
@@ -291,3 +299,43 @@
   cr_assert_eq(fixture.starts("a.0.0.0"), 0, "the task was started again while its first start could still begin");
   cr_assert(fixture.waitForDone("a"), "the task was never started again");
 }
+
+// Guards against a start after the task's end was noted. The target confirms the stop of a start that it has not
+// answered; its next incarnation, which knows of no stop, carries the start out.
+Test(run_agent_target_restart, a_start_whose_stop_was_confirmed_begins_no_second_run) {
+  RestartFixture fixture;
+  fixture.run(2000);  // the clock of the next incarnation is then before the deadline of the call
+  fixture.callTarget("/late?ms=300&of=run-start&after=2500");
+  fixture.leader.submit("a", "200");
+  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 1; }), "no start call was delayed");
+  fixture.run(900);
+  fixture.callTarget("/refuse?ms=2500&of=hold,run-stop");
+  fixture.callTarget("/crash?same=1");
+  cr_assert(fixture.waitFor([&] { return fixture.countOf("cameLate") == 1; }), "the delayed start was not carried out");
+  cr_assert(fixture.waitForDone("a"));
+  fixture.run(300);
+  cr_assert_eq(fixture.starts("a.0.0.0"), 1, "a second run began");
+}
+
+// Guards against two concurrent runs of a task. The next incarnation shows no sign of itself, and carries out the
+// former incarnation's start after the hold has ended.
+Test(run_agent_target_restart, a_run_does_not_lapse_while_an_incarnation_that_shows_no_sign_can_still_start_it) {
+  RestartFixture fixture;
+  fixture.callTarget("/hush?ms=9500");
+  fixture.restartWithDelayedStart("/mute?ms=4500");
+  cr_assert(fixture.waitFor([&] { return fixture.starts("a.0.0.0") == 1; }), "the delayed start was not carried out");
+  cr_assert(fixture.leader.hasActiveRun("a"), "the run began after the leader had counted it as lapsed");
+  cr_assert(fixture.waitForDone("a"));
+  cr_assert_eq(fixture.starts("a.0.0.0"), 1);
+}
+
+// Guards against a task that is never started again: its start is stopped and never carried out.
+Test(run_agent_target_restart, a_start_whose_stop_was_confirmed_is_repeated_once_it_is_not_in_transit) {
+  RestartFixture fixture;
+  fixture.callTarget("/late?ms=300&of=run-start&after=60000");
+  fixture.leader.submit("a", "200");
+  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 1; }), "no start call was delayed");
+  fixture.run(4000);
+  cr_assert_eq(fixture.starts("a.0.0.0"), 0, "the task was started again while its first start was in transit");
+  cr_assert(fixture.waitForDone("a"), "the task was never started again");
+}
