Agent: a start and a poll that names ends are never in transit together

Cause: a target numbers its ends anew in each incarnation. The next incarnation carried out a start of the former one, ended the run, and then carried out a late poll of the former one, which let it discard that end before it was read. Change: polls name ends only while no incarnation but the current one can begin a run: each start was answered and listed, or its transit was over when a poll was sent that the current one has answered. A start is sent only under a newer step than each unanswered poll that named ends, so that an incarnation which has carried out the start refuses the poll; it waits for the answer to such a poll, which is given at once.

--- a/Courseloom/src/Agent/RunAgentLapses.cpp
+++ b/Courseloom/src/Agent/RunAgentLapses.cpp
@@ -121,9 +121,7 @@
                                  {"run", std::uint64_t{key.run}},
                                  {"target", incarnation},
                                  {"waitMs", static_cast<std::uint64_t>(toMilliseconds(wait))}});
-  const auto isWaiting = [&] {
-    return isOpen(incarnation, key) && isStartInTransit(m_runs.at(key)) && !isListed(key);
-  };
+  const auto isWaiting = [&] { return isOpen(incarnation, key) && isStartInTransit(m_runs.at(key)) && !isListed(key); };
   while (isWaiting()) co_await sleepFor(internal::TransitCheckInterval);
 }
 
--- a/Courseloom/src/Agent/RunAgentLeader.cpp
+++ b/Courseloom/src/Agent/RunAgentLeader.cpp
@@ -188,7 +188,7 @@
   run.busy = true;
   run.orderedBefore = order.ordered_before();
   const bool formerInTransit = isStartInTransit(run);
-  asio::co_spawn(m_strand, formerInTransit ? stopRun(order) : startRun(order), asio::detached);
+  asio::co_spawn(m_strand, formerInTransit ? stopRun(order) : startRun(order, until), asio::detached);
 }
 
 /** Drops what need not be reported again: the leader has applied a report and committed its ends. */
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -29,6 +29,12 @@
 constexpr Duration MaxRefusedPause = milliseconds(400);
 /** Longest wait before the next poll while the target lists uncommitted ends; such polls are answered at once. */
 constexpr Duration UncommittedPause = milliseconds(250);
+/** Pause before the next poll while the target lists ends that it must not discard yet; such polls are answered at
+ * once.
+ */
+constexpr Duration UndiscardedPause = milliseconds(50);
+/** Interval at which a start checks for the answer to a poll that names ends, which is given at once. */
+constexpr Duration DiscardCheckInterval = milliseconds(2);
 /** How long a stopping agent waits for its calls in progress. */
 constexpr Duration StopLimit = milliseconds(700);
 /** Longest wait of a poll while fillers share the target with serving runs, ms. */
@@ -144,33 +150,60 @@
   return deadlineOnTarget(until);
 }
 
+/** \returns whether an incarnation other than the current one may begin or have begun a run through a call to the
+ * current one: a start call was not answered, or its answer does not show the incarnation that gave it. */
+bool RunAgentService::mayOtherBeginRuns() const {
+  if (m_target->failures > 0 || !m_announced.empty() || !m_startsInTransit.empty()) return true;
+  if (m_waitingStarts > 0 || m_target->answeredSentAt <= m_lateStartsUntil) return true;
+  return std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) {
+    const LocalRun& run = entry.second;
+    return run.startSentAt != Time{} && !run.listed && !run.neverStarted;
+  });
+}
+
 /** \returns the number up to which the target may discard its ends; 0 if it lists none that are committed. Another
  * incarnation may carry out the poll late. Its first ends have the same numbers, and it must not discard them before
- * they are read. Therefore only polls that have something to discard carry a number, and none do after an unanswered
- * poll or an announcement. */
+ * they are read. Therefore only polls that have something to discard carry a number, and none do while another
+ * incarnation may begin runs. \sa LateCalls.h */
 std::uint64_t RunAgentService::endsToDiscard() const {
-  const bool mayBeOther = m_target->failures > 0 || !m_announced.empty();
   const bool listsCommitted = m_target->firstListedEnd != 0 && m_target->firstListedEnd <= m_target->endsTaken;
-  return mayBeOther || !listsCommitted ? 0 : m_target->endsTaken;
+  return !listsCommitted || mayOtherBeginRuns() ? 0 : m_target->endsTaken;
+}
+
+/** \returns whether starts carry a higher token than each poll in transit that names ends. An incarnation that has
+ * carried out such a start refuses the poll. \sa LateCalls.h */
+bool RunAgentService::areStartsFenced() const {
+  return m_target->discardStep == 0 || m_target->step > m_target->discardStep;
+}
+
+/** Waits for the answer to a poll that names ends. No other such poll is sent meanwhile. */
+Awaitable<void> RunAgentService::awaitDiscard(const std::string& incarnation) {
+  ++m_waitingStarts;
+  while (isCurrentIncarnation(incarnation) && m_target->discarding) co_await sleepFor(internal::DiscardCheckInterval);
+  --m_waitingStarts;
 }
 
-Awaitable<bool> RunAgentService::poll(std::uint32_t waitMs) {
+Awaitable<bool> RunAgentService::poll(std::uint32_t waitMs, std::uint64_t discardUpTo) {
   const std::string incarnation = m_target->report.id();
   TargetHold hold;
   hold.deadlineMs = holdDeadline();
   // Calls to this incarnation must not carry a token with which a successor may have been polled, and a refusal does
   // not name the refusing incarnation. Therefore only the answer to a poll raises the step of this incarnation. A
   // successor gets a newer step at once, so that it refuses calls to this incarnation that are still in transit.
-  const bool newStep = m_target->fenced || !m_target->successor.empty();
+  // The same holds for a poll that names ends and was not answered: starts need a newer step than that one.
+  const bool newStep = m_target->fenced || !m_target->successor.empty() || !areStartsFenced();
   const std::uint64_t step = newStep ? nextFenceStep() : m_target->step;
   hold.token = Fence::token(step, m_term);
-  hold.lastSeen = endsToDiscard();
+  hold.lastSeen = discardUpTo;
+  if (discardUpTo > 0) m_target->discarding = true;
   hold.waitMs = waitMs;
   const Duration limit = milliseconds(waitMs) + milliseconds(m_context.settings.runner().order_limit_ms());
   const Time sentAt = BootClock::now();
   Result<TargetAnswer> answer = co_await m_port->hold(incarnation, hold, limit);
   if (!isCurrentIncarnation(incarnation)) co_return false;
   const bool accepted = answer && answer->verdict == TargetVerdict::Accepted;
+  if (discardUpTo > 0) m_target->discarding = false;
+  if (discardUpTo > 0 && !answer) m_target->discardStep = std::max(m_target->discardStep, step);
   m_target->fenced = answer && answer->fenced;
   if (m_target->fenced) m_fence.skipAhead();
   if (accepted && answer->incarnation == incarnation) {
@@ -285,15 +318,18 @@
       co_await m_targetSignal.wait(BootClock::now() + milliseconds(1000));
       continue;
     }
+    const std::uint64_t discardUpTo = endsToDiscard();
     const bool uncommitted = !m_target->ends.empty();
     const bool sharing = FillerPacer::isShared(m_target->running, m_traits);
     const std::uint32_t longest = sharing ? internal::SharedPollMs : m_context.settings.runner().look_ms();
-    const std::uint32_t waitMs = uncommitted || m_target->failures > 0 ? 0 : longest;
-    const bool answered = co_await poll(waitMs);
+    const bool atOnce = uncommitted || discardUpTo > 0 || m_target->failures > 0;
+    const bool answered = co_await poll(atOnce ? 0 : longest, discardUpTo);
     if (!answered) {
       co_await sleepFor(internal::FailedPause);
     } else if (m_target && !m_target->ends.empty()) {
       co_await m_pollSignal.wait(BootClock::now() + internal::UncommittedPause);
+    } else if (m_target && m_target->firstListedEnd != 0 && endsToDiscard() == 0) {
+      co_await sleepFor(internal::UndiscardedPause);
     }
   }
 }
@@ -392,7 +428,8 @@
                                 {"blockingRun", std::uint64_t{blocking ? blocking->run : 0}}});
 }
 
-Awaitable<void> RunAgentService::startRun(schema::RunOrder order) {
+/** Sends the start call of a run. \param until end of the lease that came with the order; no start is sent later */
+Awaitable<void> RunAgentService::startRun(schema::RunOrder order, Time until) {
   const std::string incarnation = order.target();
   const std::string name = taskText(order.task());
   const RunKey key = runKeyOf(order.task(), order.run());
@@ -408,16 +445,24 @@
     co_await stopRun(std::move(order));
     co_return;
   }
-  const Time until = latestHoldEnd();
-  m_holdsEndBy = std::max(m_holdsEndBy, until);
+  co_await awaitDiscard(incarnation);
+  if (!isOpen(incarnation, key)) co_return;
+  if (!areStartsFenced() || BootClock::now() >= until) {
+    settle(order.task(), order.run(), schema::RunVoided, "not sent");
+    co_return;
+  }
+  const Time heldUntil = latestHoldEnd();
+  m_holdsEndBy = std::max(m_holdsEndBy, heldUntil);
   m_target->orderedAt[key] = BootClock::now();
   LocalRun& run = m_runs[key];
-  run.startSentAt = BootClock::now();
-  m_lastHoldSentAt = run.startSentAt;
-  run.startDeadlineMs = deadlineOnTarget(until);
+  const Time startSentAt = BootClock::now();
+  run.startSentAt = startSentAt;
+  m_lastHoldSentAt = startSentAt;
+  run.startDeadlineMs = deadlineOnTarget(heldUntil);
   const TargetStart start{order, run.startDeadlineMs, token()};
   Result<TargetAnswer> answer =
       co_await m_port->start(incarnation, start, milliseconds(m_context.settings.runner().order_limit_ms()));
+  if (!answer) m_lateStartsUntil = std::max(m_lateStartsUntil, startSentAt + LateCallLimit);
   if (!isCurrentIncarnation(incarnation)) co_return;
   if (!answer) recordUnansweredCall();
   if (answer && answer->verdict == TargetVerdict::Accepted) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -109,8 +109,10 @@
     std::string successor;           ///< incarnation that answered a poll in place of this one; empty for none
     bool successorFenced = false;    ///< the successor has answered a poll under a newer fence step
     std::set<RunKey> successorRuns;  ///< runs that the successor listed then
-    std::uint64_t step = 0;  ///< fence step of the newest token under which this incarnation has answered a poll
-    bool fenced = false;     ///< this incarnation or a successor refused the newest poll because its token was too low
+    std::uint64_t step = 0;   ///< fence step of the newest token under which this incarnation has answered a poll
+    bool fenced = false;      ///< this incarnation or a successor refused the newest poll because its token was too low
+    bool discarding = false;  ///< a poll that names ends to discard is waiting for its answer
+    std::uint64_t discardStep = 0;     ///< fence step of the newest such poll that was not answered; 0 for none
     std::uint64_t endsTaken = 0;       ///< number of the newest end that the leader has committed
     Time unansweredSince{};            ///< first unanswered call since the last successful poll or start; zero for none
     std::map<RunKey, Time> orderedAt;  ///< time of the start call of each run, until the target lists the run's end
@@ -155,8 +157,9 @@
 
   Awaitable<void> pollLoop();
   /** Polls the target once. \param waitMs how long the target may wait for an end before it answers
+   * \param discardUpTo number up to which the target may discard its ends; 0 for none
    * \returns whether the current incarnation answered */
-  Awaitable<bool> poll(std::uint32_t waitMs);
+  Awaitable<bool> poll(std::uint32_t waitMs, std::uint64_t discardUpTo = 0);
   void applyPoll(const TargetAnswer& answer, Time sentAt, Time receivedAt);
   void settleUnlisted(const TargetAnswer& answer, Time sentAt);
   void handleSuccessor(const TargetAnswer& answer, std::uint64_t step);
@@ -184,12 +187,15 @@
   std::uint64_t deadlineOnTarget(Time until) const;
   void recordClock(std::uint64_t clockMs);
   std::uint64_t endsToDiscard() const;
+  bool mayOtherBeginRuns() const;
+  bool areStartsFenced() const;
+  Awaitable<void> awaitDiscard(const std::string& incarnation);
   Time latestHoldEnd() const;
   std::optional<std::uint64_t> holdDeadline();
 
   void paceFillers();
   Awaitable<void> paceRun(PaceChange change);
-  Awaitable<void> startRun(schema::RunOrder order);
+  Awaitable<void> startRun(schema::RunOrder order, Time until);
   Awaitable<void> stopRun(schema::RunOrder order);
   void settle(const schema::TaskId& task, std::uint32_t run, schema::RunEndKind kind, const std::string& reason);
   void applyAcknowledgement(const schema::AttendRequest& request, const schema::AttendReply& reply);
@@ -249,8 +255,11 @@
   Duration m_longestLease{};   ///< longest lease that any leader has granted
   Time m_leaderLastContact{};  ///< when a leader last answered
   Time m_holdsEndBy{};         ///< latest deadline of all holds that the target may have received
-  Time m_lastHoldSentAt{};     ///< when a call that extends the target's holds was last sent
-  bool m_following = false;    ///< a leader has answered and has not been lost since
+  /** Until when the target may carry out start calls that were not answered, those of a former process included. */
+  Time m_lateStartsUntil = m_startedAt + LateCallLimit;
+  Time m_lastHoldSentAt{};       ///< when a call that extends the target's holds was last sent
+  unsigned m_waitingStarts = 0;  ///< starts that wait for the answer to a poll that names ends
+  bool m_following = false;      ///< a leader has answered and has not been lost since
   bool m_hasPendingChanges = false;
   bool m_stopping = false;
   ChangeSignal m_pendingChangesSignal;
--- a/test/AgentFixture.cpp
+++ b/test/AgentFixture.cpp
@@ -91,6 +91,12 @@
 }
 
 Awaitable<Result<TargetAnswer>> FakeTarget::hold(std::string incarnation, TargetHold hold, Duration) {
+  if (hold.lastSeen > 0) m_script.discardToken = std::max(m_script.discardToken, hold.token);
+  if (hold.lastSeen > 0 && m_script.discardsToIgnore > 0) {
+    --m_script.discardsToIgnore;
+    m_script.ignoredToken = std::max(m_script.ignoredToken, hold.token);
+    co_return noAnswer();
+  }
   co_await sleepFor(milliseconds(std::min<std::uint32_t>(hold.waitMs, 20)));
   if (m_script.silent) co_return noAnswer();
   if (m_script.busy || incarnation == m_script.busyIncarnation) co_return makeAnswer(TargetVerdict::Refused, "429");
--- a/test/AgentFixture.h
+++ b/test/AgentFixture.h
@@ -33,6 +33,7 @@
   bool startsGetNoAnswer = false;       ///< a start gets no answer
   bool refusesStarts = true;            ///< an answered start is refused with the reason `room`
   unsigned stopsToRefuse = 0;           ///< this many stops, from the first, are refused with 429 and have no effect
+  unsigned discardsToIgnore = 0;        ///< this many polls that name ends, from the first, get no answer
   bool silent = false;                  ///< answers no call
   bool busy = false;                    ///< answers polls with 429, whatever incarnation they are for
   std::string busyIncarnation;          ///< answers polls for this incarnation with 429
@@ -51,6 +52,8 @@
   unsigned polls = 0;                                ///< polls that were answered
   std::map<std::string, std::uint64_t> startTokens;  ///< highest token of a start, by intended incarnation
   std::map<std::string, std::uint64_t> pollTokens;   ///< token of the first answered poll, by incarnation
+  std::uint64_t discardToken = 0;                    ///< highest token of a poll that names ends, answered or not
+  std::uint64_t ignoredToken = 0;                    ///< highest token of such a poll that got no answer
   std::uint64_t lastSeen = 0;  ///< number up to which the newest answered poll lets the target discard ends
 };
 
