Agent: orders for an incarnation that began under this process are started at once

What callers would have seen: a task that waited for 6 s after its target had restarted, when the leader changed before the start was ordered.

--- a/Courseloom/src/Agent/RunAgentLeader.cpp
+++ b/Courseloom/src/Agent/RunAgentLeader.cpp
@@ -168,7 +168,7 @@
   if (found != m_runs.end() && found->second.busy) return;
   if (order.kind() == schema::OrderStop) {
     if (isListedAsEnded(key)) return notifyPendingChanges();  // the leader has not received the report of the end yet
-    if (found == m_runs.end()) m_runs[key].orderedBefore = true;
+    if (found == m_runs.end()) m_runs[key].orderedBefore = m_formerProcessKnewTarget;
     m_runs[key].busy = true;
     asio::co_spawn(m_strand, stopRun(order), asio::detached);
     return;
@@ -186,7 +186,7 @@
   }
   LocalRun& run = m_runs[key];
   run.busy = true;
-  run.orderedBefore = order.ordered_before();
+  run.orderedBefore = order.ordered_before() && m_formerProcessKnewTarget;
   const bool formerInTransit = isStartInTransit(run);
   asio::co_spawn(m_strand, formerInTransit ? stopRun(order) : startRun(order, until), asio::detached);
 }
--- a/Courseloom/src/Agent/RunAgentLives.cpp
+++ b/Courseloom/src/Agent/RunAgentLives.cpp
@@ -134,6 +134,7 @@
                                       {"sequence", announcement.sequence}});
   for (const auto& [key, run] : m_runs) recordLossWithIncarnation(key, run, incarnation);
   if (!hasCurrentIdentity(incarnation)) endStartsInTransit();
+  m_formerProcessKnewTarget = !m_target;
   m_target = TargetState();
   applyAnnouncement(announcement);
   m_runs.clear();
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -236,6 +236,8 @@
    */
   std::atomic<Duration::rep> m_lastDirectContact{0};
   std::optional<TargetState> m_target;
+  /** A former process of this agent may have sent calls for the current incarnation: this one has not seen it begin. */
+  bool m_formerProcessKnewTarget = true;
   /** Newest heartbeats of incarnations other than the current one, by name. An incarnation becomes current by answering
    * a poll. */
   std::map<std::string, TargetAnnouncement> m_announced;
