Leader: the length of leases is recorded, so that a successor with shorter ones waits for them

What callers would see: two runs of a task at once after a rolling change that shortens control.runGrantMs or outageS, beside an agent that is silent from the change of leader. Cause: a new leader counted on former leases of its own length. Evidence: run_ledger, a_new_leader_with_shorter_leases_assumes_leases_of_the_recorded_length, with the line in RunLedger::lead as it was: the run of the silent agent had lapsed 10.2 s after the change of leader, under a lease of 10 s with a slack of 0.3 s. Change: the log holds the length of leases (RecordRuns.lease_ms). Replicas of a former version neither record nor read it.

--- a/Courseloom/src/Control/WorkflowAgents.cpp
+++ b/Courseloom/src/Control/WorkflowAgents.cpp
@@ -171,7 +171,9 @@
       *reply.add_orders() = std::move(order);
     }
   }
-  reply.set_grant_ms(static_cast<std::uint32_t>(toMilliseconds(m_ledger.grant(request.agent(), now))));
+  if (isLeaseRecorded()) {
+    reply.set_grant_ms(static_cast<std::uint32_t>(toMilliseconds(m_ledger.grant(request.agent(), now))));
+  }
   reply.set_held_ms(static_cast<std::uint32_t>(toMilliseconds(now - received)));
   co_return reply;
 }
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -35,8 +35,8 @@
 constexpr double StallMs = 700.0;
 constexpr double StallShare = 0.15;
 
-/** Interval at which runs that have begun are recorded if nothing else is. */
-constexpr Duration BegunInterval = milliseconds(500);
+/** Interval at which the state of the ledger is recorded in the log if nothing else of runs is. */
+constexpr Duration RecordInterval = milliseconds(500);
 
 RunLedgerOptions ledger_options(const schema::Settings& settings) {
   RunLedgerOptions options;
@@ -108,6 +108,7 @@
   m_relays.clear();
   m_tickets.clear();
   m_readySince.clear();
+  m_ledgerRecorded = Time{};
   m_health.clear();
   m_planner.forgetUnstartedSteps();
   m_shareReview.clear();
@@ -357,7 +358,7 @@
     if (!leads()) continue;
     m_relays.update(m_ledger.relays(BootClock::now()));
     co_await expireRuns();
-    co_await recordBegunRuns();
+    co_await recordLedger();
     reviewRuns();
     reviewGuarantees();
     if (!table().open().empty()) requestPlan();
@@ -377,14 +378,22 @@
   co_await commitRuns(std::move(runs));
 }
 
-/** Records in the log which runs have begun. Most are recorded together with the ends and starts of other runs. */
-Awaitable<void> WorkflowRunner::recordBegunRuns() {
-  const bool isDue = BootClock::now() >= m_begunRecorded + internal::BegunInterval;
-  if (isDue && m_ledger.hasUnrecordedBegun()) co_await commitRuns({});
+/** Records in the log which runs have begun, and the length of leases. Most of that is recorded together with the ends
+ * and starts of other runs. */
+Awaitable<void> WorkflowRunner::recordLedger() {
+  const Time now = BootClock::now();
+  const bool isDue = now >= m_ledgerRecorded + internal::RecordInterval;
+  const bool hasChanges = m_ledger.hasUnrecordedBegun() || m_ledger.leaseToRecord(table().leaseMs(), now) != 0;
+  if (isDue && hasChanges) co_await commitRuns({});
 }
 
+/** \returns whether the log holds the length of the leases that this leader grants, so that its successor waits for
+ * their end. */
+bool WorkflowRunner::isLeaseRecorded() { return milliseconds(table().leaseMs()) >= m_ledger.options().grant; }
+
 Awaitable<bool> WorkflowRunner::commitRuns(schema::RecordRuns runs) {
-  m_begunRecorded = BootClock::now();
+  m_ledgerRecorded = BootClock::now();
+  runs.set_lease_ms(m_ledger.leaseToRecord(table().leaseMs(), m_ledgerRecorded));
   for (schema::StartReport& begun : m_ledger.consumeBegun()) *runs.add_begun() = std::move(begun);
   schema::Command command;
   *command.mutable_record_runs() = std::move(runs);
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -97,7 +97,8 @@
   schema::RecordRuns collectEnds(const schema::AttendRequest& report, Time received);
   Awaitable<bool> commitRuns(schema::RecordRuns runs);
   Awaitable<void> expireRuns();
-  Awaitable<void> recordBegunRuns();
+  Awaitable<void> recordLedger();
+  bool isLeaseRecorded();
   void requestPlan();
   bool leads() const { return leads(BootClock::now()); }
   bool leads(Time at) const { return m_leads && m_driver.canRead(at); }
@@ -235,9 +236,9 @@
     ResourceWork capacity;  ///< of the open targets, without what long-running work holds
   };
   std::map<std::string, ServiceBacklog> m_backlogs;  ///< by service, as of m_backlogsUpdated
-  Time m_begunRecorded{};                            ///< when runs that have begun were last recorded in the log
+  Time m_ledgerRecorded{};                           ///< when the state of the ledger was last recorded in the log
   Time m_backlogsUpdated{};                          ///< zero if they have to be computed anew
-  double m_urgentPeak = 0.0;     ///< decaying maximum of accelerators that work of priority 0 needs at once
+  double m_urgentPeak = 0.0;  ///< decaying maximum of accelerators that work of priority 0 needs at once
   Time m_urgentPeakUpdated{};    ///< when m_urgentPeak was last updated; zero before the first plan
   std::size_t m_keptLogged = 0;  ///< targets kept for gangs as last logged
   Time m_nextFillEvent{};        ///< earliest time of the next event FillLimitChanged
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -71,6 +71,7 @@
 
 void RunLedger::lead(const WorkflowTable& table, Time now, std::uint64_t term) {
   m_leaderSince = now;
+  m_formerGrant = std::max<Duration>(m_options.grant, milliseconds(table.leaseMs()));
   m_term = term;
   ++m_descriptions;
   m_runs.clear();
@@ -351,11 +352,18 @@
   return length;
 }
 
+std::uint32_t RunLedger::leaseToRecord(std::uint32_t recordedMs, Time now) const {
+  const auto own = static_cast<std::uint32_t>(toMilliseconds(m_options.grant));
+  const bool formerOver = now > m_leaderSince + m_formerGrant + m_options.slack;
+  const bool mayChange = recordedMs < own || (recordedMs > own && formerOver);
+  return mayChange ? own : 0;
+}
+
 /** \returns when the last lease of an agent ends. A former leader may have granted leases up to the instant at which
  * this one began. */
 Time RunLedger::leaseEnd(const std::string& agent) const {
   if (!m_options.waitForLeases) return m_leaderSince;
-  const Time inherited = m_options.inheritLeases ? m_leaderSince + m_options.grant : m_leaderSince;
+  const Time inherited = m_options.inheritLeases ? m_leaderSince + m_formerGrant : m_leaderSince;
   const auto found = m_targets.find(agent);
   return found == m_targets.end() ? inherited : std::max(inherited, found->second.leaseUntil);
 }
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -167,6 +167,10 @@
    * leavingLease while the target drains, since an agent that leaves together with its target sends no final report. It
    * is zero while the agent reports no target, since runs would never lapse otherwise. */
   Duration grant(const std::string& agent, Time now);
+  /** \returns the length of leases, ms, that is to be recorded in the log; 0 if the recorded one may stay. Longer
+   * leases must be recorded before they are granted. Shorter ones are recorded once the leases of former leaders are
+   * over. \param recordedMs the recorded length, ms; 0 for none */
+  std::uint32_t leaseToRecord(std::uint32_t recordedMs, Time now) const;
   /** \returns the orders that are due for an agent, and records them as sent. */
   std::vector<schema::RunOrder> issueOrders(const std::string& agent, const WorkflowTable& table, Time now);
   /** \returns whether starts or stops of active runs are due for an agent. Stops of stray runs do not count. */
@@ -243,6 +247,7 @@
 
   RunLedgerOptions m_options;
   Time m_leaderSince{};
+  Duration m_formerGrant{};  ///< longest lease that a former leader may have granted
   std::uint64_t m_term = 0;
   std::uint64_t m_descriptions = 0;
   std::map<RunKey, RunTrack> m_runs;
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -195,6 +195,7 @@
   for (const schema::RunEnd& end : runs.ends()) recordEnd(end, timeMs);
   for (const schema::RunStart& start : runs.starts()) recordStart(start, timeMs);
   for (const schema::StartReport& begun : runs.begun()) recordBegun(begun);
+  if (runs.lease_ms() != 0) m_leaseMs = runs.lease_ms();
 }
 
 void WorkflowTable::recordBegun(const schema::StartReport& begun) {
@@ -382,6 +383,7 @@
   m_runTimeEstimator.save(snapshot);
   m_workspaceUsage.save(snapshot);
   m_runTimeDistributions.save(snapshot);
+  snapshot.set_lease_ms(m_leaseMs);
   *snapshot.mutable_configuration() = m_configuration;
   for (const auto& [id, workflow] : m_workflows) {
     schema::Workflow* saved = snapshot.add_workflows();
@@ -404,6 +406,7 @@
   m_runTimeEstimator.load(snapshot);
   m_workspaceUsage.load(snapshot);
   m_runTimeDistributions.load(snapshot);
+  m_leaseMs = snapshot.lease_ms();
   m_configuration = snapshot.configuration();
   std::multimap<std::uint64_t, std::string> ended;
   for (const schema::Workflow& saved : snapshot.workflows()) {
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -149,6 +149,8 @@
   bool cancel(const std::string& id, std::uint64_t timeMs);
   /** Records ends of runs, then starts. Entries that no longer fit the state are ignored. */
   void record(const schema::RecordRuns& runs, std::uint64_t timeMs);
+  /** \returns the recorded length of the leases that leaders grant to agents, ms; 0 if none is recorded. */
+  std::uint32_t leaseMs() const { return m_leaseMs; }
   /** Removes workflows that ended longer than the retention time ago and have no active runs. */
   void expire(std::uint64_t nowMs);
 
@@ -212,6 +214,7 @@
 
   std::uint64_t m_retentionMs;
   schema::QueueConfiguration m_configuration;
+  std::uint32_t m_leaseMs = 0;
   std::map<std::string, WorkflowState> m_workflows;
   std::set<std::string> m_open;  ///< ids of workflows that have not ended or have active runs
   RunTimeEstimator m_runTimeEstimator;
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -483,6 +483,42 @@
   cr_assert_eq(test.ledger.expire(test.now).size(), 1);
 }
 
+// Guards against two runs of a task at once after a change of settings that shortens leases: an agent that is silent
+// from the change of leader holds its runs under a lease of the former length.
+Test(run_ledger, a_new_leader_with_shorter_leases_assumes_leases_of_the_recorded_length) {
+  LedgerFixture test;
+  schema::RecordRuns lease;
+  lease.set_lease_ms(10000);
+  test.commit(lease);
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1));
+  test.recordBegun();
+  RunLedgerOptions options;
+  options.grant = milliseconds(2000);
+  test.ledger = RunLedger(options);
+  test.ledger.lead(test.table, test.now);
+  test.advance(10200);
+  cr_assert(test.ledger.expire(test.now).empty());
+  cr_assert_eq(test.ledger.leaseToRecord(test.table.leaseMs(), test.now), 0);
+  test.advance(200);
+  cr_assert_eq(test.ledger.expire(test.now).size(), 1);
+  cr_assert_eq(test.ledger.leaseToRecord(test.table.leaseMs(), test.now), 2000);
+}
+
+Test(run_ledger, longer_leases_are_recorded_before_they_are_granted) {
+  LedgerFixture test;
+  cr_assert_eq(test.ledger.leaseToRecord(test.table.leaseMs(), test.now), 5500);
+  schema::RecordRuns lease;
+  lease.set_lease_ms(5500);
+  test.commit(lease);
+  cr_assert_eq(test.ledger.leaseToRecord(test.table.leaseMs(), test.now), 0);
+  schema::StateSnapshot snapshot;
+  test.table.save(snapshot);
+  WorkflowTable restored;
+  restored.load(snapshot);
+  cr_assert_eq(restored.leaseMs(), 5500);
+}
+
 Test(run_ledger, an_unknown_run_is_stopped) {
   LedgerFixture test;
   const std::vector<schema::RunOrder> orders = test.attend(withRunning(test.report(), 0, 9));
