Work that waits for long is logged with the gate that keeps it from being started

The log named starts, ends and stops, but not why a step gets none. Change: StepWaits names a ready step that had no start for 5 s although there may be room for it, and its gate: active members of its gang, suspect tasks, no open target, or room that is kept from it. RunUnseen names a run that its target has not listed 5 s after it was placed, which the log holds as active.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -55,6 +55,7 @@
   std::vector<PlannedStep> steps = planSteps();
   if (steps.empty() && !makesCopies()) {
     observeGangs();
+    reviewWaits({}, {}, {});
     co_return schema::RecordRuns();
   }
   // Before all targets have reported to a new leader, shares of their capacity would be too large.
@@ -87,6 +88,7 @@
   logStopDelays(plan, steps);
   schema::RecordRuns runs = recordStarts(startsOnRespondingAgents(plan, steps, targets), steps, targets);
   if (makesCopies()) addCopies(plan, steps, targets, keepFullyFree, runs);
+  reviewWaits(steps, targets, active);
   co_return runs;
 }
 
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -108,6 +108,7 @@
   m_relays.clear();
   m_tickets.clear();
   m_readySince.clear();
+  m_waitReview.clear();
   m_ledgerRecorded = Time{};
   m_health.clear();
   m_planner.forgetUnstartedSteps();
@@ -145,6 +146,8 @@
   if (leads()) m_changesInherited = false;
   for (const RunChange& change : changes) {
     if (change.started) recordFirstStart(change);
+    if (change.started)
+      m_waitReview.recordStart({change.task.workflow(), keyOf(change.task).stepKey()}, BootClock::now());
     if (!change.started) m_context.metrics.count("run_ends", schema::RunEndKind_Name(change.kind));
     const RunKey key = runKeyOf(change.task, change.run.number());
     if (!change.started) recordHealth(change, voids.stopped.count(key) > 0);
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -18,6 +18,7 @@
 #include "Courseloom/src/Scheduling/RunPace.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
 #include "Courseloom/src/Scheduling/TargetHealth.h"
+#include "Courseloom/src/Scheduling/WaitReview.h"
 #include "generated/rpc.pb.h"
 
 namespace courseloom {
@@ -98,6 +99,11 @@
   Awaitable<bool> commitRuns(schema::RecordRuns runs);
   Awaitable<void> expireRuns();
   Awaitable<void> recordLedger();
+  std::set<StepName> findWaitingSteps();
+  void reviewWaits(const std::vector<PlannedStep>& steps, const std::vector<PlannedTarget>& targets,
+                   const std::vector<PlannedRun>& runs);
+  void logWait(const StepName& name, WaitGate gate);
+  void logUnseenRuns(Time now);
   bool isLeaseRecorded();
   void requestPlan();
   bool leads() const { return leads(BootClock::now()); }
@@ -239,6 +245,9 @@
   Time m_ledgerRecorded{};                           ///< when the state of the ledger was last recorded in the log
   Time m_backlogsUpdated{};                          ///< zero if they have to be computed anew
   double m_urgentPeak = 0.0;  ///< decaying maximum of accelerators that work of priority 0 needs at once
+  WaitReview m_waitReview;
+  Time m_nextWaitReview{};
+  Time m_nextUnseenEvent{};      ///< earliest time of the next events RunUnseen
   Time m_urgentPeakUpdated{};    ///< when m_urgentPeak was last updated; zero before the first plan
   std::size_t m_keptLogged = 0;  ///< targets kept for gangs as last logged
   Time m_nextFillEvent{};        ///< earliest time of the next event FillLimitChanged
--- /dev/null
+++ b/Courseloom/src/Scheduling/WaitReview.cpp
@@ -0,0 +1,71 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#include "Courseloom/src/Scheduling/WaitReview.h"
+
+#include <algorithm>
+
+namespace courseloom {
+
+const char* nameOf(WaitGate gate) {
+  switch (gate) {
+    case WaitGate::GangActive:
+      return "members of its gang are active";
+    case WaitGate::Trial:
+      return "its tasks are suspect";
+    case WaitGate::NoTarget:
+      return "no target is open to it";
+    case WaitGate::NoRoom:
+      return "no room";
+    case WaitGate::RoomKept:
+      return "room is kept from it";
+  }
+  return "";
+}
+
+WaitGate findWaitGate(const PlannedStep& step, const std::vector<PlannedTarget>& targets,
+                      const std::vector<PlannedRun>& runs) {
+  const schema::StepSpec& spec = step.workflow->step(step.key.step);
+  const ResourceAmounts need = resourceAmountsOf(spec);
+  std::vector<ResourceAmounts> free;
+  free.reserve(targets.size());
+  for (const PlannedTarget& target : targets) free.push_back(target.capacity);
+  for (const PlannedRun& run : runs) free[run.target].subtract(run.need);
+  bool anyOpen = false;
+  std::size_t fitting = 0;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    const PlannedTarget& target = targets[i];
+    const bool hasLabel = spec.required_label().empty() || target.labels.count(spec.required_label()) > 0;
+    if (!target.open || !hasLabel || target.service != step.workflow->record.service()) continue;
+    anyOpen = true;
+    fitting += free[i].fits(need, step.tasks.size());
+  }
+  const std::size_t wanted = step.isGang() ? step.tasks.size() : 1;
+  if (fitting >= wanted) return WaitGate::RoomKept;
+  return anyOpen ? WaitGate::NoRoom : WaitGate::NoTarget;
+}
+
+std::vector<WaitReview::StepName> WaitReview::update(const std::set<StepName>& waiting, Time now) {
+  std::erase_if(m_waits, [&waiting](const auto& entry) { return waiting.count(entry.first) == 0; });
+  std::vector<StepName> due;
+  for (const StepName& step : waiting) {
+    Wait& wait = m_waits.try_emplace(step, Wait{now, Time{}}).first->second;
+    const bool isLong = now >= wait.since + ReportAfter;
+    if (!isLong || (wait.reported != Time{} && now < wait.reported + ReportInterval)) continue;
+    wait.reported = now;
+    due.push_back(step);
+  }
+  return due;
+}
+
+void WaitReview::recordStart(const StepName& step, Time now) {
+  const auto found = m_waits.find(step);
+  if (found != m_waits.end()) found->second = Wait{now, Time{}};
+}
+
+Duration WaitReview::waited(const StepName& step, Time now) const {
+  const auto found = m_waits.find(step);
+  return found == m_waits.end() ? Duration(0) : now - found->second.since;
+}
+
+}  // namespace courseloom
--- /dev/null
+++ b/Courseloom/src/Scheduling/WaitReview.h
@@ -0,0 +1,60 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "Courseloom/src/Core/Clock.h"
+#include "Courseloom/src/Scheduling/RunPlan.h"
+
+namespace courseloom {
+
+/** What keeps the tasks of a ready step from being started. */
+enum class WaitGate : std::uint8_t {
+  GangActive,  ///< other members of the gang are still active
+  Trial,       ///< its tasks are suspect, and no further trial start is allowed now
+  NoTarget,    ///< no target of the service that may run it is open
+  NoRoom,      ///< no open target has room for it
+  RoomKept,    ///< there is room, but it is kept for other steps, or the agents there have not reported
+};
+/** \returns the name of a gate in logs. */
+const char* nameOf(WaitGate gate);
+
+/** \returns what keeps a waiting step from being started, as far as targets and runs show it; never GangActive or
+ * Trial. \param targets as given to the planner \param runs as given to the planner */
+WaitGate findWaitGate(const PlannedStep& step, const std::vector<PlannedTarget>& targets,
+                      const std::vector<PlannedRun>& runs);
+
+/** \class WaitReview
+ * \brief Finds the ready steps that have waited for long without a start, so that each can be logged with its gate.
+ */
+class WaitReview {
+ public:
+  using StepName = std::pair<std::string, StepKey>;
+
+  /** Updates the set of ready steps with waiting tasks. \returns those to report now: without a start for ReportAfter,
+   * and not reported within ReportInterval */
+  std::vector<StepName> update(const std::set<StepName>& waiting, Time now);
+  /** Records the start of a task of a step. */
+  void recordStart(const StepName& step, Time now);
+  /** \returns for how long a step has waited without a start. */
+  Duration waited(const StepName& step, Time now) const;
+  void clear() { m_waits.clear(); }
+
+  /** A step is reported after this time without a start. */
+  static constexpr Duration ReportAfter = milliseconds(5000);
+  static constexpr Duration ReportInterval = milliseconds(5000);
+
+ private:
+  struct Wait {
+    Time since{};
+    Time reported{};
+  };
+  std::map<StepName, Wait> m_waits;
+};
+
+}  // namespace courseloom
