--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <thread>
 
 namespace courseloom::test {
 
@@ -17,6 +18,13 @@
 namespace {
 constexpr Duration SilencePoll = milliseconds(10);
 constexpr std::size_t ChunkBytes = 16384;
+/** Interval of the timer whose lateness is measured. */
+constexpr Duration TimerInterval = milliseconds(20);
+
+void raise(std::atomic<std::uint64_t>& longestMs, Duration measured) {
+  const auto ms = static_cast<std::uint64_t>(std::max(0.0, toMilliseconds(measured)));
+  if (ms > longestMs) longestMs = ms;
+}
 }  // namespace
 
 LinkRule LinkRules::get(const std::string& from, const std::string& to) const {
@@ -75,6 +83,24 @@
   asio::co_spawn(m_io, acceptLoop(server, listen, target), asio::detached);
 }
 
+void FaultProxy::measureLoad() { asio::co_spawn(m_io, timerLoop(), asio::detached); }
+
+Awaitable<void> FaultProxy::timerLoop() {
+  while (true) {
+    const Time due = BootClock::now() + TimerInterval;
+    co_await sleepFor(TimerInterval);
+    raise(m_load.latestTimerMs, BootClock::now() - due);
+  }
+}
+
+std::string FaultProxy::lookUpCaller(const Tcp::endpoint& caller, const Tcp::endpoint& proxy) {
+  const Time begin = BootClock::now();
+  if (m_lookupDelay > Duration(0) && begin >= m_lookupDelayFrom) std::this_thread::sleep_for(m_lookupDelay);
+  std::string name = m_callerOf(caller, proxy);
+  raise(m_load.longestLookupMs, BootClock::now() - begin);
+  return name;
+}
+
 Awaitable<void> FaultProxy::acceptLoop(std::string server, Tcp::endpoint listen, Tcp::endpoint target) {
   Tcp::acceptor acceptor(m_io, listen);
   while (true) {
@@ -83,7 +109,7 @@
     auto connection = std::make_shared<Connection>(m_io, std::move(socket));
     boost::system::error_code peerError;
     const Tcp::endpoint peer = connection->caller.remote_endpoint(peerError);
-    connection->from = peerError ? std::string() : m_callerOf(peer, listen);
+    connection->from = peerError ? std::string() : lookUpCaller(peer, listen);
     connection->to = server;
     connection->accepted = m_rules.get(connection->from, server);
     asio::co_spawn(m_io, serve(connection, target), asio::detached);
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -48,6 +49,14 @@
   std::map<std::pair<std::string, std::string>, LinkRule> m_rules;
 };
 
+/** \class ProxyLoad
+ * \brief How far the thread of a proxy falls behind. Thread-safe; times are in ms.
+ */
+struct ProxyLoad {
+  std::atomic<std::uint64_t> latestTimerMs{0};    ///< longest time by which a timer fired late
+  std::atomic<std::uint64_t> longestLookupMs{0};  ///< longest time for which the caller of a connection was looked up
+};
+
 /** \class FaultProxy
  * \brief Forwards connections on loopback and applies the faults of the link rules to them.
  *
@@ -65,9 +74,20 @@
 
   /** Listens on an address and forwards to a port of the same address. \param server its name in the rules */
   void forward(const std::string& server, const std::string& address, unsigned listenPort, unsigned serverPort);
+  /** Begins to measure load(). To be called once. */
+  void measureLoad();
+  const ProxyLoad& load() const { return m_load; }
+  /** Lets each look-up of a caller take this long from a time on, during which the proxy's thread does nothing else. To
+   * be called before the proxy runs. */
+  void setLookupDelay(Duration delay, Time from) {
+    m_lookupDelay = delay;
+    m_lookupDelayFrom = from;
+  }
 
  private:
   struct Connection;
+  std::string lookUpCaller(const Tcp::endpoint& caller, const Tcp::endpoint& proxy);
+  Awaitable<void> timerLoop();
   Awaitable<void> acceptLoop(std::string server, Tcp::endpoint listen, Tcp::endpoint target);
   Awaitable<void> serve(std::shared_ptr<Connection> connection, Tcp::endpoint target);
   Awaitable<void> pump(std::shared_ptr<Connection> connection, bool toServer);
@@ -75,6 +95,9 @@
   boost::asio::io_context& m_io;
   LinkRules& m_rules;
   CallerOf m_callerOf;
+  ProxyLoad m_load;
+  Duration m_lookupDelay{};
+  Time m_lookupDelayFrom{};
 };
 
 }  // namespace courseloom::test
--- a/test/soak/SoakCluster.cpp
+++ b/test/soak/SoakCluster.cpp
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-SoakCluster::SoakCluster(SoakSize size, std::uint64_t seed, bool holdsBackLateOrders)
+SoakCluster::SoakCluster(SoakSize size, std::uint64_t seed, bool holdsBackLateOrders, SlowLookups slow)
     : m_size(size),
       m_ports(Ports),
       m_base(m_ports.base()),
@@ -56,6 +56,8 @@
                   at(EntryHost + i, ClientPort) + "\", readinessEndpoint: \"" + at(EntryHost + i, ReadinessPort) +
                   "\"}\n");
   }
+  m_proxy.setLookupDelay(slow.delay, BootClock::now() + slow.after);
+  m_proxy.measureLoad();
   m_proxyThread = std::thread([this] {
     const auto work = boost::asio::make_work_guard(m_io);
     m_io.run();
--- a/test/soak/SoakCluster.h
+++ b/test/soak/SoakCluster.h
@@ -24,6 +24,12 @@
   unsigned targets = 4;
 };
 
+/** Look-ups of the proxy that take a time on purpose. */
+struct SlowLookups {
+  Duration delay{};
+  Duration after{};  ///< from the start of the cluster
+};
+
 /** \class SoakCluster
  * \brief A complete deployment on loopback whose connections pass through a FaultProxy. Its processes are named
  * `control-1`, `entry-1`, `agent-1`, `runner-1` and so on.
@@ -33,8 +39,8 @@
  */
 class SoakCluster {
  public:
-  /** \param holdsBackLateOrders \sa RunnerOptions */
-  SoakCluster(SoakSize size, std::uint64_t seed, bool holdsBackLateOrders = true);
+  /** \param holdsBackLateOrders \sa RunnerOptions \param slow \sa FaultProxy::setLookupDelay */
+  SoakCluster(SoakSize size, std::uint64_t seed, bool holdsBackLateOrders = true, SlowLookups slow = {});
   ~SoakCluster();
   SoakCluster(const SoakCluster&) = delete;
   SoakCluster& operator=(const SoakCluster&) = delete;
@@ -56,6 +62,7 @@
   void tearTail(const std::string& name, std::uint64_t seed);
 
   LinkRules& links() { return m_rules; }
+  const ProxyLoad& proxyLoad() const { return m_proxy.load(); }
   const SoakSize& size() const { return m_size; }
   std::string clientAddress(unsigned entry) const { return at(EntryHost + entry, ClientPort); }
   std::string operatorAddress(unsigned control) const { return at(control, ControlPort); }
--- a/test/soak/SoakFaults.h
+++ b/test/soak/SoakFaults.h
@@ -24,8 +24,8 @@
   Crashes = 5,       ///< also jobs whose tasks crash every back end that starts them
   LateOrders = 6     ///< also late orders that any later incarnation of a back end executes, before it was polled
 };
-constexpr FaultDraw DefaultDraw = FaultDraw::Crashes;
 constexpr FaultDraw NewestDraw = FaultDraw::LateOrders;
+constexpr FaultDraw DefaultDraw = NewestDraw;
 
 /** \class SoakFaults
  * \brief Draws faults from a seed and injects them: series of signals, kills, lost disks and torn records, disturbed
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -31,6 +31,8 @@
 /** Every accepted job has to end within this time after the last fault: leases expire, replicas elect a leader, back
  * ends register. */
 constexpr Duration HealLimit = milliseconds(60000);
+/** Jobs may not end in time if the proxy, which each connection passes, is late by more than an election timeout. */
+constexpr std::uint64_t ProxyLateMs = 400;
 constexpr unsigned Callers = 8;
 constexpr unsigned LargeCallers = 24;
 /** Tasks that still run for a job that has ended have to be stopped within this time. */
@@ -43,7 +45,9 @@
   bool large = false;
   bool verbose = false;
   unsigned draw = static_cast<unsigned>(DefaultDraw);
-  std::string cases;  ///< file of runs that have failed before; empty: none
+  std::string cases;               ///< file of runs that have failed before; empty: none
+  unsigned lookupDelayMs = 0;      ///< time that each new connection takes the proxy, ms
+  unsigned lookupDelayAfterS = 0;  ///< when that begins, s
 };
 
 /** Parameters of one run. */
@@ -88,8 +92,8 @@
  */
 class SoakRun {
  public:
-  SoakRun(const SoakCase& one, SoakSize size, unsigned callers)
-      : m_cluster(size, one.seed, one.draw < FaultDraw::LateOrders),
+  SoakRun(const SoakCase& one, SoakSize size, unsigned callers, SlowLookups slow)
+      : m_cluster(size, one.seed, one.draw < FaultDraw::LateOrders, slow),
         m_clients(m_cluster, m_disturbances, one.seed * 3 + 1, callers, one.draw >= FaultDraw::Crashes),
         m_faults(m_cluster, m_disturbances, one.seed * 3 + 2, one.draw),
         m_events(m_cluster, m_history) {}
@@ -117,6 +121,10 @@
   void print(std::ostream& out, bool verbose) const {
     out << m_clients.summary() << "; " << m_history.starts() << " starts, " << m_faults.log().size() << " faults\n";
     for (const std::string& line : m_found) out << "  BROKEN " << line << "\n";
+    const ProxyLoad& load = m_cluster.proxyLoad();
+    if (load.latestTimerMs > ProxyLateMs || load.longestLookupMs > ProxyLateMs) {
+      out << "  the proxy was " << load.latestTimerMs << " ms late, a look-up took " << load.longestLookupMs << " ms\n";
+    }
     if (m_found.empty() && !verbose) return;
     out << "  folder " << m_cluster.folder() << "\n";
     for (const std::string& line : m_faults.log()) out << "  " << line << "\n";
@@ -167,6 +175,8 @@
   app.add_option("--draw", options.draw, "Kinds of faults, as numbered in docs/SOAK.md")
       ->check(CLI::Range(1U, static_cast<unsigned>(NewestDraw)));
   app.add_flag("--verbose", options.verbose, "Print the faults of runs that held as well");
+  app.add_option("--lookup-delay-ms", options.lookupDelayMs, "Time that each new connection takes the proxy, ms");
+  app.add_option("--lookup-delay-after-s", options.lookupDelayAfterS, "Time from which it takes that long, s");
   CLI11_PARSE(app, argc, argv);
   std::vector<SoakCase> cases;
   try {
@@ -178,7 +188,8 @@
   unsigned empty = 0;
   for (const SoakCase& one : cases) {
     const SoakSize size = one.large ? SoakSize{3, 4, 12} : SoakSize{};
-    SoakRun run(one, size, one.large ? LargeCallers : Callers);
+    const SlowLookups slow{milliseconds(options.lookupDelayMs), milliseconds(1000) * options.lookupDelayAfterS};
+    SoakRun run(one, size, one.large ? LargeCallers : Callers, slow);
     const bool held = run.play(milliseconds(1000) * one.seconds);
     if (!held) ++failed;
     if (run.empty()) ++empty;
