Leader: which runs have survived their start is recorded, so that an outage puts no task on trial

Cause: a run that was seen for 2 s is not held against its task when its target is lost. Only the leader that saw the run knew that. The next one, after an outage of leader and targets together, accused the task of each lost run, and tasks of one workflow on two lost targets need trial starts, two at a time on eleven targets.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -35,7 +35,7 @@
 constexpr double StallMs = 700.0;
 constexpr double StallShare = 0.15;
 
-/** Interval at which the state of the ledger is recorded in the log if nothing else of runs is. */
+/** Interval at which the state of the ledger is recorded in the log. */
 constexpr Duration RecordInterval = milliseconds(500);
 
 RunLedgerOptions ledger_options(const schema::Settings& settings) {
@@ -381,13 +381,30 @@
   co_await commitRuns(std::move(runs));
 }
 
-/** Records in the log which runs have begun, and the length of leases. Most of that is recorded together with the ends
- * and starts of other runs. */
+/** Records in the log which runs have begun and which have survived their start, and the length of leases. */
 Awaitable<void> WorkflowRunner::recordLedger() {
   const Time now = BootClock::now();
-  const bool isDue = now >= m_ledgerRecorded + internal::RecordInterval;
+  if (now < m_ledgerRecorded + internal::RecordInterval) co_return;
+  m_ledgerRecorded = now;
+  schema::RecordRuns runs;
+  addLivedRuns(runs);
   const bool hasChanges = m_ledger.hasUnrecordedBegun() || m_ledger.leaseToRecord(table().leaseMs(), now) != 0;
-  if (isDue && hasChanges) co_await commitRuns({});
+  if (hasChanges || runs.lived_size() > 0) co_await commitRuns(std::move(runs));
+}
+
+/** Adds the runs that have survived their start since the last call. A later leader has not seen them for long, and
+ * would otherwise suspect their tasks if their targets are lost. */
+void WorkflowRunner::addLivedRuns(schema::RecordRuns& runs) {
+  for (const auto& [key, track] : m_ledger.runs()) {
+    const WorkflowState* workflow = track.lived ? nullptr : table().find(key.workflow);
+    if (workflow == nullptr) continue;
+    const schema::StepSpec& step = workflow->step(key.task.step);
+    if (!m_ledger.lived(key, step.gang() ? step.count() : 1)) continue;
+    schema::StartReport* row = runs.add_lived();
+    *row->mutable_task() = makeTaskId(key.workflow, key.task);
+    row->set_run(key.run);
+  }
+  for (const schema::StartReport& row : runs.lived()) m_ledger.setLived(runKeyOf(row.task(), row.run()));
 }
 
 /** \returns whether the log holds the length of the leases that this leader grants, so that its successor waits for
@@ -395,8 +412,7 @@
 bool WorkflowRunner::isLeaseRecorded() { return milliseconds(table().leaseMs()) >= m_ledger.options().grant; }
 
 Awaitable<bool> WorkflowRunner::commitRuns(schema::RecordRuns runs) {
-  m_ledgerRecorded = BootClock::now();
-  runs.set_lease_ms(m_ledger.leaseToRecord(table().leaseMs(), m_ledgerRecorded));
+  runs.set_lease_ms(m_ledger.leaseToRecord(table().leaseMs(), BootClock::now()));
   for (schema::StartReport& begun : m_ledger.consumeBegun()) *runs.add_begun() = std::move(begun);
   schema::Command command;
   *command.mutable_record_runs() = std::move(runs);
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -99,6 +99,7 @@
   Awaitable<bool> commitRuns(schema::RecordRuns runs);
   Awaitable<void> expireRuns();
   Awaitable<void> recordLedger();
+  void addLivedRuns(schema::RecordRuns& runs);
   std::set<StepName> findWaitingSteps();
   void reviewWaits(const std::vector<PlannedStep>& steps, const std::vector<PlannedTarget>& targets,
                    const std::vector<PlannedRun>& runs);
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -95,6 +95,7 @@
   track.checkpoint = run.checkpoint();
   track.inherited = inherited;
   track.begun = run.begun();
+  track.lived = run.lived();
   track.startedAt = now;
   track.percentChanged = now;
   // The task's other run is done, and its end is being committed: this one must not begin any more.
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -63,6 +63,7 @@
   std::string target;
   bool confirmed = false;  ///< the agent is known to have the run, and the start to have been carried out
   bool begun = false;      ///< the target has listed the run, so that no start call of it is in transit
+  bool lived = false;      ///< the log holds that the run has survived its start, or will
   bool stopRequested = false;
   bool doneProposed = false;         ///< an end RunDone of the run was handed over to be committed
   bool endProposed = false;          ///< the end of the run was handed over to be committed
@@ -175,8 +176,9 @@
   std::vector<schema::RunOrder> issueOrders(const std::string& agent, const WorkflowTable& table, Time now);
   /** \returns whether starts or stops of active runs are due for an agent. Stops of stray runs do not count. */
   bool hasDueOrders(const std::string& agent, const WorkflowTable& table, Time now) const;
-  /** \returns whether a run was seen for at least StartPhase. \param members size of the run's gang, which is measured
-   * from the time at which all members had been seen, since it works only then; 1 for a single task */
+  /** \returns whether a run was seen for at least StartPhase, by this leader or a former one. \param members size of
+   * the run's gang, which is measured from the time at which all members had been seen, since it works only then; 1 for
+   * a single task */
   bool lived(const RunKey& key, std::uint32_t members) const;
   /** \returns whether a start that never began counts against its target: this leader ordered it first, to the agent's
    * present incarnation, and has not asked to stop it, and the target is the same and in reach, has not been lost since
@@ -187,6 +189,8 @@
   std::vector<RunKey> newlyBegun(const schema::AttendRequest& report) const;
   /** \returns the runs that were first listed by their targets since the last call, to be recorded in the log. */
   std::vector<schema::StartReport> consumeBegun() { return std::exchange(m_begun, {}); }
+  /** Notes that a run's survival of its start is being recorded in the log. */
+  void setLived(const RunKey& key) { m_runs.at(key).lived = true; }
   bool hasUnrecordedBegun() const { return !m_begun.empty(); }
   /** \returns whether an agent has an active run that is not known to have begun. */
   bool hasUnconfirmedStart(const std::string& agent) const;
--- a/Courseloom/src/Scheduling/RunLedgerCrashes.cpp
+++ b/Courseloom/src/Scheduling/RunLedgerCrashes.cpp
@@ -81,6 +81,7 @@
 
 bool RunLedger::lived(const RunKey& key, std::uint32_t members) const {
   const auto own = m_runs.find(key);
+  if (own != m_runs.end() && own->second.lived) return true;
   if (own == m_runs.end() || own->second.firstSeen == Time{}) return false;
   Time since = own->second.firstSeen;
   for (std::uint32_t index = 0; members > 1 && index < members; ++index) {
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -194,18 +194,25 @@
 void WorkflowTable::record(const schema::RecordRuns& runs, std::uint64_t timeMs) {
   for (const schema::RunEnd& end : runs.ends()) recordEnd(end, timeMs);
   for (const schema::RunStart& start : runs.starts()) recordStart(start, timeMs);
-  for (const schema::StartReport& begun : runs.begun()) recordBegun(begun);
+  for (const schema::StartReport& row : runs.begun()) {
+    if (schema::ActiveRun* run = findActiveRun(row)) run->set_begun(true);
+  }
+  for (const schema::StartReport& row : runs.lived()) {
+    if (schema::ActiveRun* run = findActiveRun(row)) run->set_lived(true);
+  }
   if (runs.lease_ms() != 0) m_leaseMs = runs.lease_ms();
 }
 
-void WorkflowTable::recordBegun(const schema::StartReport& begun) {
-  const auto found = m_workflows.find(begun.task().workflow());
-  if (found == m_workflows.end()) return;
-  const auto task = found->second.tasks.find(keyOf(begun.task()));
-  if (task == found->second.tasks.end()) return;
+/** \returns the active run that a row names, or null. */
+schema::ActiveRun* WorkflowTable::findActiveRun(const schema::StartReport& row) {
+  const auto found = m_workflows.find(row.task().workflow());
+  if (found == m_workflows.end()) return nullptr;
+  const auto task = found->second.tasks.find(keyOf(row.task()));
+  if (task == found->second.tasks.end()) return nullptr;
   for (schema::ActiveRun& run : task->second.active) {
-    if (run.number() == begun.run()) run.set_begun(true);
+    if (run.number() == row.run()) return &run;
   }
+  return nullptr;
 }
 
 void WorkflowTable::recordStart(const schema::RunStart& start, std::uint64_t timeMs) {
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -186,7 +186,7 @@
 
  private:
   void recordEnd(const schema::RunEnd& end, std::uint64_t timeMs);
-  void recordBegun(const schema::StartReport& begun);
+  schema::ActiveRun* findActiveRun(const schema::StartReport& row);
   void recordStart(const schema::RunStart& start, std::uint64_t timeMs);
   /** Records the end of a run whose task was done by another run: it only ceases to be active. */
   void recordSupersededEnd(WorkflowState& workflow, const schema::ActiveRun& run, const schema::RunEnd& end);
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -505,6 +505,31 @@
   cr_assert_eq(test.ledger.leaseToRecord(test.table.leaseMs(), test.now), 2000);
 }
 
+// Guards against tasks that wait for trial starts after an outage of leader and targets: a new leader has not seen
+// their runs, and would suspect each of them of having crashed its target.
+Test(run_ledger, a_new_leader_does_not_suspect_runs_that_lived_under_the_former_one) {
+  LedgerFixture test;
+  test.start(0, 1);
+  test.attend(withRunning(test.report(), 0, 1));
+  test.advance(2100);
+  test.attend(withRunning(test.report(), 0, 1));
+  const RunKey key{"w", {0, 0, 0}, 1};
+  cr_assert(test.ledger.lived(key, 1));
+  schema::RecordRuns runs;
+  schema::StartReport* row = runs.add_lived();
+  *row->mutable_task() = makeTaskId("w", {0, 0, 0});
+  row->set_run(1);
+  test.commit(runs);
+  test.ledger.lead(test.table, test.now);
+  cr_assert(test.ledger.lived(key, 1), "the new leader does not know that the run has survived its start");
+  ++test.incarnation;
+  std::vector<schema::RunEnd> ends = test.ledger.receiveReport(test.report("life-2"), test.now);
+  cr_assert_eq(ends.size(), 1);
+  ends[0].set_lived(test.ledger.lived(key, 1));
+  test.commitEnds(ends);
+  cr_assert_not(test.table.find("w")->task({0, 0, 0})->crashes.suspected());
+}
+
 Test(run_ledger, longer_leases_are_recorded_before_they_are_granted) {
   LedgerFixture test;
   cr_assert_eq(test.ledger.leaseToRecord(test.table.leaseMs(), test.now), 5500);
