Leader: what former leaders recorded counts also if it is applied after the election

Cause: a replica that has restarted, as all have after an outage, applies most of its log once it leads. The ledger learns of active runs as they are applied, without what the log says of them afterwards: begun, survived, and the length of leases. Evidence: a run that had been placed 6 s before the outage was accused (TaskAccused at 36.38 s, placed at 28.25 s). Change: the ledger reads these records again after each change of former leaders. Test: run_ledger, what_former_leaders_recorded_counts_also_if_it_is_applied_after_the_change_of_leader.

--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -142,6 +142,7 @@
   if (!m_leads) return;
   const VoidedStarts voids = findVoidedStarts(changes);
   m_ledger.apply(changes, BootClock::now(), m_changesInherited);
+  if (m_changesInherited) m_ledger.readRecords(table());
   // This leader proposes its own starts only once it leads, so they are applied after this point.
   if (leads()) m_changesInherited = false;
   for (const RunChange& change : changes) {
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -71,7 +71,7 @@
 
 void RunLedger::lead(const WorkflowTable& table, Time now, std::uint64_t term) {
   m_leaderSince = now;
-  m_formerGrant = std::max<Duration>(m_options.grant, milliseconds(table.leaseMs()));
+  m_formerGrant = m_options.grant;
   m_term = term;
   ++m_descriptions;
   m_runs.clear();
@@ -85,6 +85,21 @@
       for (const schema::ActiveRun& run : task.active) add(makeTaskId(id, key), run, now, true);
     }
   }
+  readRecords(table);
+}
+
+void RunLedger::readRecords(const WorkflowTable& table) {
+  m_formerGrant = std::max<Duration>(m_formerGrant, milliseconds(table.leaseMs()));
+  for (auto& [key, track] : m_runs) {
+    const WorkflowState* workflow = table.find(key.workflow);
+    const TaskState* task = workflow == nullptr ? nullptr : workflow->task(key.task);
+    if (task == nullptr) continue;
+    for (const schema::ActiveRun& run : task->active) {
+      if (run.number() != key.run) continue;
+      track.begun |= run.begun();
+      track.lived |= run.lived();
+    }
+  }
 }
 
 void RunLedger::add(const schema::TaskId& task, const schema::ActiveRun& run, Time now, bool inherited) {
@@ -94,8 +109,6 @@
   track.target = run.target();
   track.checkpoint = run.checkpoint();
   track.inherited = inherited;
-  track.begun = run.begun();
-  track.lived = run.lived();
   track.startedAt = now;
   track.percentChanged = now;
   // The task's other run is done, and its end is being committed: this one must not begin any more.
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -145,6 +145,10 @@
   /** Applies committed changes. \param inherited whether a former leader made them, so that it may have ordered their
    * starts */
   void apply(const std::vector<RunChange>& changes, Time now, bool inherited = false);
+  /** Reads what the log holds of the active runs and of leases: which runs have begun and survived their start, and the
+   * length of former leases. To be called after each change that a former leader made: a replica that has restarted
+   * applies most of its log only once it leads. */
+  void readRecords(const WorkflowTable& table);
   /** \returns whether a report may change the ledger: its agent has had an answer from this leader, so the report
    * cannot be older than this leadership. Any other report only gets an answer. */
   bool isCurrent(const schema::AttendRequest& report) const;
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -483,6 +483,25 @@
   cr_assert_eq(test.ledger.expire(test.now).size(), 1);
 }
 
+// A replica that has restarted applies the log of former leaders only once it leads.
+Test(run_ledger, what_former_leaders_recorded_counts_also_if_it_is_applied_after_the_change_of_leader) {
+  LedgerFixture test;
+  schema::RecordRuns records;
+  schema::StartReport* row = records.add_lived();
+  *row->mutable_task() = makeTaskId("w", {0, 0, 0});
+  row->set_run(1);
+  *records.add_begun() = *row;
+  records.set_lease_ms(10000);
+  test.start(0, 1);
+  test.commit(records);
+  test.ledger.readRecords(test.table);
+  cr_assert(test.ledger.lived({"w", {0, 0, 0}, 1}, 1));
+  test.advance(10200);
+  cr_assert(test.ledger.expire(test.now).empty(), "a lease of the recorded length may still be valid");
+  test.advance(200);
+  cr_assert_eq(test.ledger.expire(test.now).size(), 1, "the run has begun, so that it cannot begin late");
+}
+
 // Guards against two runs of a task at once after a change of settings that shortens leases: an agent that is silent
 // from the change of leader holds its runs under a lease of the former length.
 Test(run_ledger, a_new_leader_with_shorter_leases_assumes_leases_of_the_recorded_length) {
