Agent: a fence of the successor counts for a run only if its start was not in transit any more

What callers would have seen: two runs of a task at once, when a successor that has been polled under a newer token is replaced by a third incarnation, which refuses polls and carries the start out. Cause: the fence that let a run lapse with its hold was that of any time; the third incarnation knows nothing of it. Change: the poll that fenced the successor must have been sent after the latest time at which the start can be carried out.

--- a/Courseloom/src/Agent/RunAgentLapses.cpp
+++ b/Courseloom/src/Agent/RunAgentLapses.cpp
@@ -64,10 +64,11 @@
   }
 }
 
-/** \returns whether the newest known incarnation refuses the calls that were sent to the current one. */
-bool RunAgentService::isSuccessorFenced() const {
+/** \returns whether the newest known incarnation answered a poll, sent after a time, under a token with which it
+ * refuses the calls that were sent to the current one. */
+bool RunAgentService::isSuccessorFencedSince(Time time) const {
   const auto isKnown = [this](const auto& announced) { return announced.first == m_target->successor; };
-  return m_target->successorFenced && std::all_of(m_announced.begin(), m_announced.end(), isKnown);
+  return m_target->successorFencedAt > time && std::all_of(m_announced.begin(), m_announced.end(), isKnown);
 }
 
 /** \returns the latest time at which the start call of a run can be carried out; zero if no call was sent, or if the
@@ -91,7 +92,8 @@
 /** \returns whether a run must not lapse yet: its start call is in transit, or an unfenced successor may have begun it.
  */
 bool RunAgentService::delaysLapse(const RunKey& key, LocalRun& run, Time now) {
-  if (!isStartInTransit(run) && (isSuccessorFenced() || now > latestEndInSuccessor(run))) return false;
+  const bool fenced = isSuccessorFencedSince(latestStart(run));
+  if (!isStartInTransit(run) && (fenced || now > latestEndInSuccessor(run))) return false;
   if (std::exchange(run.lapseDelayed, true)) return true;
   logEvent(schema::LapseDelayed,
            {{"task", taskText(makeTaskId(key.workflow, key.task))},
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -218,14 +218,14 @@
     applyPoll(*answer, sentAt, BootClock::now());
     co_return true;
   }
-  if (accepted) handleSuccessor(*answer, step);
+  if (accepted) handleSuccessor(*answer, step, sentAt);
   if (answer && answer->verdict == TargetVerdict::OtherIncarnation) {
     endIncarnation();
     co_return false;
   }
   if (!answer) {
     recordUnansweredCall();
-    m_target->successorFenced = false;  // the successor may have been replaced by another one
+    m_target->successorFencedAt = Time{};  // the successor may have been replaced by another one
   }
   recordFailedPoll();
   co_return false;
@@ -233,11 +233,12 @@
 
 /** Handles an answer of another incarnation under the same identity. The current incarnation has ended. The successor
  * may have begun runs that were meant for the current one, and until it has seen a newer token it may still begin
- * others. It becomes current after it has announced itself. \param step fence step of the answered poll */
-void RunAgentService::handleSuccessor(const TargetAnswer& answer, std::uint64_t step) {
+ * others. It becomes current after it has announced itself. \param step fence step of the answered poll
+ * \param sentAt when that poll was sent */
+void RunAgentService::handleSuccessor(const TargetAnswer& answer, std::uint64_t step, Time sentAt) {
   allowNoMoreFailures();
   const bool isNew = std::exchange(m_target->successor, answer.incarnation) != answer.incarnation;
-  m_target->successorFenced = step > m_target->step;
+  m_target->successorFencedAt = step > m_target->step ? sentAt : Time{};
   m_target->successorRuns.clear();
   for (const schema::RunReport& row : answer.running) m_target->successorRuns.insert(runKeyOf(row.task(), row.run()));
   for (const schema::EndReport& row : answer.ends) m_target->successorRuns.insert(runKeyOf(row.task(), row.run()));
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -107,7 +107,7 @@
     bool deregistered = false;                           ///< the target has announced its end
     unsigned failures = 0;                               ///< number of failed polls in a row
     std::string successor;           ///< incarnation that answered a poll in place of this one; empty for none
-    bool successorFenced = false;    ///< the successor has answered a poll under a newer fence step
+    Time successorFencedAt{};        ///< when the newest poll was sent that it answered under a newer fence step
     std::set<RunKey> successorRuns;  ///< runs that the successor listed then
     std::uint64_t step = 0;   ///< fence step of the newest token under which this incarnation has answered a poll
     bool fenced = false;      ///< this incarnation or a successor refused the newest poll because its token was too low
@@ -162,11 +162,11 @@
   Awaitable<bool> poll(std::uint32_t waitMs, std::uint64_t discardUpTo = 0);
   void applyPoll(const TargetAnswer& answer, Time sentAt, Time receivedAt);
   void settleUnlisted(const TargetAnswer& answer, Time sentAt);
-  void handleSuccessor(const TargetAnswer& answer, std::uint64_t step);
+  void handleSuccessor(const TargetAnswer& answer, std::uint64_t step, Time sentAt);
   void recordUnansweredCall();
   void recordFailedPoll();
   void expireRuns();
-  bool isSuccessorFenced() const;
+  bool isSuccessorFencedSince(Time time) const;
   Time latestStart(const LocalRun& run) const;
   bool isStartInTransit(const LocalRun& run) const { return BootClock::now() <= latestStart(run); }
   Time latestEndInSuccessor(const LocalRun& run) const;
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -245,9 +245,9 @@
   std::map<std::string, ServiceBacklog> m_backlogs;  ///< by service, as of m_backlogsUpdated
   Time m_ledgerRecorded{};                           ///< when the state of the ledger was last recorded in the log
   Time m_backlogsUpdated{};                          ///< zero if they have to be computed anew
-  double m_urgentPeak = 0.0;  ///< decaying maximum of accelerators that work of priority 0 needs at once
-  WaitReview m_waitReview;
-  Time m_nextWaitReview{};
+  double m_urgentPeak = 0.0;     ///< decaying maximum of accelerators that work of priority 0 needs at once
+  WaitReview m_waitReview;       ///< steps that wait for long
+  Time m_nextWaitReview{};       ///< when waiting steps and unseen runs are reviewed next
   Time m_nextUnseenEvent{};      ///< earliest time of the next events RunUnseen
   Time m_urgentPeakUpdated{};    ///< when m_urgentPeak was last updated; zero before the first plan
   std::size_t m_keptLogged = 0;  ///< targets kept for gangs as last logged
--- a/Courseloom/src/Scheduling/LateCalls.h
+++ b/Courseloom/src/Scheduling/LateCalls.h
@@ -20,8 +20,9 @@
  *   This holds whatever was confirmed about the run and also if its agent has ended. An answered call is not in
  *   transit, and another identity at the same address refuses it.
  * - *Ends.* A call that lets the target discard ends must not reach an incarnation that begins a run through a call in
- *   transit, since that run's end could be discarded before it was read. So an agent never has a start call and a poll
- *   that names ends in transit at the same time.
+ *   transit, since that run's end could be discarded before it was read. So an agent names ends only while no start is
+ *   in transit, and while a poll that names ends is in transit, starts carry a newer token, so that an incarnation that
+ *   has carried out the start refuses the poll.
  * - *Holds.* A call that extends holds extends them in the incarnation that carries it out, there for the full length.
  *   So runs that have begun late are over at latestEndOfLateRuns().
  */
