The review of waits uses what the planner has: eligible targets, waiting steps, the name of a step

It summed the free capacity again for each waiting step, on the planner's strand, and walked all runs each second although it logs once in 5 s. Change: WaitGates sums the free capacity once a review, only if a step is due, and asks TargetIndex for eligible targets. The walk over waiting steps is WorkflowState::visitWaitingSteps, for the plan and the review; planning one step is a function of its own. What is logged stays as it was.

--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -398,46 +398,45 @@
 }
 
 void WorkflowRunner::addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps) {
+  workflow.visitWaitingSteps(nowMs, [&](const StepKey& key) { addStep(workflow, key, nowMs, steps); });
+}
+
+/** Adds a step that is ready and has waiting tasks, unless it is a gang with active members. */
+void WorkflowRunner::addStep(const WorkflowState& workflow, const StepKey& key, std::uint64_t nowMs,
+                             std::vector<PlannedStep>& steps) {
   const schema::Workflow& record = workflow.record;
-  const schema::Queue* queue = queueNamed(record.queue());
-  for (std::uint32_t occurrence = 0; occurrence < workflow.occurrences(); ++occurrence) {
-    const std::uint64_t due = workflow.dueMs(occurrence);
-    if (due > nowMs) break;
-    for (int s = 0; s < record.spec().steps_size(); ++s) {
-      const StepKey key{occurrence, static_cast<std::uint32_t>(s)};
-      if (workflow.stepDone(key) || !workflow.hasWaitingTasks(key) || !workflow.stepReady(key)) continue;
-      const schema::StepSpec& spec = record.spec().steps(s);
-      PlannedStep step;
-      step.workflow = &workflow;
-      step.key = key;
-      for (std::uint32_t i = 0; i < spec.count(); ++i) {
-        const TaskState* task = workflow.task({occurrence, key.step, i});
-        const bool waits = task == nullptr || (!task->done && task->active.empty());
-        if (waits) step.tasks.push_back(i);
-        if (task == nullptr) continue;
-        if (spec.max_per_target() == 0) continue;
-        for (const schema::ActiveRun& run : task->active) ++step.placedOn[run.target()];
-      }
-      const bool partOfGang = spec.gang() && step.tasks.size() < spec.count();
-      if (step.tasks.empty() || partOfGang) continue;
-      step.rank = rankOfWorkflow(workflow);
-      step.avoided = targetsToAvoid(workflow, step);
-      step.estimateMs = expectedMs(record.queue(), spec);
-      step.estimateQuantileMs = quantileMs(record.queue(), step.estimateMs);
-      step.taskWork = coresOf(spec) * step.estimateMs / internal::MillisecondsPerSecond;
-      step.objectiveMs =
-          static_cast<double>(due) + record.stretch() * objectiveChainMs(record) + record.latency_target_ms();
-      step.worthlessMs = static_cast<double>(due) + WorthlessAfter * (step.objectiveMs - static_cast<double>(due));
-      const StepName name{record.id(), key};
-      const Time now = BootClock::now();
-      step.waitedMs = toMilliseconds(now - m_readySince.try_emplace(name, now).first->second);
-      // Waiting time under former leaders counts too; the log has it only for steps without predecessors.
-      if (spec.after().empty()) step.waitedMs = std::max(step.waitedMs, static_cast<double>(nowMs - due));
-      if (m_tickets.needed(queue))
-        step.tickets = m_tickets.ticketsFor(name, queue->advice(), openTargets(record.service()));
-      addStepParts(std::move(step), steps);
-    }
+  const schema::StepSpec& spec = workflow.step(key.step);
+  PlannedStep step;
+  step.workflow = &workflow;
+  step.key = key;
+  for (std::uint32_t i = 0; i < spec.count(); ++i) {
+    const TaskState* task = workflow.task({key.occurrence, key.step, i});
+    const bool waits = task == nullptr || (!task->done && task->active.empty());
+    if (waits) step.tasks.push_back(i);
+    if (task == nullptr) continue;
+    if (spec.max_per_target() == 0) continue;
+    for (const schema::ActiveRun& run : task->active) ++step.placedOn[run.target()];
   }
+  const bool partOfGang = spec.gang() && step.tasks.size() < spec.count();
+  if (step.tasks.empty() || partOfGang) return;
+  const std::uint64_t due = workflow.dueMs(key.occurrence);
+  step.rank = rankOfWorkflow(workflow);
+  step.avoided = targetsToAvoid(workflow, step);
+  step.estimateMs = expectedMs(record.queue(), spec);
+  step.estimateQuantileMs = quantileMs(record.queue(), step.estimateMs);
+  step.taskWork = coresOf(spec) * step.estimateMs / internal::MillisecondsPerSecond;
+  step.objectiveMs =
+      static_cast<double>(due) + record.stretch() * objectiveChainMs(record) + record.latency_target_ms();
+  step.worthlessMs = static_cast<double>(due) + WorthlessAfter * (step.objectiveMs - static_cast<double>(due));
+  const StepName name{record.id(), key};
+  const Time now = BootClock::now();
+  step.waitedMs = toMilliseconds(now - m_readySince.try_emplace(name, now).first->second);
+  // Waiting time under former leaders counts too; the log has it only for steps without predecessors.
+  if (spec.after().empty()) step.waitedMs = std::max(step.waitedMs, static_cast<double>(nowMs - due));
+  const schema::Queue* queue = queueNamed(record.queue());
+  if (m_tickets.needed(queue))
+    step.tickets = m_tickets.ticketsFor(name, queue->advice(), openTargets(record.service()));
+  addStepParts(std::move(step), steps);
 }
 
 /** \returns the targets on which the workflow has failed, or the start of the gang was voided. For a step with a task
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -103,6 +103,7 @@
   std::set<StepName> findWaitingSteps();
   void reviewWaits(const std::vector<PlannedStep>& steps, const std::vector<PlannedTarget>& targets,
                    const std::vector<PlannedRun>& runs);
+  void logWaits(const std::vector<StepName>& due, const std::vector<PlannedStep>& steps, WaitGates gates);
   void logWait(const StepName& name, WaitGate gate);
   void logUnseenRuns(Time now);
   bool isLeaseRecorded();
@@ -194,6 +195,7 @@
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
   std::vector<PlannedStep> planSteps();
   void addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
+  void addStep(const WorkflowState& workflow, const StepKey& key, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
   void assignBands(std::vector<PlannedStep>& steps);
   WorkspaceDemands workspaceDemands(const std::vector<PlannedStep>& steps, std::uint64_t nowMs) const;
   ResourceTime activeUse(const WorkflowState& workflow, std::uint64_t nowMs) const;
--- a/Courseloom/src/Control/WorkflowWaits.cpp
+++ b/Courseloom/src/Control/WorkflowWaits.cpp
@@ -29,14 +29,7 @@
   for (const std::string& id : table().open()) {
     const WorkflowState& workflow = *table().find(id);
     if (workflow.ended()) continue;
-    for (std::uint32_t occurrence = 0; occurrence < workflow.occurrences(); ++occurrence) {
-      if (workflow.dueMs(occurrence) > nowMs) break;
-      for (int s = 0; s < workflow.record.spec().steps_size(); ++s) {
-        const StepKey key{occurrence, static_cast<std::uint32_t>(s)};
-        const bool waits = !workflow.stepDone(key) && workflow.hasWaitingTasks(key) && workflow.stepReady(key);
-        if (waits) waiting.emplace(id, key);
-      }
-    }
+    workflow.visitWaitingSteps(nowMs, [&](const StepKey& key) { waiting.emplace(id, key); });
   }
   return waiting;
 }
@@ -48,8 +41,16 @@
   const Time now = BootClock::now();
   if (now < m_nextWaitReview) return;
   m_nextWaitReview = now + internal::WaitReviewInterval;
+  const std::vector<StepName> due = m_waitReview.update(findWaitingSteps(), now);
+  if (!due.empty()) logWaits(due, steps, WaitGates(targets, runs));
+  logUnseenRuns(now);
+}
+
+/** Logs steps with their gates, but none that finds no room. */
+void WorkflowRunner::logWaits(const std::vector<StepName>& due, const std::vector<PlannedStep>& steps,
+                              WaitGates gates) {
   std::size_t logged = 0;
-  for (const StepName& name : m_waitReview.update(findWaitingSteps(), now)) {
+  for (const StepName& name : due) {
     const auto isNamed = [&name](const PlannedStep& step) {
       return step.workflow != nullptr && step.workflow->record.id() == name.first && step.key == name.second;
     };
@@ -57,10 +58,11 @@
     // Steps that are not planned at all are gangs with active members, or have only suspect tasks.
     const bool gang = table().find(name.first)->step(name.second.step).gang();
     const WaitGate unplanned = gang ? WaitGate::GangActive : WaitGate::Trial;
-    const WaitGate gate = step == steps.end() ? unplanned : findWaitGate(*step, targets, runs);
-    if (gate != WaitGate::NoRoom && ++logged <= internal::MaxWaitsLogged) logWait(name, gate);
+    const WaitGate gate = step == steps.end() ? unplanned : gates.find(*step);
+    if (gate == WaitGate::NoRoom) continue;
+    logWait(name, gate);
+    if (++logged == internal::MaxWaitsLogged) return;
   }
-  logUnseenRuns(now);
 }
 
 void WorkflowRunner::logWait(const StepName& name, WaitGate gate) {
@@ -74,10 +76,10 @@
 }
 
 void WorkflowRunner::logUnseenRuns(Time now) {
+  if (now < m_nextUnseenEvent) return;
   std::size_t logged = 0;
   for (const auto& [key, track] : m_ledger.runs()) {
     if (track.begun || now < track.startedAt + internal::UnseenAfter) continue;
-    if (now < m_nextUnseenEvent || ++logged > internal::MaxWaitsLogged) continue;
     const auto target = m_ledger.targets().find(track.agent);
     const bool known = target != m_ledger.targets().end();
     const Duration silent = known ? now - target->second.lastContact : now - track.startedAt;
@@ -88,8 +90,9 @@
                                  {"sinceMs", static_cast<std::uint64_t>(toMilliseconds(now - track.startedAt))},
                                  {"silentMs", static_cast<std::uint64_t>(toMilliseconds(silent))},
                                  {"stopRequested", track.stopRequested ? "yes" : "no"}});
+    m_nextUnseenEvent = now + WaitReview::ReportInterval;
+    if (++logged == internal::MaxWaitsLogged) return;
   }
-  if (logged > 0) m_nextUnseenEvent = now + WaitReview::ReportInterval;
 }
 
 }  // namespace courseloom
--- a/Courseloom/src/Scheduling/WaitReview.cpp
+++ b/Courseloom/src/Scheduling/WaitReview.cpp
@@ -3,8 +3,6 @@
 
 #include "Courseloom/src/Scheduling/WaitReview.h"
 
-#include <algorithm>
-
 namespace courseloom {
 
 const char* nameOf(WaitGate gate) {
@@ -23,22 +21,22 @@
   return "";
 }
 
-WaitGate findWaitGate(const PlannedStep& step, const std::vector<PlannedTarget>& targets,
-                      const std::vector<PlannedRun>& runs) {
+WaitGates::WaitGates(const std::vector<PlannedTarget>& targets, const std::vector<PlannedRun>& runs)
+    : m_targets(targets) {
+  m_free.reserve(targets.size());
+  for (const PlannedTarget& target : targets) m_free.push_back(target.capacity);
+  for (const PlannedRun& run : runs) m_free[run.target].subtract(run.need);
+}
+
+WaitGate WaitGates::find(const PlannedStep& step) {
   const schema::StepSpec& spec = step.workflow->step(step.key.step);
   const ResourceAmounts need = resourceAmountsOf(spec);
-  std::vector<ResourceAmounts> free;
-  free.reserve(targets.size());
-  for (const PlannedTarget& target : targets) free.push_back(target.capacity);
-  for (const PlannedRun& run : runs) free[run.target].subtract(run.need);
   bool anyOpen = false;
   std::size_t fitting = 0;
-  for (std::size_t i = 0; i < targets.size(); ++i) {
-    const PlannedTarget& target = targets[i];
-    const bool hasLabel = spec.required_label().empty() || target.labels.count(spec.required_label()) > 0;
-    if (!target.open || !hasLabel || target.service != step.workflow->record.service()) continue;
+  for (const std::size_t i : *m_targets.targetsOf(step.workflow->record.service(), spec.required_label())) {
+    if (!m_targets[i].open) continue;
     anyOpen = true;
-    fitting += free[i].fits(need, step.tasks.size());
+    fitting += m_free[i].fits(need, step.tasks.size());
   }
   const std::size_t wanted = step.isGang() ? step.tasks.size() : 1;
   if (fitting >= wanted) return WaitGate::RoomKept;
--- a/Courseloom/src/Scheduling/WaitReview.h
+++ b/Courseloom/src/Scheduling/WaitReview.h
@@ -10,6 +10,8 @@
 
 #include "Courseloom/src/Core/Clock.h"
 #include "Courseloom/src/Scheduling/RunPlan.h"
+#include "Courseloom/src/Scheduling/StopBackoff.h"
+#include "Courseloom/src/Scheduling/TargetIndex.h"
 
 namespace courseloom {
 
@@ -24,17 +26,27 @@
 /** \returns the name of a gate in logs. */
 const char* nameOf(WaitGate gate);
 
-/** \returns what keeps a waiting step from being started, as far as targets and runs show it; never GangActive or
- * Trial. \param targets as given to the planner \param runs as given to the planner */
-WaitGate findWaitGate(const PlannedStep& step, const std::vector<PlannedTarget>& targets,
-                      const std::vector<PlannedRun>& runs);
+/** \class WaitGates
+ * \brief Finds what keeps planned steps from being started, as far as the targets and runs of one pass show it.
+ */
+class WaitGates {
+ public:
+  /** \param targets as given to the planner; have to outlive the object \param runs as given to the planner */
+  WaitGates(const std::vector<PlannedTarget>& targets, const std::vector<PlannedRun>& runs);
+  /** \returns the gate of a step; never GangActive or Trial. */
+  WaitGate find(const PlannedStep& step);
+
+ private:
+  TargetIndex m_targets;
+  std::vector<ResourceAmounts> m_free;  ///< free capacity, by index of the target
+};
 
 /** \class WaitReview
  * \brief Finds the ready steps that have waited for long without a start, so that each can be logged with its gate.
  */
 class WaitReview {
  public:
-  using StepName = std::pair<std::string, StepKey>;
+  using StepName = StopBackoff::StepName;
 
   /** Updates the set of ready steps with waiting tasks. \returns those to report now: without a start for ReportAfter,
    * and not reported within ReportInterval */
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -78,6 +78,18 @@
   bool hasWaitingTasks(const StepKey& key) const;
   /** \returns whether all steps that a step depends on are done. */
   bool stepReady(const StepKey& key) const;
+  /** Calls visit(StepKey) for each step of a due occurrence that is ready and has waiting tasks. \param nowMs
+   * wall-clock time, ms since 1970 */
+  template <typename Visitor>
+  void visitWaitingSteps(std::uint64_t nowMs, Visitor visit) const {
+    for (std::uint32_t occurrence = 0; occurrence < occurrences(); ++occurrence) {
+      if (dueMs(occurrence) > nowMs) break;
+      for (int index = 0; index < record.spec().steps_size(); ++index) {
+        const StepKey key{occurrence, static_cast<std::uint32_t>(index)};
+        if (!stepDone(key) && hasWaitingTasks(key) && stepReady(key)) visit(key);
+      }
+    }
+  }
   /** \returns the wall-clock time at which an occurrence is due, ms since 1970; of a workflow without occurrences the
    * time at which it was submitted. */
   std::uint64_t dueMs(std::uint32_t occurrence) const;
--- a/test/wait_review.cpp
+++ b/test/wait_review.cpp
@@ -31,7 +31,7 @@
     PlannedRun& run = runs.emplace_back();
     run.need.accelerators = accelerators;
   }
-  WaitGate gate() const { return findWaitGate(step, targets, runs); }
+  WaitGate gate() const { return WaitGates(targets, runs).find(step); }
 
   WorkflowTable table;
   PlannedStep step;
