--- a/Courseloom/src/Agent/RunAgentLapses.cpp
+++ b/Courseloom/src/Agent/RunAgentLapses.cpp
@@ -84,9 +84,13 @@
 /** \returns the latest time at which a successor can have a run whose start call was sent to the current incarnation;
  * zero if the current one has carried out the call. */
 Time RunAgentService::latestEndInSuccessor(const LocalRun& run) const {
-  if (latestStart(run) == Time{}) return Time{};
-  const Time lastSent = std::max({run.startSentAt, m_lastHoldSentAt, m_startedAt});
-  return latestEndOfLateRuns(lastSent, milliseconds(m_context.settings.runner().max_hold_ms()));
+  return latestStart(run) == Time{} ? Time{} : latestEndOfAnyRun();
+}
+
+/** \returns the latest time at which any incarnation can have a run that a call sent until now has begun or extended.
+ */
+Time RunAgentService::latestEndOfAnyRun() const {
+  return latestEndOfLateRuns(m_lastHoldSentAt, milliseconds(m_context.settings.runner().max_hold_ms()));
 }
 
 /** \returns whether a run must not lapse yet: its start call is in transit, or an unfenced successor may have begun it.
@@ -137,7 +141,7 @@
 
 /** \returns whether an incarnation has the identity of the current one, so that it may carry out calls to that. */
 bool RunAgentService::hasCurrentIdentity(const std::string& incarnation) const {
-  return m_target && TargetIncarnation::named(incarnation).id == TargetIncarnation::named(m_target->report.id()).id;
+  return m_target && TargetIncarnation::haveSameId(incarnation, m_target->report.id());
 }
 
 /** Lets the losses of all starts in transit be reported: a target of another identity refuses the calls. */
@@ -148,9 +152,7 @@
 /** \returns whether a start call that can be carried out until the given time is settled: the current incarnation has
  * answered a poll that was sent later, so that its lists show the run if it has begun; or the run would be over. */
 bool RunAgentService::isTransitSettled(Time until) const {
-  const Time lastSent = std::max(until - LateCallLimit, m_lastHoldSentAt);
-  const Duration longestHold = milliseconds(m_context.settings.runner().max_hold_ms());
-  return m_target->answeredSentAt > until || BootClock::now() > latestEndOfLateRuns(lastSent, longestHold);
+  return m_target->answeredSentAt > until || BootClock::now() > latestEndOfAnyRun();
 }
 
 /** Adds the runs whose start call may still be carried out to a report. The losses of the others can be reported now.
@@ -159,9 +161,7 @@
   request.set_former_calls_in_transit(!isTransitSettled(m_startedAt + LateCallLimit));
   for (auto start = m_startsInTransit.begin(); start != m_startsInTransit.end();) {
     if (!isTransitSettled(start->second.until)) {
-      schema::StartReport* row = request.add_in_transit();
-      *row->mutable_task() = start->second.lost.task();
-      row->set_run(start->second.lost.run());
+      *request.add_in_transit() = makeStartReport(start->first);
       ++start;
       continue;
     }
--- a/Courseloom/src/Agent/RunAgentLeader.cpp
+++ b/Courseloom/src/Agent/RunAgentLeader.cpp
@@ -53,10 +53,8 @@
   for (const schema::RunReport& row : m_target->running) *request.add_running() = row;
   request.set_running_age_ms(static_cast<std::uint32_t>(toMilliseconds(BootClock::now() - m_target->polledAt)));
   for (const schema::RunReport& row : m_target->running) {
-    if (m_traits.count(runKeyOf(row.task(), row.run())) > 0) continue;
-    schema::StartReport* unknown = request.add_unknown();
-    *unknown->mutable_task() = row.task();
-    unknown->set_run(row.run());
+    const RunKey key = runKeyOf(row.task(), row.run());
+    if (m_traits.count(key) == 0) *request.add_unknown() = makeStartReport(key);
   }
   for (const auto& [number, row] : m_target->ends) *request.add_ends() = row;
   for (const auto& [key, outcome] : m_outcomes) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -170,6 +170,7 @@
   Time latestStart(const LocalRun& run) const;
   bool isStartInTransit(const LocalRun& run) const { return BootClock::now() <= latestStart(run); }
   Time latestEndInSuccessor(const LocalRun& run) const;
+  Time latestEndOfAnyRun() const;
   bool isStartTooLate(const RunKey& key) const;
   bool delaysLapse(const RunKey& key, LocalRun& run, Time now);
   Awaitable<void> awaitStartInTransit(const std::string& incarnation, RunKey key);
@@ -189,7 +190,7 @@
   std::uint64_t endsToDiscard() const;
   bool mayOtherBeginRuns() const;
   bool areStartsFenced() const;
-  Awaitable<void> awaitFencedStarts(const std::string& incarnation, Time until);
+  Awaitable<bool> awaitFencedStarts(const std::string& incarnation, Time until);
   Time latestHoldEnd() const;
   std::optional<std::uint64_t> holdDeadline();
 
@@ -259,7 +260,8 @@
   Time m_holdsEndBy{};         ///< latest deadline of all holds that the target may have received
   /** Until when the target may carry out start calls that were not answered, those of a former process included. */
   Time m_lateStartsUntil = m_startedAt + LateCallLimit;
-  Time m_lastHoldSentAt{};       ///< when a call that extends the target's holds was last sent
+  /** When a call that extends the target's holds was last sent; a former process may have sent one until its end. */
+  Time m_lastHoldSentAt = m_startedAt;
   unsigned m_waitingStarts = 0;  ///< starts that wait for the answer to a poll that names ends
   bool m_following = false;      ///< a leader has answered and has not been lost since
   bool m_hasPendingChanges = false;
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -401,11 +401,9 @@
     if (workflow == nullptr) continue;
     const schema::StepSpec& step = workflow->step(key.task.step);
     if (!m_ledger.lived(key, step.gang() ? step.count() : 1)) continue;
-    schema::StartReport* row = runs.add_lived();
-    *row->mutable_task() = makeTaskId(key.workflow, key.task);
-    row->set_run(key.run);
+    *runs.add_lived() = makeStartReport(key);
+    m_ledger.setLived(key);
   }
-  for (const schema::StartReport& row : runs.lived()) m_ledger.setLived(runKeyOf(row.task(), row.run()));
 }
 
 /** \returns whether the log holds the length of the leases that this leader grants, so that its successor waits for
--- a/Courseloom/src/Core/TargetIncarnation.cpp
+++ b/Courseloom/src/Core/TargetIncarnation.cpp
@@ -27,6 +27,10 @@
   return incarnation;
 }
 
+bool TargetIncarnation::haveSameId(std::string_view name, std::string_view other) {
+  return !name.empty() && named(name).id == named(other).id;
+}
+
 bool TargetIncarnation::isValidId(std::string_view id) {
   return !id.empty() && id.find(internal::StartTimeSeparator) == std::string_view::npos;
 }
--- a/Courseloom/src/Core/TargetIncarnation.h
+++ b/Courseloom/src/Core/TargetIncarnation.h
@@ -23,6 +23,9 @@
   std::string name() const;
   /** Parses a name(). The start time is 0 if the name has none, or if it is not a number. */
   static TargetIncarnation named(std::string_view name);
+  /** \returns whether two names are of incarnations with the same identity, so that either can carry out a call that
+   * was meant for the other; false if a name is empty. */
+  static bool haveSameId(std::string_view name, std::string_view other);
   /** \returns whether a text is valid as an identity: not empty, and without the '@' that precedes the start time. */
   static bool isValidId(std::string_view id);
 };
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -16,33 +16,22 @@
 /** The other members of a gang that is done end by themselves. They are stopped only if they are still active this long
  * after their last progress. */
 constexpr Duration DoneGrace = milliseconds(600);
-/** Time after an outage until a leader has been elected and has had reports from its agents. */
-constexpr Duration ElectionAllowance = milliseconds(2000);
-
 /** Part of the time for which an agent may be silent that is left for the transit of a report and of its answer. */
 constexpr Duration ReportTransit = milliseconds(1000);
 /** If more than one in this many known targets is new, further targets are assumed to be still registering. */
 constexpr std::size_t KnownPerArriving = 16;
 
+/** \returns whether a list of rows names a run. */
+template <typename Rows>
+bool names_run(const Rows& rows, const RunKey& key) {
+  return std::any_of(rows.begin(), rows.end(),
+                     [&key](const auto& row) { return runKeyOf(row.task(), row.run()) == key; });
+}
+
 /** \returns whether a report lists a run as running on, or ended by, the target that it describes, or as one that the
  * target may still begin. */
 bool lists_run(const schema::AttendRequest& report, const RunKey& key) {
-  const auto isKey = [&key](const auto& row) { return runKeyOf(row.task(), row.run()) == key; };
-  return std::any_of(report.running().begin(), report.running().end(), isKey) ||
-         std::any_of(report.ends().begin(), report.ends().end(), isKey) ||
-         std::any_of(report.in_transit().begin(), report.in_transit().end(), isKey);
-}
-
-/** \returns whether a report names a run as lost. Its agent knows then that no start call of the run is in transit. */
-bool is_lost(const schema::AttendRequest& report, const RunKey& key) {
-  const auto isKey = [&key](const auto& row) { return runKeyOf(row.task(), row.run()) == key; };
-  return std::any_of(report.lost().begin(), report.lost().end(), isKey);
-}
-
-/** \returns whether one incarnation can have accepted an order that was intended for another, as it can if both have
- * the same identity. */
-bool same_identity(const std::string& incarnation, const std::string& intended) {
-  return !incarnation.empty() && TargetIncarnation::named(incarnation).id == TargetIncarnation::named(intended).id;
+  return names_run(report.running(), key) || names_run(report.ends(), key) || names_run(report.in_transit(), key);
 }
 
 bool same_description(const schema::TargetReport& a, const schema::TargetReport& b) {
@@ -61,14 +50,15 @@
 }  // namespace
 }  // namespace internal
 
-Duration leaseLength(const schema::ControlSettings& settings) {
-  const Duration minimum = milliseconds(settings.run_grant_ms());
-  if (settings.outage_s() == 0) return minimum;
-  return std::max(minimum, milliseconds(std::int64_t{1000} * settings.outage_s()) + internal::ElectionAllowance);
-}
-
 RunKey runKeyOf(const schema::TaskId& task, std::uint32_t run) { return {task.workflow(), keyOf(task), run}; }
 
+schema::StartReport makeStartReport(const RunKey& key) {
+  schema::StartReport row;
+  *row.mutable_task() = makeTaskId(key.workflow, key.task);
+  row.set_run(key.run);
+  return row;
+}
+
 void RunLedger::lead(const WorkflowTable& table, Time now, std::uint64_t term) {
   m_leaderSince = now;
   m_formerGrant = m_options.grant;
@@ -231,7 +221,7 @@
     if (!otherIncarnation) continue;
     // An order for the former incarnation may have started the run on this one, which then has to end the run first, or
     // may still start it.
-    const bool mayRun = internal::same_identity(report.target().id(), track.target) &&
+    const bool mayRun = TargetIncarnation::haveSameId(report.target().id(), track.target) &&
                         (internal::lists_run(report, key) || mayBeginLate(key, track, report));
     if (!mayRun) ends.push_back(makeEnd(key, schema::RunTargetLost, track.checkpoint));
   }
@@ -240,7 +230,7 @@
     const RunKey key = runKeyOf(row.task(), row.run());
     const auto found = m_runs.find(key);
     if (found == m_runs.end() || found->second.agent != report.agent()) continue;
-    if (!internal::same_identity(report.target().id(), found->second.target)) continue;
+    if (!TargetIncarnation::haveSameId(report.target().id(), found->second.target)) continue;
     // A run that is done has begun. If it did not count as begun, two runs that are both done would each wait for the
     // other one.
     if (row.kind() == schema::RunDone) found->second.confirmed = true;
@@ -318,6 +308,20 @@
   }
 }
 
+/** Records that a run is listed by the incarnation of the target on which it was to begin. */
+void RunLedger::recordBegun(const RunKey& key, RunTrack& track) {
+  if (!std::exchange(track.begun, true)) m_begun.push_back(makeStartReport(key));
+}
+
+/** \returns whether a run that the reported incarnation does not list may begin there, through a start call that
+ * another process of the agent sent. The reporting process names its own calls. */
+bool RunLedger::mayBeginLate(const RunKey& key, const RunTrack& track, const schema::AttendRequest& report) const {
+  if (!m_options.awaitLateStarts || track.begun || !report.former_calls_in_transit()) return false;
+  // An agent that names a run as lost knows that no start call of it is in transit.
+  if (internal::names_run(report.lost(), key)) return false;
+  return mayHaveStarted(track, report.incarnation());
+}
+
 bool RunLedger::blamesTarget(const RunKey& key) const {
   const auto found = m_runs.find(key);
   if (found == m_runs.end()) return false;
@@ -354,75 +358,7 @@
   });
 }
 
-// ---- leases
-
-Duration RunLedger::grant(const std::string& agent, Time now) {
-  TargetTrack& target = track(agent);
-  if (target.report.id().empty()) return Duration(0);
-  const Duration length =
-      target.report.draining() ? std::min(m_options.grant, m_options.leavingLease) : m_options.grant;
-  // An earlier lease may have been longer, and so may still end later than this one.
-  target.leaseUntil = std::max(target.leaseUntil, now + length);
-  return length;
-}
-
-std::uint32_t RunLedger::leaseToRecord(std::uint32_t recordedMs, Time now) const {
-  const auto own = static_cast<std::uint32_t>(toMilliseconds(m_options.grant));
-  const bool formerOver = now > m_leaderSince + m_formerGrant + m_options.slack;
-  const bool mayChange = recordedMs < own || (recordedMs > own && formerOver);
-  return mayChange ? own : 0;
-}
-
-/** \returns when the last lease of an agent ends. A former leader may have granted leases up to the instant at which
- * this one began. */
-Time RunLedger::leaseEnd(const std::string& agent) const {
-  if (!m_options.waitForLeases) return m_leaderSince;
-  const Time inherited = m_options.inheritLeases ? m_leaderSince + m_formerGrant : m_leaderSince;
-  const auto found = m_targets.find(agent);
-  return found == m_targets.end() ? inherited : std::max(inherited, found->second.leaseUntil);
-}
-
-/** Records that a run is listed by the incarnation of the target on which it was to begin. */
-void RunLedger::recordBegun(const RunKey& key, RunTrack& track) {
-  if (std::exchange(track.begun, true)) return;
-  schema::StartReport& row = m_begun.emplace_back();
-  *row.mutable_task() = makeTaskId(key.workflow, key.task);
-  row.set_run(key.run);
-}
-
-/** \returns whether a run that the reported incarnation does not list may begin there, through a start call that
- * another process of the agent sent. The reporting process names its own calls. */
-bool RunLedger::mayBeginLate(const RunKey& key, const RunTrack& track, const schema::AttendRequest& report) const {
-  if (!m_options.awaitLateStarts || track.begun || !report.former_calls_in_transit()) return false;
-  if (internal::is_lost(report, key)) return false;
-  const bool orderedToOther = track.firstOrderedTo != 0 && track.firstOrderedTo != report.incarnation();
-  return track.inherited || orderedToOther;
-}
-
-/** \returns when a run of a silent agent is over. A run that was not seen at its target may have begun in the next
- * incarnation, through a call that the agent sent during its lease. */
-Time RunLedger::lapseTime(const std::string& agent, const RunTrack& track) const {
-  const Time end = leaseEnd(agent) + m_options.slack;
-  const bool maySent = track.inherited || track.firstOrderedTo != 0;
-  if (!m_options.awaitLateStarts || track.begun || !maySent) return end;
-  return latestEndOfLateRuns(end, m_options.longestHold);
-}
-
-std::vector<schema::RunEnd> RunLedger::expire(Time now) {
-  std::vector<schema::RunEnd> ends;
-  for (const auto& [agent, keys] : m_byAgent) {
-    if (keys.empty()) continue;
-    if (now <= leaseEnd(agent) + m_options.slack) continue;
-    for (const RunKey& key : keys) {
-      const RunTrack& track = m_runs.at(key);
-      if (now <= lapseTime(agent, track)) continue;
-      schema::RunEnd& end = ends.emplace_back(makeEnd(key, schema::RunLapsed, track.checkpoint));
-      // The target may have crashed, but no agent is left to report it.
-      if (track.inherited || track.firstOrderedTo != 0) end.set_crash(schema::CrashUnclear);
-    }
-  }
-  return ends;
-}
+// ---- what the contact with agents shows
 
 bool RunLedger::open(const std::string& agent, Time now) const {
   const auto found = m_targets.find(agent);
@@ -562,7 +498,7 @@
     *order.mutable_need() = step.need();
     const std::uint64_t incarnation = m_targets[agent].incarnation;
     if (track.firstOrderedTo == 0) track.firstOrderedTo = incarnation;
-    order.set_ordered_before(track.inherited || track.firstOrderedTo != incarnation);
+    order.set_ordered_before(mayHaveStarted(track, incarnation));
     track.startOrderedAt = now;
   }
   for (const RunKey& key : m_targets[agent].strays)
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -81,6 +81,9 @@
   Time firstSeen{};                ///< when the run was first seen at its target; zero if never
   Time seen{};                     ///< when the run was last seen at its target
   std::uint64_t usage = 0;
+
+  /** \returns whether an agent may have been ordered to start the run. */
+  bool mayBeOrdered() const { return inherited || firstOrderedTo != 0; }
 };
 
 /** \class TargetTrack
@@ -268,6 +271,8 @@
 };
 
 RunKey runKeyOf(const schema::TaskId& task, std::uint32_t run);
+/** \returns a row that names a run. */
+schema::StartReport makeStartReport(const RunKey& key);
 
 /** \returns whether the loss of a target has a cause outside of a workflow that ran there. \param others number of
  * targets that were lost at about the same time and ran nothing of that workflow */
--- a/spec/late_calls.pml
+++ b/spec/late_calls.pml
@@ -11,9 +11,8 @@
  * while its start is in transit), -DLOST_IN_TRANSIT (a run counts as lost with its incarnation while its start is in
  * transit), -DLAPSE_IN_TRANSIT (the leader counts the run of a silent agent as lapsed while its start is in transit),
  * -DAGENT_FORGETS (a restarted agent knows of no start in transit), -DSENT_AGAIN (a restarted agent sends the start of a
- * run again), -DNAMES_ENDS (a poll names ends while a start is
- * in transit, or was answered by an incarnation that has not listed the run), -DSTARTS_BESIDE (a start carries the token
- * of a poll in transit that names ends).
+ * run again), -DNAMES_ENDS (a poll names ends while a start is in transit, or was answered by an incarnation that has
+ * not listed the run), -DSTARTS_BESIDE (a start carries the token of a poll in transit that names ends).
  */
 #define MAXRUN 3
 #define MAXRESTARTS 2
@@ -139,7 +138,8 @@
   :: atomic { window && !silent && agentLife == life && start[0] == 0 && start[1] == 0 && step >= seen ->
        seen = step; window = false }
   /* A poll names ends of other tasks and is not answered. */
-  :: atomic { !poll && !silent && agentLife != UNKNOWN && life < MAXRESTARTS && MAY_NAME_ENDS -> poll = true; pollLife = agentLife; pollToken = step }
+  :: atomic { !poll && !silent && agentLife != UNKNOWN && life < MAXRESTARTS && MAY_NAME_ENDS ->
+       poll = true; pollLife = agentLife; pollToken = step }
   :: atomic { poll ->
        if
        :: pollToken >= seen ->
--- a/test/RestartFixture.cpp
+++ b/test/RestartFixture.cpp
@@ -186,11 +186,15 @@
   return status.value_or(0);
 }
 
+void RestartFixture::submitWithDelayedStart(const std::string& payload, unsigned windowMs, unsigned delayMs) {
+  callTarget("/late?ms=" + std::to_string(windowMs) + "&of=run-start&after=" + std::to_string(delayMs));
+  leader.submit("a", payload);
+  cr_assert(waitFor([this] { return countOf("onTheirWay") == 1; }), "no start call was delayed");
+}
+
 void RestartFixture::restartWithDelayedStart(const std::string& fault, unsigned delayMs) {
   run(4500);
-  callTarget("/late?ms=400&of=run-start&after=" + std::to_string(delayMs));
-  leader.submit("a", "200");
-  cr_assert(waitFor([this] { return countOf("onTheirWay") == 1; }), "no start call was delayed");
+  submitWithDelayedStart("200", 400, delayMs);
   callTarget(fault);
   callTarget("/crash?same=1");
 }
--- a/test/RestartFixture.h
+++ b/test/RestartFixture.h
@@ -70,6 +70,10 @@
   std::int64_t countOf(const std::string& name);
   /** Sends a registration message of the target to the agent. \returns the status of the answer, or 0 without one */
   unsigned sendToAgent(const std::string& path, const std::string& body);
+  /** Submits workflow `a` of one task, and waits until the target has received its start call and left it without an
+   * answer. \param payload run time of the task, ms \param windowMs for how long start calls are delayed, ms
+   * \param delayMs from the start call to the start, ms */
+  void submitWithDelayedStart(const std::string& payload, unsigned windowMs, unsigned delayMs);
   /** Submits workflow `a` of one short task, whose start call the target receives and carries out later. It restarts in
    * between. The hold of the former incarnation ends before that: a new agent assumes that holds of its former process
    * last up to 6 s, so this runs for most of that time first.
--- a/test/run_agent_target_restart.cpp
+++ b/test/run_agent_target_restart.cpp
@@ -131,9 +131,7 @@
 // nothing of the stop, and whose clock is before the order's deadline. It was polled under a newer token by then.
 Test(run_agent_target_restart, an_order_to_a_former_incarnation_starts_nothing_in_the_next) {
   RestartFixture fixture;
-  fixture.callTarget("/late?ms=150&of=run-start&after=1500");
-  fixture.leader.submit("a", "30");
-  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 1; }), "no start call was delayed");
+  fixture.submitWithDelayedStart("30", 150, 1500);
   fixture.run(500);
   fixture.callTarget("/crash?same=1");
   fixture.run(2000);
@@ -256,9 +254,7 @@
   fixture.leader.submit("b", "30", 4);
   cr_assert(fixture.waitForDone("b"));
   fixture.run(300);
-  fixture.callTarget("/late?ms=400&of=run-start&after=1000");
-  fixture.leader.submit("a", "200");
-  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 1; }), "no start call was delayed");
+  fixture.submitWithDelayedStart("200", 400, 1000);
   fixture.callTarget("/late?ms=400&of=hold&after=1600");
   cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 2; }), "no poll was delayed");
   fixture.callTarget("/refuse?ms=2500&of=hold,run-stop");
@@ -272,9 +268,7 @@
 Test(run_agent_target_restart, a_start_that_outlives_two_incarnations_begins_no_second_run) {
   RestartFixture fixture;
   fixture.run(2000);  // the clock of the third incarnation is then before the deadline of the call
-  fixture.callTarget("/late?ms=400&of=run-start&after=2500");
-  fixture.leader.submit("a", "200");
-  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 1; }), "no start call was delayed");
+  fixture.submitWithDelayedStart("200", 400, 2500);
   fixture.callTarget("/late?ms=0");
   fixture.callTarget("/crash?same=1");
   cr_assert(fixture.waitFor([&] { return fixture.leader.incarnations.size() == 2; }));
@@ -290,9 +284,7 @@
 // Guards against a task that waits for good: the start call is never carried out.
 Test(run_agent_target_restart, a_start_that_is_lost_with_its_incarnation_is_repeated) {
   RestartFixture fixture;
-  fixture.callTarget("/late?ms=400&of=run-start&after=60000");
-  fixture.leader.submit("a", "200");
-  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 1; }), "no start call was delayed");
+  fixture.submitWithDelayedStart("200", 400, 60000);
   fixture.callTarget("/late?ms=0");
   fixture.callTarget("/crash?same=1");
   fixture.run(4000);
@@ -305,9 +297,7 @@
 Test(run_agent_target_restart, a_start_whose_stop_was_confirmed_begins_no_second_run) {
   RestartFixture fixture;
   fixture.run(2000);  // the clock of the next incarnation is then before the deadline of the call
-  fixture.callTarget("/late?ms=300&of=run-start&after=2500");
-  fixture.leader.submit("a", "200");
-  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 1; }), "no start call was delayed");
+  fixture.submitWithDelayedStart("200", 300, 2500);
   fixture.run(900);
   fixture.callTarget("/refuse?ms=2500&of=hold,run-stop");
   fixture.callTarget("/crash?same=1");
@@ -332,9 +322,7 @@
 // Guards against a task that is never started again: its start is stopped and never carried out.
 Test(run_agent_target_restart, a_start_whose_stop_was_confirmed_is_repeated_once_it_is_not_in_transit) {
   RestartFixture fixture;
-  fixture.callTarget("/late?ms=300&of=run-start&after=60000");
-  fixture.leader.submit("a", "200");
-  cr_assert(fixture.waitFor([&] { return fixture.countOf("onTheirWay") == 1; }), "no start call was delayed");
+  fixture.submitWithDelayedStart("200", 300, 60000);
   fixture.run(4000);
   cr_assert_eq(fixture.starts("a.0.0.0"), 0, "the task was started again while its first start was in transit");
   cr_assert(fixture.waitForDone("a"), "the task was never started again");
