review, case 1: a smaller job shows the same, and the claim names the cause

8,000 tasks as as many steps, where the same tasks in one step are served. A profile of the hang has more than 90% of its samples in criticalPathMs(), which is called for each ready step and walks all steps.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,7 +1,8 @@
 // This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
 // SPDX-License-Identifier: MPL-2.0
 
-// A client submits a job with times that are all due. Nothing else happens: no process, link or minion is disturbed.
+// A client submits a job of many steps of one task each. Nothing else happens: no process, link or minion is disturbed.
+// Without the disruption the job has the same tasks in one step.
 
 #include <boost/json/src.hpp>
 
@@ -11,22 +12,23 @@
 
 namespace {
 
-/** Jobs of the first tenant that were accepted before. The second tenant submits the timed job. */
+/** Jobs of the first tenant that were accepted before. The second tenant submits the large job. */
 const std::vector<std::string> Accepted{"a0c1e2f3a4b5c6d7", "b0c1e2f3a4b5c6d7"};
-const std::string Timed = "c0c1e2f3a4b5c6d7";
-constexpr int Steps = 10;
-constexpr unsigned Times = 100000;
+const std::string Large = "c0c1e2f3a4b5c6d7";
+constexpr int Tasks = 8000;
+/** The configuration's limits.max_body_bytes. */
+constexpr std::size_t MaxBodyBytes = 262144;
 /** RULES.md, LOST: jobs are asked for finish_s after the end of the traffic. */
 constexpr std::int64_t FinishMs = 14000;
 constexpr std::int64_t WatchedMs = 30000;
 
-/** A job of ten steps that runs each minute. `start_at_ms` is 0 and so is left out: each time was due long ago. */
-std::string timedJob(unsigned times) {
-  const std::string step = R"({"count":1,"cpu":11000,"mem_mb":16000,"gpu":1,"estimate_ms":2500})";
-  std::string steps = step;
-  for (int i = 1; i < Steps; ++i) steps += "," + step;
-  return R"({"spec":"2500","steps":[)" + steps + R"(],"repeat_count":)" + std::to_string(times) +
-         R"(,"interval_ms":60000})";
+/** A job of the same tasks, in steps of one task or in one step. */
+std::string largeJob(bool manySteps) {
+  const int steps = manySteps ? Tasks : 1;
+  const std::string step = R"({"count":)" + std::to_string(Tasks / steps) + R"(,"cpu":11000,"gpu":1})";
+  std::string list = step;
+  for (int i = 1; i < steps; ++i) list += "," + step;
+  return R"({"spec":"2500","steps":[)" + list + "]}";
 }
 
 std::string memoryOf(pid_t process) {
@@ -57,9 +59,12 @@
   sleepMs(2000);
   for (const std::string& job : Accepted)
     record("client GET /jobs/" + job + " -> " + deployment.stateOf("/jobs/" + job));
-  const std::string body = timedJob(trouble ? Times : 2);
-  record("the timed job has " + std::to_string(body.size()) + " bytes");
-  deployment.client("POST", "/jobs/" + Timed, body, 4000, false, "key-2");
+  const std::string body = largeJob(trouble);
+  record("the large job has " + std::to_string(Tasks) + " tasks in " + (trouble ? "as many steps" : "one step") + ", " +
+         std::to_string(body.size()) + " bytes: " + body.substr(0, 90) + " ...");
+  if (body.size() > MaxBodyBytes) finish(ExitCouldNotRun, "the large job is too large");
+  const Reply reply = deployment.client("POST", "/jobs/" + Large, body, 4000, true, "key-2");
+  record("client POST /jobs/" + Large + " -> " + std::to_string(reply.status) + " " + reply.body);
 
   // Traffic ends here. Clients ask for the jobs that were accepted before.
   const std::int64_t begin = nowMs();
