--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -3,6 +3,7 @@
 
 #include "Courseloom/src/Control/QueueHandler.h"
 
+#include "Courseloom/src/Control/StrandSlice.h"
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Scheduling/Objective.h"
 
@@ -135,6 +136,7 @@
  * \returns whether it is rejected */
 bool QueueHandler::rejects(const schema::Workflow& workflow, schema::QueueAnswer& answer) {
   if (!m_context.settings.policy().admission()) return false;
+  const StretchTimer timer(m_context, "admission");
   const std::optional<AdmissionInput> input = m_admission.admissionInput(workflow);
   if (!input) return false;
   const auto nowMs = static_cast<std::uint64_t>(toMilliseconds(BootClock::now().time_since_epoch()));
--- a/Courseloom/src/Control/ReplicaDriver.cpp
+++ b/Courseloom/src/Control/ReplicaDriver.cpp
@@ -13,6 +13,7 @@
 #include <iostream>
 #include <random>
 
+#include "Courseloom/src/Control/StrandSlice.h"
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Core/ScopedCount.h"
 #include "Courseloom/src/Membership/ControlClient.h"
@@ -339,6 +340,7 @@
 }
 
 void ReplicaDriver::finish(const ReplicaOutput& output) {
+  const StretchTimer timer(m_context, "apply");
   if (output.install) {
     const schema::SnapshotInfo& info = output.install->info();
     Result<void> loaded = m_state.load(output.install->state());
@@ -470,6 +472,7 @@
 }
 
 void ReplicaDriver::takeSnapshot() {
+  const StretchTimer timer(m_context, "snapshot");
   auto snapshot = std::make_shared<schema::Snapshot>();
   snapshot->mutable_info()->set_index(m_applied);
   snapshot->mutable_info()->set_term(m_appliedTerm);
--- a/Courseloom/src/Control/TicketCache.h
+++ b/Courseloom/src/Control/TicketCache.h
@@ -55,6 +55,8 @@
   void forget(const std::string& workflow) {
     std::erase_if(m_stepTickets, [&workflow](const auto& entry) { return entry.first.first == workflow; });
   }
+  /** Discards the tickets of a step that is done. */
+  void forget(const StepName& step) { m_stepTickets.erase(step); }
   /** \returns whether steps of a queue need a ticket for their starts. \param queue may be null: then none is needed */
   bool needed(const schema::Queue* queue) const { return m_port && queue != nullptr && queue->has_advice(); }
   /** Returns the valid tickets of a step, and requests tickets for targets without an answer so far, unless a
--- a/Courseloom/src/Control/WorkflowAdmission.cpp
+++ b/Courseloom/src/Control/WorkflowAdmission.cpp
@@ -45,7 +45,7 @@
   submission.workspace = workflow.tenant();
   for (const schema::StepSpec& step : workflow.spec().steps())
     submission.work.add(workOf(workflow.queue(), step, step.count()));
-  submission.criticalPathMs = objectiveChainMs(workflow);
+  submission.criticalPathMs = computeChainMs(workflow, capacityForWaves(workflow.service()));
   const double objectiveMs = workflow.stretch() * submission.criticalPathMs + workflow.latency_target_ms();
   submission.inTimeMs = objectiveMs;
   submission.usefulMs = WorthlessAfter * objectiveMs;
@@ -60,7 +60,7 @@
 
 /** \returns the rank of a new workflow. Its guarantee is judged by the open workflows as they are now: the marks of the
  * last plan may be outdated. */
-Rank WorkflowRunner::rankOfSubmission(const schema::Workflow& workflow) const {
+Rank WorkflowRunner::rankOfSubmission(const schema::Workflow& workflow) {
   const std::uint64_t need = widestAccelerators(workflow.spec());
   if (workflow.priority() != 0 || need == 0) return rankOf(workflow.priority(), false);
   std::set<std::string> guaranteed;
@@ -69,8 +69,8 @@
   return rankOf(workflow.priority(), own != left.end() && need <= own->second);
 }
 
-ResourceWork WorkflowRunner::workOf(const std::string& queue, const schema::StepSpec& step, std::uint32_t tasks) const {
-  return internal::resource_work(resourceAmountsOf(step), expectedMs(queue, step) * tasks);
+ResourceWork WorkflowRunner::workOf(const std::string& queue, const schema::StepSpec& step, std::uint64_t tasks) const {
+  return internal::resource_work(resourceAmountsOf(step), expectedMs(queue, step) * static_cast<double>(tasks));
 }
 
 /** Computes the backlogs and the capacities of all services, unless they are recent. */
@@ -80,6 +80,7 @@
   m_backlogsUpdated = now;
   m_backlogs.clear();
   m_serviceCapacities.reset();
+  m_stepWalksLeft = StepWalksPerPass;
   for (const auto& [agent, track] : m_ledger.targets()) {
     if (!m_ledger.open(track, now) || isDrained(track)) continue;
     m_backlogs[track.report.service()].capacity.add(
@@ -92,31 +93,17 @@
   }
 }
 
-/** Adds what a workflow has not started, and subtracts from the capacity what its long-running tasks hold. */
+/** Adds what a workflow has not started, and subtracts from the capacity what its long-running tasks hold. A workflow
+ * whose backlog was never computed is left out while too many steps would have to be walked; the next update, or the
+ * one after it, has it. */
 void WorkflowRunner::addBacklogOf(const WorkflowState& workflow, std::uint64_t nowMs) {
   const schema::Workflow& record = workflow.record;
   const auto found = m_backlogs.find(record.service());
-  if (found == m_backlogs.end()) return;
-  BacklogEntry entry{rankOfWorkflow(workflow), record.tenant(), {}, 0.0, false};
-  for (std::uint32_t occurrence = 0; occurrence < workflow.occurrences(); ++occurrence) {
-    if (workflow.dueMs(occurrence) > nowMs) break;
-    for (int s = 0; s < record.spec().steps_size(); ++s) {
-      const schema::StepSpec& step = record.spec().steps(s);
-      const StepKey key{occurrence, static_cast<std::uint32_t>(s)};
-      const auto countOf = [&key](const std::map<StepKey, std::uint32_t>& counts) {
-        const auto counted = counts.find(key);
-        return counted == counts.end() ? 0U : counted->second;
-      };
-      const std::uint32_t active = countOf(workflow.activeCounts);
-      const std::uint32_t begun = active + countOf(workflow.doneCounts);
-      if (step.long_running()) {
-        found->second.capacity.add(internal::resource_work(resourceAmountsOf(step), -1.0 * active));
-      } else if (begun < step.count()) {
-        entry.work.add(workOf(record.queue(), step, step.count() - begun));
-      }
-    }
-  }
-  const double chainMs = objectiveChainMs(record);
+  const Backlog* backlog = found == m_backlogs.end() ? nullptr : backlogOf(workflow, nowMs);
+  if (backlog == nullptr) return;
+  found->second.capacity.add({-backlog->held.accelerators, -backlog->held.cores});
+  BacklogEntry entry{rankOfWorkflow(workflow), record.tenant(), backlog->unstarted, 0.0, false};
+  const double chainMs = objectiveChainMs(workflow);
   const double allowedMs = record.stretch() * chainMs + record.latency_target_ms();
   const auto dueMs = static_cast<double>(workflow.dueMs(0));
   entry.objectiveMs = dueMs + allowedMs;
@@ -127,4 +114,31 @@
   if (entry.work.accelerators > 0.0 || entry.work.cores > 0.0) found->second.entries.push_back(std::move(entry));
 }
 
+/** \returns the backlog of a workflow, perhaps that of a former update, or null if it was never computed, while too
+ * many steps would have to be walked. */
+const WorkflowRunner::Backlog* WorkflowRunner::backlogOf(const WorkflowState& workflow, std::uint64_t nowMs) {
+  const schema::Workflow& record = workflow.record;
+  const std::uint32_t due = workflow.dueOccurrences(nowMs);
+  const auto steps = static_cast<std::uint32_t>(record.spec().steps_size());
+  const auto known = m_workflowBacklogs.find(record.id());
+  const bool isKnown = known != m_workflowBacklogs.end();
+  const bool isCurrent = isKnown && known->second.changes == workflow.changes &&
+                         known->second.estimates == m_estimatorUpdates && known->second.due == due;
+  if (isCurrent || steps > m_stepWalksLeft) return isKnown ? &known->second : nullptr;
+  m_stepWalksLeft -= steps;
+  Backlog& backlog = m_workflowBacklogs[record.id()];
+  backlog = Backlog{{}, {}, workflow.changes, m_estimatorUpdates, due};
+  for (std::uint32_t index = 0; index < steps; ++index) {
+    const schema::StepSpec& step = workflow.step(index);
+    const std::uint64_t begun = workflow.waiting.begunTasks(index);
+    const std::uint64_t tasks = std::uint64_t{due} * step.count();
+    if (step.long_running()) {
+      backlog.held.add(internal::resource_work(resourceAmountsOf(step), static_cast<double>(begun)));
+    } else if (begun < tasks) {
+      backlog.unstarted.add(workOf(record.queue(), step, tasks - begun));
+    }
+  }
+  return &backlog;
+}
+
 }  // namespace courseloom
--- a/Courseloom/src/Control/WorkflowCopies.cpp
+++ b/Courseloom/src/Control/WorkflowCopies.cpp
@@ -84,11 +84,7 @@
   const bool askFirst = m_context.settings.policy().ask_first();
   const bool needsTicket = m_tickets.needed(queueNamed(workflow.record.queue()));
   std::map<std::string, unsigned> placed;
-  for (std::uint32_t i = 0; spec.max_per_target() > 0 && i < spec.count(); ++i) {
-    const TaskState* task = workflow.task({key.occurrence, key.step, i});
-    if (task == nullptr) continue;
-    for (const schema::ActiveRun& run : task->active) ++placed[run.target()];
-  }
+  if (spec.max_per_target() > 0) placed = activeByTarget({workflow.record.id(), key});
   std::vector<std::size_t> eligible;
   for (std::size_t i = 0; i < targets.size(); ++i) {
     const PlannedTarget& target = targets[i];
@@ -135,7 +131,7 @@
                                                           const std::vector<PlannedStep>& steps) const {
   std::vector<std::size_t> left;
   left.reserve(steps.size());
-  for (const PlannedStep& step : steps) left.push_back(isWaiting(step) ? step.tasks.size() : 0);
+  for (const PlannedStep& step : steps) left.push_back(isWaiting(step) ? step.waitingTasks : 0);
   for (const RunPlan::Start& start : plan.starts) left[start.step] -= std::min<std::size_t>(1, left[start.step]);
   std::vector<WaitingWork> waiting;
   for (std::size_t i = 0; i < steps.size(); ++i) {
--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -1,13 +1,10 @@
 // This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
 // SPDX-License-Identifier: MPL-2.0
 
-// The part of WorkflowRunner that collects targets, runs and waiting steps for RunPlanner, and turns its plan into
-// starts.
+// The part of WorkflowRunner that collects targets and runs for RunPlanner, and turns its plan into starts.
+// WorkflowSteps.cpp has the waiting steps.
 
 #include <algorithm>
-#include <boost/asio/bind_executor.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <cmath>
 #include <string_view>
 #include <unordered_map>
@@ -50,12 +47,16 @@
 /** A long planning pass yields the strand to reports, votes and commits. Afterwards the plan is checked against the
  * changes that were made meanwhile. */
 Awaitable<schema::RecordRuns> WorkflowRunner::makePlan() {
+  const Term term = m_driver.replica().term();
+  StrandSlice slice(m_context, m_strand, "plan", milliseconds(m_context.settings.control().plan_share_ms()));
   updateEstimator();
   markGuaranteed();
-  std::vector<PlannedStep> steps = planSteps();
+  std::vector<PlannedStep> steps = co_await collectSteps(slice);
+  if (!leads() || m_driver.replica().term() != term) co_return schema::RecordRuns();
   if (steps.empty() && !makesCopies()) {
     observeGangs();
     reviewWaits({}, {}, {});
+    slice.finish();
     co_return schema::RecordRuns();
   }
   // Before all targets have reported to a new leader, shares of their capacity would be too large.
@@ -64,19 +65,11 @@
   const std::vector<PlannedTarget>& targets = planTargets();
   const std::vector<PlannedRun> active = planRuns(targets);
   const unsigned keepFullyFree = freeTargetsToKeep(active, steps);
-  const Term term = m_driver.replica().term();
-  const Duration share = milliseconds(m_context.settings.control().plan_share_ms());
   m_planner.begin(targets, active, steps, keepFullyFree, static_cast<double>(wallClockMs()));
   recordFillLimit();
-  Time shareEnds = BootClock::now() + share;
-  bool yielded = false;
-  while (!m_planner.advance([&shareEnds] { return BootClock::now() >= shareEnds; })) {
-    yielded = true;
-    m_context.metrics.count("plan_yields", "all");
-    co_await boost::asio::post(boost::asio::bind_executor(m_strand, boost::asio::use_awaitable));
-    shareEnds = BootClock::now() + share;
-  }
+  while (!m_planner.advance([&slice] { return slice.isOver(); })) co_await slice.yield();
   // Workflows, drained data halls and target incarnations may have changed while the pass yielded.
+  const bool yielded = slice.hasYielded();
   const std::vector<std::string> owners = yielded ? m_planner.workflowsOfSteps() : std::vector<std::string>();
   RunPlan plan = m_planner.finish();
   if (!leads() || m_driver.replica().term() != term) co_return schema::RecordRuns();
@@ -89,6 +82,7 @@
   schema::RecordRuns runs = recordStarts(startsOnRespondingAgents(plan, steps, targets), steps, targets);
   if (makesCopies()) addCopies(plan, steps, targets, keepFullyFree, runs);
   reviewWaits(steps, targets, active);
+  slice.finish();
   co_return runs;
 }
 
@@ -140,13 +134,16 @@
                                                 const std::vector<PlannedStep>& steps,
                                                 const std::vector<PlannedTarget>& targets) const {
   schema::RecordRuns runs;
+  std::map<std::size_t, std::uint32_t> gangRuns;  // run numbers by index of the step; all members have the same
   for (const RunPlan::Start& start : starts) {
     const PlannedStep& step = steps[start.step];
     const PlannedTarget& target = targets[start.target];
     const TaskKey key{step.key.occurrence, step.key.step, start.task};
     schema::RunStart* row = runs.add_starts();
     *row->mutable_task() = makeTaskId(step.workflow->record.id(), key);
-    row->mutable_run()->set_number(step.workflow->nextRun(key));
+    const auto [gangRun, first] = gangRuns.try_emplace(start.step, 0);
+    if (first || !step.isGang()) gangRun->second = step.workflow->nextRun(key);
+    row->mutable_run()->set_number(gangRun->second);
     row->mutable_run()->set_target(target.id);
     row->mutable_run()->set_agent(target.agent);
     row->mutable_run()->set_checkpoint(step.workflow->checkpointOf(key));
@@ -187,7 +184,7 @@
 
 /** \param guaranteed the workflows within their tenants' guarantees are added here \returns what is left of each
  * tenant's guarantee, in accelerators */
-std::map<std::string, std::uint64_t> WorkflowRunner::assignGuarantees(std::set<std::string>& guaranteed) const {
+std::map<std::string, std::uint64_t> WorkflowRunner::assignGuarantees(std::set<std::string>& guaranteed) {
   std::map<std::string, std::uint64_t> left;
   for (const schema::Tenant& tenant : table().configuration().tenants()) {
     left[tenant.name()] = tenant.guaranteed_accelerators();
@@ -200,7 +197,7 @@
     }
   }
   for (const auto& [submitted, workflow] : bySubmission) {
-    const std::uint64_t need = widestAccelerators(workflow->record.spec());
+    const std::uint64_t need = widestOf(*workflow);
     std::uint64_t& unassigned = left[workflow->record.tenant()];
     if (need == 0 || need > unassigned) continue;
     unassigned -= need;
@@ -209,6 +206,13 @@
   return left;
 }
 
+/** \returns the accelerators of a workflow's widest step; computed once. */
+std::uint64_t WorkflowRunner::widestOf(const WorkflowState& workflow) {
+  const auto [found, added] = m_widest.try_emplace(workflow.record.id(), 0);
+  if (added) found->second = widestAccelerators(workflow.record.spec());
+  return found->second;
+}
+
 Rank WorkflowRunner::rankOfWorkflow(const WorkflowState& workflow) const {
   return rankOf(workflow.record.priority(), m_guaranteed.count(workflow.record.id()) > 0);
 }
@@ -221,7 +225,7 @@
   double wanted = held;
   for (const PlannedStep& step : steps) {
     if (!step.isUrgent()) continue;
-    wanted += static_cast<double>(step.tasks.size()) * step.workflow->step(step.key.step).need().accelerators();
+    wanted += static_cast<double>(step.waitingTasks) * step.workflow->step(step.key.step).need().accelerators();
   }
   const Time now = BootClock::now();
   if (m_urgentPeakUpdated == Time{}) m_urgentPeak = internal::FirstUrgentPeak;
@@ -384,120 +388,4 @@
   return shared;
 }
 
-std::vector<PlannedStep> WorkflowRunner::planSteps() {
-  const std::uint64_t nowMs = wallClockMs();
-  m_serviceCapacities.reset();
-  m_openTargets.clear();
-  findTrialAgents();
-  std::vector<PlannedStep> steps;
-  for (const std::string& id : table().open()) {
-    const WorkflowState* workflow = table().find(id);
-    if (!workflow->ended()) addSteps(*workflow, nowMs, steps);
-  }
-  return steps;
-}
-
-void WorkflowRunner::addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps) {
-  workflow.visitWaitingSteps(nowMs, [&](const StepKey& key) { addStep(workflow, key, nowMs, steps); });
-}
-
-/** Adds a step that is ready and has waiting tasks, unless it is a gang with active members. */
-void WorkflowRunner::addStep(const WorkflowState& workflow, const StepKey& key, std::uint64_t nowMs,
-                             std::vector<PlannedStep>& steps) {
-  const schema::Workflow& record = workflow.record;
-  const schema::StepSpec& spec = workflow.step(key.step);
-  PlannedStep step;
-  step.workflow = &workflow;
-  step.key = key;
-  for (std::uint32_t i = 0; i < spec.count(); ++i) {
-    const TaskState* task = workflow.task({key.occurrence, key.step, i});
-    const bool waits = task == nullptr || (!task->done && task->active.empty());
-    if (waits) step.tasks.push_back(i);
-    if (task == nullptr) continue;
-    if (spec.max_per_target() == 0) continue;
-    for (const schema::ActiveRun& run : task->active) ++step.placedOn[run.target()];
-  }
-  const bool partOfGang = spec.gang() && step.tasks.size() < spec.count();
-  if (step.tasks.empty() || partOfGang) return;
-  const std::uint64_t due = workflow.dueMs(key.occurrence);
-  step.rank = rankOfWorkflow(workflow);
-  step.avoided = targetsToAvoid(workflow, step);
-  step.estimateMs = expectedMs(record.queue(), spec);
-  step.estimateQuantileMs = quantileMs(record.queue(), step.estimateMs);
-  step.taskWork = coresOf(spec) * step.estimateMs / internal::MillisecondsPerSecond;
-  step.objectiveMs =
-      static_cast<double>(due) + record.stretch() * objectiveChainMs(record) + record.latency_target_ms();
-  step.worthlessMs = static_cast<double>(due) + WorthlessAfter * (step.objectiveMs - static_cast<double>(due));
-  const StepName name{record.id(), key};
-  const Time now = BootClock::now();
-  step.waitedMs = toMilliseconds(now - m_readySince.try_emplace(name, now).first->second);
-  // Waiting time under former leaders counts too; the log has it only for steps without predecessors.
-  if (spec.after().empty()) step.waitedMs = std::max(step.waitedMs, static_cast<double>(nowMs - due));
-  const schema::Queue* queue = queueNamed(record.queue());
-  if (m_tickets.needed(queue))
-    step.tickets = m_tickets.ticketsFor(name, queue->advice(), openTargets(record.service()));
-  addStepParts(std::move(step), steps);
-}
-
-/** \returns the targets on which the workflow has failed, or the start of the gang was voided. For a step with a task
- * on its last attempt, also the targets on which anything failed recently: after one failed run, the next ones on a
- * target often fail as well. */
-std::set<std::string> WorkflowRunner::targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const {
-  std::set<std::string> avoided = m_health.failedOn(workflow.record.id());
-  // A gang takes another target in place of the one that voided its start.
-  const bool replaces = m_context.settings.policy().keep_gang_targets() && workflow.step(step.key.step).gang();
-  if (replaces) avoided.merge(m_health.voidedOn({workflow.record.id(), step.key}, BootClock::now()));
-  if (!m_context.settings.policy().last_attempts()) return avoided;
-  // Usually the set is empty, and no task has to be examined.
-  std::set<std::string> doubted = m_health.doubted(BootClock::now());
-  if (doubted.empty()) return avoided;
-  const bool last = std::any_of(step.tasks.begin(), step.tasks.end(), [&](std::uint32_t index) {
-    return workflow.onLastAttempt({step.key.occurrence, step.key.step, index});
-  });
-  if (last) avoided.merge(doubted);
-  return avoided;
-}
-
-/** \returns the expected run time of a workflow's longest chain of steps, ms, on which its objective is based. */
-double WorkflowRunner::objectiveChainMs(const schema::Workflow& record) {
-  if (!m_serviceCapacities) m_serviceCapacities = serviceCapacities();
-  const auto found = m_serviceCapacities->find(record.service());
-  const bool waves = m_context.settings.policy().waves() && found != m_serviceCapacities->end();
-  const TaskTime taskMs = [&](const schema::StepSpec& step) { return expectedMs(record.queue(), step); };
-  return criticalPathMs(record.spec(), taskMs, waves ? found->second : ResourceAmounts());
-}
-
-/** \returns the total capacity of each service's targets, whether they are open now or not. */
-std::map<std::string, ResourceAmounts> WorkflowRunner::serviceCapacities() const {
-  std::map<std::string, ResourceAmounts> capacities;
-  for (const auto& [agent, track] : m_ledger.targets()) {
-    capacities[track.report.service()].add(resourceAmountsOf(track.report.capacity()));
-  }
-  return capacities;
-}
-
-/** \returns identities of a service's targets that may get new runs; computed once per planning pass. */
-const std::vector<std::string>& WorkflowRunner::openTargets(const std::string& service) {
-  const auto known = m_openTargets.find(service);
-  if (known != m_openTargets.end()) return known->second;
-  std::vector<std::string>& open = m_openTargets[service];
-  const Time now = BootClock::now();
-  for (const auto& [agent, track] : m_ledger.targets()) {
-    const bool fits = track.report.service() == service && !isDrained(track) && m_ledger.open(track, now);
-    if (fits) open.push_back(track.report.id());
-  }
-  return open;
-}
-
-const schema::Queue* WorkflowRunner::queueNamed(const std::string& name) {
-  const schema::QueueConfiguration& configuration = table().configuration();
-  if (configuration.version() != m_queuesVersion) {
-    m_queues.clear();
-    for (const schema::Queue& queue : configuration.queues()) m_queues.emplace(queue.name(), &queue);
-    m_queuesVersion = configuration.version();
-  }
-  const auto found = m_queues.find(name);
-  return found == m_queues.end() ? nullptr : found->second;
-}
-
 }  // namespace courseloom
--- a/Courseloom/src/Control/WorkflowRunTimes.cpp
+++ b/Courseloom/src/Control/WorkflowRunTimes.cpp
@@ -85,6 +85,7 @@
   const Time now = BootClock::now();
   if (!learnsRunTimes() || now < m_nextEstimatorUpdate) return;
   m_runTimeEstimator = table().runTimeEstimator();
+  ++m_estimatorUpdates;
   for (const auto& [key, track] : m_ledger.runs()) {
     const WorkflowState* workflow = table().find(key.workflow);
     const bool observed = workflow != nullptr && !workflow->isSuperseded(key.task);
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -108,6 +108,11 @@
   m_relays.clear();
   m_tickets.clear();
   m_readySince.clear();
+  m_selectedSteps.clear();
+  m_stepTurns.clear();
+  m_chains.clear();
+  m_workflowBacklogs.clear();
+  m_widest.clear();
   m_waitReview.clear();
   m_ledgerRecorded = Time{};
   m_health.clear();
@@ -157,6 +162,7 @@
     if (change.started) notifyAgent(change.run.agent());
     if (!change.started) stopGangMembers(change);
     observeCopies(change);
+    if (!change.started) forgetDoneStep(change);
   }
   for (const std::string& id : ended) {
     const WorkflowState* workflow = table().find(id);
@@ -165,6 +171,10 @@
     m_health.forget(id);
     m_tickets.forget(id);
     std::erase_if(m_readySince, [&id](const auto& entry) { return entry.first.first == id; });
+    m_stepTurns.erase(id);
+    m_chains.erase(id);
+    m_workflowBacklogs.erase(id);
+    m_widest.erase(id);
     for (const auto& [key, task] : workflow->tasks) {
       for (const schema::ActiveRun& run : task.active) notifyAgent(run.agent());
     }
@@ -231,6 +241,15 @@
   return statuses;
 }
 
+/** Forgets what is kept for the waiting steps of workflows once all tasks of a step are done. */
+void WorkflowRunner::forgetDoneStep(const RunChange& change) {
+  const WorkflowState* workflow = table().find(change.task.workflow());
+  const StepName name{change.task.workflow(), keyOf(change.task).stepKey()};
+  if (workflow == nullptr || !workflow->stepDone(name.second)) return;
+  m_readySince.erase(name);
+  m_tickets.forget(name);
+}
+
 /** Records the end of a run in its target's health, and logs if the target becomes suspect or trusted by that end.
  * \param stopped whether the run was voided after its stop had been requested */
 void WorkflowRunner::recordHealth(const RunChange& change, bool stopped) {
@@ -363,6 +382,7 @@
     m_relays.update(m_ledger.relays(BootClock::now()));
     co_await expireRuns();
     co_await recordLedger();
+    const StretchTimer timer(m_context, "review");
     reviewRuns();
     reviewGuarantees();
     if (!table().open().empty()) requestPlan();
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -10,6 +10,7 @@
 
 #include "Courseloom/src/Control/AdmissionReview.h"
 #include "Courseloom/src/Control/ReplicaDriver.h"
+#include "Courseloom/src/Control/StrandSlice.h"
 #include "Courseloom/src/Control/TicketCache.h"
 #include "Courseloom/src/Membership/RelayDirectory.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
@@ -17,6 +18,7 @@
 #include "Courseloom/src/Scheduling/FairShare.h"
 #include "Courseloom/src/Scheduling/RunPace.h"
 #include "Courseloom/src/Scheduling/RunPlanner.h"
+#include "Courseloom/src/Scheduling/StepSelection.h"
 #include "Courseloom/src/Scheduling/TargetHealth.h"
 #include "Courseloom/src/Scheduling/WaitReview.h"
 #include "generated/rpc.pb.h"
@@ -88,6 +90,25 @@
 
  private:
   using StepName = TicketCache::StepName;
+  /** Number of steps of workflows that one pass, or one update of the backlogs, walks to compute chains and backlogs
+   * anew. Beyond it those of a former pass are used. */
+  static constexpr std::size_t StepWalksPerPass = 20000;
+
+  /** Length of the longest chain of steps of a workflow, and what it was computed from. */
+  struct Chain {
+    double lengthMs = 0.0;
+    std::uint64_t estimates = 0;  ///< value of m_estimatorUpdates
+    ResourceAmounts capacity;     ///< of the service
+  };
+
+  /** Work of a workflow that has not started, and what it was computed from. */
+  struct Backlog {
+    ResourceWork unstarted;
+    ResourceWork held;            ///< by its long-running tasks; resources rather than work
+    std::uint64_t changes = 0;    ///< WorkflowState::changes
+    std::uint64_t estimates = 0;  ///< value of m_estimatorUpdates
+    std::uint32_t due = 0;        ///< number of due occurrences
+  };
 
   Awaitable<void> tickLoop();
   Awaitable<void> planLoop();
@@ -160,16 +181,19 @@
   std::size_t newTrialsAllowed(const PlannedStep& step) const;
   void addStepParts(PlannedStep step, std::vector<PlannedStep>& steps);
   void stopGangMembers(const RunChange& change);
+  void forgetDoneStep(const RunChange& change);
   void recordWorkflowEnd(const WorkflowState& workflow);
   void recordFirstStart(const RunChange& change);
   void updateGauges();
   void reviewGuarantees();
   void markGuaranteed();
-  std::map<std::string, std::uint64_t> assignGuarantees(std::set<std::string>& guaranteed) const;
+  std::map<std::string, std::uint64_t> assignGuarantees(std::set<std::string>& guaranteed);
   void updateBacklogs();
   void addBacklogOf(const WorkflowState& workflow, std::uint64_t nowMs);
-  ResourceWork workOf(const std::string& queue, const schema::StepSpec& step, std::uint32_t tasks) const;
-  Rank rankOfSubmission(const schema::Workflow& workflow) const;
+  const Backlog* backlogOf(const WorkflowState& workflow, std::uint64_t nowMs);
+  std::uint64_t widestOf(const WorkflowState& workflow);
+  ResourceWork workOf(const std::string& queue, const schema::StepSpec& step, std::uint64_t tasks) const;
+  Rank rankOfSubmission(const schema::Workflow& workflow);
   Rank rankOfWorkflow(const WorkflowState& workflow) const;
   unsigned freeTargetsToKeep(const std::vector<PlannedRun>& runs, const std::vector<PlannedStep>& steps);
   bool endsAfterTarget(const RunKey& key, const RunTrack& track) const;
@@ -193,14 +217,24 @@
   bool stepReportsCheckpoints(const RunKey& key) const;
   internal::StepRunInfo stepRunInfo(const RunKey& key) const;
   std::vector<PlannedRun> planRuns(const std::vector<PlannedTarget>& targets) const;
-  std::vector<PlannedStep> planSteps();
-  void addSteps(const WorkflowState& workflow, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
-  void addStep(const WorkflowState& workflow, const StepKey& key, std::uint64_t nowMs, std::vector<PlannedStep>& steps);
+  Awaitable<std::vector<PlannedStep>> collectSteps(StrandSlice& slice);
+  void refreshSteps(std::vector<PlannedStep>& steps, const std::vector<std::string>& owners) const;
+  const WorkflowState* findWaiting(const StepName& name) const;
+  Awaitable<std::vector<WorkflowDemand>> findDemands(std::uint64_t nowMs, StrandSlice& slice);
+  Awaitable<std::vector<StepName>> selectSteps(std::uint64_t nowMs, StrandSlice& slice);
+  static void addRemembered(const WorkflowState& workflow, const std::set<StepName>& remembered,
+                            std::vector<StepKey>& keys);
+  std::vector<std::size_t> limitTasks(const std::vector<StepName>& selected);
+  void addStep(const WorkflowState& workflow, const StepKey& key, std::size_t most, std::uint64_t nowMs,
+               std::vector<PlannedStep>& steps);
+  std::map<std::string, unsigned> activeByTarget(const StepName& name) const;
   void assignBands(std::vector<PlannedStep>& steps);
   WorkspaceDemands workspaceDemands(const std::vector<PlannedStep>& steps, std::uint64_t nowMs) const;
   ResourceTime activeUse(const WorkflowState& workflow, std::uint64_t nowMs) const;
   void reportShares(const FairShare& shares);
-  double objectiveChainMs(const schema::Workflow& record);
+  double objectiveChainMs(const WorkflowState& workflow);
+  double computeChainMs(const schema::Workflow& record, const ResourceAmounts& capacity) const;
+  ResourceAmounts capacityForWaves(const std::string& service);
   std::map<std::string, ResourceAmounts> serviceCapacities() const;
   std::set<std::string> targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const;
   const std::vector<std::string>& openTargets(const std::string& service);
@@ -224,7 +258,17 @@
   Time m_nextEstimatorUpdate{};                 ///< time of the next update of the run time estimates
   ChangeSignal m_planWanted;
   std::map<std::string, ChangeSignal> m_agentSignals;
-  std::map<StepName, Time> m_readySince;  ///< when this leader first found the step ready
+  std::map<StepName, Time> m_readySince;  ///< when this leader first found the step ready; until it is done
+  std::vector<StepName> m_selectedSteps;  ///< the waiting steps that the last pass examined
+  std::uint64_t m_passes = 0;             ///< number of planning passes
+  /** Step with which the next pass begins, by workflow; of workflows with more steps than a pass examines. */
+  std::map<std::string, std::uint32_t> m_stepTurns;
+  StepName m_nextLargeGang;               ///< with which the gangs begin that are larger than their share of a pass
+  std::map<std::string, Chain> m_chains;  ///< by workflow
+  std::map<std::string, Backlog> m_workflowBacklogs;  ///< by workflow
+  std::map<std::string, std::uint64_t> m_widest;      ///< accelerators of its widest step, by workflow of priority 0
+  std::size_t m_stepWalksLeft = 0;  ///< number of steps that may still be walked in this pass, for chains and backlogs
+  std::uint64_t m_estimatorUpdates = 0;  ///< number of updates of m_runTimeEstimator
   std::function<std::vector<ReplicaId>()> m_membersSource;
   std::set<std::string> m_drainedHalls;           ///< as of the last applied change
   std::vector<PlannedTarget> m_planTargets;       ///< in the ledger's order, without targets in drained halls
--- a/Courseloom/src/Control/WorkflowShares.cpp
+++ b/Courseloom/src/Control/WorkflowShares.cpp
@@ -59,14 +59,15 @@
 /** \returns the use of a workflow's active runs since their committed starts. */
 ResourceTime WorkflowRunner::activeUse(const WorkflowState& workflow, std::uint64_t nowMs) const {
   ResourceTime use;
-  for (const auto& [step, count] : workflow.activeCounts) {
-    if (count == 0) continue;
-    const schema::Resources held = heldResources(workflow.step(step.step));
-    const auto end = workflow.tasks.upper_bound({step.occurrence, step.step, UINT32_MAX});
-    for (auto task = workflow.tasks.lower_bound({step.occurrence, step.step, 0}); task != end; ++task) {
-      for (const schema::ActiveRun& run : task->second.active) {
-        use.add(WorkspaceUsage::useBetween(held, run.started_ms(), nowMs));
-      }
+  const std::string& id = workflow.record.id();
+  for (auto run = m_ledger.runs().lower_bound({id, {}, 0}); run != m_ledger.runs().end(); ++run) {
+    if (run->first.workflow != id) break;
+    const TaskState* task = workflow.task(run->first.task);
+    if (task == nullptr) continue;
+    const schema::Resources held = heldResources(workflow.step(run->first.task.step));
+    for (const schema::ActiveRun& active : task->active) {
+      if (active.number() != run->first.run) continue;
+      use.add(WorkspaceUsage::useBetween(held, active.started_ms(), nowMs));
     }
   }
   return use;
--- a/Courseloom/src/Control/WorkflowTrials.cpp
+++ b/Courseloom/src/Control/WorkflowTrials.cpp
@@ -66,7 +66,7 @@
   m_trialAgents.clear();
   for (const std::string& id : table().open()) {
     const WorkflowState& workflow = *table().find(id);
-    if (workflow.suspectTasks == 0) continue;
+    if (workflow.suspectTasks.empty()) continue;
     for (auto run = m_ledger.runs().lower_bound({id, {}, 0}); run != m_ledger.runs().end(); ++run) {
       if (run->first.workflow != id) break;
       const bool runsTrial = isTrialStart(workflow, run->first, run->second) && isTargetReachable(run->second);
@@ -98,7 +98,7 @@
 
 /** Adds a waiting step to a plan; divides it into parts if some of its tasks need a trial start. */
 void WorkflowRunner::addStepParts(PlannedStep step, std::vector<PlannedStep>& steps) {
-  if (step.workflow->suspectTasks == 0) return steps.push_back(std::move(step));
+  if (step.workflow->suspectTasks.empty()) return steps.push_back(std::move(step));
   const std::size_t most = newTrialsAllowed(step);
   for (PlannedStep& part : splitForTrial(std::move(step), most)) {
     if (part.trial) m_trialsLeft -= std::min(m_trialsLeft, part.tasks.size());
--- a/Courseloom/src/Control/WorkflowWaits.cpp
+++ b/Courseloom/src/Control/WorkflowWaits.cpp
@@ -16,20 +16,23 @@
 constexpr Duration WaitReviewInterval = milliseconds(1000);
 /** Most steps, and most runs, that one review logs. */
 constexpr std::size_t MaxWaitsLogged = 4;
+/** Most steps whose waits are reviewed at once. */
+constexpr std::size_t MaxReviewedSteps = 2 * MaxStepsPerPass;
 /** A run that its target has not listed after this time is logged. */
 constexpr Duration UnseenAfter = milliseconds(5000);
 
 }  // namespace
 }  // namespace internal
 
-/** \returns the steps that are ready and have tasks without an active run. */
+/** \returns the steps that the last pass examined or that are under review, and that wait; at most MaxReviewedSteps. */
 std::set<WorkflowRunner::StepName> WorkflowRunner::findWaitingSteps() {
   std::set<StepName> waiting;
-  const std::uint64_t nowMs = wallClockMs();
-  for (const std::string& id : table().open()) {
-    const WorkflowState& workflow = *table().find(id);
-    if (workflow.ended()) continue;
-    workflow.visitWaitingSteps(nowMs, [&](const StepKey& key) { waiting.emplace(id, key); });
+  for (const StepName& name : m_waitReview.steps()) {
+    if (findWaiting(name) != nullptr) waiting.insert(name);
+  }
+  for (const StepName& name : m_selectedSteps) {
+    if (waiting.size() == internal::MaxReviewedSteps) break;
+    if (findWaiting(name) != nullptr) waiting.insert(name);
   }
   return waiting;
 }
@@ -49,16 +52,19 @@
 /** Logs steps with their gates, but none that finds no room. */
 void WorkflowRunner::logWaits(const std::vector<StepName>& due, const std::vector<PlannedStep>& steps,
                               WaitGates gates) {
+  std::map<StepName, const PlannedStep*> planned;
+  for (const PlannedStep& step : steps) {
+    if (step.workflow != nullptr) planned.emplace(StepName{step.workflow->record.id(), step.key}, &step);
+  }
   std::size_t logged = 0;
   for (const StepName& name : due) {
-    const auto isNamed = [&name](const PlannedStep& step) {
-      return step.workflow != nullptr && step.workflow->record.id() == name.first && step.key == name.second;
-    };
-    const auto step = std::find_if(steps.begin(), steps.end(), isNamed);
+    const auto step = planned.find(name);
+    // A step that this pass did not examine has its turn in another one.
+    if (step == planned.end() && !std::binary_search(m_selectedSteps.begin(), m_selectedSteps.end(), name)) continue;
     // Steps that are not planned at all are gangs with active members, or have only suspect tasks.
     const bool gang = table().find(name.first)->step(name.second.step).gang();
     const WaitGate unplanned = gang ? WaitGate::GangActive : WaitGate::Trial;
-    const WaitGate gate = step == steps.end() ? unplanned : gates.find(*step);
+    const WaitGate gate = step == planned.end() ? unplanned : gates.find(*step->second);
     if (gate == WaitGate::NoRoom) continue;
     logWait(name, gate);
     if (++logged == internal::MaxWaitsLogged) return;
--- a/Courseloom/src/Scheduling/RunPlan.h
+++ b/Courseloom/src/Scheduling/RunPlan.h
@@ -70,7 +70,9 @@
 struct PlannedStep {
   const WorkflowState* workflow = nullptr;
   StepKey key;
-  std::vector<std::uint32_t> tasks;  ///< indexes of the waiting tasks; all tasks of a gang
+  /** Indexes of waiting tasks: all of a gang; of another step the first ones, as many as a pass examines. */
+  std::vector<std::uint32_t> tasks;
+  std::size_t waitingTasks = 0;  ///< number of its waiting tasks, in `tasks` or not
   Rank rank = UrgentRank;
   unsigned band = 0;                ///< steps of a lower band are served first within a rank; see FairShare::bandOf()
   double objectiveMs = 0.0;         ///< wall clock by which the workflow should end, ms since 1970
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -73,6 +73,17 @@
   return held;
 }
 
+std::set<std::pair<std::string, StepKey>> RunPlanner::rememberedSteps() const {
+  StopBackoff::PendingTasks pending;
+  m_stopBackoff.addSteps(pending);
+  m_keptTargets.addSteps(pending);
+  std::set<StepName> steps;
+  for (const auto& [step, tasks] : pending) steps.insert(step);
+  for (const auto& [step, targets] : m_lastNominated) steps.insert(step);
+  for (const auto& [step, targets] : m_lastReserved) steps.insert(step);
+  return steps;
+}
+
 RunPlan RunPlanner::finish() {
   m_lastNominated = std::move(m_pass->nominatedTargets);
   m_lastReserved = std::move(m_pass->reservedTargets);
--- a/Courseloom/src/Scheduling/Trials.cpp
+++ b/Courseloom/src/Scheduling/Trials.cpp
@@ -35,7 +35,7 @@
 std::vector<PlannedStep> splitForTrial(PlannedStep step, std::size_t most) {
   const WorkflowState& workflow = *step.workflow;
   // The tasks of a gang cannot be started one at a time.
-  if (workflow.suspectTasks == 0 || step.isGang()) return {std::move(step)};
+  if (workflow.suspectTasks.empty() || step.isGang()) return {std::move(step)};
   const auto isSuspect = [&](std::uint32_t index) {
     return workflow.onTrial({step.key.occurrence, step.key.step, index});
   };
--- a/Courseloom/src/Scheduling/WaitReview.cpp
+++ b/Courseloom/src/Scheduling/WaitReview.cpp
@@ -56,6 +56,12 @@
   return due;
 }
 
+std::vector<WaitReview::StepName> WaitReview::steps() const {
+  std::vector<StepName> names;
+  for (const auto& [step, wait] : m_waits) names.push_back(step);
+  return names;
+}
+
 void WaitReview::recordStart(const StepName& step, Time now) {
   const auto found = m_waits.find(step);
   if (found != m_waits.end()) found->second = Wait{now, Time{}};
--- a/Courseloom/src/Scheduling/WaitReview.h
+++ b/Courseloom/src/Scheduling/WaitReview.h
@@ -55,6 +55,8 @@
   void recordStart(const StepName& step, Time now);
   /** \returns for how long a step has waited without a start. */
   Duration waited(const StepName& step, Time now) const;
+  /** \returns the steps of the last update. */
+  std::vector<StepName> steps() const;
   void clear() { m_waits.clear(); }
 
   /** A step is reported after this time without a start. */
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -102,6 +102,14 @@
   return spec.first_due_ms() + occurrence * spec.interval_ms();
 }
 
+std::uint32_t WorkflowState::dueOccurrences(std::uint64_t nowMs) const {
+  const std::uint64_t firstMs = dueMs(0);
+  if (firstMs > nowMs) return 0;
+  const std::uint64_t intervalMs = record.spec().interval_ms();
+  if (record.spec().occurrences() == 0 || intervalMs == 0) return occurrences();
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(occurrences(), (nowMs - firstMs) / intervalMs + 1));
+}
+
 std::string WorkflowState::checkpointOf(const TaskKey& key) const {
   const TaskState* state = task(internal::shared_state_key(*this, key));
   return state == nullptr ? std::string() : state->checkpoint;
@@ -123,10 +131,9 @@
 }
 
 std::size_t WorkflowState::crashedTargets() const {
-  if (suspectTasks == 0) return 0;
   std::set<std::string> targets;
-  for (const auto& [key, task] : tasks) {
-    for (const schema::TargetCrash& crash : task.crashes.crashes()) targets.insert(crash.target());
+  for (const TaskKey& key : suspectTasks) {
+    for (const schema::TargetCrash& crash : tasks.at(key).crashes.crashes()) targets.insert(crash.target());
   }
   return targets.size();
 }
@@ -134,7 +141,7 @@
 /** If several targets crashed during tasks of one workflow, these tasks are more likely at fault than one such task
  * alone, so each of them needs a trial start. */
 bool WorkflowState::onTrial(const TaskKey& key) const {
-  const TaskState* state = suspectTasks == 0 ? nullptr : task(key);
+  const TaskState* state = suspectTasks.empty() ? nullptr : task(key);
   if (state == nullptr || !state->crashes.suspected()) return false;
   return state->crashes.needsTrial() || crashedTargets() > 1;
 }
@@ -180,6 +187,7 @@
   state.record.clear_tasks();
   state.record.set_phase(schema::WorkflowQueued);
   state.record.set_submitted_ms(timeMs);
+  state.waiting = WaitingSteps(state.record.spec());
   m_open.insert(workflow.id());
   return true;
 }
@@ -230,6 +238,7 @@
   task.active.back().set_started_ms(timeMs);
   ++workflow.activeRuns;
   if (task.active.size() == 1) ++workflow.activeCounts[key.stepKey()];
+  updateWaiting(workflow, key);
   m_runChanges.push_back({start.task(), task.active.back(), true, schema::RunDone, timeMs, false});
   if (workflow.record.phase() == schema::WorkflowQueued) {
     workflow.record.set_phase(schema::WorkflowRunning);
@@ -252,6 +261,7 @@
   const bool wasActive = internal::is_active(taskFound->second);
   active.erase(run);
   if (wasActive && active.empty()) --workflow.activeCounts[key.stepKey()];
+  updateWaiting(workflow, key);
   --workflow.activeRuns;
   chargeRun(workflow, ended, key.step, timeMs);
   if (workflow.isSuperseded(key)) return recordSupersededEnd(workflow, ended, end);
@@ -281,8 +291,8 @@
   if (task.done) return;
   const bool accusedBefore = task.crashes.suspected();
   task.crashes.ended(run, end);
-  if (accusedBefore && !task.crashes.suspected()) --workflow.suspectTasks;
-  if (!accusedBefore && task.crashes.suspected()) ++workflow.suspectTasks;
+  if (accusedBefore && !task.crashes.suspected()) workflow.suspectTasks.erase(key);
+  if (!accusedBefore && task.crashes.suspected()) workflow.suspectTasks.insert(key);
   // While a second run goes on, the task may still be done without another start.
   if (workflow.ended() || !task.active.empty() || !task.crashes.shouldGiveUp()) return;
   endWorkflow(
@@ -324,15 +334,26 @@
   const bool gang = workflow.step(key.step).gang();
   const std::uint32_t first = gang ? 0 : key.index;
   const std::uint32_t last = gang ? workflow.step(key.step).count() - 1 : key.index;
+  const bool wasDone = workflow.stepDone(key.stepKey());
   for (std::uint32_t index = first; index <= last; ++index) {
-    TaskState& task = workflow.tasks[{key.occurrence, key.step, index}];
+    const TaskKey member{key.occurrence, key.step, index};
+    TaskState& task = workflow.tasks[member];
     if (internal::is_active(task)) --workflow.activeCounts[key.stepKey()];
     if (!task.done) ++workflow.doneCounts[key.stepKey()];
     task.done = true;
     task.checkpoint.clear();
-    if (task.crashes.suspected()) --workflow.suspectTasks;
+    workflow.suspectTasks.erase(member);
     task.crashes = CrashRecord();
+    if (!wasDone) workflow.waiting.update(member, false);
   }
+  if (!wasDone && workflow.stepDone(key.stepKey())) workflow.waiting.finishStep(key.stepKey());
+}
+
+void WorkflowTable::updateWaiting(WorkflowState& workflow, const TaskKey& key) {
+  ++workflow.changes;
+  if (workflow.stepDone(key.stepKey())) return;
+  const TaskState& task = workflow.tasks.at(key);
+  workflow.waiting.update(key, !task.done && task.active.empty());
 }
 
 void WorkflowTable::countFailure(WorkflowState& workflow, const TaskKey& key, std::uint32_t run, std::uint64_t timeMs) {
@@ -348,11 +369,8 @@
 
 void WorkflowTable::finishIfDone(WorkflowState& workflow, std::uint64_t timeMs) {
   if (workflow.ended()) return;
-  for (std::uint32_t occurrence = 0; occurrence < workflow.occurrences(); ++occurrence) {
-    for (int step = 0; step < workflow.record.spec().steps_size(); ++step) {
-      if (!workflow.stepDone({occurrence, static_cast<std::uint32_t>(step)})) return;
-    }
-  }
+  const std::uint64_t steps = std::uint64_t{workflow.occurrences()} * workflow.record.spec().steps_size();
+  if (workflow.waiting.finishedSteps() < steps) return;
   endWorkflow(workflow, schema::WorkflowCompleted, "every task is done", timeMs);
 }
 
@@ -420,6 +438,7 @@
     WorkflowState& workflow = m_workflows[saved.id()];
     workflow.record = saved;
     workflow.record.clear_tasks();
+    workflow.waiting = WaitingSteps(saved.spec());
     for (const schema::TaskRecord& row : saved.tasks()) {
       const TaskKey key = keyOf(row.id());
       TaskState& task = workflow.tasks[key];
@@ -429,11 +448,13 @@
       task.lastRun = row.last_run();
       task.checkpoint = row.checkpoint();
       task.crashes.load(row);
-      if (task.crashes.suspected()) ++workflow.suspectTasks;
+      if (task.crashes.suspected()) workflow.suspectTasks.insert(key);
       task.active.assign(row.active().begin(), row.active().end());
       workflow.activeRuns += static_cast<unsigned>(task.active.size());
       if (task.done) ++workflow.doneCounts[key.stepKey()];
       if (internal::is_active(task)) ++workflow.activeCounts[key.stepKey()];
+      workflow.waiting.update(key, !task.done && task.active.empty());
+      if (task.done && workflow.stepDone(key.stepKey())) workflow.waiting.finishStep(key.stepKey());
     }
     if (workflow.ended()) ended.emplace(saved.ended_ms(), saved.id());
     m_open.insert(saved.id());
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include <compare>
 #include <deque>
 #include <map>
 #include <set>
@@ -14,33 +13,14 @@
 #include "Courseloom/src/State/CrashRecord.h"
 #include "Courseloom/src/State/RunTimeDistribution.h"
 #include "Courseloom/src/State/RunTimeEstimator.h"
+#include "Courseloom/src/State/TaskKey.h"
+#include "Courseloom/src/State/WaitingSteps.h"
 #include "Courseloom/src/State/WorkspaceUsage.h"
 #include "generated/state.pb.h"
 #include "generated/workflow.pb.h"
 
 namespace courseloom {
 
-/** \class StepKey
- * \brief One step of one occurrence of a workflow.
- */
-struct StepKey {
-  std::uint32_t occurrence = 0;
-  std::uint32_t step = 0;
-  auto operator<=>(const StepKey&) const = default;
-};
-
-/** \class TaskKey
- * \brief One task within its workflow.
- */
-struct TaskKey {
-  std::uint32_t occurrence = 0;
-  std::uint32_t step = 0;
-  std::uint32_t index = 0;
-  auto operator<=>(const TaskKey&) const = default;
-  /** \returns the step of the task. */
-  StepKey stepKey() const { return {occurrence, step}; }
-};
-
 /** \class TaskState
  * \brief Replicated state of one task.
  */
@@ -63,8 +43,10 @@
   std::map<TaskKey, TaskState> tasks;
   std::map<StepKey, std::uint32_t> doneCounts;    ///< tasks that are done, by step
   std::map<StepKey, std::uint32_t> activeCounts;  ///< tasks that are not done and have an active run, by step
+  WaitingSteps waiting;                           ///< kept by WorkflowTable with each change of a task
   unsigned activeRuns = 0;                        ///< of all tasks
-  unsigned suspectTasks = 0;                      ///< tasks whose crash record is not empty
+  std::uint64_t changes = 0;                      ///< number of starts and ends that were applied to it
+  std::set<TaskKey> suspectTasks;                 ///< tasks whose crash record is not empty
 
   /** \returns the specification of a step; the index must be valid. */
   const schema::StepSpec& step(std::uint32_t index) const { return record.spec().steps(static_cast<int>(index)); }
@@ -78,18 +60,8 @@
   bool hasWaitingTasks(const StepKey& key) const;
   /** \returns whether all steps that a step depends on are done. */
   bool stepReady(const StepKey& key) const;
-  /** Calls visit(StepKey) for each step of a due occurrence that is ready and has waiting tasks. \param nowMs
-   * wall-clock time, ms since 1970 */
-  template <typename Visitor>
-  void visitWaitingSteps(std::uint64_t nowMs, Visitor visit) const {
-    for (std::uint32_t occurrence = 0; occurrence < occurrences(); ++occurrence) {
-      if (dueMs(occurrence) > nowMs) break;
-      for (int index = 0; index < record.spec().steps_size(); ++index) {
-        const StepKey key{occurrence, static_cast<std::uint32_t>(index)};
-        if (!stepDone(key) && hasWaitingTasks(key) && stepReady(key)) visit(key);
-      }
-    }
-  }
+  /** \returns the number of occurrences that are due. \param nowMs wall-clock time, ms since 1970 */
+  std::uint32_t dueOccurrences(std::uint64_t nowMs) const;
   /** \returns the wall-clock time at which an occurrence is due, ms since 1970; of a workflow without occurrences the
    * time at which it was submitted. */
   std::uint64_t dueMs(std::uint32_t occurrence) const;
@@ -218,6 +190,8 @@
                  std::uint64_t timeMs);
   /** Ends a workflow as completed if all steps of all its occurrences are done. */
   void finishIfDone(WorkflowState& workflow, std::uint64_t timeMs);
+  /** Updates the waiting tasks of a workflow after a change of one of its tasks. */
+  static void updateWaiting(WorkflowState& workflow, const TaskKey& key);
   void endWorkflow(WorkflowState& workflow, schema::WorkflowPhase phase, const std::string& reason,
                    std::uint64_t timeMs);
   /** Removes a workflow that ended and has no active runs from the open ones, and updates the estimator from its steps.
--- a/test/LoadReplay.cpp
+++ b/test/LoadReplay.cpp
@@ -360,8 +360,8 @@
     CrashRecord& record = workflow.tasks[{0, 0, run.task}].crashes;
     const bool suspected = record.suspected();
     record.ended(active, end);
-    if (suspected && !record.suspected()) --workflow.suspectTasks;
-    if (!suspected && record.suspected()) ++workflow.suspectTasks;
+    if (suspected && !record.suspected()) workflow.suspectTasks.erase({0, 0, run.task});
+    if (!suspected && record.suspected()) workflow.suspectTasks.insert({0, 0, run.task});
   }
   ++one.incarnation;
   one.downUntilMs = std::max(one.downUntilMs, untilMs);
@@ -390,7 +390,7 @@
   end.set_lived(!countsEveryLoss() && survivedStart(run));
   record.ended({}, end);
   if (kind == schema::RunDone) record = CrashRecord();
-  if (!record.suspected()) --workflow.suspectTasks;
+  if (!record.suspected()) workflow.suspectTasks.erase({0, 0, run.task});
 }
 
 bool LoadReplay::shouldGiveUp(const Job& job, std::uint32_t task) const {
@@ -664,7 +664,7 @@
     step.worthlessMs =
         ClockStartMs + job.dueMs + WorthlessAfter * (profile.stretch * step.estimateMs + profile.latencyMs);
     step.waitedMs = m_nowMs - job.readyMs;
-    if (!m_trials || job.workflow.suspectTasks == 0) {
+    if (!m_trials || job.workflow.suspectTasks.empty()) {
       steps.push_back(std::move(step));
       continue;
     }
--- a/test/crash_record.cpp
+++ b/test/crash_record.cpp
@@ -103,7 +103,7 @@
   for (int i = 0; i < 3; ++i) runs.crash(schema::CrashUnclear);
   runs.start();
   runs.end(schema::RunTargetLost, schema::CrashUnclear, true);
-  cr_assert_eq(runs.workflow().suspectTasks, 0);
+  cr_assert_eq(runs.workflow().suspectTasks.size(), 0);
   for (int i = 0; i < 4; ++i) runs.crash(schema::CrashUnclear);
   cr_assert_not(runs.givenUp());
   runs.start();
@@ -118,7 +118,7 @@
     runs.end(i % 2 == 0 ? schema::RunTargetLost : schema::RunLapsed);
   }
   cr_assert_not(runs.givenUp());
-  cr_assert_eq(runs.workflow().suspectTasks, 0);
+  cr_assert_eq(runs.workflow().suspectTasks.size(), 0);
 }
 
 Test(crash_record, a_long_running_task_is_given_up_too) {
@@ -150,7 +150,7 @@
   RecordedRuns after(makeWorkflow(1));
   after.table = WorkflowTable();
   after.table.load(snapshot);
-  cr_assert_eq(after.workflow().suspectTasks, 1);
+  cr_assert_eq(after.workflow().suspectTasks.size(), 1);
   cr_assert(after.workflow().onTrial({0, 0, 0}));
   after.crash(schema::CrashUnclear);
   cr_assert(after.givenUp(), "only one start was left");
--- a/test/run_ledger.cpp
+++ b/test/run_ledger.cpp
@@ -824,7 +824,7 @@
   test.attend(test.report());
   test.start(0, 1);
   test.attend(test.report("life-2"));
-  cr_assert_eq(test.table.find("w")->suspectTasks, 0);
+  cr_assert_eq(test.table.find("w")->suspectTasks.size(), 0);
 }
 
 // A restarted agent does not know the order that its former incarnation carried out.
@@ -835,7 +835,7 @@
   test.attend(test.report());
   test.incarnation = 2;
   test.attend(test.report("life-2"));
-  cr_assert_eq(test.table.find("w")->suspectTasks, 1);
+  cr_assert_eq(test.table.find("w")->suspectTasks.size(), 1);
 }
 
 Test(run_ledger, a_task_ordered_by_a_former_leader_is_suspected_unless_its_target_was_draining) {
@@ -848,7 +848,7 @@
     last.mutable_target()->set_draining(leaving);
     test.attend(last);
     test.attend(test.report("life-2"));
-    cr_assert_eq(test.table.find("w")->suspectTasks, leaving ? 0 : 1);
+    cr_assert_eq(test.table.find("w")->suspectTasks.size(), leaving ? 0 : 1);
   }
 }
 
@@ -866,7 +866,7 @@
     test.table.record(runs, 2);
     test.ledger.apply(test.table.consumeRunChanges(), test.now, inherited);
     test.attend(test.report("life-2"));
-    cr_assert_eq(test.table.find("w")->suspectTasks, inherited ? 1 : 0);
+    cr_assert_eq(test.table.find("w")->suspectTasks.size(), inherited ? 1 : 0);
   }
 }
 
@@ -889,7 +889,7 @@
     test.attend(test.report());
     others(false);
     test.attend(withLost(test.report("life-2"), 1, kind, 900));
-    cr_assert_eq(test.table.find("w")->suspectTasks, kind == schema::CrashAtStart ? 1 : 0);
+    cr_assert_eq(test.table.find("w")->suspectTasks.size(), kind == schema::CrashAtStart ? 1 : 0);
   }
 }
 
@@ -924,7 +924,7 @@
   for (unsigned i = 1; i <= others; ++i) report(i, false);
   test.advance(300);
   test.attend(withLost(test.report("life-2"), 1, schema::CrashUnclear, 900));
-  return test.table.find("w")->suspectTasks;
+  return test.table.find("w")->suspectTasks.size();
 }
 
 }  // namespace
--- a/test/trials.cpp
+++ b/test/trials.cpp
@@ -23,7 +23,7 @@
   end.set_kind(schema::RunTargetLost);
   end.set_crash(kind);
   CrashRecord& record = workflow.tasks[{0, 0, index}].crashes;
-  if (!record.suspected()) ++workflow.suspectTasks;
+  workflow.suspectTasks.insert({0, 0, index});
   record.ended(run, end);
 }
 
--- a/test/workflow_table.cpp
+++ b/test/workflow_table.cpp
@@ -378,7 +378,7 @@
     const TaskState& after = *table.find("w")->task(task);
     cr_assert_eq(after.failures, before.failures);
     cr_assert_not(after.crashes.suspected());
-    cr_assert_eq(table.find("w")->suspectTasks, 0);
+    cr_assert_eq(table.find("w")->suspectTasks.size(), 0);
     cr_assert(after.checkpoint.empty());
     cr_assert(after.active.empty());
     cr_assert_eq(table.runTimeEstimator().openSteps(), 0, "the run time of a losing run must not be recorded");
