Tickets: what an accepted workflow needs outlives its queue, and a refusal shows it

Their starts went out without tickets, to all targets in turn, several times a second, each refused.

Cause: the policy was looked up by the queue's name in the configuration in force, at two places, and the workflow's record did not hold it. The reason of a refusal (409, ticket) got lost between agent and leader, so nothing was learnt from it; worse, each refusal closed its target to all new runs for 400 ms.

--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -170,6 +170,7 @@
   outcome.report.set_kind(kind);
   outcome.report.set_reason(reason);
   const auto own = m_runs.find(key);
+  if (kind == schema::RunVoided && own != m_runs.end()) outcome.report.set_wants_ticket(own->second.wantsTicket);
   if (kind == schema::RunVoided && own != m_runs.end() && own->second.refusal) {
     const CapacityRefusal& refusal = *own->second.refusal;
     *outcome.report.mutable_counted() = resourcesOf(refusal.counted);
@@ -287,6 +288,7 @@
   const auto own = m_runs.find(key);
   if (own != m_runs.end()) {
     own->second.neverStarted = refused || otherLife;
+    own->second.wantsTicket = refused && answer->wantsTicket;
     if (answer) own->second.startAnsweredAt = BootClock::now();
   }
   if (otherLife) {
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -71,6 +71,7 @@
   struct LocalRun {
     bool busy = false;           ///< a call to the target about this run is in progress
     bool neverStarted = false;   ///< the target answered the start call and did not begin the run
+    bool wantsTicket = false;    ///< the target refused the start call because it had no valid ticket
     bool listed = false;         ///< the current incarnation has listed the run
     bool lapseDelayed = false;   ///< the run would have lapsed, but a successor may still begin it
     bool orderedBefore = false;  ///< a former process of this agent may have sent the start call
--- a/Courseloom/src/Agent/TargetPort.h
+++ b/Courseloom/src/Agent/TargetPort.h
@@ -45,6 +45,7 @@
   TargetVerdict verdict = TargetVerdict::Refused;
   std::string reason;             ///< reason for a refusal
   bool fenced = false;            ///< refused because the target has seen a higher fencing token
+  bool wantsTicket = false;       ///< a start was refused because it had no valid ticket
   std::uint64_t clockMs = 0;      ///< the target's steady clock when it answered, ms; 0 if the answer has none
   std::uint64_t startTimeMs = 0;  ///< start time of the answering incarnation, ms since 1970; 0 if the answer has none
   std::string incarnation;        ///< name of the answering incarnation; set in answers to hold, else empty
--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -113,6 +113,9 @@
   workflow.set_max_attempts(std::max(1U, queue.max_attempts()));
   workflow.set_stretch(queue.stretch());
   workflow.set_latency_target_ms(queue.latency_target_ms());
+  workflow.set_queue_host(queue.host());
+  workflow.set_queue_path_prefix(queue.path_prefix());
+  if (queue.has_advice()) *workflow.mutable_advice() = queue.advice();
   if (rejects(workflow, answer)) co_return answer;
   // The configuration may change during the commit, and the queue with it.
   const std::string queueName = queue.name();  // NOLINT(performance-unnecessary-copy-initialization)
--- a/Courseloom/src/Control/WorkflowCopies.cpp
+++ b/Courseloom/src/Control/WorkflowCopies.cpp
@@ -82,7 +82,7 @@
   const schema::StepSpec& spec = workflow.step(key.step);
   const std::set<std::string> avoided = m_health.failedOn(workflow.record.id());
   const bool askFirst = m_context.settings.policy().ask_first();
-  const bool needsTicket = m_tickets.needed(queueNamed(workflow.record.queue()));
+  const std::optional<std::map<std::string, std::string>> tickets = ticketsOf(workflow, key);
   std::map<std::string, unsigned> placed;
   if (spec.max_per_target() > 0) placed = activeByTarget({workflow.record.id(), key});
   std::vector<std::size_t> eligible;
@@ -92,7 +92,7 @@
     if (!spec.required_label().empty() && target.labels.count(spec.required_label()) == 0) continue;
     if (!spec.preferred_rack().empty() && target.rack != spec.preferred_rack()) continue;
     if (spec.max_per_target() > 0 && placed[target.id] >= spec.max_per_target()) continue;
-    if (needsTicket && copyTicket(workflow, key, target.id).empty()) continue;
+    if (tickets && tickets->count(target.id) == 0) continue;
     if (askFirst && !m_ledger.fresh(target.agent, BootClock::now())) continue;
     if (target.open && acceptsStarts(target)) eligible.push_back(i);
   }
@@ -140,16 +140,6 @@
   return waiting;
 }
 
-/** \returns the ticket with which a task of a step may be started on a target; empty if there is none. */
-std::string WorkflowRunner::copyTicket(const WorkflowState& workflow, const StepKey& key, const std::string& target) {
-  const schema::Queue* queue = queueNamed(workflow.record.queue());
-  if (!m_tickets.needed(queue)) return {};
-  const std::map<std::string, std::string> tickets =
-      m_tickets.ticketsFor({workflow.record.id(), key}, queue->advice(), openTargets(workflow.record.service()));
-  const auto found = tickets.find(target);
-  return found == tickets.end() ? std::string() : found->second;
-}
-
 void WorkflowRunner::recordCopyStart(const RunKey& slow, const PlannedTarget& target, schema::RecordRuns& runs) {
   const WorkflowState& workflow = *table().find(slow.workflow);
   const RunTrack& track = m_ledger.runs().at(slow);
@@ -161,7 +151,8 @@
   row->mutable_run()->set_copy_of(slow.run);
   // The slow run's checkpoint is newer than the committed one, which is from the task's last end.
   row->mutable_run()->set_checkpoint(track.checkpoint.empty() ? workflow.checkpointOf(slow.task) : track.checkpoint);
-  row->mutable_run()->set_ticket(copyTicket(workflow, slow.task.stepKey(), target.id));
+  const std::optional<std::map<std::string, std::string>> tickets = ticketsOf(workflow, slow.task.stepKey());
+  if (tickets && tickets->count(target.id) > 0) row->mutable_run()->set_ticket(tickets->at(target.id));
   logEvent(schema::CopyStarted, {{"task", taskText(row->task())},
                                  {"run", std::uint64_t{row->run().number()}},
                                  {"copyOf", std::uint64_t{slow.run}},
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -163,6 +163,7 @@
     if (!change.started) stopGangMembers(change);
     observeCopies(change);
     if (!change.started) forgetDoneStep(change);
+    if (change.wantsTicket) recordTicketRefusal(change);
   }
   for (const std::string& id : ended) {
     const WorkflowState* workflow = table().find(id);
@@ -241,6 +242,18 @@
   return statuses;
 }
 
+/** Handles the refusal of a start that had no valid ticket. The workflow's record says from now on that its starts need
+ * tickets. */
+void WorkflowRunner::recordTicketRefusal(const RunChange& change) {
+  const StepName step{change.task.workflow(), keyOf(change.task).stepKey()};
+  m_context.metrics.count("starts_without_ticket", "all");
+  logEvent(schema::TicketRefused, {{"task", taskText(change.task)},
+                                   {"run", std::uint64_t{change.run.number()}},
+                                   {"target", change.run.target()},
+                                   {"ticket", change.run.ticket()}});
+  m_tickets.refused(step);
+}
+
 /** Forgets what is kept for the waiting steps of workflows once all tasks of a step are done. */
 void WorkflowRunner::forgetDoneStep(const RunChange& change) {
   const WorkflowState* workflow = table().find(change.task.workflow());
@@ -253,7 +266,8 @@
 /** Records the end of a run in its target's health, and logs if the target becomes suspect or trusted by that end.
  * \param stopped whether the run was voided after its stop had been requested */
 void WorkflowRunner::recordHealth(const RunChange& change, bool stopped) {
-  if (change.superseded) return;
+  // A start without a valid ticket says nothing of its target.
+  if (change.superseded || change.wantsTicket) return;
   const std::string& target = change.run.target();
   // If one member of a gang is lost before it starts, the others are stopped. Their targets did not refuse a start, and
   // are kept for the gang.
@@ -289,7 +303,7 @@
   const std::string& target = change.run.target();
   if (change.kind == schema::RunLapsed || change.kind == schema::RunTargetLost) return;
   if (change.kind != schema::RunVoided) return recordBegun(target);
-  if (!blamesTarget) return;
+  if (!blamesTarget || change.wantsTicket) return;
   m_context.metrics.count("runs_voided", change.run.agent());
   const RunKey key = runKeyOf(change.task, change.run.number());
   const WorkflowState* workflow = table().find(key.workflow);
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -147,7 +147,6 @@
                                  const std::vector<PlannedTarget>& targets, const std::vector<PlannedRun>& active,
                                  unsigned keepFullyFree) const;
   std::vector<WaitingWork> workStillWaiting(const RunPlan& plan, const std::vector<PlannedStep>& steps) const;
-  std::string copyTicket(const WorkflowState& workflow, const StepKey& key, const std::string& target);
   void recordCopyStart(const RunKey& slow, const PlannedTarget& target, schema::RecordRuns& runs);
   bool isCopy(const RunKey& key) const;
   void observeCopies(const RunChange& change);
@@ -181,6 +180,7 @@
   std::size_t newTrialsAllowed(const PlannedStep& step) const;
   void addStepParts(PlannedStep step, std::vector<PlannedStep>& steps);
   void stopGangMembers(const RunChange& change);
+  void recordTicketRefusal(const RunChange& change);
   void forgetDoneStep(const RunChange& change);
   void recordWorkflowEnd(const WorkflowState& workflow);
   void recordFirstStart(const RunChange& change);
@@ -238,6 +238,7 @@
   std::map<std::string, ResourceAmounts> serviceCapacities() const;
   std::set<std::string> targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const;
   const std::vector<std::string>& openTargets(const std::string& service);
+  std::optional<std::map<std::string, std::string>> ticketsOf(const WorkflowState& workflow, const StepKey& key);
   const schema::Queue* queueNamed(const std::string& name);
   void notifyAgent(const std::string& agent);
 
--- a/Courseloom/src/Control/WorkflowSteps.cpp
+++ b/Courseloom/src/Control/WorkflowSteps.cpp
@@ -182,9 +182,7 @@
   step.waitedMs = toMilliseconds(now - m_readySince.try_emplace(name, now).first->second);
   // Waiting time under former leaders counts too; the log has it only for steps without predecessors.
   if (spec.after().empty()) step.waitedMs = std::max(step.waitedMs, static_cast<double>(nowMs - due));
-  const schema::Queue* queue = queueNamed(record.queue());
-  if (m_tickets.needed(queue))
-    step.tickets = m_tickets.ticketsFor(name, queue->advice(), openTargets(record.service()));
+  step.tickets = ticketsOf(workflow, key);
   addStepParts(std::move(step), steps);
 }
 
@@ -269,6 +267,14 @@
   return open;
 }
 
+/** \returns the tickets of a step by target; nothing if its starts need none. */
+std::optional<std::map<std::string, std::string>> WorkflowRunner::ticketsOf(const WorkflowState& workflow,
+                                                                            const StepKey& key) {
+  const schema::Workflow& record = workflow.record;
+  const TicketNeed need = ticketNeedOf(record, queueNamed(record.queue()));
+  return m_tickets.ticketsFor({record.id(), key}, need, openTargets(record.service()));
+}
+
 const schema::Queue* WorkflowRunner::queueNamed(const std::string& name) {
   const schema::QueueConfiguration& configuration = table().configuration();
   if (configuration.version() != m_queuesVersion) {
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -241,6 +241,7 @@
     }
     found->second.doneProposed = row.kind() == schema::RunDone;
     ends.push_back(makeEnd(key, row.kind(), row.checkpoint().empty() ? found->second.checkpoint : row.checkpoint()));
+    ends.back().set_wants_ticket(row.wants_ticket());
   }
   classifyCrashes(report, before, ends);
   return ends;
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -164,11 +164,27 @@
 
 void WorkflowTable::putConfiguration(const schema::QueueConfiguration& configuration) {
   if (configuration.version() <= m_configuration.version()) return;
+  keepQueueProperties();
   m_configuration = configuration;
   m_workspaceUsage.retain([this](const std::string& workspace) { return hasTenant(workspace); });
   m_runTimeDistributions.keepOnly(configuration);
 }
 
+void WorkflowTable::keepQueueProperties() {
+  std::map<std::string, const schema::Queue*> queues;
+  for (const schema::Queue& queue : m_configuration.queues()) queues.emplace(queue.name(), &queue);
+  for (const std::string& id : m_open) {
+    schema::Workflow& record = m_workflows.at(id).record;
+    const auto queue = queues.find(record.queue());
+    if (queue == queues.end()) continue;
+    if (queue->second->has_advice()) *record.mutable_advice() = queue->second->advice();
+    // Workflows that earlier versions accepted have no host.
+    if (!record.queue_host().empty()) continue;
+    record.set_queue_host(queue->second->host());
+    record.set_queue_path_prefix(queue->second->path_prefix());
+  }
+}
+
 bool WorkflowTable::hasTenant(const std::string& name) const {
   const auto& tenants = m_configuration.tenants();
   return std::any_of(tenants.begin(), tenants.end(), [&name](const schema::Tenant& one) { return one.name() == name; });
@@ -239,7 +255,7 @@
   ++workflow.activeRuns;
   if (task.active.size() == 1) ++workflow.activeCounts[key.stepKey()];
   updateWaiting(workflow, key);
-  m_runChanges.push_back({start.task(), task.active.back(), true, schema::RunDone, timeMs, false});
+  m_runChanges.push_back({start.task(), task.active.back(), true, schema::RunDone, timeMs, false, false});
   if (workflow.record.phase() == schema::WorkflowQueued) {
     workflow.record.set_phase(schema::WorkflowRunning);
     workflow.record.set_started_ms(timeMs);
@@ -256,7 +272,8 @@
   std::vector<schema::ActiveRun>& active = taskFound->second.active;
   const auto run = std::find_if(active.begin(), active.end(), [&](const auto& r) { return r.number() == end.run(); });
   if (run == active.end()) return;
-  m_runChanges.push_back({end.task(), *run, false, end.kind(), timeMs, workflow.isSuperseded(key)});
+  m_runChanges.push_back({end.task(), *run, false, end.kind(), timeMs, workflow.isSuperseded(key), end.wants_ticket()});
+  if (end.wants_ticket()) workflow.record.set_wants_ticket(true);
   const schema::ActiveRun ended = *run;
   const bool wasActive = internal::is_active(taskFound->second);
   active.erase(run);
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -97,6 +97,7 @@
   schema::RunEndKind kind = schema::RunDone;  ///< of an end; without meaning for a start
   std::uint64_t timeMs = 0;                   ///< time of the command that recorded it, ms since 1970
   bool superseded = false;                    ///< of an end: another run of the task was done before; not for gangs
+  bool wantsTicket = false;                   ///< of an end: its target refused the start for want of a valid ticket
 };
 
 /** \returns whether a workflow has ended: completed, failed or cancelled. */
@@ -169,6 +170,9 @@
   void load(const schema::StateSnapshot& snapshot);
 
  private:
+  /** Stores in the open workflows what only the present configuration says of their queues. A workflow is kept although
+   * its queue may be replaced or removed, so what it needs of the queue is kept with it. */
+  void keepQueueProperties();
   void recordEnd(const schema::RunEnd& end, std::uint64_t timeMs);
   schema::ActiveRun* findActiveRun(const schema::StartReport& row);
   void recordStart(const schema::RunStart& start, std::uint64_t timeMs);
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -52,7 +52,8 @@
 inline std::string gang(unsigned count, const std::string& spec) { return job(count, spec, true); }
 
 /** \class WorkflowDeployment
- * \brief Three replicas, an entry, and two agents (by default) with their back ends, each on its own address.
+ * \brief Three replicas, an entry, and two agents (by default) with their back ends, each on its own address. The first
+ * back end is the advice service too.
  */
 class WorkflowDeployment {
  public:
@@ -81,7 +82,7 @@
     start("control-" + std::to_string(i), "courseloom-control", i,
           "  bootstrap: " + std::string(bootstrap ? "true" : "false") +
               "\ncontrol: {reserveMb: 1, snapshotEntries: 64}\npolicy: " + m_policy +
-              "\nedge: {controlEndpoint: " + at(i, ControlPort) + "}\n");
+              "\nedge: {controlEndpoint: " + at(i, ControlPort) + ", adviceEndpoint: " + at(11, TargetPort) + "}\n");
   }
   void agent(unsigned i) {
     start("agent-" + std::to_string(i), "courseloom-agent", 10 + i,
--- a/test/platform_formats.cpp
+++ b/test/platform_formats.cpp
@@ -167,7 +167,9 @@
   Result<TargetAnswer> refused = readTargetAnswer(409, R"({"clock_ms":5,"reason":"room"})");
   cr_assert(refused && refused->verdict == TargetVerdict::Refused && refused->reason == "room" && !refused->fenced);
   Result<TargetAnswer> fenced = readTargetAnswer(409, R"({"clock_ms":5,"reason":"fence"})");
-  cr_assert(fenced && fenced->verdict == TargetVerdict::Refused && fenced->fenced);
+  cr_assert(fenced && fenced->verdict == TargetVerdict::Refused && fenced->fenced && !fenced->wantsTicket);
+  Result<TargetAnswer> unticketed = readTargetAnswer(409, R"({"clock_ms":5,"reason":"ticket"})");
+  cr_assert(unticketed && unticketed->verdict == TargetVerdict::Refused && unticketed->wantsTicket);
   Result<TargetAnswer> other = readTargetAnswer(421, "");
   cr_assert(other && other->verdict == TargetVerdict::OtherIncarnation);
   Result<TargetAnswer> unhealthy = readTargetAnswer(503, "<html>");
--- a/test/standins/RunnerTarget.cpp
+++ b/test/standins/RunnerTarget.cpp
@@ -31,6 +31,8 @@
 constexpr unsigned LongestLateMs = 4000;
 /** Time after which a target that a task has crashed is available again. */
 constexpr Duration BackAfterCrash = milliseconds(1000);
+/** Time for which a ticket is valid, ms. */
+constexpr std::uint64_t TicketMs = 2000;
 /** Specification of a task that crashes its target. The time until the crash, ms, may follow. */
 const std::string CrashSpec = "crash";
 /** Longer than any caller waits for an answer. */
@@ -246,6 +248,15 @@
     m_refuseFault = InjectedFault::fromQuery(path);
     co_return jsonResponse(200, "{}");
   }
+  if (path.rfind("/tickets", 0) == 0) {
+    m_wantsTickets = queryNumber(path, "wanted", 0) != 0;
+    m_adviceFails = queryNumber(path, "fail", 0) != 0;
+    co_return jsonResponse(200, "{}");
+  }
+  if (path == "/-/advise") {
+    if (m_adviceFails) co_return jsonResponse(503, "");
+    co_return advise(json::parse(request.body()).as_object());
+  }
   if (path.rfind("/late", 0) == 0) {
     m_lateFault = InjectedFault::fromQuery(path);
     co_return jsonResponse(200, "{}");
@@ -335,6 +346,10 @@
   if (clockMs() >= deadline) return refuse("late");
   if (m_highestEnded[name] >= run) return refuse("old");
   if (found != m_running.end() || m_running.size() >= 8) return refuse("room");
+  if (m_wantsTickets && !isTicketValid(name, body)) {
+    ++m_withoutTicket;
+    return refuse("ticket");
+  }
   const std::string spec(body["spec"].as_string());
   Task task;
   task.run = run;
@@ -351,6 +366,26 @@
   return accept();
 }
 
+/** Answers as the advice service: each of the given targets may run the step. A ticket names the step, the target and
+ * the wall clock at which it expires, so that another target can check it. */
+HttpResponse RunnerTarget::advise(const json::object& body) {
+  ++m_advised;
+  const std::string step(body.at("step").as_string());
+  json::array healthy;
+  for (const json::value& worker : body.at("workers").as_array()) {
+    const std::string target(worker.as_string());
+    healthy.push_back(json::array{target, step + " " + target + " " + std::to_string(wallClockMs() + TicketMs)});
+  }
+  return jsonResponse(200, json::serialize(json::object{{"healthy", healthy}}));
+}
+
+bool RunnerTarget::isTicketValid(const std::string& task, json::object& body) const {
+  if (!body.contains("ticket")) return false;
+  const std::string ticket(body["ticket"].as_string());
+  const std::string named = task.substr(0, task.rfind('.')) + " " + id() + " ";
+  return ticket.rfind(named, 0) == 0 && wallClockMs() < std::strtoull(ticket.c_str() + named.size(), nullptr, 10);
+}
+
 HttpResponse RunnerTarget::accept() const {
   return jsonResponse(200, json::serialize(json::object{{"clock_ms", clockMs()}}));
 }
@@ -369,6 +404,8 @@
                                       {"running", m_running.size()},
                                       {"crashes", m_crashes},
                                       {"refused", m_refused},
+                                      {"withoutTicket", m_withoutTicket},
+                                      {"advised", m_advised},
                                       {"onTheirWay", m_pendingLate},
                                       {"cameLate", m_executedLate}});
 }
--- a/test/standins/RunnerTarget.h
+++ b/test/standins/RunnerTarget.h
@@ -89,6 +89,8 @@
   Awaitable<HttpResponse> order(std::string path, boost::json::object body);
   void discardEnds(std::int64_t seen);
   HttpResponse startTask(boost::json::object& body, std::int64_t run, std::int64_t deadline);
+  HttpResponse advise(const boost::json::object& body);
+  bool isTicketValid(const std::string& task, boost::json::object& body) const;
   HttpResponse accept() const;
   HttpResponse refuse(const char* reason) const;
   std::string counts() const;
@@ -124,9 +126,13 @@
   unsigned m_crashes = 0;                  ///< crashes caused by tasks
   InjectedFault m_refuseFault;
   InjectedFault m_lateFault;
-  unsigned m_refused = 0;       ///< orders refused by a fault
-  unsigned m_pendingLate = 0;   ///< late orders that are not executed yet
-  unsigned m_executedLate = 0;  ///< late orders that were executed
+  bool m_wantsTickets = false;   ///< starts without a valid ticket are refused
+  bool m_adviceFails = false;    ///< requests for advice are not answered
+  unsigned m_withoutTicket = 0;  ///< starts refused because they had no valid ticket
+  unsigned m_advised = 0;        ///< requests for advice that were answered
+  unsigned m_refused = 0;        ///< orders refused by a fault
+  unsigned m_pendingLate = 0;    ///< late orders that are not executed yet
+  unsigned m_executedLate = 0;   ///< late orders that were executed
   std::int64_t m_lastEnd = 0;
   std::map<std::string, Task> m_running;
   std::map<std::string, std::int64_t> m_highestEnded;
--- a/test/workflow_table.cpp
+++ b/test/workflow_table.cpp
@@ -477,3 +477,63 @@
     }
   }
 }
+
+// ---- what a workflow needs of its queue
+
+namespace {
+
+schema::QueueConfiguration queueConfiguration(std::uint64_t version, std::uint32_t validityMs, bool removed = false) {
+  schema::QueueConfiguration configuration;
+  configuration.set_version(version);
+  if (removed) return configuration;
+  schema::Queue* queue = configuration.add_queues();
+  queue->set_name("q");
+  queue->set_host("h.example");
+  queue->set_path_prefix("/q/");
+  if (validityMs > 0) queue->mutable_advice()->set_validity_ms(validityMs);
+  return configuration;
+}
+
+}  // namespace
+
+// Guards against accepted workflows that lose what the configuration said of their queue when it is changed.
+Test(workflow_table, a_workflow_keeps_the_newest_policy_that_its_queue_has_had) {
+  WorkflowTable table;
+  table.putConfiguration(queueConfiguration(1, 0));
+  schema::Workflow workflow = makeWorkflow("w", 1);
+  workflow.set_queue("q");
+  table.submit(workflow, 10);
+  const auto record = [&table]() -> const schema::Workflow& { return table.find("w")->record; };
+  table.putConfiguration(queueConfiguration(2, 700));
+  cr_assert_not(record().has_advice(), "that of the configuration in force is looked up");
+  cr_assert_str_eq(record().queue_host().c_str(), "h.example", "as of an earlier version, which stored none");
+  table.putConfiguration(queueConfiguration(3, 900));
+  cr_assert_eq(record().advice().validity_ms(), 700);
+  table.putConfiguration(queueConfiguration(4, 0, true));
+  cr_assert_eq(record().advice().validity_ms(), 900);
+  table.putConfiguration(queueConfiguration(5, 0));
+  cr_assert_eq(record().advice().validity_ms(), 900);
+  schema::StateSnapshot snapshot;
+  table.save(snapshot);
+  WorkflowTable loaded;
+  loaded.load(snapshot);
+  cr_assert_eq(loaded.find("w")->record.advice().validity_ms(), 900);
+}
+
+Test(workflow_table, a_refusal_for_want_of_a_ticket_is_kept_with_the_workflow) {
+  WorkflowTable table;
+  table.submit(makeWorkflow("w", 1), 10);
+  start(table, "w", {0, 0, 0}, 1);
+  table.consumeRunChanges();
+  schema::RecordRuns runs;
+  schema::RunEnd* end = runs.add_ends();
+  *end->mutable_task() = makeTaskId("w", {0, 0, 0});
+  end->set_run(1);
+  end->set_kind(schema::RunVoided);
+  end->set_wants_ticket(true);
+  table.record(runs, 20);
+  cr_assert(table.find("w")->record.wants_ticket());
+  const std::vector<RunChange> changes = table.consumeRunChanges();
+  cr_assert_eq(changes.size(), 1);
+  cr_assert(changes[0].wantsTicket);
+}
