Pending: workflows count that were accepted under a former name of their queue

Callers know a queue by host and prefix.

Test: workflows_processes, pending_counts_workflows_that_were_accepted_under_a_former_name_of_the_queue: failed without the change to QueueHandler, passes.

--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -88,7 +88,7 @@
   if (!id.empty()) co_return stateOf(*tenant, id);
   answer.set_outcome(schema::QueueAnswered);
   answer.set_counted(true);
-  answer.set_pending(pendingOf(queue->name()));
+  answer.set_pending(pendingOf(*queue));
   co_return answer;
 }
 
@@ -192,11 +192,15 @@
   return answer;
 }
 
-std::uint32_t QueueHandler::pendingOf(const std::string& queue) const {
+/** \returns the number of workflows of a queue none of whose tasks has begun. Callers know a queue by its host and path
+ * prefix, so workflows count that were accepted there under another name. */
+std::uint32_t QueueHandler::pendingOf(const schema::Queue& queue) const {
   std::uint32_t pending = 0;
   for (const std::string& id : table().open()) {
     const schema::Workflow& record = table().find(id)->record;
-    if (record.queue() == queue && record.phase() == schema::WorkflowQueued) ++pending;
+    const bool samePath = record.queue_host() == queue.host() && record.queue_path_prefix() == queue.path_prefix();
+    const bool own = samePath || record.queue() == queue.name();
+    if (own && record.phase() == schema::WorkflowQueued) ++pending;
   }
   return pending;
 }
--- a/Courseloom/src/Control/QueueHandler.h
+++ b/Courseloom/src/Control/QueueHandler.h
@@ -46,7 +46,7 @@
   Awaitable<Result<schema::QueueAnswer>> cancel(const std::string& tenant, std::string id);
   bool rejects(const schema::Workflow& workflow, schema::QueueAnswer& answer);
   schema::QueueAnswer stateOf(const std::string& tenant, const std::string& id) const;
-  std::uint32_t pendingOf(const std::string& queue) const;
+  std::uint32_t pendingOf(const schema::Queue& queue) const;
 
   DaemonContext m_context;
   ReplicaDriver& m_driver;
--- a/test/workflows_processes.cpp
+++ b/test/workflows_processes.cpp
@@ -318,3 +318,21 @@
   cr_assert(test.until(200, "GET", idOf(accepted), "", "completed"));
   cr_assert(test.until(200, "GET", idOf(0), "", "completed"), "it was accepted by the lost leader");
 }
+
+// Guards against workflows that are no longer counted as pending once their queue has got another name.
+Test(workflows_processes, pending_counts_workflows_that_were_accepted_under_a_former_name_of_the_queue) {
+  WorkflowDeployment test;
+  test.setUp();
+  // No target has so many accelerators.
+  const std::string waiting = job(1, "100", false, 64);
+  for (int i = 0; i < 3; ++i) {
+    cr_assert_eq(test.call("POST", "/q/00000000000005a" + std::to_string(i), waiting).status, 200);
+  }
+  cr_assert(test.until(200, "GET", "/q/", "", R"("pending":3)"));
+  std::string renamed = configuration(2);
+  const std::string name = R"("name":"q")";
+  renamed.replace(renamed.find(name), name.size(), R"("name":"q-now")");
+  cr_assert_eq(test.configure(renamed), 200);
+  cr_assert_eq(test.call("POST", "/q/00000000000005af", waiting).status, 200);
+  cr_assert(test.until(200, "GET", "/q/", "", R"("pending":4)"));
+}
