--- a/Courseloom/src/Control/ReplicaDriver.cpp
+++ b/Courseloom/src/Control/ReplicaDriver.cpp
@@ -17,6 +17,7 @@
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Core/ScopedCount.h"
 #include "Courseloom/src/Membership/ControlClient.h"
+#include "Courseloom/src/State/StateWriter.h"
 #include "generated/rpc.pb.h"
 
 namespace courseloom {
@@ -471,23 +472,34 @@
   return m_applied >= covered + m_context.settings.control().snapshot_entries();
 }
 
+/** Begins to write a snapshot. Nothing is applied until it is stored, so that the state does not change. */
 void ReplicaDriver::takeSnapshot() {
-  const StretchTimer timer(m_context, "snapshot");
-  auto snapshot = std::make_shared<schema::Snapshot>();
-  snapshot->mutable_info()->set_index(m_applied);
-  snapshot->mutable_info()->set_term(m_appliedTerm);
-  *snapshot->mutable_info()->mutable_members() = m_appliedMembers;
-  snapshot->set_state(m_state.save());
-  const std::vector<schema::LogEntry> keep =
+  schema::Snapshot snapshot;
+  snapshot.mutable_info()->set_index(m_applied);
+  snapshot.mutable_info()->set_term(m_appliedTerm);
+  *snapshot.mutable_info()->mutable_members() = m_appliedMembers;
+  std::vector<schema::LogEntry> keep =
       m_replica->log().slice(m_applied + 1, m_replica->log().lastIndex(), std::numeric_limits<std::size_t>::max());
   setStoring(true);
-  asio::post(m_disk, [this, snapshot, hard = m_replica->hardState(), keep] {
-    Result<void> written = m_store.compact(*snapshot, hard, keep);
-    if (!written) exitOnStorageFailure(extractFailure(written));
-    asio::post(m_strand, [this, snapshot] {
+  asio::co_spawn(m_strand, writeSnapshot(std::move(snapshot), m_replica->hardState(), std::move(keep)), asio::detached);
+}
+
+/** Serializes the state, which yields the strand, and stores the snapshot with what the log keeps after it. */
+Awaitable<void> ReplicaDriver::writeSnapshot(schema::Snapshot snapshot, schema::HardState hard,
+                                             std::vector<schema::LogEntry> keep) {
+  StrandSlice slice(m_context, m_strand, "snapshot", milliseconds(m_context.settings.control().plan_share_ms()));
+  StateWriter writer(m_state);
+  while (!writer.advance([&slice] { return slice.isOver(); })) co_await slice.yield();
+  snapshot.set_state(writer.finish());
+  slice.finish();
+  const auto written = std::make_shared<schema::Snapshot>(std::move(snapshot));
+  asio::post(m_disk, [this, written, hard = std::move(hard), keep = std::move(keep)] {
+    Result<void> stored = m_store.compact(*written, hard, keep);
+    if (!stored) exitOnStorageFailure(extractFailure(stored));
+    asio::post(m_strand, [this, written] {
       setStoring(false);
-      m_replica->compact(*snapshot);
-      logEvent(schema::SnapshotTaken, {{"index", snapshot->info().index()}, {"bytes", snapshot->state().size()}});
+      m_replica->compact(*written);
+      logEvent(schema::SnapshotTaken, {{"index", written->info().index()}, {"bytes", written->state().size()}});
       drive();
     });
   });
--- a/Courseloom/src/Control/ReplicaDriver.h
+++ b/Courseloom/src/Control/ReplicaDriver.h
@@ -105,6 +105,7 @@
   void failWaiters();
   bool snapshotDue() const;
   void takeSnapshot();
+  Awaitable<void> writeSnapshot(schema::Snapshot snapshot, schema::HardState hard, std::vector<schema::LogEntry> keep);
   [[noreturn]] static void exitOnStorageFailure(const Failure& failure);
 
   DaemonContext m_context;
--- a/Courseloom/src/State/ClusterState.cpp
+++ b/Courseloom/src/State/ClusterState.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 
+#include "Courseloom/src/State/StateWriter.h"
+
 namespace courseloom {
 
 namespace internal {
@@ -368,10 +370,15 @@
 // ---- snapshots
 
 std::string ClusterState::save() const {
-  schema::StateSnapshot snapshot;
+  StateWriter writer(*this);
+  writer.advance([] { return false; });
+  return writer.finish();
+}
+
+void ClusterState::saveWithoutWorkflows(schema::StateSnapshot& snapshot) const {
   m_objects.save(snapshot);
   m_claims.save(snapshot);
-  m_workflows.save(snapshot);
+  m_workflows.saveWithoutWorkflows(snapshot);
   m_hallDrains.save(snapshot);
   for (const auto& [id, job] : m_jobs) *snapshot.add_jobs() = job;
   for (const auto& [time, id] : m_replyOrder) {
@@ -380,7 +387,6 @@
   }
   snapshot.set_next_lease(m_nextLease);
   snapshot.set_next_job(m_nextJob);
-  return snapshot.SerializeAsString();
 }
 
 Result<void> ClusterState::load(const std::string& bytes) {
--- a/Courseloom/src/State/ClusterState.h
+++ b/Courseloom/src/State/ClusterState.h
@@ -59,8 +59,10 @@
   /** \returns the lowest lease number that was not granted yet. */
   std::uint64_t nextLease() const { return m_nextLease; }
 
-  /** \returns the state as a serialized snapshot. */
+  /** \returns the state as a serialized snapshot. \sa StateWriter */
   std::string save() const;
+  /** Adds everything but the workflows to a snapshot. */
+  void saveWithoutWorkflows(schema::StateSnapshot& snapshot) const;
   /** Replaces the state by that of a snapshot.
    * \returns StorageDamaged, with the state unchanged, if the snapshot cannot be parsed */
   Result<void> load(const std::string& bytes);
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -421,27 +421,46 @@
 
 // ---- snapshots
 
+namespace internal {
+namespace {
+
+void save_workflow(const WorkflowState& workflow, schema::Workflow& saved) {
+  saved = workflow.record;
+  for (const auto& [key, task] : workflow.tasks) {
+    schema::TaskRecord* row = saved.add_tasks();
+    *row->mutable_id() = makeTaskId("", key);
+    row->set_done(task.done);
+    row->set_failures(task.failures);
+    row->set_failed_run(task.failedRun);
+    row->set_last_run(task.lastRun);
+    row->set_checkpoint(task.checkpoint);
+    task.crashes.save(*row);
+    for (const schema::ActiveRun& run : task.active) *row->add_active() = run;
+  }
+}
+
+}  // namespace
+}  // namespace internal
+
 void WorkflowTable::save(schema::StateSnapshot& snapshot) const {
+  saveWithoutWorkflows(snapshot);
+  for (const auto& [id, workflow] : m_workflows) internal::save_workflow(workflow, *snapshot.add_workflows());
+}
+
+void WorkflowTable::saveWithoutWorkflows(schema::StateSnapshot& snapshot) const {
   m_runTimeEstimator.save(snapshot);
   m_workspaceUsage.save(snapshot);
   m_runTimeDistributions.save(snapshot);
   snapshot.set_lease_ms(m_leaseMs);
   *snapshot.mutable_configuration() = m_configuration;
-  for (const auto& [id, workflow] : m_workflows) {
-    schema::Workflow* saved = snapshot.add_workflows();
-    *saved = workflow.record;
-    for (const auto& [key, task] : workflow.tasks) {
-      schema::TaskRecord* row = saved->add_tasks();
-      *row->mutable_id() = makeTaskId("", key);
-      row->set_done(task.done);
-      row->set_failures(task.failures);
-      row->set_failed_run(task.failedRun);
-      row->set_last_run(task.lastRun);
-      row->set_checkpoint(task.checkpoint);
-      task.crashes.save(*row);
-      for (const schema::ActiveRun& run : task.active) *row->add_active() = run;
-    }
-  }
+}
+
+bool WorkflowTable::saveNextWorkflow(std::string& after, schema::StateSnapshot& snapshot) const {
+  const auto next = m_workflows.upper_bound(after);
+  if (next == m_workflows.end()) return false;
+  after = next->first;
+  internal::save_workflow(next->second, *snapshot.add_workflows());
+  return true;
 }
 
 void WorkflowTable::load(const schema::StateSnapshot& snapshot) {
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -166,6 +166,11 @@
   /** Adds the configuration, the workflows, the run time estimates and distributions, and the use by workspaces to a
    * snapshot. */
   void save(schema::StateSnapshot& snapshot) const;
+  /** Adds everything but the workflows to a snapshot. */
+  void saveWithoutWorkflows(schema::StateSnapshot& snapshot) const;
+  /** Adds the first workflow whose id comes after the given one to a snapshot. \param after set to its id
+   * \returns whether there is one */
+  bool saveNextWorkflow(std::string& after, schema::StateSnapshot& snapshot) const;
   /** Reads the table from a snapshot. To be called only on a table without workflows: existing ones are kept. */
   void load(const schema::StateSnapshot& snapshot);
 
--- a/test/cluster_state.cpp
+++ b/test/cluster_state.cpp
@@ -3,7 +3,7 @@
 
 // Tests of ClusterState: concurrent and retried changes of the configuration, claims, leases, drains, and snapshots.
 
-#include "Courseloom/src/State/ClusterState.h"
+#include "Courseloom/src/State/StateWriter.h"
 #include "test/main.h"
 
 using namespace courseloom;
@@ -210,3 +210,26 @@
     cr_assert_not(isHallName(invalid), "'%s'", invalid.c_str());
   }
 }
+
+// Guards against a snapshot that is written in one stretch, however much was submitted.
+Test(cluster_state, a_snapshot_is_written_in_parts) {
+  ClusterState state;
+  for (unsigned i = 0; i < 20; ++i) {
+    schema::Command command;
+    schema::Workflow& workflow = *command.mutable_submit_workflow()->mutable_workflow();
+    workflow.set_id("w" + std::to_string(i));
+    workflow.mutable_spec()->add_steps()->set_count(1 + i);
+    state.apply(i + 1, command);
+  }
+  StateWriter writer(state);
+  unsigned parts = 1;
+  while (!writer.advance([] { return true; })) ++parts;
+  cr_assert_gt(parts, 20, "one workflow at a time");
+  const std::string bytes = writer.finish();
+  cr_assert(bytes == state.save());
+  ClusterState restored;
+  cr_assert(static_cast<bool>(restored.load(bytes)));
+  cr_assert_eq(restored.workflows().open().size(), 20);
+  cr_assert_eq(restored.workflows().find("w19")->step(0).count(), 20);
+  cr_assert(restored.save() == bytes);
+}
--- a/test/large_submissions.cpp
+++ b/test/large_submissions.cpp
@@ -171,6 +171,15 @@
   test.requireOthersServed("60 workflows of 400 steps");
 }
 
+// A snapshot is due after 64 entries of the log; the state has half a million steps by then.
+Test(large_submissions, many_workflows_of_the_largest_number_of_steps) {
+  LargeSubmissions test;
+  for (int i = 0; i < 70; ++i) test.submitLarge(workflowOf(8000, [](std::size_t) { return stepOf(1); }));
+  test.requireOthersServed("70 workflows of 8,000 steps");
+  test.restartControl();
+  test.requireOthersServed("the same after a restart of all replicas");
+}
+
 Test(large_submissions, many_workflows_of_many_steps_under_admission) {
   LargeSubmissions test("{admission: true, fairShares: true}");
   for (int i = 0; i < 60; ++i) {
