Planning: one record of what is kept of each open workflow; failed advice is remembered

Chain, backlog, widest step and turn of a workflow were four maps that had to be cleared together; they are one record now. A step whose request for advice failed keeps that until it is done, so that the requests of other steps of its workflow do not make it ask again before a start was tried. The metric strand_ms has the computation as its class.

large_submissions (9 cases), ticketed_queues (6) and the unit tests of the parts pass.

--- a/Courseloom/src/Control/StrandSlice.cpp
+++ b/Courseloom/src/Control/StrandSlice.cpp
@@ -12,7 +12,7 @@
 namespace courseloom {
 
 void recordStretch(const DaemonContext& context, const char* work, Duration length) {
-  context.metrics.record("strand_ms", work, "all", toMilliseconds(length));
+  context.metrics.record("strand_ms", "all", work, toMilliseconds(length));
   if (length < LongStretch) return;
   logEvent(schema::StrandHeld, {{"work", work}, {"tookMs", static_cast<std::uint64_t>(toMilliseconds(length))}});
 }
--- a/Courseloom/src/Control/StrandSlice.h
+++ b/Courseloom/src/Control/StrandSlice.h
@@ -21,7 +21,7 @@
  * `strand_ms` has the stretches of the computations that depend on submitted work, by computation.
  */
 
-/** A stretch of this length is logged: it takes up most of the shortest election timeout that the settings advise. */
+/** A stretch of this length is logged. A lease lasts for less than twice as long with the usual election timeout. */
 inline constexpr Duration LongStretch = milliseconds(200);
 
 /** Records a stretch of uninterrupted work on the control strand. \param work name of the computation */
--- a/Courseloom/src/Control/TicketCache.cpp
+++ b/Courseloom/src/Control/TicketCache.cpp
@@ -58,13 +58,14 @@
   if (requested != m_requested.end()) requested->second.erase(step.second);
 }
 
-/** Removes the steps of a workflow that have no valid tickets and no pending request. */
+/** Removes the steps of a workflow that have no valid tickets, no pending request and no recent refusal or failure. */
 void TicketCache::removeExpired(const std::string& workflow) {
   const Time now = BootClock::now();
   auto step = m_stepTickets.lower_bound({workflow, StepKey()});
   while (step != m_stepTickets.end() && step->first.first == workflow) {
     const StepTickets& held = step->second;
-    const bool idle = held.requestId == 0 && now >= held.until && now >= held.nextRequest + internal::RefusalMemory;
+    const bool remembered = held.failed || now < held.nextRequest + internal::RefusalMemory;
+    const bool idle = held.requestId == 0 && now >= held.until && !remembered;
     step = idle ? m_stepTickets.erase(step) : std::next(step);
   }
 }
--- a/Courseloom/src/Control/WorkflowAdmission.cpp
+++ b/Courseloom/src/Control/WorkflowAdmission.cpp
@@ -99,7 +99,7 @@
 void WorkflowRunner::addBacklogOf(const WorkflowState& workflow, std::uint64_t nowMs) {
   const schema::Workflow& record = workflow.record;
   const auto found = m_backlogs.find(record.service());
-  const Backlog* backlog = found == m_backlogs.end() ? nullptr : backlogOf(workflow, nowMs);
+  const WorkflowBacklog* backlog = found == m_backlogs.end() ? nullptr : backlogOf(workflow, nowMs);
   if (backlog == nullptr) return;
   found->second.capacity.add({-backlog->held.accelerators, -backlog->held.cores});
   BacklogEntry entry{rankOfWorkflow(workflow), record.tenant(), backlog->unstarted, 0.0, false};
@@ -116,18 +116,16 @@
 
 /** \returns the backlog of a workflow, perhaps that of a former update, or null if it was never computed, while too
  * many steps would have to be walked. */
-const WorkflowRunner::Backlog* WorkflowRunner::backlogOf(const WorkflowState& workflow, std::uint64_t nowMs) {
+const WorkflowRunner::WorkflowBacklog* WorkflowRunner::backlogOf(const WorkflowState& workflow, std::uint64_t nowMs) {
   const schema::Workflow& record = workflow.record;
   const std::uint32_t due = workflow.dueOccurrences(nowMs);
   const auto steps = static_cast<std::uint32_t>(record.spec().steps_size());
-  const auto known = m_workflowBacklogs.find(record.id());
-  const bool isKnown = known != m_workflowBacklogs.end();
-  const bool isCurrent = isKnown && known->second.changes == workflow.changes &&
-                         known->second.estimates == m_estimatorUpdates && known->second.due == due;
-  if (isCurrent || steps > m_stepWalksLeft) return isKnown ? &known->second : nullptr;
+  std::optional<WorkflowBacklog>& known = m_figures[record.id()].backlog;
+  const bool isCurrent =
+      known && known->changes == workflow.changes && known->estimates == m_estimatorUpdates && known->due == due;
+  if (isCurrent || steps > m_stepWalksLeft) return known ? &*known : nullptr;
   m_stepWalksLeft -= steps;
-  Backlog& backlog = m_workflowBacklogs[record.id()];
-  backlog = Backlog{{}, {}, workflow.changes, m_estimatorUpdates, due};
+  WorkflowBacklog& backlog = known.emplace(WorkflowBacklog{{}, {}, workflow.changes, m_estimatorUpdates, due});
   for (std::uint32_t index = 0; index < steps; ++index) {
     const schema::StepSpec& step = workflow.step(index);
     const std::uint64_t begun = workflow.waiting.begunTasks(index);
--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -208,9 +208,9 @@
 
 /** \returns the accelerators of a workflow's widest step; computed once. */
 std::uint64_t WorkflowRunner::widestOf(const WorkflowState& workflow) {
-  const auto [found, added] = m_widest.try_emplace(workflow.record.id(), 0);
-  if (added) found->second = widestAccelerators(workflow.record.spec());
-  return found->second;
+  std::optional<std::uint64_t>& widest = m_figures[workflow.record.id()].widest;
+  if (!widest) widest = widestAccelerators(workflow.record.spec());
+  return *widest;
 }
 
 Rank WorkflowRunner::rankOfWorkflow(const WorkflowState& workflow) const {
--- a/Courseloom/src/Control/WorkflowRunner.cpp
+++ b/Courseloom/src/Control/WorkflowRunner.cpp
@@ -109,10 +109,7 @@
   m_tickets.clear();
   m_readySince.clear();
   m_selectedSteps.clear();
-  m_stepTurns.clear();
-  m_chains.clear();
-  m_workflowBacklogs.clear();
-  m_widest.clear();
+  m_figures.clear();
   m_waitReview.clear();
   m_ledgerRecorded = Time{};
   m_health.clear();
@@ -172,10 +169,7 @@
     m_health.forget(id);
     m_tickets.forget(id);
     std::erase_if(m_readySince, [&id](const auto& entry) { return entry.first.first == id; });
-    m_stepTurns.erase(id);
-    m_chains.erase(id);
-    m_workflowBacklogs.erase(id);
-    m_widest.erase(id);
+    m_figures.erase(id);
     for (const auto& [key, task] : workflow->tasks) {
       for (const schema::ActiveRun& run : task.active) notifyAgent(run.agent());
     }
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -95,14 +95,14 @@
   static constexpr std::size_t StepWalksPerPass = 20000;
 
   /** Length of the longest chain of steps of a workflow, and what it was computed from. */
-  struct Chain {
-    double lengthMs = 0.0;
+  struct ChainLength {
+    double ms = 0.0;
     std::uint64_t estimates = 0;  ///< value of m_estimatorUpdates
     ResourceAmounts capacity;     ///< of the service
   };
 
   /** Work of a workflow that has not started, and what it was computed from. */
-  struct Backlog {
+  struct WorkflowBacklog {
     ResourceWork unstarted;
     ResourceWork held;            ///< by its long-running tasks; resources rather than work
     std::uint64_t changes = 0;    ///< WorkflowState::changes
@@ -110,6 +110,15 @@
     std::uint32_t due = 0;        ///< number of due occurrences
   };
 
+  /** What is kept of an open workflow from pass to pass, since it takes a walk over all steps of the workflow. */
+  struct WorkflowFigures {
+    std::optional<ChainLength> chain;
+    std::optional<WorkflowBacklog> backlog;
+    std::optional<std::uint64_t> widest;  ///< accelerators of its widest step
+    /** Step with which the next pass begins, if the workflow has more steps than a pass examines. */
+    std::uint32_t stepTurn = 0;
+  };
+
   Awaitable<void> tickLoop();
   Awaitable<void> planLoop();
   schema::AttendReply makeReply(const schema::AttendRequest& request);
@@ -190,7 +199,7 @@
   std::map<std::string, std::uint64_t> assignGuarantees(std::set<std::string>& guaranteed);
   void updateBacklogs();
   void addBacklogOf(const WorkflowState& workflow, std::uint64_t nowMs);
-  const Backlog* backlogOf(const WorkflowState& workflow, std::uint64_t nowMs);
+  const WorkflowBacklog* backlogOf(const WorkflowState& workflow, std::uint64_t nowMs);
   std::uint64_t widestOf(const WorkflowState& workflow);
   ResourceWork workOf(const std::string& queue, const schema::StepSpec& step, std::uint64_t tasks) const;
   Rank rankOfSubmission(const schema::Workflow& workflow);
@@ -262,12 +271,8 @@
   std::map<StepName, Time> m_readySince;  ///< when this leader first found the step ready; until it is done
   std::vector<StepName> m_selectedSteps;  ///< the waiting steps that the last pass examined
   std::uint64_t m_passes = 0;             ///< number of planning passes
-  /** Step with which the next pass begins, by workflow; of workflows with more steps than a pass examines. */
-  std::map<std::string, std::uint32_t> m_stepTurns;
   StepName m_nextLargeGang;               ///< with which the gangs begin that are larger than their share of a pass
-  std::map<std::string, Chain> m_chains;  ///< by workflow
-  std::map<std::string, Backlog> m_workflowBacklogs;  ///< by workflow
-  std::map<std::string, std::uint64_t> m_widest;      ///< accelerators of its widest step, by workflow of priority 0
+  std::map<std::string, WorkflowFigures> m_figures;  ///< by workflow
   std::size_t m_stepWalksLeft = 0;  ///< number of steps that may still be walked in this pass, for chains and backlogs
   std::uint64_t m_estimatorUpdates = 0;  ///< number of updates of m_runTimeEstimator
   std::function<std::vector<ReplicaId>()> m_membersSource;
--- a/Courseloom/src/Control/WorkflowSteps.cpp
+++ b/Courseloom/src/Control/WorkflowSteps.cpp
@@ -96,12 +96,10 @@
     const WorkflowState* workflow = table().find(demand.workflow);
     if (workflow == nullptr || workflow->ended()) continue;
     const bool limited = shares[i] < demand.steps;
-    std::uint32_t turn = limited ? m_stepTurns[demand.workflow] : 0;
+    std::uint32_t& turn = m_figures[demand.workflow].stepTurn;
+    if (!limited) turn = 0;
     std::vector<StepKey> keys = workflow->waiting.select(workflow->dueOccurrences(nowMs), shares[i], turn);
-    if (limited) {
-      m_stepTurns[demand.workflow] = turn;
-      addRemembered(*workflow, remembered, keys);
-    }
+    if (limited) addRemembered(*workflow, remembered, keys);
     for (const StepKey& key : keys) selected.emplace_back(demand.workflow, key);
     if (slice.isOver()) co_await slice.yield();
   }
@@ -219,16 +217,14 @@
 /** \returns the expected run time of a workflow's longest chain of steps, ms, on which its objective is based; may be
  * from a former pass if too many chains have to be computed in this one. */
 double WorkflowRunner::objectiveChainMs(const WorkflowState& workflow) {
-  const std::uint64_t estimates = m_estimatorUpdates;
   const ResourceAmounts capacity = capacityForWaves(workflow.record.service());
-  const auto [found, added] = m_chains.try_emplace(workflow.record.id());
-  Chain& chain = found->second;
-  if (!added && chain.estimates == estimates && chain.capacity == capacity) return chain.lengthMs;
+  std::optional<ChainLength>& chain = m_figures[workflow.record.id()].chain;
+  const bool isCurrent = chain && chain->estimates == m_estimatorUpdates && chain->capacity == capacity;
   const auto steps = static_cast<std::size_t>(workflow.record.spec().steps_size());
-  if (!added && steps > m_stepWalksLeft) return chain.lengthMs;
+  if (isCurrent || (chain && steps > m_stepWalksLeft)) return chain->ms;
   m_stepWalksLeft -= std::min(m_stepWalksLeft, steps);
-  chain = {computeChainMs(workflow.record, capacity), estimates, capacity};
-  return chain.lengthMs;
+  chain = ChainLength{computeChainMs(workflow.record, capacity), m_estimatorUpdates, capacity};
+  return chain->ms;
 }
 
 double WorkflowRunner::computeChainMs(const schema::Workflow& record, const ResourceAmounts& capacity) const {
