HTTP listeners: what a connection holds has a limit before its request is complete

What callers saw: a few clients ended a process by memory, so that nobody was served.

Cause: until a whole request had been read, what it made the process hold was bounded in count only, or not at all. The server read into a buffer without a maximum, in which the parser looks for the end of a trailer, a chunk extension or a header; bodies that were being read, and the parsed header fields, counted for nothing; the kernel's buffers had the system's default for each of 2,000 connections; the sum of the connections of all listeners was above the descriptors.

Change: HttpConnection reads with a buffer of a fixed maximum and charges everything else to a budget of the process (ByteBudget) before it is held, by what is held and not by what is announced. Small requests have a part of it to themselves. A header and a body have times of their own, a body a least rate. What is refused is answered 413, 429 with Retry-After or 431, did not run, and the answer is not lost in a reset. ProcessLimits derives the limits of all listeners of a process from its memory (entry.memoryMb, new control.memoryMb and runner.memoryMb) and its descriptors. HttpClient reads the framing of answers into a bounded buffer.

Why it works: nothing is kept that is neither in the buffer nor charged.

--- a/Courseloom/src/Agent/AgentService.cpp
+++ b/Courseloom/src/Agent/AgentService.cpp
@@ -50,10 +50,11 @@
       m_follower(
           context.io, context.settings.cluster(), [this] { return status(); },
           ViewBuilder([](const std::string&, unsigned) { return std::shared_ptr<RpcClient>(); })),
+      m_limits(0),
       m_rpc(context.io),
       m_http(
-          context.io, HttpLimits(),
-          [this](HttpRequest request, std::string) -> Awaitable<HttpResponse> {
+          context.io, m_limits.probeLimits(),
+          [this](HttpRequest request, HttpCaller) -> Awaitable<HttpResponse> {
             const bool ready = m_follower.fresh() && !m_stopping;
             if (auto admin = answerAdmin(request, ready, m_context.metrics)) co_return std::move(*admin);
             co_return problemResponse(makeFailure(FailureCode::NotFound, Ran::No, "route", "callers talk to an entry"));
--- a/Courseloom/src/Agent/AgentService.h
+++ b/Courseloom/src/Agent/AgentService.h
@@ -13,6 +13,7 @@
 #include "Courseloom/src/Runtime/ChangeSignal.h"
 #include "Courseloom/src/Runtime/Daemon.h"
 #include "Courseloom/src/Runtime/OneShot.h"
+#include "Courseloom/src/Runtime/ProcessLimits.h"
 #include "Courseloom/src/Transport/HttpClient.h"
 #include "Courseloom/src/Transport/RpcServer.h"
 
@@ -58,6 +59,7 @@
   TokenTable m_tokens;
   ChangeSignal m_tokenChanged;
   ViewFollower m_follower;
+  ProcessLimits m_limits;
   RpcServer m_rpc;
   HttpServer m_http;
   std::map<std::uint64_t, Admitted> m_waiting;  ///< queued requests, by number of the exchange
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -31,6 +31,8 @@
 constexpr Duration UndiscardedPause = milliseconds(50);
 /** How long a stopping agent waits for its calls in progress. */
 constexpr Duration StopLimit = milliseconds(700);
+/** Part of the memory for the target's announcements. */
+constexpr std::uint64_t RegistrationMemoryParts = 8;
 /** Longest wait of a poll while fillers share the target with serving runs, ms. */
 constexpr std::uint32_t SharedPollMs = 400;
 
@@ -53,14 +55,15 @@
       m_protocol(std::move(protocol)),
       m_strand(asio::make_strand(context.io)),
       m_control(context.io, context.settings.cluster()),
+      m_limits(context.settings.runner().memory_mb()),
       m_relay(context.io, context.settings.cluster(), [this] { return canRelay(); }),
       m_port(m_protocol.makePort(context)),
-      m_registration(context.io, HttpLimits(),
-                     [this](HttpRequest request, std::string) {
-                       return m_protocol.answerRegistration(std::move(request), *this);
+      m_registration(context.io, m_limits.operatorLimits(m_limits.budget(internal::RegistrationMemoryParts)),
+                     [this](HttpRequest request, HttpCaller caller) {
+                       return m_protocol.answerRegistration(std::move(request), *this, caller.memory);
                      }),
-      m_http(context.io, HttpLimits(),
-             [this](HttpRequest request, std::string) -> Awaitable<HttpResponse> {
+      m_http(context.io, m_limits.probeLimits(),
+             [this](HttpRequest request, HttpCaller) -> Awaitable<HttpResponse> {
                std::optional<HttpResponse> admin = answerAdmin(request, m_following, m_context.metrics);
                if (admin) co_return std::move(*admin);
                co_return problemResponse(Failure{FailureCode::NotFound, Ran::No, "route", "", "no such path", 0});
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -20,6 +20,7 @@
 #include "Courseloom/src/Runtime/ChangeSignal.h"
 #include "Courseloom/src/Runtime/Daemon.h"
 #include "Courseloom/src/Runtime/OneShot.h"
+#include "Courseloom/src/Runtime/ProcessLimits.h"
 #include "Courseloom/src/Scheduling/LateCalls.h"
 #include "Courseloom/src/Scheduling/RunLedger.h"
 
@@ -32,7 +33,8 @@
   /** Creates the port through which the agent calls its target. */
   std::function<std::unique_ptr<TargetPort>(const DaemonContext&)> makePort;
   /** Answers a request that the target sends to register, to repeat its registration or to deregister. */
-  std::function<Awaitable<HttpResponse>(HttpRequest, TargetRegistry&)> answerRegistration;
+  /** \param memory what the process holds for the request */
+  std::function<Awaitable<HttpResponse>(HttpRequest, TargetRegistry&, ByteShare& memory)> answerRegistration;
 };
 
 /** \returns whether an agent is still considered connected to control, so that it may relay calls of others. This holds
@@ -224,6 +226,7 @@
   RunAgentProtocol m_protocol;
   Strand m_strand;
   ControlClient m_control;
+  ProcessLimits m_limits;
   ControlRelay m_relay;
   std::unique_ptr<TargetPort> m_port;
   HttpServer m_registration;
--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -24,6 +24,8 @@
 /** Longest wait for the platform's inventory. If it takes longer, a job is accepted unchecked and stays queued. */
 constexpr Duration InventoryLimit = milliseconds(400);
 constexpr Duration StopLimit = milliseconds(3000);
+/** Part of the memory for operators. */
+constexpr std::uint64_t OperatorMemoryParts = 8;
 
 }  // namespace
 }  // namespace internal
@@ -37,12 +39,14 @@
       m_workflows(context, m_strand, m_driver, m_edges.makeAdvice ? m_edges.makeAdvice(context) : nullptr),
       m_queues(context, m_driver, m_workflows),
       m_nodes(2 * milliseconds(context.settings.cluster().freshness_lease_ms())),
+      m_limits(context.settings.control().memory_mb()),
       m_rpc(context.io),
-      m_http(context.io, HttpLimits(),
-             [this](HttpRequest request, std::string) -> Awaitable<HttpResponse> { co_return answerHttp(request); }),
-      m_operators(context.io, HttpLimits(), [this](HttpRequest request, std::string) {
-        return m_edges.answerOperator(std::move(request), *this, m_edgePort);
-      }) {}
+      m_http(context.io, m_limits.probeLimits(),
+             [this](HttpRequest request, HttpCaller) -> Awaitable<HttpResponse> { co_return answerHttp(request); }),
+      m_operators(context.io, m_limits.operatorLimits(m_limits.budget(internal::OperatorMemoryParts)),
+                  [this](HttpRequest request, HttpCaller caller) {
+                    return m_edges.answerOperator(std::move(request), *this, m_edgePort, caller.memory);
+                  }) {}
 
 Result<ListeningPorts> ControlService::start() {
   const schema::NodeSettings& node = m_context.settings.node();
--- a/Courseloom/src/Control/ControlService.h
+++ b/Courseloom/src/Control/ControlService.h
@@ -9,6 +9,7 @@
 #include "Courseloom/src/Control/WorkflowRunner.h"
 #include "Courseloom/src/Membership/NodeTable.h"
 #include "Courseloom/src/Runtime/ChangeSignal.h"
+#include "Courseloom/src/Runtime/ProcessLimits.h"
 #include "Courseloom/src/Transport/RpcServer.h"
 
 namespace courseloom {
@@ -19,8 +20,10 @@
 struct ControlProtocol {
   /** Makes the client of the advice service. */
   std::function<std::unique_ptr<AdvicePort>(const DaemonContext&)> makeAdvice;
-  /** Answers an operator's HTTP request. \param port port on which the operators' endpoint listens */
-  std::function<Awaitable<HttpResponse>(HttpRequest, ConfigurationGateway&, unsigned port)> answerOperator;
+  /** Answers an operator's HTTP request. \param port port on which the operators' endpoint listens \param memory what
+   * the process holds for the request */
+  std::function<Awaitable<HttpResponse>(HttpRequest, ConfigurationGateway&, unsigned port, ByteShare& memory)>
+      answerOperator;
 };
 
 /** \class ControlService
@@ -73,6 +76,7 @@
   QueueHandler m_queues;
   NodeTable m_nodes;
   ChangeSignal m_changed;
+  ProcessLimits m_limits;
   RpcServer m_rpc;
   HttpServer m_http;
   HttpServer m_operators;
--- a/Courseloom/src/Entry/EntryLimits.cpp
+++ b/Courseloom/src/Entry/EntryLimits.cpp
@@ -16,9 +16,9 @@
 /** Descriptors for logs, listeners and connections to control and agents. */
 constexpr std::uint64_t ReservedDescriptors = 256;
 /** Memory of an open connection: socket buffers, parser and coroutine. */
-constexpr std::uint64_t BytesPerConnection = 16 * 1024;
+constexpr std::uint64_t BytesPerConnection = 32ULL * 1024;
 /** Parts of the memory that connections and bodies may take; the rest is for the process itself and for answers. */
-constexpr std::uint64_t MemoryPerConnectionShare = 4;
+constexpr std::uint64_t MemoryPerConnectionShare = 3;
 constexpr std::uint64_t MemoryPerBodyShare = 4;
 /** Calls that one core serves in a second, each with its round trip to control. */
 constexpr double CallsPerCoreSecond = 2000.0;
--- a/Courseloom/src/Entry/EntryService.cpp
+++ b/Courseloom/src/Entry/EntryService.cpp
@@ -3,8 +3,6 @@
 
 #include "Courseloom/src/Entry/EntryService.h"
 
-#include <sys/resource.h>
-
 #include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Runtime/OneShot.h"
 #include "Courseloom/src/Transport/Listen.h"
@@ -16,29 +14,22 @@
 namespace internal {
 namespace {
 
-/** \returns the limit of open descriptors of this process; 0 if it has none. */
-std::uint64_t descriptor_limit() {
-  rlimit limit{};
-  const bool limited = getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
-  return limited ? limit.rlim_cur : 0;
-}
-
-HttpLimits http_limits(const schema::EntrySettings& entry, std::uint32_t connections) {
-  HttpLimits limits;
-  limits.maxBodyBytes = entry.max_body_bytes();
-  limits.maxHeaderBytes = entry.max_header_bytes();
-  limits.maxConnections = connections;
-  limits.idleTimeout = milliseconds(entry.idle_timeout_ms());
-  return limits;
-}
-
+/** Part of the memory that is for what callers make the process hold. */
+constexpr std::uint64_t CallerMemoryParts = 4;
+/** Size of the kernel's buffers of a caller's connection, each way. */
+constexpr int CallerSocketBytes = 16 * 1024;
+/** Part of the callers' connections that the own HTTP interface may have where they use another one. */
+constexpr std::uint32_t OwnConnectionParts = 8;
+constexpr std::uint32_t FewestOwnConnections = 16;
 }  // namespace
 }  // namespace internal
 
 EntryService::EntryService(const DaemonContext& context, EntryProtocol protocol)
     : m_context(context),
       m_protocol(std::move(protocol)),
-      m_limits(deriveEntryLimits(context.settings.entry(), internal::descriptor_limit())),
+      m_limits(deriveEntryLimits(context.settings.entry(), descriptorLimit())),
+      m_processLimits(context.settings.entry().memory_mb()),
+      m_memory(m_processLimits.budget(internal::CallerMemoryParts)),
       m_follower(
           context.io, context.settings.cluster(), [this] { return status(); },
           ViewBuilder([&io = context.io](const std::string& address, unsigned port) {
@@ -48,14 +39,34 @@
       m_operators(m_follower.control(), context.settings.node().name()),
       m_queues(m_follower.control(), context.settings.entry().early_answers(),
                context.settings.entry().instance_limits() ? std::optional(m_limits) : std::nullopt),
-      m_http(context.io, internal::http_limits(context.settings.entry(), m_limits.connections),
-             [this](HttpRequest request, std::string peer) { return handle(std::move(request), std::move(peer)); }),
-      m_callers(
-          context.io, internal::http_limits(context.settings.entry(), m_limits.connections),
-          [this](HttpRequest request, std::string) { return m_protocol.answerCaller(std::move(request), m_queues); }),
-      m_readiness(context.io, HttpLimits(), [this](HttpRequest request, std::string) -> Awaitable<HttpResponse> {
-        co_return m_protocol.answerReadiness(request, ready());
-      }) {}
+      m_http(context.io, callerLimits(ownConnections()),
+             [this](HttpRequest request, HttpCaller caller) { return handle(std::move(request), std::move(caller)); }),
+      m_callers(context.io, callerLimits(m_limits.connections),
+                [this](HttpRequest request, HttpCaller caller) {
+                  return m_protocol.answerCaller(std::move(request), m_queues, caller.memory);
+                }),
+      m_readiness(context.io, m_processLimits.probeLimits(),
+                  [this](HttpRequest request, HttpCaller) -> Awaitable<HttpResponse> {
+                    co_return m_protocol.answerReadiness(request, ready());
+                  }) {}
+
+HttpLimits EntryService::callerLimits(std::uint32_t connections) const {
+  const schema::EntrySettings& entry = m_context.settings.entry();
+  HttpLimits limits;
+  limits.maxBodyBytes = entry.max_body_bytes();
+  limits.maxHeaderBytes = entry.max_header_bytes();
+  limits.maxConnections = connections;
+  limits.socketBufferBytes = internal::CallerSocketBytes;
+  limits.idleTimeout = milliseconds(entry.idle_timeout_ms());
+  limits.memory = m_memory;
+  return limits;
+}
+
+/** \returns the limit of connections to the own HTTP interface. */
+std::uint32_t EntryService::ownConnections() const {
+  if (m_context.settings.edge().client_endpoint().empty()) return m_limits.connections;
+  return std::max(m_limits.connections / internal::OwnConnectionParts, internal::FewestOwnConnections);
+}
 
 Result<ListeningPorts> EntryService::start() {
   const schema::NodeSettings& node = m_context.settings.node();
@@ -104,7 +115,7 @@
   return status;
 }
 
-Awaitable<HttpResponse> EntryService::handle(HttpRequest request, std::string /*peer*/) {
+Awaitable<HttpResponse> EntryService::handle(HttpRequest request, HttpCaller /*caller*/) {
   if (request.target() == "/metrics") {
     m_context.metrics.set("entry_calls_rejected", static_cast<double>(m_queues.rejected()));
   }
--- a/Courseloom/src/Entry/EntryService.h
+++ b/Courseloom/src/Entry/EntryService.h
@@ -7,6 +7,7 @@
 #include "Courseloom/src/Entry/OperatorRoutes.h"
 #include "Courseloom/src/Entry/QueueGateway.h"
 #include "Courseloom/src/Entry/RequestPath.h"
+#include "Courseloom/src/Runtime/ProcessLimits.h"
 
 namespace courseloom {
 
@@ -14,8 +15,9 @@
  * \brief Handlers of the deployment's own protocol at an entry. An empty handler has no listener.
  */
 struct EntryProtocol {
-  std::function<Awaitable<HttpResponse>(HttpRequest, QueueGateway&)> answerCaller;  ///< queue calls
-  std::function<HttpResponse(const HttpRequest&, bool ready)> answerReadiness;      ///< readiness probes
+  /** Queue calls. \param memory what the process holds for the call */
+  std::function<Awaitable<HttpResponse>(HttpRequest, QueueGateway&, ByteShare& memory)> answerCaller;
+  std::function<HttpResponse(const HttpRequest&, bool ready)> answerReadiness;  ///< readiness probes
 };
 
 /** \class EntryService
@@ -29,8 +31,10 @@
   void reload(const schema::Settings& settings) override;
 
  private:
-  Awaitable<HttpResponse> handle(HttpRequest request, std::string peer);
+  Awaitable<HttpResponse> handle(HttpRequest request, HttpCaller caller);
   Awaitable<HttpResponse> serveRequest(HttpRequest request, std::string service);
+  HttpLimits callerLimits(std::uint32_t connections) const;
+  std::uint32_t ownConnections() const;
   Result<void> startProtocolListeners();
   void publishLimits() const;
   schema::NodeStatus status() const;
@@ -39,6 +43,8 @@
   DaemonContext m_context;
   EntryProtocol m_protocol;
   EntryLimits m_limits;
+  ProcessLimits m_processLimits;
+  std::shared_ptr<ByteBudget> m_memory;  ///< budget for callers
   ViewFollower m_follower;
   RequestPath m_requests;
   OperatorRoutes m_operators;
--- a/Courseloom/src/Transport/HttpClient.cpp
+++ b/Courseloom/src/Transport/HttpClient.cpp
@@ -17,7 +17,15 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-HttpClient::Connection::Connection(asio::io_context& io) : stream(asio::make_strand(io)) {}
+namespace internal {
+namespace {
+/** Size of the read buffer, and so the largest size of a header, a trailer or another part of an answer's framing. */
+constexpr std::size_t MaxFramingBytes = 64U * 1024;
+}  // namespace
+}  // namespace internal
+
+HttpClient::Connection::Connection(asio::io_context& io)
+    : stream(asio::make_strand(io)), buffer(internal::MaxFramingBytes) {}
 
 HttpClient::HttpClient(asio::io_context& io, std::string address, unsigned port, std::size_t maxIdle)
     : m_io(io),
--- a/Courseloom/src/Transport/HttpClient.h
+++ b/Courseloom/src/Transport/HttpClient.h
@@ -18,8 +18,8 @@
  * \brief HTTP/1.1 client of one peer outside courseloom, with a pool of idle connections.
  *
  * A connection carries one exchange at a time. A failure to connect has `ran` no; any later failure has `ran` unknown.
- * A truncated answer is reported as AnswerIncomplete, never as a shorter answer. All members may be called from any
- * thread.
+ * A truncated answer is reported as AnswerIncomplete, never as a shorter answer; so is one with a header or another
+ * part of its framing that is too long to be kept. All members may be called from any thread.
  */
 class HttpClient {
  public:
--- a/Courseloom/src/Transport/HttpServer.cpp
+++ b/Courseloom/src/Transport/HttpServer.cpp
@@ -8,46 +8,26 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include "Courseloom/src/Core/ScopedCount.h"
+#include "Courseloom/src/Transport/HttpConnection.h"
 #include "Courseloom/src/Transport/Listen.h"
 
 namespace courseloom {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-namespace internal {
-namespace {
-
-/** \returns the failure to answer for a request that could not be read, or nothing if the connection was closed,
- * failed or timed out. */
-std::optional<Failure> read_failure(const beast::error_code& error, const std::string& peer) {
-  Failure failure{FailureCode::BadRequest, Ran::No, "read request", peer, error.message(), 0};
-  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-    failure.code = FailureCode::HeaderTooLarge;
-  } else if (error == http::error::body_limit) {
-    failure.code = FailureCode::BodyTooLarge;
-  } else if (error == http::error::partial_message) {
-    failure.detail = "the request was cut before its end";
-  } else if (error.category() != beast::error_code(http::error::bad_method).category()) {
-    return std::nullopt;
-  }
-  if (error == http::error::end_of_stream) return std::nullopt;
-  return failure;
-}
-
-}  // namespace
-}  // namespace internal
+HttpServer::HttpServer(asio::io_context& io, HttpLimits limits, HttpHandler handler, HttpBodyCheck bodyCheck)
+    : m_io(io),
+      m_acceptor(io),
+      m_limits(std::move(limits)),
+      m_handler(std::move(handler)),
+      m_bodyCheck(std::move(bodyCheck)),
+      m_places(std::make_shared<ConnectionPlaces>(m_limits.maxConnections)) {}
 
 Result<unsigned> HttpServer::start(const std::string& address, unsigned port) {
-  BOOST_LEAF_AUTO(bound, listenOn(m_acceptor, address, port));
+  BOOST_LEAF_AUTO(bound, listenOn(m_acceptor, address, port, m_limits.socketBufferBytes));
   asio::co_spawn(m_io, acceptLoop(), asio::detached);
   return bound;
 }
@@ -67,51 +47,38 @@
       co_await pauseAccept(m_io);
       continue;
     }
-    if (m_connections.load() >= m_limits.maxConnections) continue;
     const auto executor = socket.get_executor();
-    asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+    const auto connection = std::make_shared<HttpConnection>(std::move(socket), m_limits, m_places);
+    if (connection->takePlace()) asio::co_spawn(executor, serve(connection), asio::detached);
   }
 }
 
-Awaitable<void> HttpServer::serve(asio::ip::tcp::socket socket) {
-  const ScopedCount<std::size_t> connection(m_connections);
-  boost::system::error_code ignored;
-  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  const auto remote = socket.remote_endpoint(ignored);
-  const std::string peer = remote.address().to_string() + ":" + std::to_string(remote.port());
-  beast::tcp_stream stream(std::move(socket));
-  beast::flat_buffer buffer;
+Awaitable<void> HttpServer::serve(std::shared_ptr<HttpConnection> connection) {
+  const ScopedCount<std::size_t> counted(m_connections);
   while (!m_draining) {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(m_limits.maxHeaderBytes);
-    parser.body_limit(m_limits.maxBodyBytes);
-    stream.expires_after(m_limits.idleTimeout);
-    const auto [readError, readBytes] =
-        co_await http::async_read(stream, buffer, parser, asio::as_tuple(asio::use_awaitable));
-    if (readError) {
-      const std::optional<Failure> failure = internal::read_failure(readError, peer);
-      if (!failure) break;
-      HttpResponse response = problemResponse(*failure);
-      response.keep_alive(false);
-      stream.expires_after(m_limits.idleTimeout);
-      co_await http::async_write(stream, response, asio::as_tuple(asio::use_awaitable));
-      break;
+    HttpConnection::ReadResult read = co_await connection->readRequest(m_bodyCheck);
+    if (read.rejection) {
+      co_await connection->reject(std::move(*read.rejection));
+      co_return;
     }
-    const ScopedCount<std::size_t> inFlight(m_inFlight);
-    HttpRequest request = parser.release();
-    const bool keepAlive = request.keep_alive();
-    const unsigned version = request.version();
-    stream.expires_never();
-    HttpResponse response = co_await m_handler(std::move(request), peer);
-    response.version(version);
-    response.keep_alive(keepAlive && !m_draining);
-    response.prepare_payload();
-    stream.expires_after(m_limits.idleTimeout);
-    const auto [writeError, written] =
-        co_await http::async_write(stream, response, asio::as_tuple(asio::use_awaitable));
-    if (writeError || !response.keep_alive()) break;
+    if (!read.request || !connection->beginCall()) break;
+    if (!co_await answer(*connection, std::move(*read.request))) break;
+    connection->finishCall();
   }
-  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  connection->shutDown();
+}
+
+/** Serves one call. \returns whether the connection may carry another one */
+Awaitable<bool> HttpServer::answer(HttpConnection& connection, HttpRequest request) {
+  const ScopedCount<std::size_t> inFlight(m_inFlight);
+  const bool keepAlive = request.keep_alive();
+  const unsigned version = request.version();
+  HttpCaller caller{connection.peer(), connection.memory()};
+  HttpResponse response = co_await m_handler(std::move(request), std::move(caller));
+  response.version(version);
+  response.keep_alive(keepAlive && !m_draining);
+  response.prepare_payload();
+  co_return co_await connection.write(response) && response.keep_alive();
 }
 
 std::string headerValue(const HttpRequest& request, const std::string& name) {
--- a/Courseloom/src/Transport/Listen.cpp
+++ b/Courseloom/src/Transport/Listen.cpp
@@ -20,13 +20,29 @@
   return {text.substr(0, colon), static_cast<unsigned>(std::stoul(text.substr(colon + 1)))};
 }
 
-Result<unsigned> listenOn(asio::ip::tcp::acceptor& acceptor, const std::string& address, unsigned port) {
+namespace internal {
+namespace {
+
+/** Sets the size of the buffers of the connections that an acceptor will accept; a peer learns the size of its window
+ * when it connects. */
+void set_buffers(asio::ip::tcp::acceptor& acceptor, int bytes) {
+  boost::system::error_code ignored;
+  acceptor.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+  acceptor.set_option(asio::socket_base::send_buffer_size(bytes), ignored);
+}
+
+}  // namespace
+}  // namespace internal
+
+Result<unsigned> listenOn(asio::ip::tcp::acceptor& acceptor, const std::string& address, unsigned port,
+                          int bufferBytes) {
   const std::string peer = address + ":" + std::to_string(port);
   boost::system::error_code error;
   const auto ip = asio::ip::make_address(address, error);
   const asio::ip::tcp::endpoint endpoint(ip, static_cast<std::uint16_t>(port));
   if (!error) acceptor.open(endpoint.protocol(), error);
   if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error && bufferBytes > 0) internal::set_buffers(acceptor, bufferBytes);
   if (!error) acceptor.bind(endpoint, error);
   if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (error) return fail(Failure{FailureCode::Internal, Ran::No, "listen", peer, error.message(), 0});
--- a/Courseloom/src/Transport/Listen.h
+++ b/Courseloom/src/Transport/Listen.h
@@ -22,8 +22,10 @@
 
 /** Splits an endpoint that the check of the settings has accepted. \param text IP address, colon, port */
 Endpoint splitEndpoint(const std::string& text);
-/** Opens and binds an acceptor and listens. \param port port, or 0 for a free one \returns the port in use */
-Result<unsigned> listenOn(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address, unsigned port);
+/** Opens and binds an acceptor and listens. \param port port, or 0 for a free one \param bufferBytes size of the
+ * kernel's buffers of each connection, each way; 0 is the system's default \returns the port in use */
+Result<unsigned> listenOn(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address, unsigned port,
+                          int bufferBytes = 0);
 /** Makes the kernel close a connection whose sent data stays unacknowledged for 2 s (TCP_USER_TIMEOUT), so that a
  * network partition that drops packets silently does not keep it open. */
 void setUserTimeout(int socket);
--- a/test/AgentFixture.cpp
+++ b/test/AgentFixture.cpp
@@ -31,7 +31,7 @@
 
 /** Parses a heartbeat. Its path is /INCARNATION/SEQUENCE/ready or /INCARNATION/SEQUENCE/draining, and may end in
  * /ACCELERATORS, the target's number of accelerators. */
-Awaitable<HttpResponse> answerRegistration(HttpRequest request, TargetRegistry& registry) {
+Awaitable<HttpResponse> answerRegistration(HttpRequest request, TargetRegistry& registry, ByteShare& /*memory*/) {
   const std::string path(request.target());
   const std::size_t second = path.find('/', 1);
   const std::size_t third = path.find('/', second + 1);
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -51,6 +51,17 @@
 
 inline std::string gang(unsigned count, const std::string& spec) { return job(count, spec, true); }
 
+/** \class DeploymentSettings
+ * \brief Settings in which a deployment differs from the usual one. Sections are in YAML.
+ */
+struct DeploymentSettings {
+  unsigned agents = 2;
+  std::string policy = "{}";               ///< section `policy` of the replicas
+  std::string control;                     ///< further keys of section `control`, each with a leading comma
+  std::string runner;                      ///< further keys of section `runner`, each with a leading comma
+  std::string entry = "{notReadyMs: 10}";  ///< section `entry`
+};
+
 /** \class WorkflowDeployment
  * \brief Three replicas, an entry, and two agents (by default) with their back ends, each on its own address. The first
  * back end is the advice service too.
@@ -59,7 +70,10 @@
  public:
   /** \param policy settings of section `policy` of the replicas, in YAML */
   explicit WorkflowDeployment(unsigned agents = 2, std::string policy = "{}")
-      : m_ports({21000, 400, 10}), m_base(m_ports.base()), m_policy(std::move(policy)) {
+      : WorkflowDeployment(DeploymentSettings{agents, std::move(policy)}) {}
+  explicit WorkflowDeployment(DeploymentSettings settings)
+      : m_ports({21000, 400, 10}), m_base(m_ports.base()), m_settings(std::move(settings)) {
+    const unsigned agents = m_settings.agents;
     std::string pattern = "/tmp/courseloom-test-XXXXXX";
     m_folder = mkdtemp(pattern.data());
     for (unsigned i = 1; i <= 3; ++i) control(i, true);
@@ -81,18 +95,18 @@
   void control(unsigned i, bool bootstrap) {
     start("control-" + std::to_string(i), "courseloom-control", i,
           "  bootstrap: " + std::string(bootstrap ? "true" : "false") +
-              "\ncontrol: {reserveMb: 1, snapshotEntries: 64}\npolicy: " + m_policy +
+              "\ncontrol: {reserveMb: 1, snapshotEntries: 64" + m_settings.control + "}\npolicy: " + m_settings.policy +
               "\nedge: {controlEndpoint: " + at(i, ControlPort) + ", adviceEndpoint: " + at(11, TargetPort) + "}\n");
   }
   void agent(unsigned i) {
     start("agent-" + std::to_string(i), "courseloom-agent", 10 + i,
-          "runner: {service: s, targetEndpoint: \"" + at(10 + i, TargetPort) + "\"}\nedge: {controlEndpoint: \"" +
-              at(10 + i, ControlPort) + "\"}\n");
+          "runner: {service: s, targetEndpoint: \"" + at(10 + i, TargetPort) + "\"" + m_settings.runner +
+              "}\nedge: {controlEndpoint: \"" + at(10 + i, ControlPort) + "\"}\n");
   }
   void entry() {
     start("entry-1", "courseloom-entry", 20,
-          "entry: {notReadyMs: 10}\nedge: {clientEndpoint: \"" + at(20, ClientPort) + "\", readinessEndpoint: \"" +
-              at(20, ReadinessPort) + "\"}\n");
+          "entry: " + m_settings.entry + "\nedge: {clientEndpoint: \"" + at(20, ClientPort) +
+              "\", readinessEndpoint: \"" + at(20, ReadinessPort) + "\"}\n");
   }
   Process& process(const std::string& name) { return *m_processes.at(name); }
   void kill(const std::string& name) { process(name).kill(); }
@@ -209,10 +223,13 @@
     return settings;
   }
 
- private:
+  /** \returns the address of a process. \param host 1 to 3 for the replicas, 11 and 12 for the agents, 20 for the entry
+   */
   std::string address(unsigned host) const { return "127.0.7." + std::to_string(host); }
+  /** \returns an endpoint of a process. \param port offset from the first port, such as ClientPort; 0 for RPC */
   std::string at(unsigned host, unsigned port) const { return address(host) + ":" + std::to_string(m_base + port); }
 
+ private:
   /** The second agent is in hall-2; all other processes are in hall-1. */
   static std::string hallOf(unsigned host) { return host == 12 ? "hall-2" : "hall-1"; }
 
@@ -236,7 +253,7 @@
   std::string m_folder;
   PortClaim m_ports;
   unsigned m_base;
-  std::string m_policy;
+  DeploymentSettings m_settings;
   std::map<std::string, std::unique_ptr<Process>> m_processes;
 };
 
--- /dev/null
+++ b/test/http_client.cpp
@@ -0,0 +1,72 @@
+// This file is part of courseloom, a scheduler for multi-accelerator jobs under workspace guarantees.
+// SPDX-License-Identifier: MPL-2.0
+
+// Limits of the HTTP client on what its peers answer.
+
+#include "Courseloom/src/Transport/HttpClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <optional>
+#include <thread>
+
+#include "test/main.h"
+
+using namespace courseloom;
+
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string Address = "127.0.9.62";
+constexpr std::size_t MiB = 1024U * 1024;
+
+/** Answers one request with bytes. */
+void answerOnce(asio::ip::tcp::acceptor& acceptor, const std::string& answer) {
+  boost::system::error_code ignored;
+  asio::ip::tcp::socket socket = acceptor.accept();
+  std::string request;
+  asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ignored);
+  asio::write(socket, asio::buffer(answer), ignored);
+}
+
+Awaitable<void> exchange(HttpClient& client, std::optional<Failure>& failure, std::size_t& bodyBytes) {
+  HttpRequest request(boost::beast::http::verb::get, "/", 11);
+  Result<HttpResponse> answer = co_await client.exchange("test", std::move(request), milliseconds(20000), 4 * MiB);
+  if (answer) bodyBytes = answer->body().size();
+  if (!answer) failure = extractFailure(answer);
+}
+
+/** \returns the failure of an exchange that is answered with bytes; nothing if the answer was read. */
+std::optional<Failure> failureOf(const std::string& bytes, std::size_t expectedBytes = 0) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address(Address), 0});
+  std::thread server([&] { answerOnce(acceptor, bytes); });
+  HttpClient client(io, Address, acceptor.local_endpoint().port(), 0);
+  std::optional<Failure> failure;
+  std::size_t bodyBytes = 0;
+  asio::co_spawn(io, exchange(client, failure, bodyBytes), asio::detached);
+  io.run();
+  server.join();
+  if (!failure) cr_assert_eq(bodyBytes, expectedBytes);
+  return failure;
+}
+
+const std::string Chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+}  // namespace
+
+Test(http_client, a_large_answer_is_read) {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(MiB) + "\r\n\r\n";
+  cr_assert_not(failureOf(head + std::string(MiB, 'x'), MiB).has_value());
+  cr_assert_not(failureOf(Chunked + "5;a=b\r\nhello\r\n0\r\nX-Trailer: text\r\n\r\n", 5).has_value());
+}
+
+// Guards against a read buffer that grows with whatever the framing of an answer contains.
+Test(http_client, a_part_of_the_framing_that_is_too_long_ends_the_exchange) {
+  const std::string text(MiB, 'x');
+  cr_assert(failureOf(Chunked + "5;a=" + text + "\r\nhello\r\n0\r\n\r\n", 5).has_value(), "chunk extension");
+  cr_assert(failureOf(Chunked + "0\r\nX-Trailer: " + text + "\r\n\r\n").has_value(), "trailer");
+}
--- a/test/platform_calls.cpp
+++ b/test/platform_calls.cpp
@@ -27,7 +27,7 @@
  public:
   PlatformPeer(asio::io_context& io, std::string body)
       : m_body(std::move(body)),
-        m_server(io, HttpLimits(), [this](HttpRequest request, std::string) { return answer(std::move(request)); }) {}
+        m_server(io, HttpLimits(), [this](HttpRequest request, HttpCaller) { return answer(std::move(request)); }) {}
   std::string start() { return Address + ":" + std::to_string(m_server.start(Address, 0).value()); }
 
   HttpRequest lastRequest;
--- a/test/silent_connections.cpp
+++ b/test/silent_connections.cpp
@@ -50,7 +50,7 @@
   unsigned m_port;
 };
 
-Awaitable<HttpResponse> answerAfterDelay(HttpRequest, std::string) {
+Awaitable<HttpResponse> answerAfterDelay(HttpRequest, HttpCaller) {
   co_await sleepFor(milliseconds(20));
   co_return jsonResponse(200, "{}");
 }
--- a/test/standins/RunnerTarget.cpp
+++ b/test/standins/RunnerTarget.cpp
@@ -92,7 +92,7 @@
       m_random(m_options.seed),
       m_agent(io, m_options.agent.substr(0, m_options.agent.find(':')),
               static_cast<unsigned>(std::stoul(m_options.agent.substr(m_options.agent.find(':') + 1))), 1),
-      m_server(io, HttpLimits(), [this](HttpRequest request, std::string) { return answer(std::move(request)); }) {}
+      m_server(io, HttpLimits(), [this](HttpRequest request, HttpCaller) { return answer(std::move(request)); }) {}
 
 unsigned RunnerTarget::start() {
   m_idPrefix = "i-" + m_options.name + "-" + std::to_string(m_startedAt.time_since_epoch().count());
--- a/test/standins/platform.cpp
+++ b/test/standins/platform.cpp
@@ -61,7 +61,7 @@
  public:
   StandInPlatform(asio::io_context& io, Options options)
       : m_options(options),
-        m_server(io, HttpLimits(), [this](HttpRequest request, std::string) { return handle(std::move(request)); }) {
+        m_server(io, HttpLimits(), [this](HttpRequest request, HttpCaller) { return handle(std::move(request)); }) {
     for (unsigned i = 0; i < options.workers; ++i) {
       schema::Worker worker;
       const unsigned rack = i / options.perRack;
