HTTP listeners: at the limit of connections, places pass to those who use them

What callers saw: while 200 connections did nothing or sent byte by byte at an entry with 64 places, an ordinary caller was not served, for as long as they lasted.

Cause: at the limit the newest connection was closed, so that whoever came first and does nothing kept its place for idleTimeoutMs, again and again.

Change: a new connection takes the place of the one that has kept the server waiting for the longest time; one that is kept open without a request goes first, one whose call is being served never. A connection that has lost its place begins no call, so that none is cut.

--- a/Courseloom/src/Transport/ConnectionPlaces.cpp
+++ b/Courseloom/src/Transport/ConnectionPlaces.cpp
@@ -66,6 +66,12 @@
 
 /** Takes the place of the connection that has waited longest in a list. \returns a function that closes it, to be
  * called without the lock; an empty one if the list is empty */
-std::function<void()> ConnectionPlaces::removeFirst(std::list<Place*>& /*list*/) { return {}; }
+std::function<void()> ConnectionPlaces::removeFirst(std::list<Place*>& list) {
+  if (list.empty()) return {};
+  Place& place = *list.front();
+  leave(place);
+  ++m_closed;
+  return std::move(place.m_close);
+}
 
 }  // namespace courseloom
--- a/Courseloom/src/Transport/ConnectionPlaces.h
+++ b/Courseloom/src/Transport/ConnectionPlaces.h
@@ -14,7 +14,10 @@
 /** \class ConnectionPlaces
  * \brief Limits the open connections of a server, so that they go to the peers that use them.
  *
- * All members may be called on any thread.
+ * At the limit a new connection takes the place of one that waits for its peer: first of the connection that has been
+ * kept open without a request for the longest time, then of the one whose peer has kept a request or an answer
+ * incomplete for the longest time. A connection whose call is being served keeps its place. All members may be called
+ * on any thread.
  */
 class ConnectionPlaces : public std::enable_shared_from_this<ConnectionPlaces> {
  public:
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -243,6 +243,23 @@
 
 // ---- connections
 
+Test(hostile_clients, connections_that_do_nothing_leave_places_to_others) {
+  HostileClients test(guarded(64));
+  std::vector<ClientScript> scripts = clients(200, [](unsigned number) {
+    const std::string whole = headOf(number, lengthOf(100)) + std::string(99, 'x');
+    ClientScript script;
+    script.begin = number % 3 == 0 ? "" : number % 3 == 1 ? whole.substr(0, 40) : whole;
+    script.pieceBytes = 1;
+    script.pause = milliseconds(100);
+    script.returns = true;
+    return script;
+  });
+  ClientCrowd crowd(test.deployment().at(Entry, ClientPort), std::move(scripts));
+  crowd.awaitQuiet(milliseconds(3000));
+  for (unsigned i = 0; i < 5; ++i) test.requireServed("while connections do nothing");
+  test.requireBounds("connections that do nothing");
+}
+
 Test(hostile_clients, answers_that_are_never_read) {
   HostileClients test;
   test.play("answers that are never read", Entry, ClientPort, clients(600, [](unsigned number) {
