Bodies: parsed values and messages are charged before they are built

What callers saw: submissions that are small as text ended an entry by memory.

Cause: a parsed JSON value takes up to some 36 bytes for each byte of its text (a list of small numbers, with the parser's stack), built before anyone asked for the limits; the call was copied once more when it was passed on.

The own interface charges its bodies by what parsing and serving them takes.

--- a/Courseloom/src/Entry/EntryService.cpp
+++ b/Courseloom/src/Entry/EntryService.cpp
@@ -21,6 +21,18 @@
 /** Part of the callers' connections that the own HTTP interface may have where they use another one. */
 constexpr std::uint32_t OwnConnectionParts = 8;
 constexpr std::uint32_t FewestOwnConnections = 16;
+/** Memory for each byte of a body while a call of the own HTTP interface is served: copies of a request's body, and at
+ * most the messages that an operator's body is parsed into. */
+constexpr std::uint64_t RequestBytesPerByte = 4;
+constexpr std::uint64_t ParsedBytesPerByte = 64;
+
+/** \returns whether there is memory for a call; a small one keeps the charge of its body. */
+Result<void> chargeCall(const HttpRequest& request, ByteShare& memory, std::uint64_t bytesPerByte) {
+  const std::uint64_t served = request.body().size() * bytesPerByte;
+  if (served <= ByteBudget::SmallShare || memory.grow(served)) return {};
+  return fail(withoutRoom(memory, memory.bytes() + served));
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -115,7 +127,7 @@
   return status;
 }
 
-Awaitable<HttpResponse> EntryService::handle(HttpRequest request, HttpCaller /*caller*/) {
+Awaitable<HttpResponse> EntryService::handle(HttpRequest request, HttpCaller caller) {
   if (request.target() == "/metrics") {
     m_context.metrics.set("entry_calls_rejected", static_cast<double>(m_queues.rejected()));
   }
@@ -129,6 +141,9 @@
   }
   path.erase(path.begin());
   const bool isRequest = path.size() == 3 && path[0] == "services" && path[2] == "requests";
+  Result<void> charged = internal::chargeCall(request, caller.memory,
+                                              isRequest ? internal::RequestBytesPerByte : internal::ParsedBytesPerByte);
+  if (!charged) co_return problemResponse(extractFailure(charged));
   if (isRequest) co_return co_await serveRequest(std::move(request), path[1]);
   co_return co_await m_operators.answer(std::move(request), std::move(path), std::move(query));
 }
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -233,6 +233,15 @@
             }));
 }
 
+Test(hostile_clients, bodies_that_are_much_larger_as_values) {
+  HostileClients test;
+  for (const char* value : {"0,", "{},", "[],", "\"\",", "{\"a\":0},"}) {
+    const std::string body = R"({"spec":"20","steps":[)" + repeat(value, 4 * MiB) + "0]}";
+    test.play("bodies of small values", Entry, ClientPort,
+              clients(8, [&](unsigned number) { return submissionOf(number, body); }));
+  }
+}
+
 // A single request inside the limits is served, however low the memory.
 Test(hostile_clients, a_single_large_submission_is_served) {
   HostileClients test;
