Queue calls: queue and key are checked before a large body is read

What callers saw: large, well-formed submissions with a wrong key ended an entry by memory and loaded relays and the leader, all of them to be answered 401.

Cause: only the leader knows the configuration in force, so the whole call travelled there before its key was looked at; body, parsed value, message, serialized message and the copy of its stream existed at the same time.

Change: for a body from 16 KiB (announced, or as far as it has arrived in chunks) the entry first asks for the state of the same job, which passes the same checks of queue and key, at leaders of earlier versions too. Usual submissions are sent as before. The entry decides by no view of its own, so no new key is refused and no withdrawn one let in.

--- a/Courseloom/src/Entry/EntryService.cpp
+++ b/Courseloom/src/Entry/EntryService.cpp
@@ -53,15 +53,23 @@
                context.settings.entry().instance_limits() ? std::optional(m_limits) : std::nullopt),
       m_http(context.io, callerLimits(ownConnections()),
              [this](HttpRequest request, HttpCaller caller) { return handle(std::move(request), std::move(caller)); }),
-      m_callers(context.io, callerLimits(m_limits.connections),
-                [this](HttpRequest request, HttpCaller caller) {
-                  return m_protocol.answerCaller(std::move(request), m_queues, caller.memory);
-                }),
+      m_callers(
+          context.io, callerLimits(m_limits.connections),
+          [this](HttpRequest request, HttpCaller caller) {
+            return m_protocol.answerCaller(std::move(request), m_queues, caller.memory);
+          },
+          bodyCheck()),
       m_readiness(context.io, m_processLimits.probeLimits(),
                   [this](HttpRequest request, HttpCaller) -> Awaitable<HttpResponse> {
                     co_return m_protocol.answerReadiness(request, ready());
                   }) {}
 
+/** \returns the check of queue calls with large bodies; an empty function if the protocol has none. */
+HttpBodyCheck EntryService::bodyCheck() {
+  if (!m_protocol.checkCaller) return {};
+  return [this](const HttpRequest& head) { return m_protocol.checkCaller(head, m_queues); };
+}
+
 HttpLimits EntryService::callerLimits(std::uint32_t connections) const {
   const schema::EntrySettings& entry = m_context.settings.entry();
   HttpLimits limits;
--- a/Courseloom/src/Entry/EntryService.h
+++ b/Courseloom/src/Entry/EntryService.h
@@ -17,6 +17,9 @@
 struct EntryProtocol {
   /** Queue calls. \param memory what the process holds for the call */
   std::function<Awaitable<HttpResponse>(HttpRequest, QueueGateway&, ByteShare& memory)> answerCaller;
+  /** Decides from the head of a queue call whether its large body is read. \returns an answer that rejects it, or
+   * nothing */
+  std::function<Awaitable<std::optional<HttpResponse>>(const HttpRequest& head, QueueGateway&)> checkCaller;
   std::function<HttpResponse(const HttpRequest&, bool ready)> answerReadiness;  ///< readiness probes
 };
 
@@ -33,6 +36,7 @@
  private:
   Awaitable<HttpResponse> handle(HttpRequest request, HttpCaller caller);
   Awaitable<HttpResponse> serveRequest(HttpRequest request, std::string service);
+  HttpBodyCheck bodyCheck();
   HttpLimits callerLimits(std::uint32_t connections) const;
   std::uint32_t ownConnections() const;
   Result<void> startProtocolListeners();
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -12,6 +12,7 @@
   program.makeService = [](const courseloom::DaemonContext& context) {
     courseloom::EntryProtocol protocol;
     protocol.answerCaller = courseloom::platform::answerCaller;
+    protocol.checkCaller = courseloom::platform::checkCaller;
     protocol.answerReadiness = courseloom::platform::answerReadiness;
     return std::make_unique<courseloom::EntryService>(context, std::move(protocol));
   };
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -242,6 +242,13 @@
   }
 }
 
+Test(hostile_clients, large_submissions_with_a_wrong_key) {
+  HostileClients test;
+  const std::string body = workflowOf(4 * MiB);
+  test.play("large submissions with a wrong key", Entry, ClientPort,
+            clients(16, [&](unsigned number) { return submissionOf(number, body, "wrong"); }));
+}
+
 // A single request inside the limits is served, however low the memory.
 Test(hostile_clients, a_single_large_submission_is_served) {
   HostileClients test;
--- a/test/http_server.cpp
+++ b/test/http_server.cpp
@@ -73,6 +73,13 @@
   return Head + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x');
 }
 
+std::atomic<unsigned> checks{0};
+
+Awaitable<std::optional<HttpResponse>> rejectAll(const HttpRequest& /*head*/) {
+  ++checks;
+  co_return jsonResponse(401, "{}");
+}
+
 }  // namespace
 
 Test(http_server, requests_inside_the_limits_are_served) {
@@ -124,6 +131,19 @@
   cr_assert_eq(server.statusOf(withBody(200U * 1024)), 200);
 }
 
+// The answer must arrive although the body has not been read.
+Test(http_server, a_large_body_is_checked_before_it_is_read) {
+  const RunningServer server(limitsOf(16U << 20U), rejectAll);
+  cr_assert_eq(server.statusOf(withBody(100)), 200, "a small one is not checked");
+  cr_assert_eq(checks.load(), 0);
+  cr_assert_eq(server.statusOf(withBody(1000U * 1024)), 401);
+  std::string chunks;
+  for (int i = 0; i < 100; ++i) chunks += "400\r\n" + std::string(1024, 'x') + "\r\n";
+  cr_assert_eq(server.statusOf(Chunked + chunks + "0\r\n\r\n"), 401, "in chunks");
+  cr_assert_eq(checks.load(), 2);
+  cr_assert_eq(server.served(), 1);
+}
+
 Test(http_server, a_request_that_is_cut_is_answered) {
   const RunningServer server(limitsOf(1U << 20U));
   cr_assert_eq(server.statusOf(Head + "Content-Length: 100\r\n\r\nabc"), 400);
