RPC servers: incomplete calls are charged, and connections have places

What callers saw: a stray program on the network could end an agent or a replica by memory, and silent connections could use up a replica's descriptors, so that an entry that started then was answered 504.

Cause: the RPC server accepted any number of connections and kept up to 96 MB of each incomplete call; a relay bounded calls in number only.

Change: what is received is charged to a budget before it is kept, large messages also for their parsed form; a call without room is answered Overloaded at once, did not run, and the rest of it is dropped. Replication has a budget of its own, so that calls cannot hold it up. Connections have places as at the HTTP listeners, limited by the descriptors.

--- a/Courseloom/src/Agent/AgentService.cpp
+++ b/Courseloom/src/Agent/AgentService.cpp
@@ -18,6 +18,8 @@
 
 namespace internal {
 namespace {
+/** Part of the memory for received calls. */
+constexpr std::uint64_t CallMemoryParts = 4;
 
 /** Time between checks of the queue for deadlines. */
 constexpr Duration TickInterval = milliseconds(10);
@@ -51,7 +53,7 @@
           context.io, context.settings.cluster(), [this] { return status(); },
           ViewBuilder([](const std::string&, unsigned) { return std::shared_ptr<RpcClient>(); })),
       m_limits(0),
-      m_rpc(context.io),
+      m_rpc(context.io, m_limits.rpcLimits(m_limits.budget(internal::CallMemoryParts))),
       m_http(
           context.io, m_limits.probeLimits(),
           [this](HttpRequest request, HttpCaller) -> Awaitable<HttpResponse> {
--- a/Courseloom/src/Agent/RunAgentService.cpp
+++ b/Courseloom/src/Agent/RunAgentService.cpp
@@ -31,7 +31,8 @@
 constexpr Duration UndiscardedPause = milliseconds(50);
 /** How long a stopping agent waits for its calls in progress. */
 constexpr Duration StopLimit = milliseconds(700);
-/** Part of the memory for the target's announcements. */
+/** Parts of the memory for relayed calls and for the target's announcements. */
+constexpr std::uint64_t RelayMemoryParts = 8;
 constexpr std::uint64_t RegistrationMemoryParts = 8;
 /** Longest wait of a poll while fillers share the target with serving runs, ms. */
 constexpr std::uint32_t SharedPollMs = 400;
@@ -56,7 +57,9 @@
       m_strand(asio::make_strand(context.io)),
       m_control(context.io, context.settings.cluster()),
       m_limits(context.settings.runner().memory_mb()),
-      m_relay(context.io, context.settings.cluster(), [this] { return canRelay(); }),
+      m_relay(
+          context.io, context.settings.cluster(), [this] { return canRelay(); },
+          m_limits.rpcLimits(m_limits.budget(internal::RelayMemoryParts))),
       m_port(m_protocol.makePort(context)),
       m_registration(context.io, m_limits.operatorLimits(m_limits.budget(internal::RegistrationMemoryParts)),
                      [this](HttpRequest request, HttpCaller caller) {
--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -24,7 +24,9 @@
 /** Longest wait for the platform's inventory. If it takes longer, a job is accepted unchecked and stays queued. */
 constexpr Duration InventoryLimit = milliseconds(400);
 constexpr Duration StopLimit = milliseconds(3000);
-/** Part of the memory for operators. */
+/** Parts of the memory for received calls, for messages of replicas, and for operators. */
+constexpr std::uint64_t CallMemoryParts = 8;
+constexpr std::uint64_t ReplicationMemoryParts = 3;
 constexpr std::uint64_t OperatorMemoryParts = 8;
 
 }  // namespace
@@ -40,7 +42,7 @@
       m_queues(context, m_driver, m_workflows),
       m_nodes(2 * milliseconds(context.settings.cluster().freshness_lease_ms())),
       m_limits(context.settings.control().memory_mb()),
-      m_rpc(context.io),
+      m_rpc(context.io, m_limits.rpcLimits(m_limits.budget(internal::CallMemoryParts))),
       m_http(context.io, m_limits.probeLimits(),
              [this](HttpRequest request, HttpCaller) -> Awaitable<HttpResponse> { co_return answerHttp(request); }),
       m_operators(context.io, m_limits.operatorLimits(m_limits.budget(internal::OperatorMemoryParts)),
@@ -129,9 +131,12 @@
 void ControlService::registerHandlers() {
   registerWorkflowHandlers();
   // Handlers are called on any thread; the state that they use may only be accessed on the strand.
-  m_rpc.handle<schema::ReplicaMessage>("replicate", [this](schema::ReplicaMessage message, std::string) {
+  auto replicateHandler = [this](schema::ReplicaMessage message, std::string) {
     return asio::co_spawn(m_strand, replicate(std::move(message)), asio::use_awaitable);
-  });
+  };
+  // Apart from the calls of others, so that these cannot hold up the replication. Its messages are mostly bytes.
+  RpcCost replicationCost{1, m_limits.budget(internal::ReplicationMemoryParts)};
+  m_rpc.handle<schema::ReplicaMessage>("replicate", std::move(replicateHandler), std::move(replicationCost));
   m_rpc.handle<schema::CommandRequest>("command", [this](schema::CommandRequest request, std::string) {
     return asio::co_spawn(m_strand, command(std::move(request)), asio::use_awaitable);
   });
--- a/Courseloom/src/Membership/ControlRelay.cpp
+++ b/Courseloom/src/Membership/ControlRelay.cpp
@@ -21,11 +21,11 @@
 }  // namespace internal
 
 ControlRelay::ControlRelay(boost::asio::io_context& io, const schema::ClusterSettings& cluster,
-                           ContactCheck hasControlContact)
+                           ContactCheck hasControlContact, RpcLimits limits)
     : m_hasControlContact(std::move(hasControlContact)),
       m_port(cluster.seed_rpc_port()),
       m_control(io, cluster),
-      m_server(io) {
+      m_server(io, std::move(limits)) {
   relay("attend", &ControlClient::attend);
   relay<schema::QueueCall, schema::QueueAnswer>("queue", &ControlClient::call);
   relay("watch", &ControlClient::watch);
--- a/Courseloom/src/Membership/ControlRelay.h
+++ b/Courseloom/src/Membership/ControlRelay.h
@@ -15,8 +15,7 @@
  *
  * A relay makes no decisions and stores nothing. It calls only replicas and never another relay, so calls cannot loop.
  * The receiver of a lease counts it from the time at which the request was sent, so the detour through a relay cannot
- * extend a lease. Calls beyond a limit of concurrent calls are refused immediately, so that their callers can try
- * another peer.
+ * extend a lease. Calls beyond a limit of concurrent calls, or for which there is no memory, are refused immediately.
  *
  * \sa ControlClient
  */
@@ -25,8 +24,9 @@
   using ContactCheck = std::function<bool()>;
 
   /** \param hasControlContact returns whether this node currently has contact with control; calls are refused
-   * immediately while it has none */
-  ControlRelay(boost::asio::io_context& io, const schema::ClusterSettings& cluster, ContactCheck hasControlContact);
+   * immediately while it has none \param limits of the server for the calls */
+  ControlRelay(boost::asio::io_context& io, const schema::ClusterSettings& cluster, ContactCheck hasControlContact,
+               RpcLimits limits = {});
   /** Listens for calls on the address and RPC port of the node. \returns the port in use */
   Result<unsigned> start(const schema::NodeSettings& node);
   /** \returns the number by which other nodes find this relay, see replicaIdOf(); 0 before start() or if the relay does
--- a/Courseloom/src/Runtime/ProcessLimits.cpp
+++ b/Courseloom/src/Runtime/ProcessLimits.cpp
@@ -21,6 +21,8 @@
 constexpr unsigned ProbePercent = 10;
 constexpr std::uint32_t OperatorConnections = 256;
 constexpr unsigned OperatorPercent = 15;
+constexpr std::uint32_t RpcConnections = 3000;
+constexpr unsigned RpcPercent = 75;
 constexpr unsigned Percent = 100;
 /** Lower bound of each number, so that a process with few descriptors can be reached. */
 constexpr std::uint64_t FewestConnections = 8;
@@ -56,6 +58,10 @@
   return limits;
 }
 
+RpcLimits ProcessLimits::rpcLimits(std::shared_ptr<ByteBudget> memory) const {
+  return {connections(internal::RpcConnections, internal::RpcPercent), std::move(memory)};
+}
+
 std::uint64_t descriptorLimit() {
   rlimit limit{};
   const bool limited = getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
--- a/Courseloom/src/Runtime/ProcessLimits.h
+++ b/Courseloom/src/Runtime/ProcessLimits.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "Courseloom/src/Transport/HttpServer.h"
+#include "Courseloom/src/Transport/RpcServer.h"
 
 namespace courseloom {
 
@@ -31,6 +32,8 @@
   HttpLimits probeLimits() const;
   /** \returns the limits of a listener for operators or targets. \param memory budget of the process for them */
   HttpLimits operatorLimits(std::shared_ptr<ByteBudget> memory) const;
+  /** \returns the limits of the RPC server. \param memory budget of received calls */
+  RpcLimits rpcLimits(std::shared_ptr<ByteBudget> memory) const;
 
  private:
   std::uint32_t connections(std::uint32_t wanted, unsigned percent) const;
--- a/Courseloom/src/Transport/Http2Connection.cpp
+++ b/Courseloom/src/Transport/Http2Connection.cpp
@@ -29,6 +29,9 @@
 constexpr std::uint32_t StreamWindowBytes = 4U * 1024 * 1024;
 constexpr std::int32_t ConnectionWindowBytes = 64 * 1024 * 1024;
 constexpr std::uint32_t MaxStreams = 16384;
+constexpr std::size_t MaxMethodBytes = 64;
+/** Memory of an open stream of a server. */
+constexpr std::uint64_t StreamBytes = 1024;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusFailed = 500;
 /** Time without any data after a probe from which the connection counts as broken. A busy peer may cause a shorter one.
@@ -94,6 +97,16 @@
   nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0, internal::ConnectionWindowBytes);
 }
 
+bool Http2Connection::admit(ConnectionPlaces& places, std::shared_ptr<ByteBudget> memory, RpcBudgetOf budgetOf) {
+  m_streamMemory = std::move(memory);
+  m_budgetOf = std::move(budgetOf);
+  m_place = places.take([weak = weak_from_this()] {
+    const std::shared_ptr<Http2Connection> self = weak.lock();
+    if (self) asio::dispatch(self->executor(), [self] { self->close(); });
+  });
+  return m_place != nullptr;
+}
+
 void Http2Connection::start() {
   m_lastReceived = BootClock::now();
   asio::co_spawn(
@@ -239,7 +252,7 @@
   } else if (stream.refused) {
     failure.code = FailureCode::PeerUnreachable;
     failure.ran = Ran::No;
-    failure.detail = "the peer is going away";
+    failure.detail = "the peer has refused the call";
   } else if (stream.status == internal::StatusFailed) {
     schema::FailureInfo info;
     if (info.ParseFromString(stream.body)) {
@@ -257,11 +270,45 @@
   return fail(std::move(failure));
 }
 
+/** Charges received bytes of a call. \returns whether they may be kept; if not, the call is rejected */
+bool Http2Connection::receive(std::int32_t id, const StreamPointer& stream, std::size_t length) {
+  if (stream->rejected) return false;
+  if (m_side == Side::Client) return true;
+  if (stream->body.empty() && m_budgetOf) {
+    const auto budget = m_budgetOf(stream->method);
+    if (!budget) {
+      reject(id, stream, {FailureCode::NotFound, Ran::No, stream->method, "", "no such method", 0});
+      return false;
+    }
+    stream->memory = std::make_unique<ByteShare>(*budget);
+  }
+  // The text grows by doubling its memory.
+  const std::size_t needed = stream->body.size() + length;
+  const std::size_t held = needed <= stream->body.capacity() ? stream->body.capacity() : 2 * needed;
+  if (stream->memory && !stream->memory->resize(internal::StreamBytes + held)) {
+    reject(id, stream, {FailureCode::Overloaded, Ran::No, stream->method, "", "no memory for the call", 0});
+    return false;
+  }
+  return true;
+}
+
+void Http2Connection::reject(std::int32_t id, const StreamPointer& stream, Failure failure) {
+  stream->rejected = true;
+  std::string().swap(stream->body);
+  stream->memory.reset();
+  respond(id, stream, fail(std::move(failure)));
+}
+
 void Http2Connection::dispatch(std::int32_t id, const StreamPointer& stream) {
+  if (stream->rejected) return;
+  if (m_place && !m_place->wait(ConnectionPlaces::State::Server)) return;
+  ++m_serving;
   auto run = [self = shared_from_this(), id, stream]() -> Awaitable<void> {
-    RpcCall call{stream->method, std::move(stream->body), self->m_peer};
+    RpcCall call{stream->method, std::move(stream->body), self->m_peer, std::move(stream->memory)};
     Result<std::string> reply = co_await self->m_dispatcher(std::move(call));
     co_await asio::post(self->m_socket.get_executor(), asio::use_awaitable);
+    --self->m_serving;
+    if (self->m_place && self->m_serving == 0) self->m_place->wait(ConnectionPlaces::State::KeptOpen);
     self->respond(id, stream, std::move(reply));
   };
   // The strand only encodes and decodes frames; handlers run on the threads of the io_context.
@@ -328,9 +375,14 @@
 
 int Http2Connection::onBeginHeaders(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user) {
   auto* self = static_cast<Http2Connection*>(user);
-  if (self->m_side == Side::Server && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-    self->m_streams[frame->hd.stream_id] = std::make_shared<Stream>();
+  if (self->m_side == Side::Client || frame->headers.cat != NGHTTP2_HCAT_REQUEST) return 0;
+  auto stream = std::make_shared<Stream>();
+  stream->memory = std::make_unique<ByteShare>(self->m_streamMemory);
+  if (!stream->memory->resize(internal::StreamBytes)) {
+    nghttp2_submit_rst_stream(self->m_session, NGHTTP2_FLAG_NONE, frame->hd.stream_id, NGHTTP2_REFUSED_STREAM);
+    return 0;
   }
+  self->m_streams[frame->hd.stream_id] = std::move(stream);
   return 0;
 }
 
@@ -342,7 +394,8 @@
   if (found == self->m_streams.end()) return 0;
   const std::string_view key(reinterpret_cast<const char*>(name), nameLength);
   const std::string text(reinterpret_cast<const char*>(value), valueLength);
-  if (key == ":path" && !text.empty()) found->second->method = text.substr(1);
+  // A longer text names no method, and is not kept.
+  if (key == ":path" && !text.empty()) found->second->method = text.substr(1, internal::MaxMethodBytes);
   if (key == ":status") found->second->status = static_cast<unsigned>(std::strtoul(text.c_str(), nullptr, 10));
   return 0;
 }
@@ -352,7 +405,9 @@
   auto* self = static_cast<Http2Connection*>(user);
   const auto found = self->m_streams.find(id);
   if (found == self->m_streams.end()) return 0;
-  std::string& body = found->second->body;
+  const StreamPointer stream = found->second;
+  if (!self->receive(id, stream, length)) return 0;
+  std::string& body = stream->body;
   if (body.size() + length > MaxRpcBytes) {
     nghttp2_submit_rst_stream(self->m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_ENHANCE_YOUR_CALM);
     return 0;
--- a/Courseloom/src/Transport/Http2Connection.h
+++ b/Courseloom/src/Transport/Http2Connection.h
@@ -13,10 +13,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "Courseloom/src/Core/ByteBudget.h"
 #include "Courseloom/src/Core/Clock.h"
 #include "Courseloom/src/Core/Failure.h"
+#include "Courseloom/src/Transport/ConnectionPlaces.h"
 
 namespace courseloom {
 
@@ -31,19 +34,27 @@
  */
 struct RpcCall {
   std::string method;
-  std::string body;  ///< serialized request
-  std::string peer;  ///< address and port of the caller
+  std::string body;                   ///< serialized request
+  std::string peer;                   ///< address and port of the caller
+  std::unique_ptr<ByteShare> memory;  ///< what the process holds for the call
 };
 
 /** Handles a call. Returns the serialized reply, or a failure that is sent to the caller. */
 using RpcDispatcher = std::function<Awaitable<Result<std::string>>(RpcCall)>;
+/** \returns the budget that calls of a method are charged to; nothing for an unknown method, whose calls are rejected.
+ * A null budget has no limit. */
+using RpcBudgetOf = std::function<std::optional<std::shared_ptr<ByteBudget>>(const std::string& method)>;
 
 /** \class Http2Connection
  * \brief One nghttp2 session on one Asio socket, as client or as server; each call is one stream.
  *
  * All members must be called on the strand of the socket, unless they say otherwise. A call ends with a complete reply
  * or with a failure: a stream that closes before its end gives PeerFailed with `ran` unknown; a stream that the peer
- * refused because it was going away, and a call that was not fully sent, give `ran` no. \sa RpcClient, RpcServer
+ * refused because it was going away, and a call that was not fully sent, give `ran` no.
+ *
+ * What a server receives is charged to a budget before it is kept, while a call is still incomplete. A call for which
+ * there is no room is answered at once with Overloaded and `ran` no, and the rest of it is dropped.
+ * \sa RpcClient, RpcServer
  */
 class Http2Connection : public std::enable_shared_from_this<Http2Connection> {
  public:
@@ -55,6 +66,9 @@
   Http2Connection(const Http2Connection&) = delete;
   Http2Connection& operator=(const Http2Connection&) = delete;
 
+  /** Takes a place at a server and limits what the connection receives; to be called before start(), on any thread.
+   * \param memory budget of the open streams; null for one without limit \returns whether there was a place */
+  bool admit(ConnectionPlaces& places, std::shared_ptr<ByteBudget> memory, RpcBudgetOf budgetOf);
   /** Starts to read; must run on the strand. */
   void start();
   /** Makes one call (client side). \param deadline instant at which the call is given up \returns the serialized reply
@@ -88,6 +102,8 @@
     unsigned status = 0;     ///< HTTP status of the reply; 0 without headers or if the stream closed before its end
     bool done = false;       ///< the reply is complete, or the stream or the connection has closed
     bool refused = false;    ///< the peer did not process the stream (REFUSED_STREAM)
+    bool rejected = false;   ///< answered before it was complete; what else arrives is dropped
+    std::unique_ptr<ByteShare> memory;  ///< of a call that is received: of the stream, then of the call
     std::unique_ptr<boost::asio::steady_timer>
         finished;  ///< expires at the deadline; cancelled when a client's stream ends
   };
@@ -100,6 +116,8 @@
   void pump();
   void writeMore();
   void onWritten(const boost::system::error_code& error);
+  bool receive(std::int32_t id, const StreamPointer& stream, std::size_t length);
+  void reject(std::int32_t id, const StreamPointer& stream, Failure failure);
   void dispatch(std::int32_t id, const StreamPointer& stream);
   void respond(std::int32_t id, const StreamPointer& stream, Result<std::string> reply);
   std::int32_t submitRequest(const StreamPointer& stream);
@@ -122,6 +140,10 @@
   Side m_side;
   std::string m_peer;
   RpcDispatcher m_dispatcher;
+  RpcBudgetOf m_budgetOf;
+  std::shared_ptr<ByteBudget> m_streamMemory;        ///< budget of the open streams of a server
+  std::unique_ptr<ConnectionPlaces::Place> m_place;  ///< at a server
+  std::size_t m_serving = 0;                         ///< calls whose handlers are running
   nghttp2_session* m_session = nullptr;
   std::map<std::int32_t, StreamPointer> m_streams;
   std::string m_writing;
--- a/Courseloom/src/Transport/RpcServer.cpp
+++ b/Courseloom/src/Transport/RpcServer.cpp
@@ -48,6 +48,11 @@
     const auto connection =
         std::make_shared<Http2Connection>(m_io, std::move(socket), Http2Connection::Side::Server, peer,
                                           [this](RpcCall call) { return dispatch(std::move(call)); });
+    const bool admitted = connection->admit(*m_places, m_limits.memory, [this](const std::string& method) {
+      const auto budget = m_budgets.find(method);
+      return budget == m_budgets.end() ? std::nullopt : std::optional(budget->second);
+    });
+    if (!admitted) continue;
     registerConnection(connection);
     asio::dispatch(connection->executor(), [connection] { connection->start(); });
   }
@@ -64,6 +69,19 @@
   m_connections.insert(connection);
 }
 
+Result<void> RpcServer::readCall(const std::string& method, RpcCall& call, std::uint64_t parsedBytesPerByte,
+                                 google::protobuf::Message& request) {
+  const bool large = call.memory && call.body.size() > ByteBudget::SmallShare;
+  const Failure noRoom{FailureCode::Overloaded, Ran::No, method, "", "no memory for the message", 0};
+  if (large && !call.memory->resize(call.body.size() * parsedBytesPerByte)) return fail(noRoom);
+  if (!request.ParseFromString(call.body)) {
+    return fail(Failure{FailureCode::BadRequest, Ran::No, method, call.peer, "the message is not readable", 0});
+  }
+  std::string().swap(call.body);
+  if (large && !call.memory->resize(request.SpaceUsedLong())) return fail(noRoom);
+  return {};
+}
+
 Awaitable<Result<std::string>> RpcServer::dispatch(RpcCall call) {
   const auto found = m_handlers.find(call.method);
   if (found == m_handlers.end()) {
--- a/Courseloom/src/Transport/RpcServer.h
+++ b/Courseloom/src/Transport/RpcServer.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <google/protobuf/message.h>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <map>
@@ -14,6 +15,23 @@
 
 namespace courseloom {
 
+/** \class RpcLimits
+ * \brief Limits of an RPC server.
+ */
+struct RpcLimits {
+  std::size_t maxConnections = 4096;   ///< see ConnectionPlaces
+  std::shared_ptr<ByteBudget> memory;  ///< budget of received calls; null is no limit
+};
+
+/** \class RpcCost
+ * \brief What the calls of a method cost.
+ */
+struct RpcCost {
+  /** Memory of a parsed message for each byte of the serialized one; checked before a large message is parsed. */
+  std::uint64_t parsedBytesPerByte = 16;
+  std::shared_ptr<ByteBudget> memory;  ///< budget of the method; null is the server's
+};
+
 /** \class RpcServer
  * \brief Serves the RPC protocol between courseloom's processes: protobuf messages, one HTTP/2 stream per call.
  *
@@ -22,18 +40,23 @@
  */
 class RpcServer {
  public:
-  explicit RpcServer(boost::asio::io_context& io) : m_io(io), m_acceptor(io) {}
+  explicit RpcServer(boost::asio::io_context& io, RpcLimits limits = {})
+      : m_io(io),
+        m_acceptor(io),
+        m_limits(std::move(limits)),
+        m_places(std::make_shared<ConnectionPlaces>(m_limits.maxConnections)) {}
 
   /** Registers the handler of a method.
    * \param handler callable of the form Awaitable<Result<Reply>>(Request, std::string peer)
    */
   template <class Request, class Handler>
-  void handle(const std::string& method, Handler handler) {
-    m_handlers[method] = [method, handler](RpcCall call) -> Awaitable<Result<std::string>> {
+  void handle(const std::string& method, Handler handler, RpcCost cost = {}) {
+    m_budgets[method] = cost.memory ? cost.memory : m_limits.memory;
+    const std::uint64_t factor = cost.parsedBytesPerByte;
+    m_handlers[method] = [method, handler, factor](RpcCall call) -> Awaitable<Result<std::string>> {
       Request request;
-      if (!request.ParseFromString(call.body)) {
-        co_return fail(Failure{FailureCode::BadRequest, Ran::No, method, call.peer, "the message is not readable", 0});
-      }
+      Result<void> read = readCall(method, call, factor, request);
+      if (!read) co_return fail(extractFailure(read));
       auto reply = co_await handler(std::move(request), std::move(call.peer));
       if (!reply) co_return fail(extractFailure(reply));
       co_return reply->SerializeAsString();
@@ -53,13 +76,19 @@
   void close();
 
  private:
+  /** Parses a call's message and charges it. Small messages keep the charge of their serialized form. */
+  static Result<void> readCall(const std::string& method, RpcCall& call, std::uint64_t parsedBytesPerByte,
+                               google::protobuf::Message& request);
   Awaitable<void> acceptLoop();
   void registerConnection(const std::shared_ptr<Http2Connection>& connection);
   Awaitable<Result<std::string>> dispatch(RpcCall call);
 
   boost::asio::io_context& m_io;
   boost::asio::ip::tcp::acceptor m_acceptor;
+  RpcLimits m_limits;
+  std::shared_ptr<ConnectionPlaces> m_places;
   std::map<std::string, RpcDispatcher> m_handlers;
+  std::map<std::string, std::shared_ptr<ByteBudget>> m_budgets;  ///< of the methods in m_handlers
   std::atomic<std::size_t> m_inFlight{0};
   std::atomic<std::size_t> m_pendingGoAways{0};  ///< connections whose GOAWAY is scheduled but not submitted yet
   std::mutex m_mutex;
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -4,12 +4,19 @@
 // Clients that stay within no limit, at each listener of real processes with lowered limits of memory. No process may
 // end, each must stay within the memory of its settings, and an ordinary workflow must still be accepted and done.
 
+#include <sys/resource.h>
+
 #include <functional>
 #include <random>
 
+#include "Courseloom/src/Transport/Listen.h"
+#include "Courseloom/src/Transport/RpcClient.h"
 #include "test/ClientCrowd.h"
 #include "test/WorkflowDeployment.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 using namespace courseloom;
 using namespace courseloom::test;
 
@@ -186,6 +193,23 @@
   unsigned m_ordinary = 0;
 };
 
+/** Sends messages to an RPC server, all at once, and waits for their answers. */
+void callAtOnce(const std::string& address, unsigned port, const std::string& message, std::size_t count) {
+  boost::asio::io_context io;
+  std::vector<std::shared_ptr<RpcClient>> connections;
+  for (std::size_t i = 0; i < count; ++i) {
+    connections.push_back(std::make_shared<RpcClient>(io, address, port));
+    auto call = [](std::shared_ptr<RpcClient> client, std::string body) -> Awaitable<void> {
+      Result<std::string> reply =
+          co_await client->callBytes("queue", std::move(body), BootClock::now() + milliseconds(5000));
+      if (!reply) extractFailure(reply);
+      client->close();
+    };
+    boost::asio::co_spawn(io, call(connections.back(), message), boost::asio::detached);
+  }
+  io.run();
+}
+
 }  // namespace
 
 // ---- parts of a message without end
@@ -299,3 +323,46 @@
     test.play("unfinished bodies at another listener", host, port, unfinishedBodies(16));
   }
 }
+
+Test(hostile_clients, large_messages_to_rpc_servers) {
+  HostileClients test;
+  schema::QueueCall call;
+  call.set_kind(schema::QueueSubmit);
+  call.set_host("h.example");
+  call.set_path("/q/" + idOf(1));
+  call.set_key("wrong");
+  for (unsigned i = 0; i < 200000; ++i) call.mutable_spec()->add_steps()->set_count(1);
+  const std::string message = call.SerializeAsString();
+  const unsigned port = splitEndpoint(test.deployment().at(Agent, 0)).port;
+  for (const unsigned host : {Agent, Control}) {
+    callAtOnce(test.deployment().address(host), port, message, 24);
+    callAtOnce(test.deployment().address(host), port, std::string(80 * MiB, 'x'), 2);
+    test.requireBounds("large messages to RPC servers");
+    test.requireServed("large messages to RPC servers");
+  }
+}
+
+Test(hostile_clients, silent_connections_to_rpc_servers) {
+  // Processes inherit the limit of descriptors.
+  rlimit descriptors{};
+  cr_assert_eq(getrlimit(RLIMIT_NOFILE, &descriptors), 0);
+  const rlimit ownDescriptors = descriptors;
+  descriptors.rlim_cur = 256;
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &descriptors), 0);
+  HostileClients test;
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &ownDescriptors), 0);
+  std::vector<std::unique_ptr<ClientCrowd>> crowds;
+  for (unsigned i = 1; i <= 3; ++i) {
+    crowds.push_back(std::make_unique<ClientCrowd>(test.deployment().at(i, 0), clients(400, [](unsigned) {
+                                                     ClientScript script;
+                                                     script.returns = true;
+                                                     return script;
+                                                   })));
+  }
+  for (const auto& crowd : crowds) crowd->awaitQuiet(milliseconds(3000));
+  // An entry that starts now has no connection yet.
+  test.deployment().kill("entry-1");
+  test.deployment().entry();
+  test.requireServed("silent connections to RPC servers");
+  test.requireBounds("silent connections to RPC servers");
+}
