Accepted work: limited by the memory of the replicas, before the commit

What callers saw: submissions inside all limits, in sufficient number, took all control replicas beyond their memory.

Cause: nothing bounded what is accepted.

Change: WorkflowTable counts an upper estimate of every copy of what it keeps, by workspace. The leader rejects a submission that does not fit (503 with Retry-After, event WorkflowExceedsMemory) before it proposes it. A workspace may use twice what is free, so that one flood leaves a third to the others. A workflow whose commit is in progress is not rejected when it is submitted again, also not by admission: a rejection states that it will never run. What an earlier version accepted still loads. Ids have at most 64 bytes.

--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -5,13 +5,22 @@
 
 #include "Courseloom/src/Control/StrandSlice.h"
 #include "Courseloom/src/Core/Log.h"
+#include "Courseloom/src/Runtime/ProcessLimits.h"
 #include "Courseloom/src/Scheduling/Objective.h"
+#include "Courseloom/src/State/WorkflowSize.h"
 
 namespace courseloom {
 
 namespace internal {
 namespace {
 constexpr Duration CommitLimit = milliseconds(3000);
+/** Longest id of a workflow, bytes. */
+constexpr std::size_t MaxIdBytes = 64;
+/** Part of the memory that accepted workflows may take. */
+constexpr std::uint64_t AcceptedMemoryParts = 2;
+/** Time after which a caller whose workflow did not fit into the memory should come back, ms: some runs will have ended
+ * by then. */
+constexpr std::uint32_t RetryWithoutMemoryMs = 5000;
 
 /** \returns the number of tasks of one occurrence. */
 std::uint64_t tasks_of(const schema::WorkflowSpec& spec) {
@@ -33,6 +42,7 @@
       m_driver(driver),
       m_admission(admission),
       m_review(internal::admission_options(context.settings.policy())),
+      m_work(ProcessLimits(context.settings.control().memory_mb()).memoryShare(internal::AcceptedMemoryParts)),
       m_random(std::random_device()()) {}
 
 void QueueHandler::lead(bool leads) {
@@ -100,6 +110,11 @@
     answer.set_detail(id.empty() ? "the path names no workflow" : call.unreadable());
     co_return answer;
   }
+  if (id.size() > internal::MaxIdBytes) {
+    answer.set_outcome(schema::QueueInvalid);
+    answer.set_detail("the id of the workflow is too long");
+    co_return answer;
+  }
   answer.set_outcome(schema::QueueAccepted);
   if (table().find(id) != nullptr) co_return answer;
   schema::Command command;
@@ -116,7 +131,10 @@
   workflow.set_queue_host(queue.host());
   workflow.set_queue_path_prefix(queue.path_prefix());
   if (queue.has_advice()) *workflow.mutable_advice() = queue.advice();
-  if (rejects(workflow, answer)) co_return answer;
+  const std::uint64_t bytes = workflowBytes(workflow);
+  const bool mayReject = !m_work.isPending(id);
+  if (mayReject && (exceedsMemory(workflow, bytes, answer) || rejects(workflow, answer))) co_return answer;
+  const WorkLimit::Commit committing(m_work, workflow, bytes);
   // The configuration may change during the commit, and the queue with it.
   const std::string queueName = queue.name();  // NOLINT(performance-unnecessary-copy-initialization)
   const Time before = BootClock::now();
@@ -135,6 +153,26 @@
   co_return answer;
 }
 
+/** Decides whether a workflow that is not known yet fits into the memory of the replicas. \param answer set to the
+ * answer of a rejection */
+bool QueueHandler::exceedsMemory(const schema::Workflow& workflow, std::uint64_t bytes,
+                                 schema::QueueAnswer& answer) const {
+  m_context.metrics.set("accepted_work_bytes", static_cast<double>(table().heldBytes()));
+  if (m_work.admits(table(), workflow.tenant(), bytes)) return false;
+  m_context.metrics.count("workflow_rejections", "memory");
+  m_context.metrics.count("workflow_rejections_by_workspace", workflow.tenant());
+  logEvent(schema::WorkflowExceedsMemory, {{"workflow", workflow.id()},
+                                           {"queue", workflow.queue()},
+                                           {"tenant", workflow.tenant()},
+                                           {"bytes", bytes},
+                                           {"heldByTenant", table().heldBytes(workflow.tenant())},
+                                           {"held", table().heldBytes()}});
+  answer.set_outcome(schema::QueueBusy);
+  answer.set_retry_after_ms(internal::RetryWithoutMemoryMs);
+  answer.set_detail("the accepted work takes too much memory");
+  return true;
+}
+
 /** Decides on the admission of a workflow that is not known yet. \param answer set to the answer of a rejection
  * \returns whether it is rejected */
 bool QueueHandler::rejects(const schema::Workflow& workflow, schema::QueueAnswer& answer) {
--- a/Courseloom/src/Control/QueueHandler.h
+++ b/Courseloom/src/Control/QueueHandler.h
@@ -8,6 +8,7 @@
 
 #include "Courseloom/src/Control/AdmissionReview.h"
 #include "Courseloom/src/Control/ReplicaDriver.h"
+#include "Courseloom/src/Control/WorkLimit.h"
 
 namespace courseloom {
 
@@ -45,6 +46,7 @@
                                                 std::string tenant, std::string id);
   Awaitable<Result<schema::QueueAnswer>> cancel(const std::string& tenant, std::string id);
   bool rejects(const schema::Workflow& workflow, schema::QueueAnswer& answer);
+  bool exceedsMemory(const schema::Workflow& workflow, std::uint64_t bytes, schema::QueueAnswer& answer) const;
   schema::QueueAnswer stateOf(const std::string& tenant, const std::string& id) const;
   std::uint32_t pendingOf(const schema::Queue& queue) const;
 
@@ -52,6 +54,7 @@
   ReplicaDriver& m_driver;
   AdmissionSource& m_admission;
   AdmissionReview m_review;
+  WorkLimit m_work;
   std::mt19937 m_random;  ///< spreads the times at which rejected callers return
 };
 
--- a/Courseloom/src/Control/ReplicaDriver.cpp
+++ b/Courseloom/src/Control/ReplicaDriver.cpp
@@ -29,6 +29,8 @@
 
 constexpr std::uint64_t BytesPerMb = 1024ULL * 1024;
 constexpr int TicksPerHeartbeat = 2;
+/** Size of the applied entries of the log, in memory and on disk, from which a snapshot is taken, bytes. */
+constexpr std::uint64_t SnapshotLogBytes = 8 * BytesPerMb;
 
 std::string random_disk_id() {
   std::random_device device;
@@ -348,6 +350,7 @@
     if (!loaded) exitOnStorageFailure(extractFailure(loaded));
     m_applied = info.index();
     m_appliedTerm = info.term();
+    m_appliedBytes = 0;
     m_appliedMembers = info.members();
     m_replica->synced(info.index(), info.term());
     logEvent(schema::SnapshotInstalled, {{"index", info.index()}});
@@ -363,6 +366,7 @@
   if (entry.index() <= m_applied) return;
   m_applied = entry.index();
   m_appliedTerm = entry.term();
+  m_appliedBytes += entry.payload().size();
   if (entry.has_members()) {
     m_appliedMembers = entry.members();
     logEvent(schema::MembersChanged, {{"index", entry.index()}, {"members", entry.members().ShortDebugString()}});
@@ -469,7 +473,8 @@
 
 bool ReplicaDriver::snapshotDue() const {
   const LogIndex covered = m_replica->log().snapshot().info().index();
-  return m_applied >= covered + m_context.settings.control().snapshot_entries();
+  const bool manyEntries = m_applied >= covered + m_context.settings.control().snapshot_entries();
+  return manyEntries || m_appliedBytes >= internal::SnapshotLogBytes;
 }
 
 /** Begins to write a snapshot. Nothing is applied until it is stored, so that the state does not change. */
@@ -480,6 +485,7 @@
   *snapshot.mutable_info()->mutable_members() = m_appliedMembers;
   std::vector<schema::LogEntry> keep =
       m_replica->log().slice(m_applied + 1, m_replica->log().lastIndex(), std::numeric_limits<std::size_t>::max());
+  m_appliedBytes = 0;
   setStoring(true);
   asio::co_spawn(m_strand, writeSnapshot(std::move(snapshot), m_replica->hardState(), std::move(keep)), asio::detached);
 }
@@ -498,8 +504,8 @@
     if (!stored) exitOnStorageFailure(extractFailure(stored));
     asio::post(m_strand, [this, written] {
       setStoring(false);
-      m_replica->compact(*written);
       logEvent(schema::SnapshotTaken, {{"index", written->info().index()}, {"bytes", written->state().size()}});
+      m_replica->compact(std::move(*written));
       drive();
     });
   });
--- a/Courseloom/src/Control/ReplicaDriver.h
+++ b/Courseloom/src/Control/ReplicaDriver.h
@@ -120,6 +120,7 @@
   std::map<LogIndex, Waiter> m_waiters;
   LogIndex m_applied = 0;
   Term m_appliedTerm = 0;
+  std::uint64_t m_appliedBytes = 0;  ///< payloads of the entries that were applied since the last snapshot
   schema::Members m_appliedMembers;
   bool m_storing = false;
   Duration m_tickDelay{};  ///< smoothed lateness of ticks
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Courseloom/src/State/WorkflowSize.h"
+
 namespace courseloom {
 
 namespace internal {
@@ -204,6 +206,8 @@
   state.record.set_phase(schema::WorkflowQueued);
   state.record.set_submitted_ms(timeMs);
   state.waiting = WaitingSteps(state.record.spec());
+  state.acceptedBytes = workflowBytes(state.record);
+  countBytes(state);
   m_open.insert(workflow.id());
   return true;
 }
@@ -253,6 +257,7 @@
   task.active.push_back(start.run());
   task.active.back().set_started_ms(timeMs);
   ++workflow.activeRuns;
+  countBytes(workflow);
   if (task.active.size() == 1) ++workflow.activeCounts[key.stepKey()];
   updateWaiting(workflow, key);
   m_runChanges.push_back({start.task(), task.active.back(), true, schema::RunDone, timeMs, false, false});
@@ -364,6 +369,27 @@
     if (!wasDone) workflow.waiting.update(member, false);
   }
   if (!wasDone && workflow.stepDone(key.stepKey())) workflow.waiting.finishStep(key.stepKey());
+  countBytes(workflow);
+}
+
+std::uint64_t WorkflowTable::heldBytes(const std::string& workspace) const {
+  const auto held = m_heldByWorkspace.find(workspace);
+  return held == m_heldByWorkspace.end() ? 0 : held->second;
+}
+
+void WorkflowTable::countBytes(WorkflowState& workflow) {
+  discountBytes(workflow);
+  workflow.heldBytes = workflow.acceptedBytes + workflow.tasks.size() * StartedTaskBytes;
+  m_heldBytes += workflow.heldBytes;
+  m_heldByWorkspace[workflow.record.tenant()] += workflow.heldBytes;
+}
+
+void WorkflowTable::discountBytes(const WorkflowState& workflow) {
+  m_heldBytes -= workflow.heldBytes;
+  const auto held = m_heldByWorkspace.find(workflow.record.tenant());
+  if (held == m_heldByWorkspace.end()) return;
+  held->second -= workflow.heldBytes;
+  if (held->second == 0) m_heldByWorkspace.erase(held);
 }
 
 void WorkflowTable::updateWaiting(WorkflowState& workflow, const TaskKey& key) {
@@ -414,7 +440,11 @@
   while (!m_ended.empty() && m_ended.front().first + m_retentionMs < nowMs) {
     const std::string id = m_ended.front().second;
     if (m_open.count(id) > 0) return;
-    m_workflows.erase(id);
+    const auto expired = m_workflows.find(id);
+    if (expired != m_workflows.end()) {
+      discountBytes(expired->second);
+      m_workflows.erase(expired);
+    }
     m_ended.pop_front();
   }
 }
@@ -492,6 +522,8 @@
       workflow.waiting.update(key, !task.done && task.active.empty());
       if (task.done && workflow.stepDone(key.stepKey())) workflow.waiting.finishStep(key.stepKey());
     }
+    workflow.acceptedBytes = workflowBytes(workflow.record);
+    countBytes(workflow);
     if (workflow.ended()) ended.emplace(saved.ended_ms(), saved.id());
     m_open.insert(saved.id());
     closeIfFinished(workflow);
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -47,6 +47,8 @@
   unsigned activeRuns = 0;                        ///< of all tasks
   std::uint64_t changes = 0;                      ///< number of starts and ends that were applied to it
   std::set<TaskKey> suspectTasks;                 ///< tasks whose crash record is not empty
+  std::uint64_t acceptedBytes = 0;                ///< workflowBytes() of the record
+  std::uint64_t heldBytes = 0;                    ///< what is counted for it in WorkflowTable::heldBytes()
 
   /** \returns the specification of a step; the index must be valid. */
   const schema::StepSpec& step(std::uint32_t index) const { return record.spec().steps(static_cast<int>(index)); }
@@ -149,6 +151,10 @@
   const std::set<std::string>& open() const { return m_open; }
   /** \returns the number of workflows, also of those that ended and are still kept. */
   std::size_t size() const { return m_workflows.size(); }
+  /** \returns an upper estimate of the memory of all kept workflows, bytes. */
+  std::uint64_t heldBytes() const { return m_heldBytes; }
+  /** \returns the same of the workflows of a workspace. */
+  std::uint64_t heldBytes(const std::string& workspace) const;
   /** \returns the run time estimator, updated from the committed runs. */
   const RunTimeEstimator& runTimeEstimator() const { return m_runTimeEstimator; }
   /** \returns the past use of services by workspaces, updated from the committed ends of runs. */
@@ -201,6 +207,10 @@
   void finishIfDone(WorkflowState& workflow, std::uint64_t timeMs);
   /** Updates the waiting tasks of a workflow after a change of one of its tasks. */
   static void updateWaiting(WorkflowState& workflow, const TaskKey& key);
+  /** Updates the memory that is counted for a workflow. */
+  void countBytes(WorkflowState& workflow);
+  /** Stops counting the memory of a workflow that is removed. */
+  void discountBytes(const WorkflowState& workflow);
   void endWorkflow(WorkflowState& workflow, schema::WorkflowPhase phase, const std::string& reason,
                    std::uint64_t timeMs);
   /** Removes a workflow that ended and has no active runs from the open ones, and updates the estimator from its steps.
@@ -211,7 +221,9 @@
   schema::QueueConfiguration m_configuration;
   std::uint32_t m_leaseMs = 0;
   std::map<std::string, WorkflowState> m_workflows;
-  std::set<std::string> m_open;  ///< ids of workflows that have not ended or have active runs
+  std::uint64_t m_heldBytes = 0;
+  std::map<std::string, std::uint64_t> m_heldByWorkspace;  ///< parts of m_heldBytes; without workspaces that have none
+  std::set<std::string> m_open;                            ///< ids of workflows that have not ended or have active runs
   RunTimeEstimator m_runTimeEstimator;
   WorkspaceUsage m_workspaceUsage;
   RunTimeDistributions m_runTimeDistributions;
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -311,6 +311,39 @@
             }));
 }
 
+// ---- accepted work
+
+Test(hostile_clients, accepted_workflows_of_many_steps) {
+  HostileClients test;
+  const std::string body = workflowOf(MaxBodyBytes, NotDue);
+  for (unsigned i = 0; i < 150; ++i) test.submit(0x10000 + i, body);
+  test.requireBounds("workflows of many steps");
+  test.requireServed("workflows of many steps");
+  for (unsigned i = 1; i <= 3; ++i) test.deployment().kill("control-" + std::to_string(i));
+  for (unsigned i = 1; i <= 3; ++i) test.deployment().control(i, false);
+  test.requireServed("workflows of many steps, after a restart");
+  test.requireBounds("workflows of many steps, after a restart");
+}
+
+Test(hostile_clients, accepted_workflows_with_large_payloads) {
+  HostileClients test;
+  const std::string body = "{" + NotDue + job(1, "20" + std::string(3900, ' ')).substr(1);
+  for (unsigned round = 0; round < 50; ++round) {
+    std::vector<HttpCall> calls;
+    for (unsigned i = 0; i < 100; ++i) {
+      calls.push_back({test.deployment().at(Entry, ClientPort),
+                       "POST",
+                       "/q/" + idOf(0x20000 + 100 * round + i),
+                       body,
+                       {{"Host", "h.example"}, {"Authorization", "Bearer key-1"}},
+                       milliseconds(5000)});
+    }
+    sendAll(calls);
+  }
+  test.requireBounds("workflows with large payloads");
+  test.requireServed("workflows with large payloads");
+}
+
 // ---- other listeners
 
 Test(hostile_clients, the_other_http_listeners) {
