Queue calls: a deadline that is no number, or too large a one

Cause: the number was multiplied beyond its range, and what followed it was not looked at.

Paths in the log are cut to 256 bytes.

--- a/Courseloom/src/Entry/QueueGateway.cpp
+++ b/Courseloom/src/Entry/QueueGateway.cpp
@@ -26,6 +26,8 @@
 
 /** Quantile of recent acknowledgement times. A caller is answered early once its remaining time is shorter. */
 constexpr double EarlyQuantile = 0.95;
+/** Length to which paths are cut in the log. */
+constexpr std::size_t MaxLoggedPath = 256;
 /** Shortest time for which a leader is sought before an early answer: enough for one attempt at a replica. */
 constexpr Duration ShortestSearch = milliseconds(200);
 
@@ -85,7 +87,7 @@
   const bool submission = call.kind() == schema::QueueSubmit;
   const Duration budget = submission && m_earlyAnswers ? shortenedBudget(allowed, longestBudget) : longestBudget;
   const std::string kind = schema::QueueCallKind_Name(call.kind());
-  const std::string path = call.path();
+  const std::string path = call.path().substr(0, internal::MaxLoggedPath);
   const Time now = BootClock::now();
   const Duration unconfirmedBudget = allowed * internal::UnconfirmedNumerator / internal::UnconfirmedDenominator;
   const Duration maxBudget = internal::changes_state(call) ? std::max(budget, unconfirmedBudget) : budget;
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -399,3 +399,19 @@
   test.requireServed("silent connections to RPC servers");
   test.requireBounds("silent connections to RPC servers");
 }
+
+// ---- headers
+
+Test(hostile_clients, deadlines_that_are_not_numbers) {
+  HostileClients test;
+  for (const char* value : {"99999999999999999999", "9223372036854775807", "3000abc", "-1", "0", "1e9", ""}) {
+    const std::string answer =
+        sendRaw(test.deployment().at(Entry, ClientPort),
+                "GET /q/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\nConnection: close\r\n"
+                "X-Courseloom-Deadline-Ms: " +
+                    std::string(value) + "\r\n\r\n");
+    cr_assert(answer.rfind("HTTP/1.1 200", 0) == 0 || answer.rfind("HTTP/1.1 400", 0) == 0, "deadline '%s': %s", value,
+              answer.c_str());
+  }
+  test.requireServed("deadlines that are not numbers");
+}
