--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -415,3 +415,53 @@
   }
   test.requireServed("deadlines that are not numbers");
 }
+
+// ---- random shapes
+
+namespace {
+
+/** \returns a client that repeats, cuts, stretches or slows parts of a request. */
+ClientScript randomClient(unsigned number, std::mt19937_64& random) {
+  const auto draw = [&random](std::size_t below) { return static_cast<std::size_t>(random() % below); };
+  const std::vector<std::string> units{"X-Field: text\r\n",
+                                       "a:\r\n",
+                                       "400\r\n" + std::string(KiB, 'x') + "\r\n",
+                                       "5;a=",
+                                       "0\r\n",
+                                       "{},",
+                                       std::string(KiB, ' '),
+                                       "\r\n",
+                                       std::string("\0", 1)};
+  const std::string body = draw(2) == 0 ? workflowOf(KiB << draw(12), NotDue) : R"({"spec":"20","steps":[)";
+  std::string whole = headOf(number, draw(2) == 0 ? Chunked : lengthOf(draw(2) == 0 ? body.size() : 8 * MiB),
+                             draw(2) == 0 ? "key-1" : "wrong");
+  whole += body;
+  ClientScript script;
+  script.begin = whole.substr(0, draw(3) == 0 ? draw(whole.size()) : whole.size());
+  script.repeated = units[draw(units.size())];
+  script.repeatedBytes = draw(3) == 0 ? 0 : KiB << draw(15);
+  script.end = draw(2) == 0 ? "" : "]}";
+  script.reads = draw(4) != 0;
+  script.returns = draw(4) == 0;
+  if (draw(4) == 0) {
+    script.pieceBytes = 1 + draw(KiB);
+    script.pause = milliseconds(1 + static_cast<std::int64_t>(draw(20)));
+  }
+  return script;
+}
+
+}  // namespace
+
+Test(hostile_clients, random_clients) {
+  HostileClients test;
+  const std::uint64_t first = firstSeed();
+  for (std::uint64_t seed = first; seed < first + seedCount(3); ++seed) {
+    std::mt19937_64 random(seed);
+    std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
+    ClientCrowd crowd(test.deployment().at(Entry, ClientPort),
+                      clients(64, [&random](unsigned number) { return randomClient(number, random); }));
+    crowd.awaitQuiet(milliseconds(8000));
+    test.requireBounds("random clients");
+    test.requireServed("random clients");
+  }
+}
