One record of waiting tasks, one timer of a stretch, one range of a workflow's runs

The active tasks of a step were counted beside WaitingSteps, which knows them: the counter is gone, and with it a map node for each step that runs. The end of a computation on the control strand is recorded by the destructor of its timer, so that no path can forget it. Loops over the runs of a workflow or a step use RunLedger::runsOf().

A workflow with very many steps kept an entry for each step that may want tickets; while its requests for advice are at their limit it now adds none.

--- a/Courseloom/src/Control/ReplicaDriver.cpp
+++ b/Courseloom/src/Control/ReplicaDriver.cpp
@@ -497,7 +497,6 @@
   StateWriter writer(m_state);
   while (!writer.advance([&slice] { return slice.isOver(); })) co_await slice.yield();
   snapshot.set_state(writer.finish());
-  slice.finish();
   const auto written = std::make_shared<schema::Snapshot>(std::move(snapshot));
   asio::post(m_disk, [this, written, hard = std::move(hard), keep = std::move(keep)] {
     Result<void> stored = m_store.compact(*written, hard, keep);
--- a/Courseloom/src/Control/StrandSlice.cpp
+++ b/Courseloom/src/Control/StrandSlice.cpp
@@ -11,18 +11,19 @@
 
 namespace courseloom {
 
-void recordStretch(const DaemonContext& context, const char* work, Duration length) {
-  context.metrics.record("strand_ms", "all", work, toMilliseconds(length));
+StretchTimer::~StretchTimer() {
+  const Duration length = elapsed();
+  m_context.metrics.record("strand_ms", "all", m_work, toMilliseconds(length));
   if (length < LongStretch) return;
-  logEvent(schema::StrandHeld, {{"work", work}, {"tookMs", static_cast<std::uint64_t>(toMilliseconds(length))}});
+  logEvent(schema::StrandHeld, {{"work", m_work}, {"tookMs", static_cast<std::uint64_t>(toMilliseconds(length))}});
 }
 
 Awaitable<void> StrandSlice::yield() {
   m_yielded = true;
-  finish();
+  m_stretch.reset();
   m_context.metrics.count("strand_yields", m_work);
   co_await boost::asio::post(boost::asio::bind_executor(m_strand, boost::asio::use_awaitable));
-  m_begin = BootClock::now();
+  m_stretch.emplace(m_context, m_work);
 }
 
 }  // namespace courseloom
--- a/Courseloom/src/Control/StrandSlice.h
+++ b/Courseloom/src/Control/StrandSlice.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <optional>
+
 #include "Courseloom/src/Control/ReplicaDriver.h"
 #include "Courseloom/src/Core/Clock.h"
 #include "Courseloom/src/Runtime/Daemon.h"
@@ -24,18 +26,19 @@
 /** A stretch of this length is logged. A lease lasts for less than twice as long with the usual election timeout. */
 inline constexpr Duration LongStretch = milliseconds(200);
 
-/** Records a stretch of uninterrupted work on the control strand. \param work name of the computation */
-void recordStretch(const DaemonContext& context, const char* work, Duration length);
-
 /** \class StretchTimer
- * \brief Records the time from its construction to its destruction as one stretch.
+ * \brief Records the time from its construction to its destruction as one stretch, and logs it if it is long.
  */
 class StretchTimer {
  public:
+  /** \param work name of the computation */
   StretchTimer(const DaemonContext& context, const char* work) : m_context(context), m_work(work) {}
   StretchTimer(const StretchTimer&) = delete;
   StretchTimer& operator=(const StretchTimer&) = delete;
-  ~StretchTimer() { recordStretch(m_context, m_work, BootClock::now() - m_begin); }
+  ~StretchTimer();
+
+  /** \returns the time since the construction. */
+  Duration elapsed() const { return BootClock::now() - m_begin; }
 
  private:
   const DaemonContext& m_context;
@@ -44,7 +47,8 @@
 };
 
 /** \class StrandSlice
- * \brief Divides one long computation on the control strand into slices, and records each as a stretch.
+ * \brief Divides one long computation on the control strand into slices, and records each as a stretch. The last one
+ * ends with the object.
  *
  * Everything on the strand may have changed after yield(), so pointers into its state are invalid.
  */
@@ -52,14 +56,14 @@
  public:
   /** Begins the first slice. \param work name of the computation \param length length of a slice */
   StrandSlice(const DaemonContext& context, ControlStrand strand, const char* work, Duration length)
-      : m_context(context), m_strand(std::move(strand)), m_work(work), m_length(length) {}
+      : m_context(context), m_strand(std::move(strand)), m_work(work), m_length(length) {
+    m_stretch.emplace(m_context, m_work);
+  }
 
   /** \returns whether the present slice is over, so that the computation should yield at the next opportunity. */
-  bool isOver() const { return BootClock::now() >= m_begin + m_length; }
+  bool isOver() const { return m_stretch->elapsed() >= m_length; }
   /** Lets everything else that waits for the strand run, and begins a new slice. */
   Awaitable<void> yield();
-  /** Records the last slice. To be called at the end of the computation. */
-  void finish() { recordStretch(m_context, m_work, BootClock::now() - m_begin); }
   /** \returns whether yield() was called. */
   bool hasYielded() const { return m_yielded; }
 
@@ -68,7 +72,7 @@
   ControlStrand m_strand;
   const char* m_work;
   Duration m_length;
-  Time m_begin = BootClock::now();
+  std::optional<StretchTimer> m_stretch;  ///< of the present slice; none while other work runs
   bool m_yielded = false;
 };
 
--- a/Courseloom/src/Control/TicketCache.cpp
+++ b/Courseloom/src/Control/TicketCache.cpp
@@ -70,16 +70,18 @@
   }
 }
 
-bool TicketCache::mayRequest(const StepName& name, const StepTickets& held) const {
-  if (held.requestId != 0 || BootClock::now() < held.nextRequest) return false;
-  const auto requested = m_requested.find(name.first);
+bool TicketCache::mayRequest(const std::string& workflow) const {
+  const auto requested = m_requested.find(workflow);
   return requested == m_requested.end() || requested->second.size() < MaxRequestsPerWorkflow;
 }
 
 std::optional<TicketCache::Tickets> TicketCache::ticketsFor(const StepName& name, const TicketNeed& need,
                                                             const std::vector<std::string>& targets) {
   if (!m_port || need.certainty == TicketCertainty::NotNeeded) return std::nullopt;
-  if (m_stepTickets.count(name) == 0) removeExpired(name.first);
+  if (m_stepTickets.count(name) == 0) {
+    if (!mayRequest(name.first)) return Tickets();
+    removeExpired(name.first);
+  }
   StepTickets& held = m_stepTickets[name];
   if (BootClock::now() >= held.until) {
     held.tickets.clear();
@@ -91,7 +93,8 @@
       newTargets.push_back(target);
   }
   const bool triedWithout = held.failed && held.tickets.empty() && need.certainty == TicketCertainty::Presumed;
-  if (!newTargets.empty() && mayRequest(name, held)) {
+  const bool mayAsk = held.requestId == 0 && BootClock::now() >= held.nextRequest && mayRequest(name.first);
+  if (!newTargets.empty() && mayAsk) {
     held.requestId = ++m_lastRequestId;
     m_requested[name.first].insert(name.second);
     boost::asio::co_spawn(m_strand, requestTickets(name, std::move(newTargets), need.validity, held.requestId),
--- a/Courseloom/src/Control/TicketCache.h
+++ b/Courseloom/src/Control/TicketCache.h
@@ -124,7 +124,7 @@
     Duration refusalPause{};          ///< pause after the next refusal; zero before the first one
   };
   void removeExpired(const std::string& workflow);
-  bool mayRequest(const StepName& name, const StepTickets& held) const;
+  bool mayRequest(const std::string& workflow) const;
   Awaitable<void> requestTickets(StepName name, std::vector<std::string> targets, Duration validity,
                                  std::uint64_t requestId);
 
--- a/Courseloom/src/Control/WorkflowCopies.cpp
+++ b/Courseloom/src/Control/WorkflowCopies.cpp
@@ -82,7 +82,7 @@
   const schema::StepSpec& spec = workflow.step(key.step);
   const std::set<std::string> avoided = m_health.failedOn(workflow.record.id());
   const bool askFirst = m_context.settings.policy().ask_first();
-  const std::optional<std::map<std::string, std::string>> tickets = ticketsOf(workflow, key);
+  const std::optional<TicketCache::Tickets> tickets = ticketsOf(workflow, key);
   std::map<std::string, unsigned> placed;
   if (spec.max_per_target() > 0) placed = activeByTarget({workflow.record.id(), key});
   std::vector<std::size_t> eligible;
@@ -151,7 +151,7 @@
   row->mutable_run()->set_copy_of(slow.run);
   // The slow run's checkpoint is newer than the committed one, which is from the task's last end.
   row->mutable_run()->set_checkpoint(track.checkpoint.empty() ? workflow.checkpointOf(slow.task) : track.checkpoint);
-  const std::optional<std::map<std::string, std::string>> tickets = ticketsOf(workflow, slow.task.stepKey());
+  const std::optional<TicketCache::Tickets> tickets = ticketsOf(workflow, slow.task.stepKey());
   if (tickets && tickets->count(target.id) > 0) row->mutable_run()->set_ticket(tickets->at(target.id));
   logEvent(schema::CopyStarted, {{"task", taskText(row->task())},
                                  {"run", std::uint64_t{row->run().number()}},
--- a/Courseloom/src/Control/WorkflowPlanning.cpp
+++ b/Courseloom/src/Control/WorkflowPlanning.cpp
@@ -56,7 +56,6 @@
   if (steps.empty() && !makesCopies()) {
     observeGangs();
     reviewWaits({}, {}, {});
-    slice.finish();
     co_return schema::RecordRuns();
   }
   // Before all targets have reported to a new leader, shares of their capacity would be too large.
@@ -82,7 +81,6 @@
   schema::RecordRuns runs = recordStarts(startsOnRespondingAgents(plan, steps, targets), steps, targets);
   if (makesCopies()) addCopies(plan, steps, targets, keepFullyFree, runs);
   reviewWaits(steps, targets, active);
-  slice.finish();
   co_return runs;
 }
 
--- a/Courseloom/src/Control/WorkflowRunner.h
+++ b/Courseloom/src/Control/WorkflowRunner.h
@@ -247,7 +247,7 @@
   std::map<std::string, ResourceAmounts> serviceCapacities() const;
   std::set<std::string> targetsToAvoid(const WorkflowState& workflow, const PlannedStep& step) const;
   const std::vector<std::string>& openTargets(const std::string& service);
-  std::optional<std::map<std::string, std::string>> ticketsOf(const WorkflowState& workflow, const StepKey& key);
+  std::optional<TicketCache::Tickets> ticketsOf(const WorkflowState& workflow, const StepKey& key);
   const schema::Queue* queueNamed(const std::string& name);
   void notifyAgent(const std::string& agent);
 
--- a/Courseloom/src/Control/WorkflowShares.cpp
+++ b/Courseloom/src/Control/WorkflowShares.cpp
@@ -59,14 +59,12 @@
 /** \returns the use of a workflow's active runs since their committed starts. */
 ResourceTime WorkflowRunner::activeUse(const WorkflowState& workflow, std::uint64_t nowMs) const {
   ResourceTime use;
-  const std::string& id = workflow.record.id();
-  for (auto run = m_ledger.runs().lower_bound({id, {}, 0}); run != m_ledger.runs().end(); ++run) {
-    if (run->first.workflow != id) break;
-    const TaskState* task = workflow.task(run->first.task);
+  for (const auto& [key, track] : m_ledger.runsOf(workflow.record.id())) {
+    const TaskState* task = workflow.task(key.task);
     if (task == nullptr) continue;
-    const schema::Resources held = heldResources(workflow.step(run->first.task.step));
+    const schema::Resources held = heldResources(workflow.step(key.task.step));
     for (const schema::ActiveRun& active : task->active) {
-      if (active.number() != run->first.run) continue;
+      if (active.number() != key.run) continue;
       use.add(WorkspaceUsage::useBetween(held, active.started_ms(), nowMs));
     }
   }
--- a/Courseloom/src/Control/WorkflowSteps.cpp
+++ b/Courseloom/src/Control/WorkflowSteps.cpp
@@ -7,10 +7,8 @@
 #include <algorithm>
 
 #include "Courseloom/src/Control/WorkflowRunner.h"
-#include "Courseloom/src/Core/Log.h"
 #include "Courseloom/src/Scheduling/Objective.h"
 #include "Courseloom/src/Scheduling/StepSelection.h"
-#include "Courseloom/src/Scheduling/Trials.h"
 
 namespace courseloom {
 
@@ -187,11 +185,7 @@
 /** \returns the number of active runs of a step by id of their target. */
 std::map<std::string, unsigned> WorkflowRunner::activeByTarget(const StepName& name) const {
   std::map<std::string, unsigned> counts;
-  const RunKey first{name.first, {name.second.occurrence, name.second.step, 0}, 0};
-  for (auto run = m_ledger.runs().lower_bound(first); run != m_ledger.runs().end(); ++run) {
-    if (run->first.workflow != name.first || run->first.task.stepKey() != name.second) break;
-    ++counts[run->second.target];
-  }
+  for (const auto& [key, track] : m_ledger.runsOf(name.first, name.second)) ++counts[track.target];
   return counts;
 }
 
@@ -264,8 +258,7 @@
 }
 
 /** \returns the tickets of a step by target; nothing if its starts need none. */
-std::optional<std::map<std::string, std::string>> WorkflowRunner::ticketsOf(const WorkflowState& workflow,
-                                                                            const StepKey& key) {
+std::optional<TicketCache::Tickets> WorkflowRunner::ticketsOf(const WorkflowState& workflow, const StepKey& key) {
   const schema::Workflow& record = workflow.record;
   const TicketNeed need = ticketNeedOf(record, queueNamed(record.queue()));
   return m_tickets.ticketsFor({record.id(), key}, need, openTargets(record.service()));
--- a/Courseloom/src/Control/WorkflowTrials.cpp
+++ b/Courseloom/src/Control/WorkflowTrials.cpp
@@ -67,10 +67,9 @@
   for (const std::string& id : table().open()) {
     const WorkflowState& workflow = *table().find(id);
     if (workflow.suspectTasks.empty()) continue;
-    for (auto run = m_ledger.runs().lower_bound({id, {}, 0}); run != m_ledger.runs().end(); ++run) {
-      if (run->first.workflow != id) break;
-      const bool runsTrial = isTrialStart(workflow, run->first, run->second) && isTargetReachable(run->second);
-      if (runsTrial) m_trialAgents.insert(run->second.agent);
+    for (const auto& [key, track] : m_ledger.runsOf(id)) {
+      const bool runsTrial = isTrialStart(workflow, key, track) && isTargetReachable(track);
+      if (runsTrial) m_trialAgents.insert(track.agent);
     }
   }
   m_trialsLeft = trialsAllowed(m_ledger.targets().size(), m_trialAgents.size());
@@ -78,15 +77,12 @@
 
 /** \returns how many waiting tasks of a step may get a trial start now. */
 std::size_t WorkflowRunner::newTrialsAllowed(const PlannedStep& step) const {
-  const std::string& id = step.workflow->record.id();
   std::size_t underWay = 0;
   std::size_t survived = 0;
-  const RunKey first{id, {step.key.occurrence, step.key.step, 0}, 0};
-  for (auto run = m_ledger.runs().lower_bound(first); run != m_ledger.runs().end(); ++run) {
-    if (run->first.workflow != id || run->first.task.stepKey() != step.key) break;
-    if (isTrialStart(*step.workflow, run->first, run->second)) {
+  for (const auto& [key, track] : m_ledger.runsOf(step.workflow->record.id(), step.key)) {
+    if (isTrialStart(*step.workflow, key, track)) {
       ++underWay;
-    } else if (step.workflow->onTrial(run->first.task)) {
+    } else if (step.workflow->onTrial(key.task)) {
       ++survived;
     }
   }
--- a/Courseloom/src/Scheduling/RunLedger.cpp
+++ b/Courseloom/src/Scheduling/RunLedger.cpp
@@ -247,6 +247,16 @@
   return ends;
 }
 
+RunLedger::Runs RunLedger::runsOf(const std::string& workflow) const {
+  return {m_runs.lower_bound({workflow, {}, 0}),
+          m_runs.upper_bound({workflow, {UINT32_MAX, UINT32_MAX, UINT32_MAX}, UINT32_MAX})};
+}
+
+RunLedger::Runs RunLedger::runsOf(const std::string& workflow, const StepKey& step) const {
+  return {m_runs.lower_bound({workflow, {step.occurrence, step.step, 0}, 0}),
+          m_runs.upper_bound({workflow, {step.occurrence, step.step, UINT32_MAX}, UINT32_MAX})};
+}
+
 /** \returns the other active run of a task; null if there is none. */
 RunTrack* RunLedger::otherRunOf(const RunKey& key) {
   for (auto run = m_runs.lower_bound({key.workflow, key.task, 0}); run != m_runs.end(); ++run) {
--- a/Courseloom/src/Scheduling/RunLedger.h
+++ b/Courseloom/src/Scheduling/RunLedger.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <boost/range/iterator_range_core.hpp>
 #include <map>
 #include <set>
 #include <string>
@@ -204,7 +205,14 @@
   /** Requests that a run be stopped. \returns its agent, or an empty string if the run is not active */
   std::string requestStop(const RunKey& key);
 
+  /** Some active runs, in the order of their keys. */
+  using Runs = boost::iterator_range<std::map<RunKey, RunTrack>::const_iterator>;
+
   const std::map<RunKey, RunTrack>& runs() const { return m_runs; }
+  /** \returns the active runs of a workflow. */
+  Runs runsOf(const std::string& workflow) const;
+  /** \returns the active runs of a step. */
+  Runs runsOf(const std::string& workflow, const StepKey& step) const;
   const std::map<std::string, TargetTrack>& targets() const { return m_targets; }
   /** \returns how long an agent may delay a report without changes, so that all agents together send about
    * reportsPerSecond. It is always shorter than the time for which an agent may be silent. */
--- a/Courseloom/src/Scheduling/RunPlanner.cpp
+++ b/Courseloom/src/Scheduling/RunPlanner.cpp
@@ -73,7 +73,7 @@
   return held;
 }
 
-std::set<std::pair<std::string, StepKey>> RunPlanner::rememberedSteps() const {
+std::set<StopBackoff::StepName> RunPlanner::rememberedSteps() const {
   StopBackoff::PendingTasks pending;
   m_stopBackoff.addSteps(pending);
   m_keptTargets.addSteps(pending);
--- a/Courseloom/src/Scheduling/RunPlanner.h
+++ b/Courseloom/src/Scheduling/RunPlanner.h
@@ -65,7 +65,7 @@
   std::set<std::string> heldTargets() const;
   /** \returns the steps for which the planner keeps something from pass to pass: reserved, kept or nominated targets,
    * or stops that wait for their effect. They have to be among the steps of the next pass while they wait. */
-  std::set<std::pair<std::string, StepKey>> rememberedSteps() const;
+  std::set<StopBackoff::StepName> rememberedSteps() const;
   /** \returns the rank of a waiting step after ageing. */
   Rank agedRank(const PlannedStep& step) const { return agedRank(step.rank, step.waitedMs, step.estimateMs); }
 
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -13,9 +13,6 @@
 namespace internal {
 namespace {
 
-/** \returns whether a task is counted in WorkflowState::activeCounts. */
-bool is_active(const TaskState& task) { return !task.done && !task.active.empty(); }
-
 /** \returns the task at which failures and checkpoint are kept: the first of a gang, otherwise the task itself. */
 TaskKey shared_state_key(const WorkflowState& workflow, const TaskKey& key) {
   const bool gang = workflow.step(key.step).gang();
@@ -84,11 +81,7 @@
 }
 
 bool WorkflowState::hasWaitingTasks(const StepKey& key) const {
-  const auto done = doneCounts.find(key);
-  const auto active = activeCounts.find(key);
-  const std::uint32_t doneOrActive =
-      (done == doneCounts.end() ? 0 : done->second) + (active == activeCounts.end() ? 0 : active->second);
-  return doneOrActive < step(key.step).count();
+  return !stepDone(key) && waiting.waitingTasks(key) > 0;
 }
 
 bool WorkflowState::stepReady(const StepKey& key) const {
@@ -258,7 +251,6 @@
   task.active.back().set_started_ms(timeMs);
   ++workflow.activeRuns;
   countBytes(workflow);
-  if (task.active.size() == 1) ++workflow.activeCounts[key.stepKey()];
   updateWaiting(workflow, key);
   m_runChanges.push_back({start.task(), task.active.back(), true, schema::RunDone, timeMs, false, false});
   if (workflow.record.phase() == schema::WorkflowQueued) {
@@ -280,9 +272,7 @@
   m_runChanges.push_back({end.task(), *run, false, end.kind(), timeMs, workflow.isSuperseded(key), end.wants_ticket()});
   if (end.wants_ticket()) workflow.record.set_wants_ticket(true);
   const schema::ActiveRun ended = *run;
-  const bool wasActive = internal::is_active(taskFound->second);
   active.erase(run);
-  if (wasActive && active.empty()) --workflow.activeCounts[key.stepKey()];
   updateWaiting(workflow, key);
   --workflow.activeRuns;
   chargeRun(workflow, ended, key.step, timeMs);
@@ -360,7 +350,6 @@
   for (std::uint32_t index = first; index <= last; ++index) {
     const TaskKey member{key.occurrence, key.step, index};
     TaskState& task = workflow.tasks[member];
-    if (internal::is_active(task)) --workflow.activeCounts[key.stepKey()];
     if (!task.done) ++workflow.doneCounts[key.stepKey()];
     task.done = true;
     task.checkpoint.clear();
@@ -451,30 +440,10 @@
 
 // ---- snapshots
 
-namespace internal {
-namespace {
-
-void save_workflow(const WorkflowState& workflow, schema::Workflow& saved) {
-  saved = workflow.record;
-  for (const auto& [key, task] : workflow.tasks) {
-    schema::TaskRecord* row = saved.add_tasks();
-    *row->mutable_id() = makeTaskId("", key);
-    row->set_done(task.done);
-    row->set_failures(task.failures);
-    row->set_failed_run(task.failedRun);
-    row->set_last_run(task.lastRun);
-    row->set_checkpoint(task.checkpoint);
-    task.crashes.save(*row);
-    for (const schema::ActiveRun& run : task.active) *row->add_active() = run;
-  }
-}
-
-}  // namespace
-}  // namespace internal
-
 void WorkflowTable::save(schema::StateSnapshot& snapshot) const {
   saveWithoutWorkflows(snapshot);
-  for (const auto& [id, workflow] : m_workflows) internal::save_workflow(workflow, *snapshot.add_workflows());
+  std::string last;
+  while (saveNextWorkflow(last, snapshot)) continue;
 }
 
 void WorkflowTable::saveWithoutWorkflows(schema::StateSnapshot& snapshot) const {
@@ -489,7 +458,20 @@
   const auto next = m_workflows.upper_bound(after);
   if (next == m_workflows.end()) return false;
   after = next->first;
-  internal::save_workflow(next->second, *snapshot.add_workflows());
+  const WorkflowState& workflow = next->second;
+  schema::Workflow* saved = snapshot.add_workflows();
+  *saved = workflow.record;
+  for (const auto& [key, task] : workflow.tasks) {
+    schema::TaskRecord* row = saved->add_tasks();
+    *row->mutable_id() = makeTaskId("", key);
+    row->set_done(task.done);
+    row->set_failures(task.failures);
+    row->set_failed_run(task.failedRun);
+    row->set_last_run(task.lastRun);
+    row->set_checkpoint(task.checkpoint);
+    task.crashes.save(*row);
+    for (const schema::ActiveRun& run : task.active) *row->add_active() = run;
+  }
   return true;
 }
 
@@ -518,7 +500,6 @@
       task.active.assign(row.active().begin(), row.active().end());
       workflow.activeRuns += static_cast<unsigned>(task.active.size());
       if (task.done) ++workflow.doneCounts[key.stepKey()];
-      if (internal::is_active(task)) ++workflow.activeCounts[key.stepKey()];
       workflow.waiting.update(key, !task.done && task.active.empty());
       if (task.done && workflow.stepDone(key.stepKey())) workflow.waiting.finishStep(key.stepKey());
     }
--- a/Courseloom/src/State/WorkflowTable.h
+++ b/Courseloom/src/State/WorkflowTable.h
@@ -41,14 +41,13 @@
 struct WorkflowState {
   schema::Workflow record;  ///< without the states of its tasks, which are in `tasks`
   std::map<TaskKey, TaskState> tasks;
-  std::map<StepKey, std::uint32_t> doneCounts;    ///< tasks that are done, by step
-  std::map<StepKey, std::uint32_t> activeCounts;  ///< tasks that are not done and have an active run, by step
-  WaitingSteps waiting;                           ///< kept by WorkflowTable with each change of a task
-  unsigned activeRuns = 0;                        ///< of all tasks
-  std::uint64_t changes = 0;                      ///< number of starts and ends that were applied to it
-  std::set<TaskKey> suspectTasks;                 ///< tasks whose crash record is not empty
-  std::uint64_t acceptedBytes = 0;                ///< workflowBytes() of the record
-  std::uint64_t heldBytes = 0;                    ///< what is counted for it in WorkflowTable::heldBytes()
+  std::map<StepKey, std::uint32_t> doneCounts;  ///< tasks that are done, by step
+  WaitingSteps waiting;                         ///< kept by WorkflowTable with each change of a task
+  unsigned activeRuns = 0;                      ///< of all tasks
+  std::uint64_t changes = 0;                    ///< number of starts and ends that were applied to it
+  std::set<TaskKey> suspectTasks;               ///< tasks whose crash record is not empty
+  std::uint64_t acceptedBytes = 0;              ///< workflowBytes() of the record
+  std::uint64_t heldBytes = 0;                  ///< what is counted for it in WorkflowTable::heldBytes()
 
   /** \returns the specification of a step; the index must be valid. */
   const schema::StepSpec& step(std::uint32_t index) const { return record.spec().steps(static_cast<int>(index)); }
--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -33,12 +33,27 @@
 
 inline void pause(std::int64_t ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
 
+/** \returns a queue of a configuration. \param more further members, each with a leading comma */
+inline std::string route(const std::string& name, const std::string& prefix, unsigned priority = 1,
+                         const std::string& more = "") {
+  return R"({"name":")" + name + R"(","host":"h.example","path_prefix":"/)" + prefix +
+         R"(/","timeout_ms":3000,"target_latency_ms":250,"priority":)" + std::to_string(priority) +
+         R"(,"service":"s","max_attempts":2,"stretch":3.0)" + more + "}";
+}
+
+/** \returns a tenant of a configuration, with a guarantee of 8 accelerators. */
+inline std::string tenant(const std::string& name, const std::string& key) {
+  return R"({"name":")" + name + R"(","api_keys":[")" + key + R"("],"guaranteed":{"gpu":8}})";
+}
+
+/** \returns a configuration with the given queues and tenants, each a list of objects. */
+inline std::string configurationOf(unsigned version, const std::string& routes, const std::string& tenants) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+         R"(],"services":[{"name":"s"}],"tenants":[)" + tenants + "]}";
+}
+
 inline std::string configuration(unsigned version, const std::string& key = "key-1") {
-  return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[{"name":"q","host":"h.example","path_prefix":"/q/","timeout_ms":3000,"target_latency_ms":250,)"
-         R"("priority":1,"service":"s","max_attempts":2,"stretch":3.0}],"services":[{"name":"s"}],)"
-         R"("tenants":[{"name":"t","api_keys":[")" +
-         key + R"("],"guaranteed":{"gpu":8}}]})";
+  return configurationOf(version, route("q", "q"), tenant("t", key));
 }
 
 /** \param spec the stand-in's instruction for each task, such as its run time in milliseconds
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -50,13 +50,8 @@
 
 /** \returns a configuration with two workspaces, each with a queue of its own. */
 std::string twoWorkspaces() {
-  const auto queue = [](const std::string& name) {
-    return R"({"name":")" + name + R"(","host":"h.example","path_prefix":"/)" + name +
-           R"(/","timeout_ms":3000,"target_latency_ms":250,"priority":1,"service":"s","max_attempts":2,"stretch":3.0})";
-  };
-  return R"({"version":2,"routes":[)" + queue("q") + "," + queue("other") +
-         R"(],"services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["key-1"],"guaranteed":{"gpu":8}},)"
-         R"({"name":"u","api_keys":["key-2"],"guaranteed":{"gpu":8}}]})";
+  return configurationOf(2, route("q", "q") + "," + route("other", "other"),
+                         tenant("t", "key-1") + "," + tenant("u", "key-2"));
 }
 
 /** \returns the head of a submission up to its last header. */
--- a/test/large_submissions.cpp
+++ b/test/large_submissions.cpp
@@ -25,14 +25,8 @@
 
 /** \returns a configuration with a queue for each workspace; work of the second one is urgent. */
 std::string twoWorkspaces() {
-  const auto queue = [](const std::string& name, int priority) {
-    return R"({"name":")" + name + R"(","host":"h.example","path_prefix":"/)" + name +
-           R"(/","timeout_ms":3000,"target_latency_ms":250,"priority":)" + std::to_string(priority) +
-           R"(,"service":"s","max_attempts":2,"stretch":3.0})";
-  };
-  return R"({"version":1,"routes":[)" + queue("q", 1) + "," + queue("urgent", 0) +
-         R"(],"services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["key-1"],"guaranteed":{"gpu":8}},)"
-         R"({"name":"u","api_keys":["key-2"],"guaranteed":{"gpu":8}}]})";
+  return configurationOf(1, route("q", "q") + "," + route("urgent", "urgent", 0),
+                         tenant("t", LargeKey) + "," + tenant("u", OtherKey));
 }
 
 std::string idOf(unsigned number) {
--- a/test/ticketed_queues.cpp
+++ b/test/ticketed_queues.cpp
@@ -16,15 +16,13 @@
 const std::string OtherAdvice = R"(,"advice":{"decision_ms":20,"period_ms":2,"validity_ms":1200})";
 
 std::string queue(const std::string& name, const std::string& prefix, const std::string& advice = "") {
-  return R"({"name":")" + name + R"(","host":"h.example","path_prefix":"/)" + prefix +
-         R"(/","timeout_ms":3000,"target_latency_ms":250,"priority":1,"service":"s","max_attempts":2,"stretch":3.0)" +
-         advice + "}";
+  return route(name, prefix, 1, advice);
 }
 
 std::string configurationOf(unsigned version, const std::vector<std::string>& queues) {
-  std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":[)";
-  for (std::size_t i = 0; i < queues.size(); ++i) text += (i == 0 ? "" : ",") + queues[i];
-  return text + R"(],"services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["key-1"],"guaranteed":{"gpu":8}}]})";
+  std::string routes;
+  for (std::size_t i = 0; i < queues.size(); ++i) routes += (i == 0 ? "" : ",") + queues[i];
+  return test::configurationOf(version, routes, tenant("t", "key-1"));
 }
 
 /** \returns a workflow of two steps; the second waits for the first. */
