--- a/test/WorkflowDeployment.h
+++ b/test/WorkflowDeployment.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <array>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -56,6 +58,13 @@
   return configurationOf(version, route("q", "q"), tenant("t", key));
 }
 
+/** \returns the id of a workflow, 16 hexadecimal digits. */
+inline std::string workflowId(unsigned number) {
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016x", number);
+  return text.data();
+}
+
 /** \param spec the stand-in's instruction for each task, such as its run time in milliseconds
  * \param accelerators number for each task */
 inline std::string job(unsigned count, const std::string& spec, bool gang = false, unsigned accelerators = 1) {
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -6,13 +6,9 @@
 
 #include <sys/resource.h>
 
-#include <functional>
-#include <random>
-
 #include "Courseloom/src/Transport/Listen.h"
 #include "Courseloom/src/Transport/RpcClient.h"
-#include "test/ClientCrowd.h"
-#include "test/WorkflowDeployment.h"
+#include "test/HostileClients.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,172 +18,6 @@
 
 namespace {
 
-constexpr unsigned EntryMemoryMb = 64;
-constexpr unsigned ControlMemoryMb = 96;
-constexpr unsigned AgentMemoryMb = 48;
-constexpr std::size_t KiB = 1024;
-constexpr std::size_t MiB = 1024 * KiB;
-/** Largest body that the platform's pages allow a client, bytes. */
-constexpr std::size_t MaxBodyBytes = 256 * KiB;
-constexpr unsigned Control = 1;
-constexpr unsigned Agent = 11;
-constexpr unsigned Entry = 20;
-
-std::string idOf(unsigned number) {
-  std::array<char, 17> text{};
-  std::snprintf(text.data(), text.size(), "%016x", number);
-  return text.data();
-}
-
-DeploymentSettings guarded(unsigned maxConnections = 1000) {
-  DeploymentSettings settings;
-  settings.control = ", memoryMb: " + std::to_string(ControlMemoryMb);
-  settings.runner = ", memoryMb: " + std::to_string(AgentMemoryMb);
-  settings.entry = "{notReadyMs: 10, instanceLimits: true, memoryMb: " + std::to_string(EntryMemoryMb) +
-                   ", maxConnections: " + std::to_string(maxConnections) + "}";
-  return settings;
-}
-
-/** \returns a configuration with two workspaces, each with a queue of its own. */
-std::string twoWorkspaces() {
-  return configurationOf(2, route("q", "q") + "," + route("other", "other"),
-                         tenant("t", "key-1") + "," + tenant("u", "key-2"));
-}
-
-/** \returns the head of a submission up to its last header. */
-std::string headOf(unsigned number, const std::string& headers, const std::string& key = "key-1") {
-  return "POST /q/" + idOf(number) + " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer " + key + "\r\n" + headers;
-}
-
-std::string lengthOf(std::size_t bytes) { return "Content-Length: " + std::to_string(bytes) + "\r\n\r\n"; }
-const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
-
-std::string repeat(const std::string& text, std::size_t bytes) {
-  std::string whole;
-  whole.reserve(bytes + text.size());
-  while (whole.size() < bytes) whole += text;
-  return whole;
-}
-
-/** Members of a workflow that is due at a time that no test reaches, so that it takes memory and no target. */
-const std::string NotDue = R"("repeat_count":1,"start_at_ms":4102444800000,)";
-
-/** \returns a workflow of as many equal steps as fit into a body. \param members further ones, with a comma at the end
- */
-std::string workflowOf(std::size_t bodyBytes, const std::string& members = "") {
-  const std::string step = R"({"count":1,"cpu":1000,"gpu":1})";
-  const std::string begin = "{" + members + R"("spec":"20","steps":[)" + step;
-  return begin + repeat("," + step, bodyBytes - begin.size() - step.size() - 3) + "]}";
-}
-
-/** \returns the same script for each of several clients. */
-std::vector<ClientScript> clients(std::size_t count, const std::function<ClientScript(unsigned)>& script) {
-  std::vector<ClientScript> scripts;
-  for (std::size_t i = 0; i < count; ++i) scripts.push_back(script(0x1000U + static_cast<unsigned>(i)));
-  return scripts;
-}
-
-ClientScript submissionOf(unsigned number, const std::string& body, const std::string& key = "key-1") {
-  ClientScript script;
-  script.begin = headOf(number, lengthOf(body.size()), key) + body;
-  return script;
-}
-
-/** Clients that send a part of a message's framing without end. */
-std::vector<ClientScript> endlessTrailers(std::size_t count) {
-  return clients(count, [](unsigned number) {
-    ClientScript script;
-    script.begin = headOf(number, Chunked) + "0\r\n";
-    script.repeated = "X-Trailer: some text that is as long as a line may be\r\n";
-    script.repeatedBytes = 40 * MiB;
-    return script;
-  });
-}
-
-std::vector<ClientScript> unfinishedBodies(std::size_t count) {
-  return clients(count, [](unsigned number) {
-    ClientScript script;
-    script.begin = headOf(number, lengthOf(8 * MiB));
-    script.repeated = std::string(KiB, 'x');
-    script.repeatedBytes = 8 * MiB - KiB;
-    return script;
-  });
-}
-
-/** \class HostileClients
- * \brief A deployment with low limits of memory, one agent, and the check that it holds.
- */
-class HostileClients {
- public:
-  explicit HostileClients(const DeploymentSettings& settings = guarded()) : m_deployment(oneAgent(settings)) {
-    m_deployment.setUp();
-    cr_assert_eq(m_deployment.configure(twoWorkspaces()), 200);
-    cr_assert(m_deployment.until(200, "GET", "/other/", "", "pending"));
-    requireServed("before the crowd");
-  }
-
-  WorkflowDeployment& deployment() { return m_deployment; }
-
-  /** Plays a crowd at an endpoint until it is quiet, and requires that everything holds. */
-  void play(const char* crowdName, unsigned host, unsigned port, std::vector<ClientScript> crowdClients) {
-    ClientCrowd crowd(m_deployment.at(host, port), std::move(crowdClients));
-    crowd.awaitQuiet();
-    requireBounds(crowdName);
-    requireServed(crowdName);
-  }
-
-  /** Requires that each process lives and is within its memory. */
-  void requireBounds(const char* crowdName) {
-    for (unsigned i = 1; i <= 3; ++i) requireBound(crowdName, "control-" + std::to_string(i), i, ControlMemoryMb);
-    requireBound(crowdName, "agent-1", Agent, AgentMemoryMb);
-    requireBound(crowdName, "entry-1", Entry, EntryMemoryMb);
-  }
-
-  /** Requires that an ordinary workflow of the other workspace is accepted and done. */
-  void requireServed(const char* crowdName) {
-    const std::string path = "/other/" + idOf(++m_ordinary);
-    requireAnswer(crowdName, "POST", path, job(1, "20"), "");
-    requireAnswer(crowdName, "GET", path, "", "completed");
-  }
-
-  /** Submits a workflow. \returns the status of the answer; 0 without one */
-  unsigned submit(unsigned number, const std::string& body) {
-    return m_deployment.call("POST", "/q/" + idOf(number), body).status;
-  }
-
- private:
-  static DeploymentSettings oneAgent(DeploymentSettings settings) {
-    settings.agents = 1;
-    return settings;
-  }
-
-  void requireBound(const char* crowdName, const std::string& name, unsigned host, unsigned limitMb) {
-    Process& process = m_deployment.process(name);
-    cr_assert_eq(process.wait(milliseconds(1)), -1, "%s: %s has ended", crowdName, name.c_str());
-    const ProcessUsage usage = usageOf(process.pid(), m_deployment.address(host));
-    std::printf("%s: %s: %.1f MB of memory at its peak, %.1f MB queued, %u descriptors\n", crowdName, name.c_str(),
-                usage.peakMb, usage.queuedMb, usage.descriptors);
-    cr_assert_lt(usage.peakMb + usage.queuedMb, static_cast<double>(limitMb), "%s: %s takes %.1f + %.1f MB of %u",
-                 crowdName, name.c_str(), usage.peakMb, usage.queuedMb, limitMb);
-  }
-
-  void requireAnswer(const char* crowdName, const std::string& method, const std::string& path, const std::string& body,
-                     const std::string& text) {
-    const Time end = BootClock::now() + milliseconds(30000);
-    HttpReply reply;
-    while (BootClock::now() < end) {
-      reply = m_deployment.call(method, path, body, "key-2");
-      if (reply.status == 200 && reply.has(text)) return;
-      pause(30);
-    }
-    cr_assert_fail("%s: %s %s was last answered %u %s", crowdName, method.c_str(), path.c_str(), reply.status,
-                   reply.body.c_str());
-  }
-
-  WorkflowDeployment m_deployment;
-  unsigned m_ordinary = 0;
-};
-
 /** Sends messages to an RPC server, all at once, and waits for their answers. */
 void callAtOnce(const std::string& address, unsigned port, const std::string& message, std::size_t count) {
   boost::asio::io_context io;
@@ -217,11 +47,7 @@
 Test(hostile_clients, a_chunk_extension_without_end) {
   HostileClients test;
   test.play("a chunk extension without end", Entry, ClientPort, clients(4, [](unsigned number) {
-              ClientScript script;
-              script.begin = headOf(number, Chunked) + "5;a=";
-              script.repeated = std::string(KiB, 'x');
-              script.repeatedBytes = 40 * MiB;
-              return script;
+              return repeating(headOf(number, Chunked) + "5;a=", std::string(KiB, 'x'), 40 * MiB);
             }));
 }
 
@@ -244,11 +70,8 @@
 Test(hostile_clients, chunked_bodies_that_are_never_finished) {
   HostileClients test;
   test.play("unfinished chunked bodies", Entry, ClientPort, clients(24, [](unsigned number) {
-              ClientScript script;
-              script.begin = headOf(number, Chunked);
-              script.repeated = "400\r\n" + std::string(KiB, 'x') + "\r\n";
-              script.repeatedBytes = 8 * MiB - 64 * KiB;
-              return script;
+              const std::string chunk = "400\r\n" + std::string(KiB, 'x') + "\r\n";
+              return repeating(headOf(number, Chunked), chunk, 8 * MiB - 64 * KiB);
             }));
 }
 
@@ -299,7 +122,7 @@
   HostileClients test;
   test.play("answers that are never read", Entry, ClientPort, clients(600, [](unsigned number) {
               ClientScript script;
-              script.repeated = "GET /q/" + idOf(number) + " HTTP/1.1\r\nHost: h.example\r\n\r\n";
+              script.repeated = "GET /q/" + workflowId(number) + " HTTP/1.1\r\nHost: h.example\r\n\r\n";
               script.repeatedBytes = MiB;
               script.reads = false;
               return script;
@@ -328,7 +151,7 @@
     for (unsigned i = 0; i < 100; ++i) {
       calls.push_back({test.deployment().at(Entry, ClientPort),
                        "POST",
-                       "/q/" + idOf(0x20000 + 100 * round + i),
+                       "/q/" + workflowId(0x20000 + 100 * round + i),
                        body,
                        {{"Host", "h.example"}, {"Authorization", "Bearer key-1"}},
                        milliseconds(5000)});
@@ -357,7 +180,7 @@
   schema::QueueCall call;
   call.set_kind(schema::QueueSubmit);
   call.set_host("h.example");
-  call.set_path("/q/" + idOf(1));
+  call.set_path("/q/" + workflowId(1));
   call.set_key("wrong");
   for (unsigned i = 0; i < 200000; ++i) call.mutable_spec()->add_steps()->set_count(1);
   const std::string message = call.SerializeAsString();
@@ -413,50 +236,4 @@
 
 // ---- random shapes
 
-namespace {
-
-/** \returns a client that repeats, cuts, stretches or slows parts of a request. */
-ClientScript randomClient(unsigned number, std::mt19937_64& random) {
-  const auto draw = [&random](std::size_t below) { return static_cast<std::size_t>(random() % below); };
-  const std::vector<std::string> units{"X-Field: text\r\n",
-                                       "a:\r\n",
-                                       "400\r\n" + std::string(KiB, 'x') + "\r\n",
-                                       "5;a=",
-                                       "0\r\n",
-                                       "{},",
-                                       std::string(KiB, ' '),
-                                       "\r\n",
-                                       std::string("\0", 1)};
-  const std::string body = draw(2) == 0 ? workflowOf(KiB << draw(12), NotDue) : R"({"spec":"20","steps":[)";
-  std::string whole = headOf(number, draw(2) == 0 ? Chunked : lengthOf(draw(2) == 0 ? body.size() : 8 * MiB),
-                             draw(2) == 0 ? "key-1" : "wrong");
-  whole += body;
-  ClientScript script;
-  script.begin = whole.substr(0, draw(3) == 0 ? draw(whole.size()) : whole.size());
-  script.repeated = units[draw(units.size())];
-  script.repeatedBytes = draw(3) == 0 ? 0 : KiB << draw(15);
-  script.end = draw(2) == 0 ? "" : "]}";
-  script.reads = draw(4) != 0;
-  script.returns = draw(4) == 0;
-  if (draw(4) == 0) {
-    script.pieceBytes = 1 + draw(KiB);
-    script.pause = milliseconds(1 + static_cast<std::int64_t>(draw(20)));
-  }
-  return script;
-}
-
-}  // namespace
-
-Test(hostile_clients, random_clients) {
-  HostileClients test;
-  const std::uint64_t first = firstSeed();
-  for (std::uint64_t seed = first; seed < first + seedCount(3); ++seed) {
-    std::mt19937_64 random(seed);
-    std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
-    ClientCrowd crowd(test.deployment().at(Entry, ClientPort),
-                      clients(64, [&random](unsigned number) { return randomClient(number, random); }));
-    crowd.awaitQuiet(milliseconds(8000));
-    test.requireBounds("random clients");
-    test.requireServed("random clients");
-  }
-}
+Test(hostile_clients, random_clients_whose_work_is_not_due) { playRandomClients(NotDue); }
--- a/test/large_submissions.cpp
+++ b/test/large_submissions.cpp
@@ -29,12 +29,6 @@
                          tenant("t", LargeKey) + "," + tenant("u", OtherKey));
 }
 
-std::string idOf(unsigned number) {
-  std::array<char, 17> text{};
-  std::snprintf(text.data(), text.size(), "%016x", number);
-  return text.data();
-}
-
 /** \returns a workflow of as many of the given steps as there are, or as fit into a body.
  * \param step returns a step by its index \param more members of the workflow, with a leading comma */
 std::string workflowOf(std::size_t steps, const std::function<std::string(std::size_t)>& step,
@@ -60,21 +54,21 @@
   explicit LargeSubmissions(const std::string& policy = "{}") : m_deployment(2, policy) {
     cr_assert_eq(m_deployment.configure(twoWorkspaces()), 200);
     cr_assert(m_deployment.until(200, "GET", "/q/", "", "pending"));
-    m_deployment.call("POST", "/urgent/" + idOf(1), job(1, "20"), OtherKey);
-    awaitDone(idOf(1), "before any large workflow");
+    m_deployment.call("POST", "/urgent/" + workflowId(1), job(1, "20"), OtherKey);
+    awaitDone(workflowId(1), "before any large workflow");
   }
 
   WorkflowDeployment& deployment() { return m_deployment; }
 
   void submitLarge(const std::string& body) {
-    const unsigned status = m_deployment.call("POST", "/q/" + idOf(++m_large + 0x10000), body, LargeKey).status;
+    const unsigned status = m_deployment.call("POST", "/q/" + workflowId(++m_large + 0x10000), body, LargeKey).status;
     cr_assert_eq(status, 200, "workflow %u: answered %u", m_large, status);
   }
 
   /** Requires that workflows of the other workspace, one after another, are accepted and done in time. */
   void requireOthersServed(const char* beside, unsigned workflows = 3) {
     for (unsigned i = 0; i < workflows; ++i) {
-      const std::string id = idOf(++m_others + 0x20000);
+      const std::string id = workflowId(++m_others + 0x20000);
       const Time end = BootClock::now() + OthersLimit;
       unsigned status = 0;
       while (status != 200 && BootClock::now() < end) {
@@ -177,10 +171,10 @@
 Test(large_submissions, many_workflows_of_many_steps_under_admission) {
   LargeSubmissions test("{admission: true, fairShares: true}");
   for (int i = 0; i < 60; ++i) {
-    test.deployment().call("POST", "/q/" + idOf(0x30000U + static_cast<unsigned>(i)),
+    test.deployment().call("POST", "/q/" + workflowId(0x30000U + static_cast<unsigned>(i)),
                            workflowOf(400, [](std::size_t) { return stepOf(2, R"(,"estimate_ms":2500)"); }), LargeKey);
   }
-  test.deployment().call("POST", "/q/" + idOf(0x40000U),
+  test.deployment().call("POST", "/q/" + workflowId(0x40000U),
                          workflowOf(
                              10, [](std::size_t) { return stepOf(1); }, AllDue),
                          LargeKey);
--- a/test/leader_load.cpp
+++ b/test/leader_load.cpp
@@ -49,11 +49,7 @@
          std::to_string(ms) + R"(,"checkpointing":true}]})";
 }
 
-std::string idOf(int number) {
-  char text[17];
-  std::snprintf(text, sizeof text, "%016x", 0xfeed0000U + static_cast<unsigned>(number));
-  return text;
-}
+std::string idOf(int number) { return workflowId(0xfeed0000U + static_cast<unsigned>(number)); }
 
 }  // namespace
 
--- a/test/workflow_table.cpp
+++ b/test/workflow_table.cpp
@@ -438,7 +438,8 @@
   loaded.load(snapshot);
   cr_assert(snapshotOf(loaded) == snapshotOf(table));
   cr_assert_eq(loaded.find("w")->activeRuns, 2);
-  cr_assert_eq(loaded.find("w")->waiting.begunTasks(0), 1, "it has a run, and is not done");
+  cr_assert_eq(loaded.find("w")->waiting.begunTasks(0), 1, "one task is active or done");
+  cr_assert_not(loaded.find("w")->task(task)->done, "and it is not done");
   cr_assert_eq(loaded.find("w")->task(task)->active[1].copy_of(), 1);
   for (WorkflowTable* each : {&table, &loaded}) end(*each, "w", task, 1, schema::RunDone);
   for (WorkflowTable* each : {&table, &loaded}) end(*each, "w", task, 2, schema::RunStopped);
