Simplify the limits of callers: one map of RPC methods, no counter that nobody reads

ConnectionPlaces counted closed connections for nobody. RpcServer kept two maps by method, one of handlers and one of budgets; it has one, and an unknown method is one failure. QueueHandler got the memory of accepted work by building a second ProcessLimits; the service passes it. A workflow whose size has not changed is not counted again. No behaviour changes: rpc_outcome, rpc_drain, connection_places, work_limit, workflow_table, platform_formats, http_server, idle_connections, settings passed.

--- a/Courseloom/src/Agent/AgentService.cpp
+++ b/Courseloom/src/Agent/AgentService.cpp
@@ -18,9 +18,9 @@
 
 namespace internal {
 namespace {
+
 /** Part of the memory for received calls. */
 constexpr std::uint64_t CallMemoryParts = 4;
-
 /** Time between checks of the queue for deadlines. */
 constexpr Duration TickInterval = milliseconds(10);
 /** How long an exchange may outlive its caller's deadline before its connection is closed. */
--- a/Courseloom/src/Agent/RunAgentService.h
+++ b/Courseloom/src/Agent/RunAgentService.h
@@ -32,8 +32,8 @@
 struct RunAgentProtocol {
   /** Creates the port through which the agent calls its target. */
   std::function<std::unique_ptr<TargetPort>(const DaemonContext&)> makePort;
-  /** Answers a request that the target sends to register, to repeat its registration or to deregister. */
-  /** \param memory what the process holds for the request */
+  /** Answers a request that the target sends to register, to repeat its registration or to deregister.
+   * \param memory what the process holds for the request */
   std::function<Awaitable<HttpResponse>(HttpRequest, TargetRegistry&, ByteShare& memory)> answerRegistration;
 };
 
--- a/Courseloom/src/Control/ControlService.cpp
+++ b/Courseloom/src/Control/ControlService.cpp
@@ -24,7 +24,8 @@
 /** Longest wait for the platform's inventory. If it takes longer, a job is accepted unchecked and stays queued. */
 constexpr Duration InventoryLimit = milliseconds(400);
 constexpr Duration StopLimit = milliseconds(3000);
-/** Parts of the memory for received calls, for messages of replicas, and for operators. */
+/** Parts of the memory for accepted workflows, received calls, messages of replicas, and operators. */
+constexpr std::uint64_t AcceptedWorkMemoryParts = 2;
 constexpr std::uint64_t CallMemoryParts = 8;
 constexpr std::uint64_t ReplicationMemoryParts = 3;
 constexpr std::uint64_t OperatorMemoryParts = 8;
@@ -39,9 +40,9 @@
       m_driver(context, m_strand),
       m_jobs(context, m_strand, m_driver),
       m_workflows(context, m_strand, m_driver, m_edges.makeAdvice ? m_edges.makeAdvice(context) : nullptr),
-      m_queues(context, m_driver, m_workflows),
-      m_nodes(2 * milliseconds(context.settings.cluster().freshness_lease_ms())),
       m_limits(context.settings.control().memory_mb()),
+      m_queues(context, m_driver, m_workflows, m_limits.memoryShare(internal::AcceptedWorkMemoryParts)),
+      m_nodes(2 * milliseconds(context.settings.cluster().freshness_lease_ms())),
       m_rpc(context.io, m_limits.rpcLimits(m_limits.budget(internal::CallMemoryParts))),
       m_http(context.io, m_limits.probeLimits(),
              [this](HttpRequest request, HttpCaller) -> Awaitable<HttpResponse> { co_return answerHttp(request); }),
--- a/Courseloom/src/Control/ControlService.h
+++ b/Courseloom/src/Control/ControlService.h
@@ -73,10 +73,10 @@
   ReplicaDriver m_driver;
   JobRunner m_jobs;
   WorkflowRunner m_workflows;
+  ProcessLimits m_limits;
   QueueHandler m_queues;
   NodeTable m_nodes;
   ChangeSignal m_changed;
-  ProcessLimits m_limits;
   RpcServer m_rpc;
   HttpServer m_http;
   HttpServer m_operators;
--- a/Courseloom/src/Control/QueueHandler.cpp
+++ b/Courseloom/src/Control/QueueHandler.cpp
@@ -5,7 +5,6 @@
 
 #include "Courseloom/src/Control/StrandSlice.h"
 #include "Courseloom/src/Core/Log.h"
-#include "Courseloom/src/Runtime/ProcessLimits.h"
 #include "Courseloom/src/Scheduling/Objective.h"
 #include "Courseloom/src/State/WorkflowSize.h"
 
@@ -16,8 +15,6 @@
 constexpr Duration CommitLimit = milliseconds(3000);
 /** Longest id of a workflow, bytes. */
 constexpr std::size_t MaxIdBytes = 64;
-/** Part of the memory that accepted workflows may take. */
-constexpr std::uint64_t AcceptedMemoryParts = 2;
 /** Time after which a caller whose workflow did not fit into the memory should come back, ms: some runs will have ended
  * by then. */
 constexpr std::uint32_t RetryWithoutMemoryMs = 5000;
@@ -37,12 +34,13 @@
 }  // namespace
 }  // namespace internal
 
-QueueHandler::QueueHandler(const DaemonContext& context, ReplicaDriver& driver, AdmissionSource& admission)
+QueueHandler::QueueHandler(const DaemonContext& context, ReplicaDriver& driver, AdmissionSource& admission,
+                           std::uint64_t workBytes)
     : m_context(context),
       m_driver(driver),
       m_admission(admission),
       m_review(internal::admission_options(context.settings.policy())),
-      m_work(ProcessLimits(context.settings.control().memory_mb()).memoryShare(internal::AcceptedMemoryParts)),
+      m_work(workBytes),
       m_random(std::random_device()()) {}
 
 void QueueHandler::lead(bool leads) {
--- a/Courseloom/src/Control/QueueHandler.h
+++ b/Courseloom/src/Control/QueueHandler.h
@@ -21,8 +21,10 @@
  */
 class QueueHandler {
  public:
-  /** \param admission supplies what the admission of new workflows depends on */
-  QueueHandler(const DaemonContext& context, ReplicaDriver& driver, AdmissionSource& admission);
+  /** \param admission supplies what the admission of new workflows depends on \param workBytes memory for accepted
+   * workflows */
+  QueueHandler(const DaemonContext& context, ReplicaDriver& driver, AdmissionSource& admission,
+               std::uint64_t workBytes);
 
   /** Starts or stops acting as leader. The places of rejected callers (see ReturnTable) are lost. */
   void lead(bool leads);
--- a/Courseloom/src/State/WorkflowTable.cpp
+++ b/Courseloom/src/State/WorkflowTable.cpp
@@ -367,8 +367,10 @@
 }
 
 void WorkflowTable::countBytes(WorkflowState& workflow) {
+  const std::uint64_t bytes = workflow.acceptedBytes + workflow.tasks.size() * StartedTaskBytes;
+  if (bytes == workflow.heldBytes) return;
   discountBytes(workflow);
-  workflow.heldBytes = workflow.acceptedBytes + workflow.tasks.size() * StartedTaskBytes;
+  workflow.heldBytes = bytes;
   m_heldBytes += workflow.heldBytes;
   m_heldByWorkspace[workflow.record.tenant()] += workflow.heldBytes;
 }
--- a/Courseloom/src/Transport/ConnectionPlaces.cpp
+++ b/Courseloom/src/Transport/ConnectionPlaces.cpp
@@ -50,11 +50,6 @@
   return true;
 }
 
-std::uint64_t ConnectionPlaces::closed() const {
-  const std::lock_guard lock(m_mutex);
-  return m_closed;
-}
-
 std::list<ConnectionPlaces::Place*>& ConnectionPlaces::listOf(State state) {
   if (state == State::KeptOpen) return m_keptOpen;
   return state == State::Peer ? m_peer : m_server;
@@ -70,7 +65,6 @@
   if (list.empty()) return {};
   Place& place = *list.front();
   leave(place);
-  ++m_closed;
   return std::move(place.m_close);
 }
 
--- a/Courseloom/src/Transport/ConnectionPlaces.h
+++ b/Courseloom/src/Transport/ConnectionPlaces.h
@@ -62,8 +62,6 @@
   /** Closes the connection whose peer has kept a request or an answer incomplete for the longest time, so that its
    * memory becomes free. \returns whether there was one */
   bool closeLongestIncomplete();
-  /** \returns the number of connections that lost their place. */
-  std::uint64_t closed() const;
 
  private:
   std::list<Place*>& listOf(State state);
@@ -75,7 +73,6 @@
   std::list<Place*> m_keptOpen;  ///< in the order in which they began to wait, like the other lists
   std::list<Place*> m_peer;
   std::list<Place*> m_server;
-  std::uint64_t m_closed = 0;
 };
 
 }  // namespace courseloom
--- a/Courseloom/src/Transport/Http2Connection.cpp
+++ b/Courseloom/src/Transport/Http2Connection.cpp
@@ -275,9 +275,9 @@
   if (stream->rejected) return false;
   if (m_side == Side::Client) return true;
   if (stream->body.empty() && m_budgetOf) {
-    const auto budget = m_budgetOf(stream->method);
+    Result<std::shared_ptr<ByteBudget>> budget = m_budgetOf(stream->method);
     if (!budget) {
-      reject(id, stream, {FailureCode::NotFound, Ran::No, stream->method, "", "no such method", 0});
+      reject(id, stream, extractFailure(budget));
       return false;
     }
     stream->memory = std::make_unique<ByteShare>(*budget);
--- a/Courseloom/src/Transport/Http2Connection.h
+++ b/Courseloom/src/Transport/Http2Connection.h
@@ -13,7 +13,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "Courseloom/src/Core/ByteBudget.h"
@@ -41,9 +40,9 @@
 
 /** Handles a call. Returns the serialized reply, or a failure that is sent to the caller. */
 using RpcDispatcher = std::function<Awaitable<Result<std::string>>(RpcCall)>;
-/** \returns the budget that calls of a method are charged to; nothing for an unknown method, whose calls are rejected.
- * A null budget has no limit. */
-using RpcBudgetOf = std::function<std::optional<std::shared_ptr<ByteBudget>>(const std::string& method)>;
+/** \returns the budget that calls of a method are charged to, null for one without limit; or the failure with which
+ * calls of an unknown method are rejected */
+using RpcBudgetOf = std::function<Result<std::shared_ptr<ByteBudget>>(const std::string& method)>;
 
 /** \class Http2Connection
  * \brief One nghttp2 session on one Asio socket, as client or as server; each call is one stream.
--- a/Courseloom/src/Transport/RpcServer.cpp
+++ b/Courseloom/src/Transport/RpcServer.cpp
@@ -48,10 +48,11 @@
     const auto connection =
         std::make_shared<Http2Connection>(m_io, std::move(socket), Http2Connection::Side::Server, peer,
                                           [this](RpcCall call) { return dispatch(std::move(call)); });
-    const bool admitted = connection->admit(*m_places, m_limits.memory, [this](const std::string& method) {
-      const auto budget = m_budgets.find(method);
-      return budget == m_budgets.end() ? std::nullopt : std::optional(budget->second);
-    });
+    const bool admitted = connection->admit(*m_places, m_limits.memory,
+                                            [this](const std::string& name) -> Result<std::shared_ptr<ByteBudget>> {
+                                              BOOST_LEAF_AUTO(method, findMethod(name));
+                                              return method->memory;
+                                            });
     if (!admitted) continue;
     registerConnection(connection);
     asio::dispatch(connection->executor(), [connection] { connection->start(); });
@@ -82,13 +83,21 @@
   return {};
 }
 
+Result<const RpcServer::Method*> RpcServer::findMethod(const std::string& name) const {
+  const auto found = m_methods.find(name);
+  if (found != m_methods.end()) return &found->second;
+  return fail(Failure{FailureCode::NotFound, Ran::No, name, "", "no such method", 0});
+}
+
 Awaitable<Result<std::string>> RpcServer::dispatch(RpcCall call) {
-  const auto found = m_handlers.find(call.method);
-  if (found == m_handlers.end()) {
-    co_return fail(Failure{FailureCode::NotFound, Ran::No, call.method, call.peer, "no such method", 0});
+  Result<const Method*> method = findMethod(call.method);
+  if (!method) {
+    Failure failure = extractFailure(method);
+    failure.peer = call.peer;
+    co_return fail(std::move(failure));
   }
   const ScopedCount<std::size_t> inFlight(m_inFlight);
-  co_return co_await found->second(std::move(call));
+  co_return co_await (*method)->run(std::move(call));
 }
 
 void RpcServer::goAway() {
--- a/Courseloom/src/Transport/RpcServer.h
+++ b/Courseloom/src/Transport/RpcServer.h
@@ -51,9 +51,10 @@
    */
   template <class Request, class Handler>
   void handle(const std::string& method, Handler handler, RpcCost cost = {}) {
-    m_budgets[method] = cost.memory ? cost.memory : m_limits.memory;
     const std::uint64_t factor = cost.parsedBytesPerByte;
-    m_handlers[method] = [method, handler, factor](RpcCall call) -> Awaitable<Result<std::string>> {
+    Method& added = m_methods[method];
+    added.memory = cost.memory ? cost.memory : m_limits.memory;
+    added.run = [method, handler, factor](RpcCall call) -> Awaitable<Result<std::string>> {
       Request request;
       Result<void> read = readCall(method, call, factor, request);
       if (!read) co_return fail(extractFailure(read));
@@ -76,6 +77,13 @@
   void close();
 
  private:
+  struct Method {
+    RpcDispatcher run;
+    std::shared_ptr<ByteBudget> memory;  ///< budget of its calls; null is no limit
+  };
+
+  /** \returns the method of a name, or NotFound. */
+  Result<const Method*> findMethod(const std::string& name) const;
   /** Parses a call's message and charges it. Small messages keep the charge of their serialized form. */
   static Result<void> readCall(const std::string& method, RpcCall& call, std::uint64_t parsedBytesPerByte,
                                google::protobuf::Message& request);
@@ -87,8 +95,7 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   RpcLimits m_limits;
   std::shared_ptr<ConnectionPlaces> m_places;
-  std::map<std::string, RpcDispatcher> m_handlers;
-  std::map<std::string, std::shared_ptr<ByteBudget>> m_budgets;  ///< of the methods in m_handlers
+  std::map<std::string, Method> m_methods;
   std::atomic<std::size_t> m_inFlight{0};
   std::atomic<std::size_t> m_pendingGoAways{0};  ///< connections whose GOAWAY is scheduled but not submitted yet
   std::mutex m_mutex;
