HTTP: the fields of a message have a limit before they are stored

Cause: Boost.Beast stores each header field as soon as it is whole, some 100 bytes for 4 of text, and applies its limit only to the part that it has not stored. A client whose parts end inside a field is never limited, and nothing was charged before the header's end. Whole headers of 15 KB took 370 KB each, so that 32 waiting connections held all of the budget. A rejected request kept its read buffer uncharged for up to 2 s. The answers of targets are read the same way.

What is stored is charged with each part that is read.

--- a/Courseloom/src/Transport/HttpClient.cpp
+++ b/Courseloom/src/Transport/HttpClient.cpp
@@ -8,10 +8,11 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "Courseloom/src/Transport/LimitedParser.h"
+
 namespace courseloom {
 
 namespace asio = boost::asio;
@@ -85,7 +86,7 @@
     closeIdleSince(sentAt);
     co_return fail(Failure{FailureCode::TargetFailed, Ran::Unknown, step, m_peer, writeError.message(), 0});
   }
-  http::response_parser<http::string_body> parser;
+  LimitedParser<false> parser(internal::MaxFramingBytes);
   parser.body_limit(maxBodyBytes);
   const auto [readError, readBytes] =
       co_await http::async_read(connection->stream, connection->buffer, parser, asio::as_tuple(asio::use_awaitable));
--- a/Courseloom/src/Transport/HttpConnection.cpp
+++ b/Courseloom/src/Transport/HttpConnection.cpp
@@ -24,8 +24,6 @@
 constexpr std::size_t FirstReadBytes = 512;
 constexpr std::size_t HeaderReadBytes = 4U * 1024;
 constexpr std::size_t BodyReadBytes = 16U * 1024;
-/** Memory of one header field beside its text. */
-constexpr std::uint64_t FieldBytes = 96;
 /** Largest number of connections that are closed to make room for one usual request. */
 constexpr int MaxClosedForRoom = 16;
 /** Time for which the bytes of a rejected request are read and dropped. */
@@ -49,12 +47,6 @@
   return failure;
 }
 
-std::uint64_t bytes_of_fields(const http::fields& fields) {
-  std::uint64_t bytes = 0;
-  for (const auto& field : fields) bytes += field.name_string().size() + field.value().size() + FieldBytes;
-  return bytes;
-}
-
 }  // namespace
 }  // namespace internal
 
@@ -81,15 +73,16 @@
 }
 
 Awaitable<HttpConnection::ReadResult> HttpConnection::readRequest(const HttpBodyCheck& bodyCheck) {
-  Parser parser;
+  Parser parser(m_limits.maxHeaderBytes);
   parser.header_limit(m_limits.maxHeaderBytes);
   parser.body_limit(m_limits.maxBodyBytes);
   bool checked = !bodyCheck;
   if (m_buffer.size() > 0) beginRequest();
   while (true) {
     beast::error_code error = parse(parser);
-    if (!error && !co_await charge(parser)) {
-      co_return ReadResult{{}, problemResponse(withoutRoom(m_memory, heldBytes(parser)))};
+    const std::uint64_t bytes = heldBytes(parser);
+    if (!error && !co_await charge(bytes, bytes <= ByteBudget::SmallShare)) {
+      co_return ReadResult{{}, problemResponse(withoutRoom(m_memory, bytes))};
     }
     if (!error && parser.is_done()) co_return ReadResult{parser.release(), {}};
     if (!error && !checked && isLarge(parser)) {
@@ -117,10 +110,7 @@
   while (m_buffer.size() > 0 && !parser.is_done() && !error) {
     m_buffer.consume(parser.put(m_buffer.data(), error));
   }
-  if (parser.is_header_done() && !m_bodyBegan) {
-    m_bodyBegan = BootClock::now();
-    m_headBytes = internal::bytes_of_fields(parser.get());
-  }
+  if (parser.is_header_done() && !m_bodyBegan) m_bodyBegan = BootClock::now();
   if (error != http::error::need_more) return error;
   if (m_buffer.size() >= m_buffer.max_size()) return http::error::buffer_overflow;
   return {};
@@ -168,21 +158,18 @@
 }
 
 /** \returns the memory that is held for the present request, bytes. */
-std::uint64_t HttpConnection::heldBytes(const Parser& parser) {
+std::uint64_t HttpConnection::heldBytes(const Parser& parser) const {
   const std::string& body = parser.get().body();
   // Memory that was reserved for the announced length is not in use before it is written.
   const std::uint64_t bodyBytes = parser.chunked() ? body.capacity() : body.size();
-  if (parser.is_done()) m_headBytes = internal::bytes_of_fields(parser.get());
-  return m_buffer.capacity() + m_headBytes + bodyBytes;
+  return m_buffer.capacity() + parser.get().target().size() + parser.fieldBytes() + bodyBytes;
 }
 
-/** Charges what is held to the budget. If there is no room for a usual request, the connections that have kept the
- * server waiting for the longest time are closed. \returns whether there was room */
-Awaitable<bool> HttpConnection::charge(const Parser& parser) {
-  const std::uint64_t bytes = heldBytes(parser);
+/** Charges what is held to the budget. \param closesOthers whether, while there is no room, the connections are closed
+ * that have kept the server waiting for the longest time \returns whether there was room */
+Awaitable<bool> HttpConnection::charge(std::uint64_t bytes, bool closesOthers) {
   for (int closed = 0; !m_memory.resize(bytes); ++closed) {
-    const bool usual = bytes <= ByteBudget::SmallShare;
-    if (!usual || closed == internal::MaxClosedForRoom || !m_places->closeLongestIncomplete()) co_return false;
+    if (!closesOthers || closed == internal::MaxClosedForRoom || !m_places->closeLongestIncomplete()) co_return false;
     co_await asio::post(m_stream.get_executor(), asio::use_awaitable);
   }
   co_return true;
@@ -203,15 +190,18 @@
 }
 
 Awaitable<void> HttpConnection::reject(HttpResponse response) {
+  m_buffer.clear();
+  m_buffer.shrink_to_fit();
   m_memory.resize(0);
   response.keep_alive(false);
   if (!co_await write(response)) co_return;
   shutDown();
   m_stream.expires_after(internal::RejectedReadTime);
-  m_buffer.clear();
+  const std::size_t length =
+      m_memory.resize(internal::HeaderReadBytes) ? internal::HeaderReadBytes : internal::FirstReadBytes;
   while (true) {
-    const auto [error, received] = co_await m_stream.async_read_some(m_buffer.prepare(internal::HeaderReadBytes),
-                                                                     asio::as_tuple(asio::use_awaitable));
+    const auto [error, received] =
+        co_await m_stream.async_read_some(m_buffer.prepare(length), asio::as_tuple(asio::use_awaitable));
     if (error) co_return;
   }
 }
@@ -219,7 +209,6 @@
 void HttpConnection::finishCall() {
   m_headBegan.reset();
   m_bodyBegan.reset();
-  m_headBytes = 0;
   m_waitsSince = BootClock::now();
   m_buffer.shrink_to_fit();
   m_memory.resize(0);
--- a/Courseloom/src/Transport/HttpConnection.h
+++ b/Courseloom/src/Transport/HttpConnection.h
@@ -5,12 +5,12 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "Courseloom/src/Transport/HttpServer.h"
+#include "Courseloom/src/Transport/LimitedParser.h"
 
 namespace courseloom {
 
@@ -53,15 +53,15 @@
   ByteShare& memory() { return m_memory; }
 
  private:
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = LimitedParser<true>;
 
   void beginRequest();
   boost::beast::error_code parse(Parser& parser);
   Awaitable<boost::beast::error_code> readMore(const Parser& parser);
   Awaitable<std::optional<HttpResponse>> check(const HttpBodyCheck& bodyCheck, const Parser& parser);
-  Awaitable<bool> charge(const Parser& parser);
+  Awaitable<bool> charge(std::uint64_t bytes, bool closesOthers);
   bool isLarge(const Parser& parser) const;
-  std::uint64_t heldBytes(const Parser& parser);
+  std::uint64_t heldBytes(const Parser& parser) const;
   Time readDeadline(const Parser& parser);
 
   const HttpLimits& m_limits;
@@ -74,7 +74,6 @@
   Time m_waitsSince{};              ///< when the connection began to wait for a request
   std::optional<Time> m_headBegan;  ///< when the first byte of the present request was read
   std::optional<Time> m_bodyBegan;  ///< when its header was complete
-  std::uint64_t m_headBytes = 0;    ///< memory of its header
 };
 
 }  // namespace courseloom
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -51,6 +51,15 @@
             }));
 }
 
+// Of the four paddings one lets each part that the server reads end within the last byte but one of a field.
+Test(hostile_clients, header_fields_without_end) {
+  HostileClients test;
+  test.play("header fields without end", Entry, ClientPort, clients(4, [](unsigned number) {
+              const std::string padding = "X-Padding: " + std::string(number % 4, 'x') + "\r\n";
+              return repeating(headOf(number, padding), "a:\r\n", 40 * MiB);
+            }));
+}
+
 Test(hostile_clients, many_small_header_fields_before_a_body_that_does_not_come) {
   HostileClients test;
   test.play("many small header fields", Entry, ClientPort, clients(400, [](unsigned number) {
--- a/test/http_client.cpp
+++ b/test/http_client.cpp
@@ -69,4 +69,7 @@
   const std::string text(MiB, 'x');
   cr_assert(failureOf(Chunked + "5;a=" + text + "\r\nhello\r\n0\r\n\r\n", 5).has_value(), "chunk extension");
   cr_assert(failureOf(Chunked + "0\r\nX-Trailer: " + text + "\r\n\r\n").has_value(), "trailer");
+  std::string fields;
+  for (int i = 0; i < 300; ++i) fields += "a:\r\n";
+  cr_assert(failureOf("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + fields + "\r\n").has_value(), "header fields");
 }
--- a/test/http_server.cpp
+++ b/test/http_server.cpp
@@ -110,6 +110,22 @@
   cr_assert_eq(server.served(), 0);
 }
 
+// Guards against fields that are stored as they come, each of which takes much more memory than its text.
+Test(http_server, the_fields_of_a_message_have_a_limit) {
+  const RunningServer server(limitsOf(16U << 20U));
+  std::string fields;
+  for (int i = 0; i < 300; ++i) fields += "a:\r\n";
+  cr_assert_eq(server.statusOf(Head + fields + "\r\n"), 431, "a whole header");
+  std::string endless;
+  while (endless.size() < 1U << 20U) endless += "a:\r\n";
+  for (std::size_t padding = 0; padding < 4; ++padding) {
+    cr_assert_eq(server.statusOf(Head + "b:" + std::string(padding, ' ') + "\r\n" + endless), 431, "without end");
+  }
+  cr_assert_eq(server.statusOf(Chunked + "0\r\n" + fields + "\r\n"), 431, "a trailer");
+  cr_assert_eq(server.served(), 0);
+  cr_assert_eq(server.statusOf(Head + fields.substr(0, 4 * 200) + "\r\n"), 200, "fewer fields");
+}
+
 Test(http_server, a_body_that_cannot_fit_is_too_large) {
   const RunningServer server(limitsOf(256U << 10U));
   cr_assert_eq(server.statusOf(withBody(1000U * 1024)), 413);
