HTTP server: answers are charged until they are written

What callers saw: nothing yet; found by reading the rule of ByteBudget ("until the answer is written") against the code. A caller that asks for a large answer and does not read it made the process hold it uncharged, once for each connection.

Cause: the request's memory was given back when it had been served, and the answer's body was never charged. Now the answer takes the request's place in the budget before it is written. If there is no room, the connections that have kept the server waiting longest are closed; if that does not help, the caller gets Overloaded with `ran` unknown.

--- a/Courseloom/src/Transport/HttpConnection.cpp
+++ b/Courseloom/src/Transport/HttpConnection.cpp
@@ -175,6 +175,10 @@
   co_return true;
 }
 
+Awaitable<bool> HttpConnection::holdAnswer(const HttpResponse& response) {
+  return charge(response.body().size(), true);
+}
+
 bool HttpConnection::beginCall() {
   m_stream.expires_never();
   return m_place->wait(ConnectionPlaces::State::Server);
--- a/Courseloom/src/Transport/HttpConnection.h
+++ b/Courseloom/src/Transport/HttpConnection.h
@@ -39,6 +39,8 @@
   /** Records that a call is being served. \returns false if the connection has lost its place, so that the call must
    * not be served */
   bool beginCall();
+  /** Charges an answer in place of its request, which has been served. \returns whether there was room */
+  Awaitable<bool> holdAnswer(const HttpResponse& response);
   /** Writes an answer. \returns whether it was written */
   Awaitable<bool> write(const HttpResponse& response);
   /** Writes an answer to a request that was not read whole, and reads what arrives for a short time without keeping it:
--- a/Courseloom/src/Transport/HttpServer.cpp
+++ b/Courseloom/src/Transport/HttpServer.cpp
@@ -75,6 +75,11 @@
   const unsigned version = request.version();
   HttpCaller caller{connection.peer(), connection.memory()};
   HttpResponse response = co_await m_handler(std::move(request), std::move(caller));
+  if (!co_await connection.holdAnswer(response)) {
+    constexpr std::uint32_t RetryMs = 1000;
+    response = problemResponse({FailureCode::Overloaded, Ran::Unknown, "hold answer", connection.peer(),
+                                "there is no memory for the answer", RetryMs});
+  }
   response.version(version);
   response.keep_alive(keepAlive && !m_draining);
   response.prepare_payload();
--- a/test/http_server.cpp
+++ b/test/http_server.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <thread>
 
+#include "test/ClientCrowd.h"
 #include "test/Processes.h"
 #include "test/main.h"
 
@@ -23,8 +24,8 @@
  */
 class RunningServer {
  public:
-  explicit RunningServer(HttpLimits limits, HttpBodyCheck check = {})
-      : m_server(m_io, std::move(limits), handler(), std::move(check)) {
+  explicit RunningServer(HttpLimits limits, HttpBodyCheck check = {}, HttpHandler handler = {})
+      : m_server(m_io, std::move(limits), handler ? std::move(handler) : sizeHandler(), std::move(check)) {
     m_endpoint = Address + ":" + std::to_string(*m_server.start(Address, 0));
     m_thread = std::thread([this] {
       const auto work = boost::asio::make_work_guard(m_io);
@@ -42,9 +43,10 @@
     return answer.size() < 12 ? 0 : static_cast<unsigned>(std::stoul(answer.substr(9, 3)));
   }
   std::size_t served() const { return m_served.load(); }
+  const std::string& endpoint() const { return m_endpoint; }
 
  private:
-  HttpHandler handler() {
+  HttpHandler sizeHandler() {
     return [this](HttpRequest request, HttpCaller) -> Awaitable<HttpResponse> {
       ++m_served;
       co_return jsonResponse(200, std::to_string(request.body().size()));
@@ -80,6 +82,12 @@
   co_return jsonResponse(401, "{}");
 }
 
+constexpr std::size_t AnswerBytes = 1U << 20U;
+
+Awaitable<HttpResponse> answerLarge(HttpRequest /*request*/, HttpCaller /*caller*/) {
+  co_return jsonResponse(200, std::string(AnswerBytes, 'x'));
+}
+
 }  // namespace
 
 Test(http_server, requests_inside_the_limits_are_served) {
@@ -166,3 +174,20 @@
   cr_assert_eq(server.statusOf("GET / HT"), 400);
   cr_assert_eq(server.statusOf(""), 0);
 }
+
+// Guards against answers that a process holds for callers that do not read them, outside of its budget.
+Test(http_server, answers_that_are_not_read_are_charged) {
+  constexpr std::size_t Callers = 8;
+  HttpLimits limits = limitsOf(6 * AnswerBytes);
+  limits.socketBufferBytes = 16 * 1024;
+  const RunningServer server(limits, {}, answerLarge);
+  ClientScript script;
+  script.begin = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  script.reads = false;
+  ClientCrowd crowd(server.endpoint(), std::vector<ClientScript>(Callers, script));
+  crowd.awaitQuiet();
+  cr_assert_geq(limits.memory->held(), 3 * AnswerBytes, "%llu bytes are charged",
+                static_cast<unsigned long long>(limits.memory->held()));
+  // Those who read are served, in place of those who do not.
+  cr_assert_eq(server.statusOf("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"), 200);
+}
