RPC servers: streams and replies are charged until the peer has taken them

What callers saw: 16 connections that make 8,000 calls each and let no byte of a reply through took an agent to 52.6 MB of 48, 51.3 MB on. It grows with each further connection, and such a peer kept its place.

Cause: a stream was charged until its call had been handled; the stream, its reply and the bytes on their way to the socket then counted for nothing, without a limit of time. nghttp2 also kept closed streams for their priorities.

Now a stream and its reply are charged until the stream closes, the bytes passed to the socket until it has taken them, and closed streams are not kept. A connection with a reply that its peer has not taken waits for its peer (ConnectionPlaces), also while it calls on; when there is no room, the one that has waited longest is closed. A reply that cannot be held becomes Overloaded with `ran` unknown. Silent connections count as open without a request.

--- a/Courseloom/src/Transport/ConnectionPlaces.h
+++ b/Courseloom/src/Transport/ConnectionPlaces.h
@@ -15,7 +15,7 @@
  * \brief Limits the open connections of a server, so that they go to the peers that use them.
  *
  * At the limit a new connection takes the place of one that waits for its peer: first of the connection that has been
- * kept open without a request for the longest time, then of the one whose peer has kept a request or an answer
+ * open without a request for the longest time, then of the one whose peer has kept a request or an answer
  * incomplete for the longest time. A connection whose call is being served keeps its place. All members may be called
  * on any thread.
  */
@@ -23,7 +23,7 @@
  public:
   /** What a connection waits for. */
   enum class State : std::uint8_t {
-    KeptOpen,  ///< an earlier call was answered and no further one has begun
+    KeptOpen,  ///< no call has begun since the connection was accepted or the last one was answered
     Peer,      ///< the peer has yet to send a whole request or to read an answer
     Server,    ///< a call is being served
   };
--- a/Courseloom/src/Transport/Http2Connection.cpp
+++ b/Courseloom/src/Transport/Http2Connection.cpp
@@ -32,6 +32,8 @@
 constexpr std::size_t MaxMethodBytes = 64;
 /** Memory of an open stream of a server. */
 constexpr std::uint64_t StreamBytes = 1024;
+/** Largest number of connections that are closed to make room for one reply. */
+constexpr int MaxClosedForRoom = 16;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusFailed = 500;
 /** Time without any data after a probe from which the connection counts as broken. A busy peer may cause a shorter one.
@@ -44,6 +46,17 @@
   return buffer;
 }
 
+/** \returns the options of a server's session: closed streams are not kept for the priorities of other streams. */
+const nghttp2_option* server_options() {
+  static const nghttp2_option* options = [] {
+    nghttp2_option* created = nullptr;
+    nghttp2_option_new(&created);
+    nghttp2_option_set_no_closed_streams(created, 1);
+    return created;
+  }();
+  return options;
+}
+
 nghttp2_nv make_header(const char* name, const std::string& value) {
   nghttp2_nv header{};
   header.name = reinterpret_cast<std::uint8_t*>(const_cast<char*>(name));
@@ -87,7 +100,7 @@
   if (m_side == Side::Client) {
     nghttp2_session_client_new(&m_session, callbacks(), this);
   } else {
-    nghttp2_session_server_new(&m_session, callbacks(), this);
+    nghttp2_session_server_new2(&m_session, callbacks(), this, internal::server_options());
   }
   const std::array settings{
       nghttp2_settings_entry{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, internal::MaxStreams},
@@ -97,10 +110,13 @@
   nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0, internal::ConnectionWindowBytes);
 }
 
-bool Http2Connection::admit(ConnectionPlaces& places, std::shared_ptr<ByteBudget> memory, RpcBudgetOf budgetOf) {
+bool Http2Connection::admit(std::shared_ptr<ConnectionPlaces> places, std::shared_ptr<ByteBudget> memory,
+                            RpcBudgetOf budgetOf) {
   m_streamMemory = std::move(memory);
+  m_writeMemory = std::make_unique<ByteShare>(m_streamMemory);
   m_budgetOf = std::move(budgetOf);
-  m_place = places.take([weak = weak_from_this()] {
+  m_places = std::move(places);
+  m_place = m_places->take([weak = weak_from_this()] {
     const std::shared_ptr<Http2Connection> self = weak.lock();
     if (self) asio::dispatch(self->executor(), [self] { self->close(); });
   });
@@ -146,6 +162,18 @@
 void Http2Connection::pump() {
   writeMore();
   m_busy = m_open && (m_writeBusy || !m_streams.empty());
+  updatePlace();
+}
+
+/** Records what a server's connection waits for. One whose peer has not taken a reply waits for its peer, also while
+ * further calls are served: otherwise a peer could keep its place by calling on. \returns false if the place is lost */
+bool Http2Connection::updatePlace() {
+  using State = ConnectionPlaces::State;
+  if (!m_place) return true;
+  State state = m_serving > 0 ? State::Server : State::KeptOpen;
+  const bool incomplete = m_streams.size() > m_serving;
+  if (m_writeBusy || m_openReplies > 0 || (m_serving == 0 && incomplete)) state = State::Peer;
+  return std::exchange(m_placeState, state) == state || m_place->wait(state);
 }
 
 void Http2Connection::writeMore() {
@@ -164,6 +192,8 @@
     return;
   }
   m_writeBusy = true;
+  // These bytes cannot be dropped, so another connection makes room for them.
+  if (m_writeMemory && !m_writeMemory->resize(m_writing.capacity())) m_places->closeLongestIncomplete();
   asio::async_write(m_socket, asio::buffer(m_writing),
                     [self = shared_from_this()](const boost::system::error_code& error, std::size_t /*length*/) {
                       self->onWritten(error);
@@ -173,6 +203,7 @@
 void Http2Connection::onWritten(const boost::system::error_code& error) {
   m_writeBusy = false;
   if (m_writing.capacity() > internal::KeptWriteBytes) std::string().swap(m_writing);
+  if (m_writeMemory) m_writeMemory->resize(0);
   if (error) return close();
   pump();
 }
@@ -280,12 +311,12 @@
       reject(id, stream, extractFailure(budget));
       return false;
     }
-    stream->memory = std::make_unique<ByteShare>(*budget);
+    stream->callMemory = std::make_unique<ByteShare>(*budget);
   }
   // The text grows by doubling its memory.
   const std::size_t needed = stream->body.size() + length;
   const std::size_t held = needed <= stream->body.capacity() ? stream->body.capacity() : 2 * needed;
-  if (stream->memory && !stream->memory->resize(internal::StreamBytes + held)) {
+  if (stream->callMemory && !stream->callMemory->resize(held)) {
     reject(id, stream, {FailureCode::Overloaded, Ran::No, stream->method, "", "no memory for the call", 0});
     return false;
   }
@@ -295,28 +326,44 @@
 void Http2Connection::reject(std::int32_t id, const StreamPointer& stream, Failure failure) {
   stream->rejected = true;
   std::string().swap(stream->body);
-  stream->memory.reset();
+  stream->callMemory.reset();
   respond(id, stream, fail(std::move(failure)));
 }
 
 void Http2Connection::dispatch(std::int32_t id, const StreamPointer& stream) {
   if (stream->rejected) return;
-  if (m_place && !m_place->wait(ConnectionPlaces::State::Server)) return;
   ++m_serving;
+  if (!updatePlace()) return;
   auto run = [self = shared_from_this(), id, stream]() -> Awaitable<void> {
-    RpcCall call{stream->method, std::move(stream->body), self->m_peer, std::move(stream->memory)};
+    RpcCall call{stream->method, std::move(stream->body), self->m_peer, std::move(stream->callMemory)};
     Result<std::string> reply = co_await self->m_dispatcher(std::move(call));
     co_await asio::post(self->m_socket.get_executor(), asio::use_awaitable);
+    if (reply && !co_await self->holdReply(stream, reply->size())) {
+      reply = fail(Failure{FailureCode::Overloaded, Ran::Unknown, stream->method, "", "no memory for the reply", 0});
+    }
     --self->m_serving;
-    if (self->m_place && self->m_serving == 0) self->m_place->wait(ConnectionPlaces::State::KeptOpen);
     self->respond(id, stream, std::move(reply));
+    self->updatePlace();
   };
   // The strand only encodes and decodes frames; handlers run on the threads of the io_context.
   asio::co_spawn(m_io, std::move(run), asio::detached);
 }
 
+/** Charges a reply to its stream. While there is no room, connections whose peers keep the server waiting are closed.
+ * \returns whether there was room */
+Awaitable<bool> Http2Connection::holdReply(const StreamPointer& stream, std::size_t bytes) {
+  if (!stream->memory) co_return true;
+  for (int closed = 0; !stream->memory->resize(internal::StreamBytes + bytes); ++closed) {
+    if (closed == internal::MaxClosedForRoom || !m_places->closeLongestIncomplete()) co_return false;
+    co_await asio::post(m_socket.get_executor(), asio::use_awaitable);
+  }
+  co_return true;
+}
+
 void Http2Connection::respond(std::int32_t id, const StreamPointer& stream, Result<std::string> reply) {
   if (!m_open || m_streams.find(id) == m_streams.end()) return;
+  stream->replied = true;
+  ++m_openReplies;
   unsigned status = internal::StatusOk;
   if (reply) {
     stream->outgoing = std::move(*reply);
@@ -379,6 +426,7 @@
   auto stream = std::make_shared<Stream>();
   stream->memory = std::make_unique<ByteShare>(self->m_streamMemory);
   if (!stream->memory->resize(internal::StreamBytes)) {
+    if (self->m_places) self->m_places->closeLongestIncomplete();
     nghttp2_submit_rst_stream(self->m_session, NGHTTP2_FLAG_NONE, frame->hd.stream_id, NGHTTP2_REFUSED_STREAM);
     return 0;
   }
@@ -446,6 +494,7 @@
   if (found == self->m_streams.end()) return 0;
   const StreamPointer stream = found->second;
   self->m_streams.erase(found);
+  if (stream->replied) --self->m_openReplies;
   if (self->m_side == Side::Client) {
     if (!stream->done) stream->status = 0;
     stream->refused = error == NGHTTP2_REFUSED_STREAM;
--- a/Courseloom/src/Transport/Http2Connection.h
+++ b/Courseloom/src/Transport/Http2Connection.h
@@ -52,7 +52,9 @@
  * refused because it was going away, and a call that was not fully sent, give `ran` no.
  *
  * What a server receives is charged to a budget before it is kept, while a call is still incomplete. A call for which
- * there is no room is answered at once with Overloaded and `ran` no, and the rest of it is dropped.
+ * there is no room is answered at once with Overloaded and `ran` no, and the rest of it is dropped. A stream and its
+ * reply are charged until the stream closes, and bytes that were passed to the session until the socket has taken them;
+ * where there is no room, the connection is closed whose peer has kept the server waiting for the longest time.
  * \sa RpcClient, RpcServer
  */
 class Http2Connection : public std::enable_shared_from_this<Http2Connection> {
@@ -65,9 +67,10 @@
   Http2Connection(const Http2Connection&) = delete;
   Http2Connection& operator=(const Http2Connection&) = delete;
 
-  /** Takes a place at a server and limits what the connection receives; to be called before start(), on any thread.
-   * \param memory budget of the open streams; null for one without limit \returns whether there was a place */
-  bool admit(ConnectionPlaces& places, std::shared_ptr<ByteBudget> memory, RpcBudgetOf budgetOf);
+  /** Takes a place at a server and limits what the connection holds; to be called before start(), on any thread.
+   * \param memory budget of open streams and their replies; null for one without limit
+   * \returns whether there was a place */
+  bool admit(std::shared_ptr<ConnectionPlaces> places, std::shared_ptr<ByteBudget> memory, RpcBudgetOf budgetOf);
   /** Starts to read; must run on the strand. */
   void start();
   /** Makes one call (client side). \param deadline instant at which the call is given up \returns the serialized reply
@@ -102,7 +105,9 @@
     bool done = false;       ///< the reply is complete, or the stream or the connection has closed
     bool refused = false;    ///< the peer did not process the stream (REFUSED_STREAM)
     bool rejected = false;   ///< answered before it was complete; what else arrives is dropped
-    std::unique_ptr<ByteShare> memory;  ///< of a call that is received: of the stream, then of the call
+    bool replied = false;    ///< `outgoing` is a reply
+    std::unique_ptr<ByteShare> memory;      ///< of the stream and its reply, at a server
+    std::unique_ptr<ByteShare> callMemory;  ///< of a call that is received
     std::unique_ptr<boost::asio::steady_timer>
         finished;  ///< expires at the deadline; cancelled when a client's stream ends
   };
@@ -118,7 +123,9 @@
   bool receive(std::int32_t id, const StreamPointer& stream, std::size_t length);
   void reject(std::int32_t id, const StreamPointer& stream, Failure failure);
   void dispatch(std::int32_t id, const StreamPointer& stream);
+  Awaitable<bool> holdReply(const StreamPointer& stream, std::size_t bytes);
   void respond(std::int32_t id, const StreamPointer& stream, Result<std::string> reply);
+  bool updatePlace();
   std::int32_t submitRequest(const StreamPointer& stream);
   Result<std::string> outcome(Stream& stream, bool timedOut);
 
@@ -141,8 +148,12 @@
   RpcDispatcher m_dispatcher;
   RpcBudgetOf m_budgetOf;
   std::shared_ptr<ByteBudget> m_streamMemory;        ///< budget of the open streams of a server
+  std::unique_ptr<ByteShare> m_writeMemory;          ///< of m_writing, at a server
+  std::shared_ptr<ConnectionPlaces> m_places;        ///< of a server
   std::unique_ptr<ConnectionPlaces::Place> m_place;  ///< at a server
-  std::size_t m_serving = 0;                         ///< calls whose handlers are running
+  ConnectionPlaces::State m_placeState = ConnectionPlaces::State::Peer;
+  std::size_t m_serving = 0;      ///< calls whose handlers are running
+  std::size_t m_openReplies = 0;  ///< streams that have a reply and are not closed
   nghttp2_session* m_session = nullptr;
   std::map<std::int32_t, StreamPointer> m_streams;
   std::string m_writing;
--- a/Courseloom/src/Transport/RpcServer.cpp
+++ b/Courseloom/src/Transport/RpcServer.cpp
@@ -48,7 +48,7 @@
     const auto connection =
         std::make_shared<Http2Connection>(m_io, std::move(socket), Http2Connection::Side::Server, peer,
                                           [this](RpcCall call) { return dispatch(std::move(call)); });
-    const bool admitted = connection->admit(*m_places, m_limits.memory,
+    const bool admitted = connection->admit(m_places, m_limits.memory,
                                             [this](const std::string& name) -> Result<std::shared_ptr<ByteBudget>> {
                                               BOOST_LEAF_AUTO(method, findMethod(name));
                                               return method->memory;
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -9,6 +9,7 @@
 #include "Courseloom/src/Transport/Listen.h"
 #include "Courseloom/src/Transport/RpcClient.h"
 #include "test/HostileClients.h"
+#include "test/Http2Bytes.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -202,6 +203,19 @@
   }
 }
 
+Test(hostile_clients, replies_of_rpc_servers_that_are_never_read) {
+  HostileClients test;
+  for (const unsigned host : {Agent, Control}) {
+    for (const char* method : {"query", "none"}) {
+      test.play("replies that are never read", host, 0, clients(16, [method](unsigned) {
+                  ClientScript script;
+                  script.begin = callsWithoutWindow(method, 8000);
+                  return script;
+                }));
+    }
+  }
+}
+
 Test(hostile_clients, silent_connections_to_rpc_servers) {
   // Processes inherit the limit of descriptors.
   rlimit descriptors{};
