--- a/Courseloom/src/Transport/Http2Connection.cpp
+++ b/Courseloom/src/Transport/Http2Connection.cpp
@@ -13,6 +13,8 @@
 #include <boost/asio/write.hpp>
 #include <cstring>
 
+#include "Courseloom/src/Transport/MakeRoom.h"
+
 namespace courseloom {
 
 namespace asio = boost::asio;
@@ -32,8 +34,6 @@
 constexpr std::size_t MaxMethodBytes = 64;
 /** Memory of an open stream of a server. */
 constexpr std::uint64_t StreamBytes = 1024;
-/** Largest number of connections that are closed to make room for one reply. */
-constexpr int MaxClosedForRoom = 16;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusFailed = 500;
 /** Time without any data after a probe from which the connection counts as broken. A busy peer may cause a shorter one.
@@ -349,15 +349,10 @@
   asio::co_spawn(m_io, std::move(run), asio::detached);
 }
 
-/** Charges a reply to its stream. While there is no room, connections whose peers keep the server waiting are closed.
- * \returns whether there was room */
+/** Charges a reply to its stream. \returns whether there was room */
 Awaitable<bool> Http2Connection::holdReply(const StreamPointer& stream, std::size_t bytes) {
   if (!stream->memory) co_return true;
-  for (int closed = 0; !stream->memory->resize(internal::StreamBytes + bytes); ++closed) {
-    if (closed == internal::MaxClosedForRoom || !m_places->closeLongestIncomplete()) co_return false;
-    co_await asio::post(m_socket.get_executor(), asio::use_awaitable);
-  }
-  co_return true;
+  co_return co_await resizeOrMakeRoom(*stream->memory, internal::StreamBytes + bytes, *m_places, executor());
 }
 
 void Http2Connection::respond(std::int32_t id, const StreamPointer& stream, Result<std::string> reply) {
--- a/Courseloom/src/Transport/HttpConnection.cpp
+++ b/Courseloom/src/Transport/HttpConnection.cpp
@@ -7,10 +7,11 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/error.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "Courseloom/src/Transport/MakeRoom.h"
+
 namespace courseloom {
 
 namespace asio = boost::asio;
@@ -24,8 +25,6 @@
 constexpr std::size_t FirstReadBytes = 512;
 constexpr std::size_t HeaderReadBytes = 4U * 1024;
 constexpr std::size_t BodyReadBytes = 16U * 1024;
-/** Largest number of connections that are closed to make room for one usual request. */
-constexpr int MaxClosedForRoom = 16;
 /** Time for which the bytes of a rejected request are read and dropped. */
 constexpr Duration RejectedReadTime = milliseconds(2000);
 constexpr std::int64_t MillisecondsPerSecond = 1000;
@@ -81,9 +80,7 @@
   while (true) {
     beast::error_code error = parse(parser);
     const std::uint64_t bytes = heldBytes(parser);
-    if (!error && !co_await charge(bytes, bytes <= ByteBudget::SmallShare)) {
-      co_return ReadResult{{}, problemResponse(withoutRoom(m_memory, bytes))};
-    }
+    if (!error && !co_await hold(bytes)) co_return ReadResult{{}, problemResponse(withoutRoom(m_memory, bytes))};
     if (!error && parser.is_done()) co_return ReadResult{parser.release(), {}};
     if (!error && !checked && isLarge(parser)) {
       checked = true;
@@ -165,18 +162,15 @@
   return m_buffer.capacity() + parser.get().target().size() + parser.fieldBytes() + bodyBytes;
 }
 
-/** Charges what is held to the budget. \param closesOthers whether, while there is no room, the connections are closed
- * that have kept the server waiting for the longest time \returns whether there was room */
-Awaitable<bool> HttpConnection::charge(std::uint64_t bytes, bool closesOthers) {
-  for (int closed = 0; !m_memory.resize(bytes); ++closed) {
-    if (!closesOthers || closed == internal::MaxClosedForRoom || !m_places->closeLongestIncomplete()) co_return false;
-    co_await asio::post(m_stream.get_executor(), asio::use_awaitable);
-  }
-  co_return true;
+/** Charges what is held for a request. Other connections are closed for a usual one only. \returns whether there was
+ * room */
+Awaitable<bool> HttpConnection::hold(std::uint64_t bytes) {
+  if (bytes > ByteBudget::SmallShare) co_return m_memory.resize(bytes);
+  co_return co_await resizeOrMakeRoom(m_memory, bytes, *m_places, m_stream.get_executor());
 }
 
 Awaitable<bool> HttpConnection::holdAnswer(const HttpResponse& response) {
-  return charge(response.body().size(), true);
+  return resizeOrMakeRoom(m_memory, response.body().size(), *m_places, m_stream.get_executor());
 }
 
 bool HttpConnection::beginCall() {
--- a/Courseloom/src/Transport/HttpConnection.h
+++ b/Courseloom/src/Transport/HttpConnection.h
@@ -61,7 +61,7 @@
   boost::beast::error_code parse(Parser& parser);
   Awaitable<boost::beast::error_code> readMore(const Parser& parser);
   Awaitable<std::optional<HttpResponse>> check(const HttpBodyCheck& bodyCheck, const Parser& parser);
-  Awaitable<bool> charge(std::uint64_t bytes, bool closesOthers);
+  Awaitable<bool> hold(std::uint64_t bytes);
   bool isLarge(const Parser& parser) const;
   std::uint64_t heldBytes(const Parser& parser) const;
   Time readDeadline(const Parser& parser);
