HTTP: a chunked body may end in small parts

What callers saw: a client that sends the last chunk of an empty chunked body in small parts ("0\r\n", then one more byte) ends the process that reads it, at every HTTP listener; so does a target that answers so.

Cause: Boost.Beast 1.81 asserts that at least five bytes are there when it is called again after the last chunk (basic_parser.ipp, parse_chunk_header). Its own reading functions call it whenever anything has arrived. Without assertions (NDEBUG, as in deploy/system.toml) it goes on; the build of tools/build has them, and aborts.

Rule (LimitedParser.h): messages are parsed with take() only, which does not call that parser within a chunked body before the five bytes are there that every such message still has ("0\r\n\r\n"). The client reads its answers with it too.

--- a/Courseloom/src/Transport/HttpClient.cpp
+++ b/Courseloom/src/Transport/HttpClient.cpp
@@ -8,20 +8,20 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include "Courseloom/src/Transport/LimitedParser.h"
-
 namespace courseloom {
 
 namespace asio = boost::asio;
+namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
 namespace internal {
 namespace {
 /** Size of the read buffer, and so the largest size of a header, a trailer or another part of an answer's framing. */
 constexpr std::size_t MaxFramingBytes = 64U * 1024;
+/** Bytes that are read at a time. */
+constexpr std::size_t ReadBytes = 16U * 1024;
 }  // namespace
 }  // namespace internal
 
@@ -61,6 +61,25 @@
   std::erase_if(m_idle, [before](const ConnectionPointer& connection) { return connection->idleSince <= before; });
 }
 
+/** Reads an answer until it is whole, or until the connection ends, which is the end of an answer without a length. */
+Awaitable<beast::error_code> HttpClient::readAnswer(Connection& connection, LimitedParser<false>& parser) {
+  beast::flat_buffer& buffer = connection.buffer;
+  while (true) {
+    beast::error_code error = parser.take(buffer);
+    if (error || parser.is_done()) co_return error;
+    const std::size_t length = std::min(internal::ReadBytes, buffer.max_size() - buffer.size());
+    const auto [readError, received] =
+        co_await connection.stream.async_read_some(buffer.prepare(length), asio::as_tuple(asio::use_awaitable));
+    buffer.commit(received);
+    if (readError == asio::error::eof) {
+      if (!parser.got_some()) co_return http::error::end_of_stream;
+      parser.put_eof(error);
+      co_return error;
+    }
+    if (readError) co_return readError;
+  }
+}
+
 Awaitable<Result<HttpResponse>> HttpClient::exchange(std::string step, HttpRequest request, Duration limit,
                                                      std::uint64_t maxBodyBytes) {
   ConnectionPointer connection = acquireIdle();
@@ -88,8 +107,7 @@
   }
   LimitedParser<false> parser(internal::MaxFramingBytes);
   parser.body_limit(maxBodyBytes);
-  const auto [readError, readBytes] =
-      co_await http::async_read(connection->stream, connection->buffer, parser, asio::as_tuple(asio::use_awaitable));
+  const beast::error_code readError = co_await readAnswer(*connection, parser);
   if (readError) {
     closeIdleSince(sentAt);
     Failure failure{FailureCode::TargetFailed, Ran::Unknown, step, m_peer, readError.message(), 0};
--- a/Courseloom/src/Transport/HttpClient.h
+++ b/Courseloom/src/Transport/HttpClient.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Courseloom/src/Transport/HttpServer.h"
+#include "Courseloom/src/Transport/LimitedParser.h"
 
 namespace courseloom {
 
@@ -44,6 +45,7 @@
   };
   using ConnectionPointer = std::unique_ptr<Connection>;
 
+  static Awaitable<boost::beast::error_code> readAnswer(Connection& connection, LimitedParser<false>& parser);
   ConnectionPointer acquireIdle();
   void releaseIdle(ConnectionPointer connection);
   void closeIdleSince(Time before);
--- a/Courseloom/src/Transport/HttpConnection.cpp
+++ b/Courseloom/src/Transport/HttpConnection.cpp
@@ -103,14 +103,9 @@
 
 /** Passes the bytes in the buffer to the parser, as far as it can take them. */
 beast::error_code HttpConnection::parse(Parser& parser) {
-  beast::error_code error;
-  while (m_buffer.size() > 0 && !parser.is_done() && !error) {
-    m_buffer.consume(parser.put(m_buffer.data(), error));
-  }
+  const beast::error_code error = parser.take(m_buffer);
   if (parser.is_header_done() && !m_bodyBegan) m_bodyBegan = BootClock::now();
-  if (error != http::error::need_more) return error;
-  if (m_buffer.size() >= m_buffer.max_size()) return http::error::buffer_overflow;
-  return {};
+  return error;
 }
 
 /** Reads what has arrived, or waits for it until readDeadline(). */
--- a/test/hostile_clients.cpp
+++ b/test/hostile_clients.cpp
@@ -70,6 +70,21 @@
             }));
 }
 
+Test(hostile_clients, a_last_chunk_in_small_parts) {
+  HostileClients test;
+  const std::vector<std::pair<unsigned, unsigned>> listeners{
+      {Entry, ClientPort}, {Entry, HttpPort}, {Agent, ControlPort}, {Control, ControlPort}};
+  for (const auto& [host, port] : listeners) {
+    test.play("a last chunk in small parts", host, port, clients(4, [](unsigned number) {
+                ClientScript script;
+                script.begin = headOf(number, Chunked) + "0\r\nX: y\r\n\r\n";
+                script.pieceBytes = 1;
+                script.pause = milliseconds(1);
+                return script;
+              }));
+  }
+}
+
 // ---- bodies
 
 Test(hostile_clients, bodies_that_are_never_finished) {
--- a/test/http_client.cpp
+++ b/test/http_client.cpp
@@ -23,13 +23,17 @@
 const std::string Address = "127.0.9.62";
 constexpr std::size_t MiB = 1024U * 1024;
 
-/** Answers one request with bytes. */
-void answerOnce(asio::ip::tcp::acceptor& acceptor, const std::string& answer) {
+/** Answers one request with bytes, some of them at a time. */
+void answerOnce(asio::ip::tcp::acceptor& acceptor, const std::string& answer, std::size_t pieceBytes) {
   boost::system::error_code ignored;
   asio::ip::tcp::socket socket = acceptor.accept();
   std::string request;
   asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ignored);
-  asio::write(socket, asio::buffer(answer), ignored);
+  socket.set_option(asio::ip::tcp::no_delay(true));
+  for (std::size_t sent = 0; sent < answer.size() && !ignored; sent += pieceBytes) {
+    if (sent > 0 && pieceBytes < MiB) std::this_thread::sleep_for(milliseconds(1));
+    asio::write(socket, asio::buffer(answer.data() + sent, std::min(pieceBytes, answer.size() - sent)), ignored);
+  }
 }
 
 Awaitable<void> exchange(HttpClient& client, std::optional<Failure>& failure, std::size_t& bodyBytes) {
@@ -40,10 +44,11 @@
 }
 
 /** \returns the failure of an exchange that is answered with bytes; nothing if the answer was read. */
-std::optional<Failure> failureOf(const std::string& bytes, std::size_t expectedBytes = 0) {
+std::optional<Failure> failureOf(const std::string& bytes, std::size_t expectedBytes = 0,
+                                 std::size_t pieceBytes = MiB) {
   asio::io_context io;
   asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address(Address), 0});
-  std::thread server([&] { answerOnce(acceptor, bytes); });
+  std::thread server([&] { answerOnce(acceptor, bytes, pieceBytes); });
   HttpClient client(io, Address, acceptor.local_endpoint().port(), 0);
   std::optional<Failure> failure;
   std::size_t bodyBytes = 0;
@@ -64,6 +69,22 @@
   cr_assert_not(failureOf(Chunked + "5;a=b\r\nhello\r\n0\r\nX-Trailer: text\r\n\r\n", 5).has_value());
 }
 
+// Guards against a parser that ends the process if the end of a chunked body arrives in small parts.
+Test(http_client, a_chunked_answer_may_end_in_small_parts) {
+  cr_assert_not(failureOf(Chunked + "0\r\n\r\n", 0, 1).has_value());
+  cr_assert_not(failureOf(Chunked + "0\r\nX: y\r\n\r\n", 0, 1).has_value());
+  cr_assert_not(failureOf(Chunked + "5;a=b\r\nhello\r\n0\r\n\r\n", 5, 1).has_value());
+}
+
+// The end of the connection ends an answer without a length, and cuts one that has a length.
+Test(http_client, an_answer_may_end_with_its_connection) {
+  cr_assert_not(failureOf("HTTP/1.1 200 OK\r\n\r\nhello", 5).has_value());
+  const std::optional<Failure> cut = failureOf("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello");
+  cr_assert(cut.has_value() && cut->code == FailureCode::AnswerIncomplete);
+  const std::optional<Failure> nothing = failureOf("");
+  cr_assert(nothing.has_value() && nothing->code == FailureCode::TargetFailed);
+}
+
 // Guards against a read buffer that grows with whatever the framing of an answer contains.
 Test(http_client, a_part_of_the_framing_that_is_too_long_ends_the_exchange) {
   const std::string text(MiB, 'x');
--- a/test/http_server.cpp
+++ b/test/http_server.cpp
@@ -134,6 +134,21 @@
   cr_assert_eq(server.statusOf(Head + fields.substr(0, 4 * 200) + "\r\n"), 200, "fewer fields");
 }
 
+// Guards against a parser that ends the process if the end of a chunked body arrives in small parts.
+Test(http_server, a_chunked_body_may_end_in_small_parts) {
+  const RunningServer server(limitsOf(16U << 20U));
+  for (const std::string body : {"0\r\n\r\n", "0\r\nX: y\r\n\r\n", "5;a=b\r\nhello\r\n0\r\n\r\n"}) {
+    ClientScript script;
+    script.begin = Head + "Transfer-Encoding: chunked\r\n\r\n" + body;
+    script.pieceBytes = 1;
+    script.pause = milliseconds(1);
+    const std::size_t served = server.served();
+    ClientCrowd crowd(server.endpoint(), {script});
+    crowd.awaitQuiet();
+    cr_assert_eq(server.served(), served + 1);
+  }
+}
+
 Test(http_server, a_body_that_cannot_fit_is_too_large) {
   const RunningServer server(limitsOf(256U << 10U));
   cr_assert_eq(server.statusOf(withBody(1000U * 1024)), 413);
